--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/Outcome.java
@@ -0,0 +1,51 @@
+package org.comfreygap.decisions;
+
+import java.util.Locale;
+
+/**
+ * What is known about whether a request ran at an endpoint.
+ *
+ * <p>Invariant: {@link #NOT_RUN} is only used when no byte of the request reached an endpoint.
+ * Thread safety: immutable.
+ *
+ * @since 0.1
+ */
+public enum Outcome {
+  /** The request certainly did not run; it may be tried again. */
+  NOT_RUN {
+    @Override
+    public boolean retryable(boolean idempotent) {
+      return true;
+    }
+  },
+  /** The request ran to its end. */
+  RAN {
+    @Override
+    public boolean retryable(boolean idempotent) {
+      return false;
+    }
+  },
+  /** The request may have run, in part or in whole. */
+  UNKNOWN {
+    @Override
+    public boolean retryable(boolean idempotent) {
+      return idempotent;
+    }
+  };
+
+  /** Returns true when a request with this outcome may be tried again. */
+  public abstract boolean retryable(boolean idempotent);
+
+  /** Returns the outcome as written in the {@code Comfreygap-Outcome} header. */
+  public String headerValue() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  /** Returns the outcome that is certain when both this and {@code other} happened to a request. */
+  public Outcome and(Outcome other) {
+    if (this == RAN || other == RAN) {
+      return RAN;
+    }
+    return this == NOT_RUN && other == NOT_RUN ? NOT_RUN : UNKNOWN;
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/SettingsLease.java
@@ -0,0 +1,88 @@
+package org.comfreygap.decisions;
+
+import java.time.Duration;
+
+/**
+ * Decides whether a process may admit new work under the settings it holds.
+ *
+ * <p>A heartbeat answer names the newest committed revision. The settings in force are confirmed as
+ * of the moment that heartbeat was sent, provided they are at that revision or a later one. New
+ * work is refused once the last confirmation is older than the bound, so that a withdrawn key, a
+ * zone taken out or a lowered limit takes effect within the bound even at a process cut off from
+ * control.
+ *
+ * <pre>{@code
+ * lease.heartbeatAnswered(sentAtNanos, committedRevision);
+ * lease.revisionInForce(view.revision());
+ * if (!lease.valid(nowNanos)) { refuse(); }
+ * }</pre>
+ *
+ * <p>Invariant: the confirmation time is never later than the send time of a heartbeat whose
+ * committed revision is in force. Thread safety: all methods are synchronized.
+ *
+ * @since 0.1
+ */
+public final class SettingsLease {
+
+  /** Longest age of a confirmation under which new work is admitted. */
+  public static final Duration DEFAULT_BOUND = Duration.ofSeconds(5);
+
+  private final long boundNanos;
+  private boolean confirmed;
+  private long confirmedAtNanos;
+  private long revisionInForce;
+  private boolean pending;
+  private long pendingSentAtNanos;
+  private long pendingRevision;
+
+  /** Creates a lease that is not yet confirmed. */
+  public SettingsLease(Duration bound) {
+    this.boundNanos = bound.toNanos();
+  }
+
+  /**
+   * Records a heartbeat answer.
+   *
+   * @param sentAtNanos monotonic time at which the heartbeat was sent
+   * @param committedRevision newest revision committed at the leader
+   */
+  public synchronized void heartbeatAnswered(long sentAtNanos, long committedRevision) {
+    if (committedRevision <= revisionInForce) {
+      confirm(sentAtNanos);
+      return;
+    }
+    // The oldest unmet answer is kept: replacing it at each heartbeat would never confirm a process
+    // that always lags by one revision, and its send time is the safe one.
+    if (!pending) {
+      pending = true;
+      pendingSentAtNanos = sentAtNanos;
+      pendingRevision = committedRevision;
+    }
+  }
+
+  /** Records that {@code revision} is in force in this process. */
+  public synchronized void revisionInForce(long revision) {
+    revisionInForce = Math.max(revisionInForce, revision);
+    if (pending && pendingRevision <= revisionInForce) {
+      pending = false;
+      confirm(pendingSentAtNanos);
+    }
+  }
+
+  /** Returns true when new work may be admitted at {@code nowNanos} (monotonic). */
+  public synchronized boolean valid(long nowNanos) {
+    return confirmed && nowNanos - confirmedAtNanos <= boundNanos;
+  }
+
+  /** Returns the revision in force. */
+  public synchronized long revision() {
+    return revisionInForce;
+  }
+
+  private void confirm(long sentAtNanos) {
+    if (!confirmed || sentAtNanos - confirmedAtNanos > 0) {
+      confirmed = true;
+      confirmedAtNanos = sentAtNanos;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/ControlClient.java
@@ -0,0 +1,209 @@
+package org.comfreygap.runtime;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.thrift.TException;
+import org.comfreygap.protocol.generated.ControlService;
+import org.comfreygap.protocol.generated.InvalidCall;
+import org.comfreygap.protocol.generated.NotLeader;
+
+/**
+ * Calls the control service and follows its leader.
+ *
+ * <pre>{@code
+ * HeartbeatReply reply = control.callLeader(Duration.ofSeconds(1), c -> c.heartbeat(request));
+ * }</pre>
+ *
+ * <p>A call that fails is sent again within its time limit, so every call must be safe to repeat:
+ * those that change state carry a sequence or an id under which control repeats its first answer.
+ *
+ * <p>Invariant: a connection on which a call failed is closed and never used again. Thread safety:
+ * any thread may call; each call uses a connection of its own.
+ *
+ * @since 0.1
+ */
+public final class ControlClient implements AutoCloseable {
+
+  private static final Duration RETRY_PAUSE = Duration.ofMillis(25);
+  private static final Duration LONGEST_TRY = Duration.ofMillis(1_000);
+  private static final int MAX_IDLE_PER_ADDRESS = 8;
+
+  private final PeerSecurity security;
+  private final Map<InetSocketAddress, Deque<ThriftConnection>> idle = new ConcurrentHashMap<>();
+  private final AtomicInteger rotation = new AtomicInteger();
+  private volatile List<InetSocketAddress> addresses;
+  private volatile Optional<InetSocketAddress> leader = Optional.empty();
+  private volatile boolean closed;
+
+  /** Creates a client of the control instances at {@code addresses}. */
+  public ControlClient(List<InetSocketAddress> addresses, PeerSecurity security) {
+    this.addresses = List.copyOf(addresses);
+    this.security = security;
+  }
+
+  /** One call on a connected client. */
+  @FunctionalInterface
+  public interface Call<R> {
+
+    /** Runs the call. */
+    R on(ControlService.Client client) throws TException;
+  }
+
+  /** Replaces the addresses of the control instances, after a membership change. */
+  public void addresses(List<InetSocketAddress> replacement) {
+    if (!replacement.isEmpty()) {
+      addresses = List.copyOf(replacement);
+    }
+  }
+
+  /** Returns the leader that last answered. */
+  public Optional<InetSocketAddress> leader() {
+    return leader;
+  }
+
+  /**
+   * Calls the leader.
+   *
+   * @param timeout time limit over all tries
+   * @throws ControlUnavailable when no leader answered in time or the call is invalid
+   */
+  public <R> R callLeader(Duration timeout, Call<R> call) throws ControlUnavailable {
+    long deadline = System.nanoTime() + timeout.toNanos();
+    Exception last = null;
+    while (!closed) {
+      long left = deadline - System.nanoTime();
+      if (left <= 0) {
+        break;
+      }
+      InetSocketAddress target = leader.orElseGet(this::next);
+      Duration tryTime = Duration.ofNanos(Math.min(left, LONGEST_TRY.toNanos()));
+      try {
+        R answer = once(target, tryTime, call);
+        leader = Optional.of(target);
+        return answer;
+      } catch (NotLeader e) {
+        last = e;
+        leader = Optional.ofNullable(e.getLeaderAddress()).map(Addresses::parse);
+        if (leader.isEmpty() || leader.get().equals(target)) {
+          leader = Optional.empty();
+          pause(deadline);
+        }
+      } catch (InvalidCall e) {
+        throw new ControlUnavailable("control refused the call: " + e.getMessage(), e);
+      } catch (TException | IOException e) {
+        last = e;
+        leader = Optional.empty();
+        pause(deadline);
+      }
+    }
+    throw new ControlUnavailable("no control leader answered within " + timeout, last);
+  }
+
+  /**
+   * Calls any control instance once, another one each time.
+   *
+   * @throws ControlUnavailable when it does not answer in time or the call is invalid
+   */
+  public <R> R callAny(Duration timeout, Call<R> call) throws ControlUnavailable {
+    InetSocketAddress target = next();
+    return callAt(target, timeout, call);
+  }
+
+  /**
+   * Calls the control instance at {@code target} once.
+   *
+   * @throws ControlUnavailable when it does not answer in time or the call is invalid
+   */
+  public <R> R callAt(InetSocketAddress target, Duration timeout, Call<R> call)
+      throws ControlUnavailable {
+    try {
+      return once(target, timeout, call);
+    } catch (TException | IOException e) {
+      throw new ControlUnavailable("no answer from " + Addresses.text(target), e);
+    }
+  }
+
+  /** Returns the next address in rotation. */
+  public InetSocketAddress next() {
+    List<InetSocketAddress> known = addresses;
+    return known.get(Math.floorMod(rotation.getAndIncrement(), known.size()));
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    idle.values().forEach(ControlClient::closeAll);
+  }
+
+  private <R> R once(InetSocketAddress target, Duration timeout, Call<R> call)
+      throws IOException, TException {
+    ThriftConnection connection = borrow(target, timeout);
+    boolean healthy = false;
+    try {
+      R answer = call.on(new ControlService.Client(connection.protocol()));
+      healthy = true;
+      return answer;
+    } catch (NotLeader | InvalidCall e) {
+      healthy = true;
+      throw e;
+    } finally {
+      if (healthy) {
+        giveBack(target, connection);
+      } else {
+        connection.close();
+        // Connections that went idle together usually died together.
+        closeAll(idle.computeIfAbsent(target, t -> new ArrayDeque<>()));
+      }
+    }
+  }
+
+  private ThriftConnection borrow(InetSocketAddress target, Duration timeout) throws IOException {
+    Deque<ThriftConnection> pool = idle.computeIfAbsent(target, t -> new ArrayDeque<>());
+    ThriftConnection connection;
+    synchronized (pool) {
+      connection = pool.pollFirst();
+    }
+    if (connection == null) {
+      return ThriftConnection.open(target, security, timeout);
+    }
+    connection.timeout(timeout);
+    return connection;
+  }
+
+  private void giveBack(InetSocketAddress target, ThriftConnection connection) {
+    Deque<ThriftConnection> pool = idle.get(target);
+    synchronized (pool) {
+      if (!closed && pool.size() < MAX_IDLE_PER_ADDRESS) {
+        pool.addFirst(connection);
+        return;
+      }
+    }
+    connection.close();
+  }
+
+  private static void closeAll(Deque<ThriftConnection> pool) {
+    synchronized (pool) {
+      pool.forEach(ThriftConnection::close);
+      pool.clear();
+    }
+  }
+
+  private static void pause(long deadline) {
+    long nanos = Math.min(RETRY_PAUSE.toNanos(), deadline - System.nanoTime());
+    if (nanos > 0) {
+      try {
+        Thread.sleep(nanos / 1_000_000, (int) (nanos % 1_000_000));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/EventLog.java
@@ -0,0 +1,127 @@
+package org.comfreygap.runtime;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutException;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Records numbered events in the log and the timeline of this process.
+ *
+ * <pre>{@code
+ * events.record(GatewayEvent.REQUEST_REFUSED, Field.of("request", id), Field.of("status", 429));
+ * }</pre>
+ *
+ * <p>Invariant: {@link #record} never blocks a request; when the ring buffer is full the event is
+ * dropped and counted. Thread safety: any thread may record; one thread writes.
+ *
+ * @since 0.1
+ */
+public final class EventLog implements AutoCloseable {
+
+  private static final int RING_SIZE = 4_096;
+  private static final long CLOSE_TIMEOUT_SECONDS = 2;
+  private static final Logger LOG = LoggerFactory.getLogger("comfreygap.events");
+
+  private final String process;
+  private final HybridClock clock;
+  private final Timeline timeline;
+  private final Disruptor<Slot> disruptor;
+  private final RingBuffer<Slot> ring;
+  private final AtomicLong dropped = new AtomicLong();
+
+  /** Starts the writer thread. */
+  public EventLog(String process, HybridClock clock, Timeline timeline) {
+    this.process = process;
+    this.clock = clock;
+    this.timeline = timeline;
+    this.disruptor =
+        new Disruptor<>(
+            Slot::new,
+            RING_SIZE,
+            EventLog::writerThread,
+            ProducerType.MULTI,
+            new BlockingWaitStrategy());
+    EventHandler<Slot> writer = (slot, sequence, endOfBatch) -> write(slot);
+    disruptor.handleEventsWith(writer);
+    this.ring = disruptor.start();
+  }
+
+  /** Records an event that happens now. */
+  public void record(Event event, Field... fields) {
+    long hlc = clock.next();
+    if (!ring.tryPublishEvent((slot, sequence) -> slot.set(event, hlc, fields))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Returns how many events were dropped because the ring buffer was full. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  /** Returns the timeline that events are added to. */
+  public Timeline timeline() {
+    return timeline;
+  }
+
+  /** Returns the clock that dates the events. */
+  public HybridClock clock() {
+    return clock;
+  }
+
+  /** Writes the events already recorded, for at most 2 s, and stops the writer. */
+  @Override
+  public void close() {
+    try {
+      disruptor.shutdown(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    } catch (TimeoutException e) {
+      disruptor.halt();
+    }
+  }
+
+  private void write(Slot slot) {
+    Map<String, String> fields = new LinkedHashMap<>();
+    StringBuilder text = new StringBuilder();
+    for (Field field : slot.fields) {
+      fields.put(field.name(), field.value());
+      text.append(' ').append(field.name()).append('=').append(field.value());
+    }
+    Event event = slot.event;
+    timeline.add(new Timeline.Entry(process, slot.hlc, event.number(), event.name(), fields));
+    LOG.atLevel(event.level()).log("{} {}{}", event.number(), event.name(), text);
+    slot.clear();
+  }
+
+  private static Thread writerThread(Runnable task) {
+    Thread thread = new Thread(task, "event-writer");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  private static final class Slot {
+
+    private Event event;
+    private long hlc;
+    private Field[] fields;
+
+    void set(Event newEvent, long newHlc, Field[] newFields) {
+      event = newEvent;
+      hlc = newHlc;
+      fields = newFields;
+    }
+
+    void clear() {
+      event = null;
+      fields = null;
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/FixedConfiguration.java
@@ -0,0 +1,30 @@
+package org.comfreygap.runtime;
+
+import io.dropwizard.configuration.ConfigurationFactory;
+import io.dropwizard.configuration.ConfigurationSourceProvider;
+import io.dropwizard.core.Configuration;
+
+/**
+ * Hands Dropwizard a configuration that was made from the checked process settings, since
+ * Dropwizard's own reader stops at the first fault of a file.
+ *
+ * <p>Thread safety: immutable.
+ */
+final class FixedConfiguration implements ConfigurationFactory<Configuration> {
+
+  private final Configuration configuration;
+
+  FixedConfiguration(Configuration configuration) {
+    this.configuration = configuration;
+  }
+
+  @Override
+  public Configuration build(ConfigurationSourceProvider provider, String path) {
+    return configuration;
+  }
+
+  @Override
+  public Configuration build() {
+    return configuration;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -0,0 +1,234 @@
+package org.comfreygap.runtime;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.comfreygap.decisions.SettingsLease;
+import org.comfreygap.protocol.generated.EndpointReport;
+import org.comfreygap.protocol.generated.HeartbeatReply;
+import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.Member;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.protocol.generated.WatchReply;
+import org.comfreygap.protocol.generated.WatchRequest;
+import org.comfreygap.settings.SettingsView;
+
+/**
+ * Keeps a process joined to control: it sends heartbeats, follows the settings tree and the
+ * quarantine list, and keeps the settings lease.
+ *
+ * <pre>{@code
+ * MembershipAgent agent = MembershipAgent.start(identity, control, events, Optional::empty);
+ * if (agent.admits()) { serve(agent.settings()); }
+ * }</pre>
+ *
+ * <p>Invariant: the revision in force never goes down, also when a lagging replica answers. Thread
+ * safety: accessors may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class MembershipAgent implements AutoCloseable {
+
+  /** Time between heartbeats. */
+  public static final Duration HEARTBEAT_PERIOD = Duration.ofSeconds(1);
+
+  private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(1_500);
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
+  private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(4);
+  private static final Duration LEASE_CHECK_PERIOD = Duration.ofMillis(250);
+
+  private final ProcessIdentity identity;
+  private final ControlClient control;
+  private final EventLog events;
+  private final Supplier<Optional<EndpointReport>> report;
+  private final SettingsLease lease = new SettingsLease(SettingsLease.DEFAULT_BOUND);
+  private final Map<String, Member> members = new ConcurrentHashMap<>();
+  private final List<Consumer<SettingsView>> listeners = new CopyOnWriteArrayList<>();
+  private final Closer closer = new Closer();
+  private volatile SettingsView settings = SettingsView.empty();
+  private volatile Map<String, Long> quarantineEnds = Map.of();
+  private volatile long membershipVersion;
+  private volatile boolean leaving;
+  private Optional<InetSocketAddress> knownLeader = Optional.empty();
+  private Optional<InetSocketAddress> watched = Optional.empty();
+  private boolean leaseWasValid;
+
+  private MembershipAgent(
+      ProcessIdentity identity,
+      ControlClient control,
+      EventLog events,
+      Supplier<Optional<EndpointReport>> report) {
+    this.identity = identity;
+    this.control = control;
+    this.events = events;
+    this.report = report;
+  }
+
+  /** Starts the duties. */
+  public static MembershipAgent start(
+      ProcessIdentity identity,
+      ControlClient control,
+      EventLog events,
+      Supplier<Optional<EndpointReport>> report) {
+    MembershipAgent agent = new MembershipAgent(identity, control, events, report);
+    agent.closer.register(DutyThread.every("heartbeat", HEARTBEAT_PERIOD, agent::sendHeartbeat));
+    agent.closer.register(DutyThread.continuous("settings-watch", agent::watchOnce));
+    agent.closer.register(
+        DutyThread.every("settings-lease", LEASE_CHECK_PERIOD, agent::checkLease));
+    return agent;
+  }
+
+  /** Returns the settings in force. */
+  public SettingsView settings() {
+    return settings;
+  }
+
+  /** Returns true when new work may be admitted now: the settings lease is valid. */
+  public boolean admits() {
+    return lease.valid(System.nanoTime());
+  }
+
+  /** Returns true when {@code fingerprint} is quarantined at {@code nowNanos} (monotonic). */
+  public boolean quarantined(String fingerprint, long nowNanos) {
+    Long end = quarantineEnds.get(fingerprint);
+    return end != null && end - nowNanos > 0;
+  }
+
+  /** Returns the members known from control; gone ones are removed. */
+  public Collection<Member> members() {
+    return members.values();
+  }
+
+  /** Calls {@code listener} with the settings now and after each change. */
+  public void onSettings(Consumer<SettingsView> listener) {
+    listeners.add(listener);
+    listener.accept(settings);
+  }
+
+  /** Tells control, from the next heartbeat on, that this process is leaving. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Sends one heartbeat now, for example directly after {@link #leave}. */
+  public void sendHeartbeat() throws ControlUnavailable {
+    HeartbeatRequest request =
+        new HeartbeatRequest(identity, settings.revision(), leaving, membershipVersion);
+    report.get().ifPresent(request::setReport);
+    long[] sentAt = new long[1];
+    HeartbeatReply reply;
+    try {
+      reply =
+          control.callLeader(
+              HEARTBEAT_TIMEOUT,
+              client -> {
+                sentAt[0] = System.nanoTime();
+                return client.heartbeat(request);
+              });
+    } catch (ControlUnavailable e) {
+      events.record(RuntimeEvent.CONTROL_UNREACHABLE, Field.of("cause", e.getMessage()));
+      return;
+    }
+    lease.heartbeatAnswered(sentAt[0], reply.getCommittedRevision());
+    noteLeader();
+    updateMembers(reply);
+    control.addresses(reply.getControlAddresses().stream().map(Addresses::parse).toList());
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+
+  private void watchOnce() throws ControlUnavailable {
+    InetSocketAddress replica = watched.orElseGet(control::next);
+    long before = settings.revision();
+    WatchRequest request =
+        new WatchRequest(identity.getProcessId(), before, (int) WATCH_WAIT.toMillis());
+    WatchReply reply;
+    try {
+      reply = control.callAt(replica, WATCH_TIMEOUT, client -> client.watch(request));
+      watched = Optional.of(replica);
+    } catch (ControlUnavailable e) {
+      watched = Optional.empty();
+      throw e;
+    }
+    if (reply.getRevision() < before) {
+      watched = Optional.empty();
+      events.record(
+          RuntimeEvent.SETTINGS_REVISION_REJECTED,
+          Field.of("given", reply.getRevision()),
+          Field.of("inForce", before));
+      return;
+    }
+    applyQuarantine(reply);
+    if (reply.getRevision() > before) {
+      apply(reply);
+    }
+  }
+
+  private void apply(WatchReply reply) {
+    SettingsView base = reply.isSnapshot() ? SettingsView.empty() : settings;
+    SettingsView next = base.with(reply.getChanges(), reply.getRevision());
+    settings = next;
+    listeners.forEach(listener -> listener.accept(next));
+    // The lease counts the revision only once every listener has it in force.
+    lease.revisionInForce(next.revision());
+    events.record(RuntimeEvent.SETTINGS_IN_FORCE, Field.of("revision", next.revision()));
+  }
+
+  private void applyQuarantine(WatchReply reply) {
+    if (!reply.isSetQuarantined()) {
+      return;
+    }
+    long now = System.nanoTime();
+    Map<String, Long> ends = new ConcurrentHashMap<>();
+    reply
+        .getQuarantined()
+        .forEach(
+            (fingerprint, millis) ->
+                ends.put(fingerprint, now + Duration.ofMillis(millis).toNanos()));
+    quarantineEnds = ends;
+  }
+
+  private void updateMembers(HeartbeatReply reply) {
+    if (reply.isFull()) {
+      members.clear();
+    }
+    for (Member member : reply.getMembers()) {
+      String id = member.getIdentity().getProcessId();
+      switch (member.getState()) {
+        case GONE -> members.remove(id);
+        default -> members.put(id, member);
+      }
+    }
+    membershipVersion = reply.getMembershipVersion();
+  }
+
+  private void noteLeader() {
+    Optional<InetSocketAddress> leader = control.leader();
+    if (!leader.equals(knownLeader)) {
+      knownLeader = leader;
+      events.record(
+          RuntimeEvent.CONTROL_LEADER_CHANGED,
+          Field.of("leader", leader.map(Addresses::text).orElse("none")));
+    }
+  }
+
+  private void checkLease() {
+    boolean valid = admits();
+    if (valid != leaseWasValid) {
+      leaseWasValid = valid;
+      events.record(
+          valid ? RuntimeEvent.SETTINGS_LEASE_REGAINED : RuntimeEvent.SETTINGS_LEASE_LOST,
+          Field.of("revision", settings.revision()));
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/ProcessSettings.java
@@ -0,0 +1,154 @@
+package org.comfreygap.runtime;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.comfreygap.settings.Fault;
+import org.comfreygap.settings.FieldRule;
+import org.comfreygap.settings.ObjectSchema;
+
+/**
+ * The settings file of a process, checked against a schema when it is read.
+ *
+ * <pre>{@code
+ * ProcessSettings settings = ProcessSettings.load(path, GatewayMain.SCHEMA);
+ * InetSocketAddress http = settings.address("http.address");
+ * }</pre>
+ *
+ * <p>Invariant: every value satisfies its rule. Thread safety: immutable.
+ *
+ * @since 0.1
+ */
+public final class ProcessSettings {
+
+  private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+
+  private final JsonNode root;
+
+  private ProcessSettings(JsonNode root) {
+    this.root = root;
+  }
+
+  /**
+   * Starts a schema with the fields that every process has: {@code processId}, {@code zone}, {@code
+   * adminAddress} (metrics, health, timeline), {@code control} (list of the Thrift addresses of
+   * control instances) and {@code security} ({@code sharedKeyFile}, optional {@code keyStore},
+   * {@code trustStore} and {@code storePasswordFile} for TLS).
+   */
+  public static ObjectSchema.Builder commonSchema() {
+    ObjectSchema security =
+        ObjectSchema.builder()
+            .required("sharedKeyFile", FieldRule.text(1_000))
+            .optional("keyStore", FieldRule.text(1_000))
+            .optional("trustStore", FieldRule.text(1_000))
+            .optional("storePasswordFile", FieldRule.text(1_000))
+            .build();
+    return ObjectSchema.builder()
+        .required("processId", FieldRule.name())
+        .required("zone", FieldRule.name())
+        .required("adminAddress", FieldRule.ipPort())
+        .required("control", FieldRule.listOf(FieldRule.ipPort(), 7))
+        .required("security", FieldRule.object(security))
+        .optional("logLevel", FieldRule.oneOf(org.slf4j.event.Level.values()));
+  }
+
+  /**
+   * Reads and checks {@code file}.
+   *
+   * @throws SettingsInvalid with every fault, when the file cannot be read or has faults
+   */
+  public static ProcessSettings load(Path file, ObjectSchema schema) throws SettingsInvalid {
+    try {
+      return parse(file.toString(), Files.readString(file), schema);
+    } catch (IOException e) {
+      throw new SettingsInvalid(
+          file.toString(), List.of(new Fault("file", e.toString(), "a readable YAML file")));
+    }
+  }
+
+  /**
+   * Checks {@code yaml}.
+   *
+   * @param source name used in the error
+   * @throws SettingsInvalid with every fault
+   */
+  public static ProcessSettings parse(String source, String yaml, ObjectSchema schema)
+      throws SettingsInvalid {
+    JsonNode root;
+    try {
+      root = YAML.readTree(yaml);
+    } catch (IOException e) {
+      throw new SettingsInvalid(
+          source, List.of(new Fault("file", firstLine(e.getMessage()), "well-formed YAML")));
+    }
+    List<Fault> faults = schema.check("", root == null ? MissingNode.getInstance() : root);
+    if (!faults.isEmpty()) {
+      throw new SettingsInvalid(source, faults);
+    }
+    return new ProcessSettings(root);
+  }
+
+  /** Returns the string at the dotted {@code path}, which the schema requires. */
+  public String text(String path) {
+    return node(path).asText();
+  }
+
+  /** Returns the string at the dotted {@code path}, or empty when it is absent. */
+  public Optional<String> optionalText(String path) {
+    return present(path).map(JsonNode::asText);
+  }
+
+  /** Returns the whole number at {@code path}, or {@code absent} when there is none. */
+  public long integer(String path, long absent) {
+    return present(path).map(JsonNode::asLong).orElse(absent);
+  }
+
+  /** Returns true or false at {@code path}, or {@code absent} when there is none. */
+  public boolean bool(String path, boolean absent) {
+    return present(path).map(JsonNode::asBoolean).orElse(absent);
+  }
+
+  /** Returns the duration at {@code path}, written in milliseconds, or {@code absent}. */
+  public Duration millis(String path, Duration absent) {
+    return present(path).map(node -> Duration.ofMillis(node.asLong())).orElse(absent);
+  }
+
+  /** Returns the list of strings at {@code path}; empty when it is absent. */
+  public List<String> texts(String path) {
+    List<String> values = new ArrayList<>();
+    node(path).forEach(value -> values.add(value.asText()));
+    return values;
+  }
+
+  /** Returns the socket address at {@code path}. */
+  public InetSocketAddress address(String path) {
+    return Addresses.parse(text(path));
+  }
+
+  /** Returns the raw node at {@code path}, or empty when it is absent. */
+  public Optional<JsonNode> present(String path) {
+    JsonNode node = node(path);
+    return node.isMissingNode() || node.isNull() ? Optional.empty() : Optional.of(node);
+  }
+
+  private JsonNode node(String path) {
+    JsonNode node = root;
+    for (String part : path.split("\\.")) {
+      node = node.path(part);
+    }
+    return node;
+  }
+
+  private static String firstLine(String message) {
+    return message == null ? "nothing" : message.lines().findFirst().orElse("nothing");
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/Program.java
@@ -0,0 +1,67 @@
+package org.comfreygap.runtime;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * Runs the main method of a server program: settings from the file named on the command line,
+ * orderly stop on SIGTERM and SIGINT, and exit codes.
+ *
+ * <pre>{@code
+ * public static void main(String[] args) {
+ *   Program.run("comfreygap-gateway", args, Gateway::start);
+ * }
+ * }</pre>
+ *
+ * <p>Exit codes: 0 after an orderly stop, 2 for wrong usage or invalid settings, 1 for any other
+ * failure to start. Thread safety: stateless.
+ *
+ * @since 0.1
+ */
+public final class Program {
+
+  private Program() {}
+
+  /** Starts a program from its settings file and returns what stops it. */
+  @FunctionalInterface
+  public interface Start {
+
+    /** Starts the program. */
+    AutoCloseable from(Path settingsFile) throws Exception;
+  }
+
+  /** Starts the program and waits until it is told to stop. */
+  public static void run(String name, String[] args, Start start) {
+    if (args.length != 1) {
+      System.err.println("usage: " + name + " SETTINGS.yaml");
+      System.exit(2);
+    }
+    CountDownLatch stopped = new CountDownLatch(1);
+    try {
+      AutoCloseable running = start.from(Path.of(args[0]));
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running, stopped), "stop"));
+    } catch (SettingsInvalid e) {
+      System.err.println(name + ": " + e.getMessage());
+      System.exit(2);
+    } catch (Exception e) {
+      System.err.println(name + ": cannot start: " + e);
+      e.printStackTrace();
+      System.exit(1);
+    }
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void stop(AutoCloseable running, CountDownLatch stopped) {
+    try {
+      running.close();
+    } catch (Exception e) {
+      System.err.println("the stop was not orderly: " + e);
+    } finally {
+      stopped.countDown();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -0,0 +1,235 @@
+package org.comfreygap.runtime;
+
+import io.dropwizard.core.Application;
+import io.dropwizard.core.Configuration;
+import io.dropwizard.core.server.DefaultServerFactory;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.jetty.HttpConnectorFactory;
+import io.dropwizard.logging.common.BootstrapLogging;
+import io.dropwizard.util.DataSize;
+import io.dropwizard.util.Duration;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.eclipse.jetty.server.Server;
+
+/**
+ * The Dropwizard shell of a program: an HTTP connector for its resources and one for
+ * administration, with metrics, health, readiness and the timeline.
+ *
+ * <pre>{@code
+ * ServiceShell shell =
+ *     ServiceShell.builder("gateway")
+ *         .http(httpAddress)
+ *         .admin(adminAddress)
+ *         .events(events)
+ *         .resources(environment -> environment.jersey().register(resource))
+ *         .ready(agent::admits)
+ *         .start();
+ * }</pre>
+ *
+ * <p>Invariant: once {@link Builder#start} returns, both connectors accept. Thread safety: {@link
+ * #close} may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class ServiceShell implements AutoCloseable {
+
+  private final Server server;
+  private final PrometheusMeterRegistry metrics;
+
+  private ServiceShell(Server server, PrometheusMeterRegistry metrics) {
+    this.server = server;
+    this.metrics = metrics;
+  }
+
+  /** Starts the description of a shell. */
+  public static Builder builder(String name) {
+    return new Builder(name);
+  }
+
+  /** Returns the registry behind {@code /metrics}. */
+  public PrometheusMeterRegistry metrics() {
+    return metrics;
+  }
+
+  /** Stops the connectors; requests in progress end within the graceful period of the server. */
+  @Override
+  public void close() throws Exception {
+    server.stop();
+  }
+
+  /** Describes a shell. Not thread-safe. */
+  public static final class Builder {
+
+    private static final int ACCEPTORS = 1;
+    private static final int SELECTORS = 2;
+    private static final int ADMIN_THREADS = 8;
+
+    private final String name;
+    private final PrometheusMeterRegistry metrics =
+        new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final List<Consumer<Environment>> resources = new ArrayList<>();
+    private InetSocketAddress http;
+    private InetSocketAddress admin;
+    private EventLog events;
+    private BooleanSupplier ready = () -> true;
+    private int threads = 64;
+    private java.time.Duration idleTimeout = java.time.Duration.ofSeconds(30);
+
+    private Builder(String name) {
+      this.name = name;
+    }
+
+    /** Sets the address of the program's own resources. */
+    public Builder http(InetSocketAddress address) {
+      this.http = address;
+      return this;
+    }
+
+    /** Sets the address of metrics, health, readiness and the timeline. */
+    public Builder admin(InetSocketAddress address) {
+      this.admin = address;
+      return this;
+    }
+
+    /** Sets the event log whose timeline is served. */
+    public Builder events(EventLog log) {
+      this.events = log;
+      return this;
+    }
+
+    /** Sets what {@code /ready} answers: 200 when true, 503 otherwise. */
+    public Builder ready(BooleanSupplier readiness) {
+      this.ready = readiness;
+      return this;
+    }
+
+    /** Sets the most threads that serve requests. */
+    public Builder threads(int count) {
+      this.threads = count;
+      return this;
+    }
+
+    /** Sets how long a connection may be silent while a request is read or written. */
+    public Builder idleTimeout(java.time.Duration timeout) {
+      this.idleTimeout = timeout;
+      return this;
+    }
+
+    /** Adds a step that registers resources, filters or managed objects. */
+    public Builder resources(Consumer<Environment> registration) {
+      resources.add(registration);
+      return this;
+    }
+
+    /** Returns the registry that will stand behind {@code /metrics}, to create meters early. */
+    public PrometheusMeterRegistry metrics() {
+      return metrics;
+    }
+
+    /**
+     * Starts the shell.
+     *
+     * @throws Exception when a connector cannot be bound
+     */
+    public ServiceShell start() throws Exception {
+      new JvmMemoryMetrics().bindTo(metrics);
+      new JvmThreadMetrics().bindTo(metrics);
+      new ProcessorMetrics().bindTo(metrics);
+      metrics.gauge("comfreygap.events.dropped", events, EventLog::dropped);
+      ShellApplication application = new ShellApplication(this);
+      application.run("server");
+      return new ServiceShell(application.server, metrics);
+    }
+
+    private Configuration configuration() {
+      DefaultServerFactory factory = new DefaultServerFactory();
+      factory.setApplicationConnectors(List.of(connector(http)));
+      factory.setAdminConnectors(List.of(connector(admin)));
+      factory.setMaxThreads(threads + SELECTORS + ACCEPTORS);
+      factory.setMinThreads(8);
+      factory.setAdminMaxThreads(ADMIN_THREADS);
+      factory.setAdminMinThreads(1);
+      factory.setRegisterDefaultExceptionMappers(true);
+      factory.setDetailedJsonProcessingExceptionMapper(false);
+      factory.setShutdownGracePeriod(Duration.seconds(30));
+      Configuration configuration = new Configuration();
+      configuration.setServerFactory(factory);
+      return configuration;
+    }
+
+    private HttpConnectorFactory connector(InetSocketAddress address) {
+      HttpConnectorFactory connector = new HttpConnectorFactory();
+      connector.setBindHost(address.getHostString());
+      connector.setPort(address.getPort());
+      connector.setAcceptorThreads(Optional.of(ACCEPTORS));
+      connector.setSelectorThreads(Optional.of(SELECTORS));
+      connector.setIdleTimeout(Duration.milliseconds(idleTimeout.toMillis()));
+      connector.setMaxRequestHeaderSize(DataSize.kibibytes(16));
+      connector.setUseDateHeader(false);
+      return connector;
+    }
+  }
+
+  private static final class ShellApplication extends Application<Configuration> {
+
+    private final Builder builder;
+    private Server server;
+
+    ShellApplication(Builder builder) {
+      this.builder = builder;
+    }
+
+    @Override
+    public String getName() {
+      return builder.name;
+    }
+
+    @Override
+    public void initialize(Bootstrap<Configuration> bootstrap) {
+      Configuration configuration = builder.configuration();
+      bootstrap.setConfigurationFactoryFactory(
+          (type, validator, mapper, prefix) -> new FixedConfiguration(configuration));
+    }
+
+    @Override
+    public void run(Configuration configuration, Environment environment) {
+      environment
+          .lifecycle()
+          .addServerLifecycleListener(
+              started -> {
+                server = started;
+                // The program stops its parts in order; a hook of the server would run beside it.
+                started.setStopAtShutdown(false);
+              });
+      environment
+          .admin()
+          .addServlet("metrics-text", new AdminServlets.Metrics(builder.metrics))
+          .addMapping("/metrics");
+      environment
+          .admin()
+          .addServlet("ready", new AdminServlets.Ready(builder.ready))
+          .addMapping("/ready");
+      environment
+          .admin()
+          .addServlet("timeline", new AdminServlets.TimelineEvents(builder.events.timeline()))
+          .addMapping("/timeline");
+      builder.resources.forEach(step -> step.accept(environment));
+    }
+
+    @Override
+    protected void bootstrapLogging() {
+      BootstrapLogging.bootstrap(ch.qos.logback.classic.Level.WARN);
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/ThriftConnection.java
@@ -0,0 +1,95 @@
+package org.comfreygap.runtime;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import javax.net.ssl.SSLSocket;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+
+/**
+ * One authenticated client connection to a {@link ThriftServer}.
+ *
+ * <pre>{@code
+ * try (ThriftConnection c = ThriftConnection.open(address, security, timeout)) {
+ *   new ControlService.Client(c.protocol()).heartbeat(request);
+ * }
+ * }</pre>
+ *
+ * <p>Invariant: after a failed or timed-out call the connection must be closed, since a late answer
+ * would be taken for the answer to the next call. Thread safety: one thread at a time.
+ *
+ * @since 0.1
+ */
+public final class ThriftConnection implements AutoCloseable {
+
+  private final TTransport transport;
+  private final TProtocol protocol;
+  private final Socket socket;
+
+  private ThriftConnection(TTransport transport, Socket socket) {
+    this.transport = transport;
+    this.socket = socket;
+    this.protocol = new TCompactProtocol(transport);
+  }
+
+  /**
+   * Connects and authenticates.
+   *
+   * @param timeout bound on the connect and on each read
+   * @throws IOException when the peer cannot be reached or does not hold the shared key
+   */
+  public static ThriftConnection open(
+      InetSocketAddress address, PeerSecurity security, Duration timeout) throws IOException {
+    Socket socket = new Socket();
+    try {
+      socket.setTcpNoDelay(true);
+      socket.connect(address, (int) timeout.toMillis());
+      socket.setSoTimeout((int) timeout.toMillis());
+      Socket used = security.tls().isPresent() ? tls(socket, address, security) : socket;
+      TTransport base = new TSocket(used);
+      PeerHandshake.client(base, security.sharedKey());
+      return new ThriftConnection(new TFramedTransport(base, ThriftServer.MAX_FRAME_BYTES), used);
+    } catch (TTransportException | IOException e) {
+      socket.close();
+      throw new IOException("cannot connect to " + Addresses.text(address), e);
+    }
+  }
+
+  /** Returns the protocol to create a Thrift client on. */
+  public TProtocol protocol() {
+    return protocol;
+  }
+
+  /**
+   * Sets the bound on each read from now on.
+   *
+   * @throws IOException when the connection is closed
+   */
+  public void timeout(Duration timeout) throws IOException {
+    socket.setSoTimeout((int) timeout.toMillis());
+  }
+
+  @Override
+  public void close() {
+    transport.close();
+  }
+
+  private static Socket tls(Socket plain, InetSocketAddress address, PeerSecurity security)
+      throws IOException {
+    SSLSocket socket =
+        (SSLSocket)
+            security
+                .tls()
+                .get()
+                .getSocketFactory()
+                .createSocket(plain, address.getHostString(), address.getPort(), true);
+    socket.startHandshake();
+    return socket;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/comfreygap/runtime/ThriftServer.java
@@ -0,0 +1,147 @@
+package org.comfreygap.runtime;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import javax.net.ssl.SSLServerSocket;
+import org.apache.thrift.TProcessor;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.server.TThreadPoolServer;
+import org.apache.thrift.transport.TServerSocket;
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.TTransportFactory;
+import org.apache.thrift.transport.layered.TFramedTransport;
+
+/**
+ * A Thrift server with framed transport, compact protocol and an authenticated handshake on each
+ * connection.
+ *
+ * <pre>{@code
+ * ThriftServer server =
+ *     ThriftServer.start("control", address, security, new ControlService.Processor<>(handler));
+ * }</pre>
+ *
+ * <p>Invariant: no call reaches the processor before the peer has proved that it holds the shared
+ * key. Thread safety: {@link #close} may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class ThriftServer implements AutoCloseable {
+
+  /** Largest message in bytes. */
+  static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
+
+  private static final int MAX_CONNECTIONS = 2_048;
+  private static final int BACKLOG = 512;
+  // Every peer sends at least each second; a connection silent for longer has lost its peer.
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+  private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+  private static final long WORKER_STACK_BYTES = 256 * 1024;
+
+  private final TThreadPoolServer server;
+  private final ServerSocket socket;
+  private final ThreadPoolExecutor workers;
+
+  private ThriftServer(TThreadPoolServer server, ServerSocket socket, ThreadPoolExecutor workers) {
+    this.server = server;
+    this.socket = socket;
+    this.workers = workers;
+  }
+
+  /**
+   * Binds {@code address} and serves until closed.
+   *
+   * @throws IOException when the address cannot be bound
+   */
+  public static ThriftServer start(
+      String name, InetSocketAddress address, PeerSecurity security, TProcessor processor)
+      throws IOException {
+    ServerSocket socket = bind(address, security);
+    ThreadPoolExecutor workers = workers(name);
+    try {
+      TServerSocket transport = new TServerSocket(socket, (int) IDLE_TIMEOUT.toMillis());
+      TThreadPoolServer.Args args =
+          new TThreadPoolServer.Args(transport)
+              .processor(processor)
+              .protocolFactory(new TCompactProtocol.Factory())
+              .inputTransportFactory(new Authenticating(security.sharedKey()))
+              .outputTransportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
+              .executorService(workers);
+      args.stopTimeoutVal = (int) STOP_TIMEOUT.toSeconds();
+      TThreadPoolServer server = new TThreadPoolServer(args);
+      Thread acceptor = new Thread(server::serve, name + "-acceptor");
+      acceptor.setDaemon(true);
+      acceptor.start();
+      return new ThriftServer(server, socket, workers);
+    } catch (TTransportException e) {
+      socket.close();
+      throw new IOException("cannot serve on " + Addresses.text(address), e);
+    }
+  }
+
+  /** Returns the bound address. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) socket.getLocalSocketAddress();
+  }
+
+  /** Stops accepting and ends open connections. */
+  @Override
+  public void close() throws IOException {
+    server.stop();
+    socket.close();
+    workers.shutdownNow();
+  }
+
+  private static ServerSocket bind(InetSocketAddress address, PeerSecurity security)
+      throws IOException {
+    ServerSocket socket;
+    if (security.tls().isPresent()) {
+      SSLServerSocket tls =
+          (SSLServerSocket) security.tls().get().getServerSocketFactory().createServerSocket();
+      tls.setNeedClientAuth(true);
+      socket = tls;
+    } else {
+      socket = new ServerSocket();
+    }
+    socket.setReuseAddress(true);
+    socket.bind(address, BACKLOG);
+    return socket;
+  }
+
+  private static ThreadPoolExecutor workers(String name) {
+    AtomicInteger count = new AtomicInteger();
+    return new ThreadPoolExecutor(
+        2,
+        MAX_CONNECTIONS,
+        30,
+        TimeUnit.SECONDS,
+        new SynchronousQueue<>(),
+        task -> {
+          String threadName = name + "-" + count.incrementAndGet();
+          Thread thread = new Thread(null, task, threadName, WORKER_STACK_BYTES);
+          thread.setDaemon(true);
+          return thread;
+        });
+  }
+
+  private static final class Authenticating extends TTransportFactory {
+
+    private final SharedKey key;
+
+    Authenticating(SharedKey key) {
+      this.key = key;
+    }
+
+    @Override
+    public TTransport getTransport(TTransport base) throws TTransportException {
+      PeerHandshake.server(base, key);
+      return new TFramedTransport(base, MAX_FRAME_BYTES);
+    }
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/org/comfreygap/settings/DocumentKind.java
@@ -0,0 +1,129 @@
+package org.comfreygap.settings;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The kinds of documents, with their path pattern and schema. A {@code *} in a pattern stands for
+ * one name.
+ *
+ * <p>Invariant: a path matches at most one kind. Thread safety: immutable.
+ *
+ * @since 0.1
+ */
+public enum DocumentKind {
+  TEAM("/teams/*", ObjectSchema.builder().optional("displayName", FieldRule.text(200)).build()),
+  CUSTOMER(
+      "/teams/*/customers/*",
+      ObjectSchema.builder()
+          .optional("defaultPriority", FieldRule.oneOf(Priority.values()))
+          .build()),
+  LIMITS(
+      "/teams/*/customers/*/limits",
+      ObjectSchema.builder()
+          .required("tokensPerSecond", FieldRule.integer(1, 1_000_000_000L))
+          .required("burstTokens", FieldRule.integer(1, 10_000_000_000L))
+          .build()),
+  KEY(
+      "/teams/*/customers/*/keys/*",
+      ObjectSchema.builder()
+          .required(
+              "sha256",
+              FieldRule.text(
+                  "64 lower-case hexadecimal digits", value -> value.matches("[0-9a-f]{64}")))
+          .required("state", FieldRule.oneOf(Documents.KeyState.values()))
+          .build()),
+  ADAPTER(
+      "/teams/*/adapters/*",
+      ObjectSchema.builder()
+          .required("baseModel", FieldRule.text(200))
+          .required("customers", FieldRule.listOf(customerName(), 1_000))
+          .build()),
+  ADAPTER_VERSION(
+      "/teams/*/adapters/*/versions/*",
+      ObjectSchema.builder().required("source", FieldRule.text(1_000)).build()),
+  SERVICE(
+      "/teams/*/services/*",
+      ObjectSchema.builder()
+          .optional("open", FieldRule.bool())
+          .optional("customers", FieldRule.listOf(customerName(), 1_000))
+          .optional("idempotentMethods", FieldRule.listOf(httpMethod(), 10))
+          .optional("defaultPriority", FieldRule.oneOf(Priority.values()))
+          .build()),
+  ZONE(
+      "/platform/zones/*",
+      ObjectSchema.builder()
+          .required("state", FieldRule.oneOf(Documents.ZoneState.values()))
+          .build()),
+  ENDPOINT(
+      "/platform/endpoints/*",
+      ObjectSchema.builder()
+          .required("zone", FieldRule.name())
+          .required("kind", FieldRule.oneOf(Documents.EndpointKind.values()))
+          .optional("baseModel", FieldRule.text(200))
+          .optional("service", FieldRule.qualifiedName())
+          .required("sidecar", FieldRule.ipPort())
+          .optional("slots", FieldRule.integer(0, 10_000))
+          .required("maxBatch", FieldRule.integer(1, 10_000))
+          .optional("checksFencing", FieldRule.bool())
+          .optional("state", FieldRule.oneOf(Documents.EndpointState.values()))
+          .required(
+              "coldStart",
+              FieldRule.object(
+                  ObjectSchema.builder()
+                      .required("initialConcurrency", FieldRule.integer(1, 10_000))
+                      .required("rampSeconds", FieldRule.number(0, 86_400))
+                      .build()))
+          .build()),
+  STORE(
+      "/platform/store",
+      ObjectSchema.builder()
+          .required("loadsPerSecond", FieldRule.number(0.01, 1_000_000))
+          .required("fullSpeedLoads", FieldRule.integer(1, 100_000))
+          .required("maxInFlight", FieldRule.integer(1, 100_000))
+          .build());
+
+  private final List<String> pattern;
+  private final ObjectSchema schema;
+
+  DocumentKind(String pattern, ObjectSchema schema) {
+    this.pattern = SettingsPath.split(pattern);
+    this.schema = schema;
+  }
+
+  /**
+   * Returns the kind of the document at {@code path}, or empty when no document may stand there.
+   */
+  public static Optional<DocumentKind> of(SettingsPath path) {
+    return Arrays.stream(values()).filter(kind -> kind.matches(path.segments())).findFirst();
+  }
+
+  /** Returns the schema of documents of this kind. */
+  public ObjectSchema schema() {
+    return schema;
+  }
+
+  private boolean matches(List<String> segments) {
+    if (segments.size() != pattern.size()) {
+      return false;
+    }
+    for (int i = 0; i < segments.size(); i++) {
+      String expected = pattern.get(i);
+      if (!expected.equals("*") && !expected.equals(segments.get(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static FieldRule customerName() {
+    return FieldRule.text(
+        "a customer name or *",
+        value -> value.equals("*") || FieldRule.NAME.matcher(value).matches());
+  }
+
+  private static FieldRule httpMethod() {
+    return FieldRule.text("an HTTP method in upper case", value -> value.matches("[A-Z]{3,10}"));
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/org/comfreygap/settings/Documents.java
@@ -0,0 +1,154 @@
+package org.comfreygap.settings;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The typed documents of the settings tree. The names of fields match the JSON documents.
+ *
+ * <p>Invariant: documents are validated before they reach these types. Thread safety: all are
+ * immutable.
+ *
+ * @since 0.1
+ */
+public final class Documents {
+
+  private Documents() {}
+
+  /** State of a caller's key. */
+  public enum KeyState {
+    ACTIVE,
+    WITHDRAWN
+  }
+
+  /** State of an availability zone. */
+  public enum ZoneState {
+    IN,
+    OUT
+  }
+
+  /** State of an endpoint as the operator wants it. */
+  public enum EndpointState {
+    IN,
+    LEAVING
+  }
+
+  /** What an endpoint runs. */
+  public enum EndpointKind {
+    ENGINE,
+    SERVICE
+  }
+
+  /** A team: owner of one subtree. */
+  public record Team(String name, Optional<String> displayName) {}
+
+  /** A customer; {@code id} is {@code team/customer}. */
+  public record Customer(String id, String team, Priority defaultPriority) {}
+
+  /**
+   * A customer's limits over the whole fleet.
+   *
+   * @param tokensPerSecond sustained rate in tokens a second
+   * @param burstTokens most tokens above the rate at once
+   */
+  public record Limits(String customer, long tokensPerSecond, long burstTokens) {}
+
+  /** A caller's key, stored as the lower-case hexadecimal SHA-256 of the key. */
+  public record Key(String customer, String keyId, String sha256, KeyState state) {}
+
+  /** An adapter; {@code id} is {@code team/adapter}. */
+  public record Adapter(String id, String team, String baseModel, Set<String> customers) {
+
+    /** Returns true when {@code customer} ({@code team/customer}) may use the adapter. */
+    public boolean permits(String customer) {
+      return Access.permits(team, customers, customer);
+    }
+  }
+
+  /** An immutable version of an adapter. */
+  public record AdapterVersion(String adapter, String version, String source) {
+
+    /** Returns the name under which engines load it: {@code team/adapter@version}. */
+    public String immutableName() {
+      return adapter + "@" + version;
+    }
+  }
+
+  /** A plain service route; {@code id} is {@code team/service}. */
+  public record ServiceRoute(
+      String id,
+      String team,
+      boolean open,
+      Set<String> customers,
+      Set<String> idempotentMethods,
+      Priority defaultPriority) {
+
+    /** Returns true when {@code customer} ({@code team/customer}) may call the service. */
+    public boolean permits(String customer) {
+      return Access.permits(team, customers, customer);
+    }
+  }
+
+  /** An availability zone. */
+  public record Zone(String name, ZoneState state) {}
+
+  /**
+   * Cold-start bounds of an endpoint.
+   *
+   * @param initialConcurrency most requests at once directly after a start
+   * @param rampSeconds time over which the bound rises to the full one
+   */
+  public record ColdStart(int initialConcurrency, double rampSeconds) {}
+
+  /**
+   * An endpoint.
+   *
+   * @param target base model of an engine, or {@code team/service} of a plain service
+   * @param sidecar {@code ip:port} of the sidecar's attempt server
+   * @param slots adapter slots of an engine; 0 for a plain service
+   * @param maxBatch most requests that run at once
+   * @param checksFencing true when the endpoint refuses commands with an old fencing number
+   */
+  public record Endpoint(
+      String name,
+      String zone,
+      EndpointKind kind,
+      String target,
+      String sidecar,
+      int slots,
+      int maxBatch,
+      boolean checksFencing,
+      EndpointState state,
+      ColdStart coldStart) {}
+
+  /**
+   * Limits of the weight store.
+   *
+   * @param loadsPerSecond loads that may start in a second
+   * @param fullSpeedLoads loads at once that run at full speed
+   * @param maxInFlight loads in flight over the whole fleet before all of them slow down
+   */
+  public record StoreLimits(double loadsPerSecond, int fullSpeedLoads, int maxInFlight) {}
+
+  private static final class Access {
+
+    private static final String EVERY_CUSTOMER = "*";
+
+    private Access() {}
+
+    static boolean permits(String team, Set<String> customers, String customer) {
+      int slash = customer.indexOf('/');
+      if (slash < 0 || !customer.regionMatches(0, team, 0, Math.max(slash, team.length()))) {
+        return false;
+      }
+      return customers.contains(EVERY_CUSTOMER)
+          || customers.contains(customer.substring(slash + 1));
+    }
+  }
+
+  /** Returns {@code customers} as an immutable set. */
+  static Set<String> names(List<String> customers) {
+    return Set.copyOf(customers);
+  }
+}
