Add the operator's command line

The commands go over the administration API, follow the leader, resend changes under one operation id and have an exit code for each kind of refusal.

--- /dev/null
+++ b/cli/src/main/java/org/comfreygap/cli/OperatorCommand.java
@@ -0,0 +1,69 @@
+package org.comfreygap.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+/**
+ * Base of the commands: it holds the common options and prints results.
+ *
+ * <p>Thread safety: not thread-safe.
+ *
+ * @since 0.1
+ */
+public abstract class OperatorCommand {
+
+  static final String OPERATION_HEADER = "Comfreygap-Operation-Id";
+
+  @AirlineModule private ConnectionOptions connection = new ConnectionOptions();
+
+  /**
+   * Connects to control and runs the command.
+   *
+   * @throws CommandFailure when it could not do what it was asked to do
+   */
+  final ExitCode execute(PrintStream out) throws CommandFailure {
+    try (AdminClient client = connection.client()) {
+      return run(client, out);
+    }
+  }
+
+  /** Runs the command against control. */
+  abstract ExitCode run(AdminClient client, PrintStream out) throws CommandFailure;
+
+  /** Returns the output format. */
+  final OutputFormat format() {
+    return connection.format();
+  }
+
+  /** Prints {@code result} in the output format. */
+  final void print(PrintStream out, JsonNode result) {
+    out.println(format().render(result));
+  }
+
+  /** Returns the headers of a change. */
+  static Map<String, String> changeHeaders(Optional<String> operationId) {
+    return Map.of(OPERATION_HEADER, operationId.orElseGet(OperatorCommand::newOperationId));
+  }
+
+  /** Returns a new operation id. */
+  static String newOperationId() {
+    return "cli-" + UUID.randomUUID();
+  }
+
+  /** Prints the result of a change and returns whether it is in force where that was asked. */
+  final ExitCode changed(PrintStream out, JsonNode result) {
+    print(out, result);
+    boolean behind = result.has("inForce") && !result.path("inForce").asBoolean();
+    return behind ? ExitCode.NOT_IN_FORCE : ExitCode.OK;
+  }
+
+  /** Returns an empty JSON object. */
+  static ObjectNode object() {
+    return AdminClient.MAPPER.createObjectNode();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/comfreygap/cli/PlatformCommands.java
@@ -0,0 +1,249 @@
+package org.comfreygap.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The commands of {@code comfreygap zones}, {@code keys}, {@code members} and {@code status}.
+ *
+ * <p>Thread safety: the commands are not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class PlatformCommands {
+
+  private PlatformCommands() {}
+
+  /** Takes a zone out of service. */
+  @Command(name = "out", description = "Take an availability zone out of service")
+  public static final class ZoneOut extends ZoneChange {
+
+    @Override
+    String state() {
+      return "out";
+    }
+  }
+
+  /** Brings a zone back. */
+  @Command(name = "in", description = "Bring an availability zone back into service")
+  public static final class ZoneIn extends ZoneChange {
+
+    @Override
+    String state() {
+      return "in";
+    }
+  }
+
+  /** Base of the zone commands. */
+  abstract static class ZoneChange extends OperatorCommand {
+
+    @Arguments(title = "ZONE", description = "Name of the availability zone")
+    @Required
+    private String zone;
+
+    @AirlineModule private WaitOptions wait = new WaitOptions();
+
+    abstract String state();
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      JsonNode body = object().put("state", state());
+      String target = wait.addTo("/zones/" + zone);
+      return changed(
+          out, client.send("POST", target, changeHeaders(Optional.empty()), Optional.of(body)));
+    }
+  }
+
+  /** Creates a key. */
+  @Command(name = "create", description = "Create a key for a customer and print it once")
+  public static final class KeyCreate extends OperatorCommand {
+
+    @Arguments(title = "CUSTOMER", description = "Customer as team/customer")
+    @Required
+    private String customer;
+
+    @Option(
+        name = {"--key-id"},
+        title = "ID",
+        description = "Name of the key. Default: chosen by control.")
+    private String keyId;
+
+    @AirlineModule private WaitOptions wait = new WaitOptions();
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      ObjectNode body = object().put("customer", customer);
+      if (keyId != null) {
+        body.put("keyId", keyId);
+      }
+      String target = wait.addTo("/keys");
+      return changed(
+          out, client.send("POST", target, changeHeaders(Optional.empty()), Optional.of(body)));
+    }
+  }
+
+  /** Withdraws a key. */
+  @Command(name = "withdraw", description = "Withdraw a key of a customer")
+  public static final class KeyWithdraw extends OperatorCommand {
+
+    @Arguments(
+        title = {"CUSTOMER", "KEY_ID"},
+        description = "Customer as team/customer, and the id of the key")
+    @Required
+    private List<String> arguments;
+
+    @AirlineModule private WaitOptions wait = new WaitOptions();
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      if (arguments.size() != 2) {
+        throw new CommandFailure(
+            ExitCode.USAGE, "given " + arguments + ", expected CUSTOMER and KEY_ID");
+      }
+      String target = wait.addTo("/keys/" + arguments.get(0) + "/" + arguments.get(1));
+      return changed(
+          out, client.send("DELETE", target, changeHeaders(Optional.empty()), Optional.empty()));
+    }
+  }
+
+  /** Lists the control instances. */
+  @Command(name = "list", description = "List the control instances")
+  public static final class MemberList extends OperatorCommand {
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      print(out, client.get("/members"));
+      return ExitCode.OK;
+    }
+  }
+
+  /** Adds a control instance. */
+  @Command(
+      name = "add",
+      description = "Add a control instance; it learns first and votes once it has caught up")
+  public static final class MemberAdd extends OperatorCommand {
+
+    @Option(
+        name = {"--replica-id"},
+        title = "ID",
+        description = "Id of the new replica; never one that was used before")
+    @Required
+    private String replicaId;
+
+    @Option(
+        name = {"--address"},
+        title = "IP:PORT",
+        description = "Replication address")
+    @Required
+    private String address;
+
+    @Option(
+        name = {"--admin-address"},
+        title = "IP:PORT",
+        description = "Address of its administration API")
+    @Required
+    private String adminAddress;
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      print(out, addMember(client, replicaId, address, adminAddress));
+      return ExitCode.OK;
+    }
+  }
+
+  /** Removes a control instance. */
+  @Command(name = "remove", description = "Remove a control instance")
+  public static final class MemberRemove extends OperatorCommand {
+
+    @Arguments(title = "REPLICA_ID", description = "Id of the replica")
+    @Required
+    private String replicaId;
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      print(out, removeMember(client, replicaId));
+      return ExitCode.OK;
+    }
+  }
+
+  /** Replaces a control instance that is lost. */
+  @Command(
+      name = "replace",
+      description = "Add a control instance and, once it votes, remove the lost one")
+  public static final class MemberReplace extends OperatorCommand {
+
+    @Arguments(title = "LOST_REPLICA_ID", description = "Id of the replica that is lost")
+    @Required
+    private String lostReplicaId;
+
+    @Option(
+        name = {"--replica-id"},
+        title = "ID",
+        description = "Id of the new replica; never one that was used before")
+    @Required
+    private String replicaId;
+
+    @Option(
+        name = {"--address"},
+        title = "IP:PORT",
+        description = "Replication address")
+    @Required
+    private String address;
+
+    @Option(
+        name = {"--admin-address"},
+        title = "IP:PORT",
+        description = "Address of its administration API")
+    @Required
+    private String adminAddress;
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      if (replicaId.equals(lostReplicaId)) {
+        throw new CommandFailure(
+            ExitCode.USAGE,
+            "given the id of the lost replica again, expected a new one: a replica that lost its"
+                + " disk must not vote as before");
+      }
+      addMember(client, replicaId, address, adminAddress);
+      print(out, removeMember(client, lostReplicaId));
+      return ExitCode.OK;
+    }
+  }
+
+  /** Prints the state of the deployment. */
+  @Command(name = "status", description = "Print the control replicas and all live processes")
+  public static final class Status extends OperatorCommand {
+
+    @Override
+    ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+      print(out, client.get("/status"));
+      return ExitCode.OK;
+    }
+  }
+
+  private static JsonNode addMember(
+      AdminClient client, String replicaId, String address, String adminAddress)
+      throws CommandFailure {
+    ObjectNode body = OperatorCommand.object();
+    body.put("replicaId", replicaId).put("address", address).put("adminAddress", adminAddress);
+    return client.send(
+        "POST", "/members", OperatorCommand.changeHeaders(Optional.empty()), Optional.of(body));
+  }
+
+  private static JsonNode removeMember(AdminClient client, String replicaId) throws CommandFailure {
+    return client.send(
+        "DELETE",
+        "/members/" + replicaId,
+        OperatorCommand.changeHeaders(Optional.empty()),
+        Optional.empty());
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/comfreygap/cli/TimelineCommand.java
@@ -0,0 +1,145 @@
+package org.comfreygap.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Merges the events of all processes in the order of their hybrid logical clocks.
+ *
+ * <p>Thread safety: not thread-safe.
+ *
+ * @since 0.1
+ */
+@Command(name = "timeline", description = "Merge the events of all processes in order of time")
+public final class TimelineCommand extends OperatorCommand {
+
+  @Option(
+      name = {"--since"},
+      title = "TIME",
+      description =
+          "Duration before now such as 10m, or a time such as 2026-12-04T02:00:00Z."
+              + " Default: 10m.")
+  private String since = "10m";
+
+  @Option(
+      name = {"--request"},
+      title = "ID",
+      description = "Only events of this request")
+  private String request;
+
+  @Option(
+      name = {"--team"},
+      title = "TEAM",
+      description = "Only events of this team")
+  private String team;
+
+  @Option(
+      name = {"--html"},
+      title = "FILE",
+      description = "Also write a self-contained HTML picture to this file")
+  private String html;
+
+  @Override
+  ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
+    String query = query();
+    List<String> missing = new ArrayList<>();
+    List<JsonNode> events = new ArrayList<>();
+    for (Map.Entry<String, String> process : processes(client).entrySet()) {
+      try {
+        JsonNode answer =
+            client.getFromProcess("http://" + process.getValue() + "/timeline" + query);
+        answer.forEach(events::add);
+      } catch (IOException e) {
+        missing.add(process.getKey());
+      }
+    }
+    events.sort((a, b) -> Long.compare(a.path("hlc").asLong(), b.path("hlc").asLong()));
+    print(out, events, missing);
+    if (html != null) {
+      writeHtml(events, missing);
+    }
+    return ExitCode.OK;
+  }
+
+  /** Returns the start of the time line in milliseconds since the epoch. */
+  static long startMillis(String since, long nowMillis) throws CommandFailure {
+    try {
+      if (since.matches("\\d+[smhd]")) {
+        String iso = since.endsWith("d") ? "P" + since : "PT" + since;
+        return nowMillis - Duration.parse(iso.toUpperCase(java.util.Locale.ROOT)).toMillis();
+      }
+      return Instant.parse(since).toEpochMilli();
+    } catch (DateTimeParseException e) {
+      throw new CommandFailure(
+          ExitCode.USAGE,
+          "given --since "
+              + since
+              + ", expected a duration such as 10m or a time such as"
+              + " 2026-12-04T02:00:00Z",
+          e);
+    }
+  }
+
+  private String query() throws CommandFailure {
+    StringBuilder query =
+        new StringBuilder("?since=").append(startMillis(since, System.currentTimeMillis()));
+    if (request != null) {
+      query.append("&request=").append(URLEncoder.encode(request, StandardCharsets.UTF_8));
+    }
+    if (team != null) {
+      query.append("&team=").append(URLEncoder.encode(team, StandardCharsets.UTF_8));
+    }
+    return query.toString();
+  }
+
+  private static Map<String, String> processes(AdminClient client) throws CommandFailure {
+    Map<String, String> addresses = new TreeMap<>();
+    for (JsonNode process : client.get("/status").path("processes")) {
+      String address = process.path("adminAddress").asText("");
+      if (!address.isEmpty()) {
+        addresses.put(process.path("processId").asText(), address);
+      }
+    }
+    return addresses;
+  }
+
+  private void print(PrintStream out, List<JsonNode> events, List<String> missing) {
+    if (format() == OutputFormat.JSON) {
+      ObjectNode result = object();
+      ArrayNode list = result.putArray("events");
+      events.forEach(list::add);
+      ArrayNode unanswered = result.putArray("missing");
+      missing.forEach(unanswered::add);
+      print(out, result);
+      return;
+    }
+    events.forEach(event -> out.println(TimelineText.line(event)));
+    if (!missing.isEmpty()) {
+      out.println("no answer from: " + String.join(", ", missing));
+    }
+  }
+
+  private void writeHtml(List<JsonNode> events, List<String> missing) throws CommandFailure {
+    try {
+      Files.writeString(Path.of(html), TimelineText.html(events, missing));
+    } catch (IOException e) {
+      throw new CommandFailure(ExitCode.UNAVAILABLE, "cannot write " + html, e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/comfreygap/cli/TimelineText.java
@@ -0,0 +1,108 @@
+package org.comfreygap.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeSet;
+import org.comfreygap.runtime.HybridClock;
+
+/**
+ * Renders events of the timeline as text lines and as an HTML picture with one lane per process.
+ *
+ * <p>Invariant: values from events are escaped in HTML. Thread safety: stateless.
+ */
+final class TimelineText {
+
+  private static final int LANE_HEIGHT = 28;
+  private static final int LEFT = 160;
+  private static final int WIDTH = 1_400;
+
+  private TimelineText() {}
+
+  /** Returns the event as one line. */
+  static String line(JsonNode event) {
+    StringBuilder line = new StringBuilder();
+    line.append(Instant.ofEpochMilli(millis(event))).append(' ');
+    line.append(event.path("process").asText()).append(' ');
+    line.append(event.path("number").asText()).append(' ');
+    line.append(event.path("name").asText());
+    event
+        .path("fields")
+        .fields()
+        .forEachRemaining(
+            field ->
+                line.append(' ')
+                    .append(field.getKey())
+                    .append('=')
+                    .append(field.getValue().asText()));
+    return line.toString();
+  }
+
+  /** Returns a page that needs no other file. */
+  static String html(List<JsonNode> events, List<String> missing) {
+    List<String> lanes =
+        new ArrayList<>(
+            new TreeSet<>(events.stream().map(e -> e.path("process").asText()).toList()));
+    long first = events.isEmpty() ? 0 : millis(events.get(0));
+    long last = events.isEmpty() ? 1 : Math.max(first + 1, millis(events.get(events.size() - 1)));
+    StringBuilder page = new StringBuilder();
+    page.append("<!doctype html><meta charset=\"utf-8\"><title>comfreygap timeline</title>");
+    page.append("<style>body{font:13px sans-serif}td{padding:1px 8px;vertical-align:top}");
+    page.append("circle{fill:#2a6}line{stroke:#ccc}</style>");
+    page.append("<h1>Timeline</h1><p>").append(Instant.ofEpochMilli(first)).append(" to ");
+    page.append(Instant.ofEpochMilli(last)).append("</p>");
+    appendPicture(page, events, lanes, first, last);
+    if (!missing.isEmpty()) {
+      page.append("<p>No answer from ").append(escape(String.join(", ", missing))).append("</p>");
+    }
+    page.append("<table>");
+    events.forEach(
+        event -> page.append("<tr><td>").append(escape(line(event))).append("</td></tr>\n"));
+    return page.append("</table>\n").toString();
+  }
+
+  private static void appendPicture(
+      StringBuilder page, List<JsonNode> events, List<String> lanes, long first, long last) {
+    int height = LANE_HEIGHT * (lanes.size() + 1);
+    page.append(
+        String.format(Locale.ROOT, "<svg width=\"%d\" height=\"%d\">", LEFT + WIDTH + 20, height));
+    for (int i = 0; i < lanes.size(); i++) {
+      int y = LANE_HEIGHT * (i + 1);
+      page.append(
+          String.format(
+              Locale.ROOT,
+              "<text x=\"0\" y=\"%d\">%s</text><line x1=\"%d\" x2=\"%d\" y1=\"%d\" y2=\"%d\"/>",
+              y + 4,
+              escape(lanes.get(i)),
+              LEFT,
+              LEFT + WIDTH,
+              y,
+              y));
+    }
+    for (JsonNode event : events) {
+      double x = LEFT + (double) WIDTH * (millis(event) - first) / (last - first);
+      int y = LANE_HEIGHT * (lanes.indexOf(event.path("process").asText()) + 1);
+      page.append(
+          String.format(
+              Locale.ROOT,
+              "<circle cx=\"%.1f\" cy=\"%d\" r=\"4\"><title>%s</title></circle>",
+              x,
+              y,
+              escape(line(event))));
+    }
+    page.append("</svg>");
+  }
+
+  private static long millis(JsonNode event) {
+    return HybridClock.millis(event.path("hlc").asLong());
+  }
+
+  private static String escape(String text) {
+    return text.replace("&", "&amp;")
+        .replace("<", "&lt;")
+        .replace(">", "&gt;")
+        .replace("\"", "&quot;");
+  }
+}
