--- a/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -41,7 +41,7 @@
 
   private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(1_500);
   private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
-  private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(4);
+  private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration LEASE_CHECK_PERIOD = Duration.ofMillis(250);
 
   private final ProcessIdentity identity;
