--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/AnswerWriter.java
@@ -0,0 +1,78 @@
+package org.comfreygap.testkit;
+
+import java.io.IOException;
+import java.util.Arrays;
+
+/**
+ * Writes the answers of a fake engine, with the faults that cut or cross them.
+ *
+ * <p>Thread safety: stateless.
+ *
+ * @since 0.1
+ */
+final class AnswerWriter {
+
+  private static final int BYTES_PER_EVENT = 150;
+  private static final int CUT_OF_WHOLE_BODY = 60;
+
+  private final FakeEndpoint endpoint;
+
+  AnswerWriter(FakeEndpoint endpoint) {
+    this.endpoint = endpoint;
+  }
+
+  /** Writes the answer of {@code run} from a byte offset on, as it is generated. */
+  void write(EngineRun run, int offset, WireServer.Response response)
+      throws IOException, InterruptedException {
+    boolean abrupt = endpoint.faults.take(EndpointFault.TRUNCATE);
+    boolean clean = !abrupt && endpoint.faults.take(EndpointFault.TRUNCATE_CLEAN);
+    int cut = abrupt || clean ? cutAfter(run) : Integer.MAX_VALUE;
+    String type = run.stream ? "text/event-stream" : "application/json";
+    if (run.stream) {
+      response.begin(200, endpoint.headers(type, run.entry.attempt));
+    }
+    int at = offset;
+    byte[] bytes = run.from(at);
+    if (!run.stream && bytes.length > 0) {
+      response.begin(200, endpoint.headers(type, run.entry.attempt));
+    }
+    while (bytes.length > 0 && at < cut) {
+      endpoint.awaitThaw();
+      response.chunk(Arrays.copyOf(bytes, Math.min(bytes.length, cut - at)));
+      at += bytes.length;
+      bytes = at < cut ? run.from(at) : bytes;
+    }
+    if (abrupt || !clean && !run.complete()) {
+      throw new IOException("the answer ends early");
+    }
+    response.end();
+  }
+
+  /** Writes the answer of a request that nobody sent. */
+  void writeCrossed(EngineRequest request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    EngineRequest other =
+        new EngineRequest(
+            "other-" + request.attempt(),
+            "other/adapter@v1",
+            "other",
+            "",
+            0,
+            request.promptTokens(),
+            request.maxTokens(),
+            request.stream(),
+            request.chat(),
+            "",
+            "");
+    EndpointRecord.Run unrecorded =
+        new EndpointRecord.Run(other.attempt(), other.model(), other.model(), "other", "", false);
+    EngineRun run = new EngineRun(unrecorded, other, 0);
+    run.skipTo(other.maxTokens());
+    run.step();
+    write(run, 0, response);
+  }
+
+  private static int cutAfter(EngineRun run) {
+    return run.stream ? BYTES_PER_EVENT * (run.total / 2 + 1) : CUT_OF_WHOLE_BODY;
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeEndpoint.java
@@ -0,0 +1,226 @@
+package org.comfreygap.testkit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.UUID;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The parts that fake engines and fake plain services share: the port, the record, the faults, the
+ * boot id and the cold start.
+ *
+ * <p>Thread safety: all methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+public abstract class FakeEndpoint implements AutoCloseable {
+
+  /** A request whose body contains this text crashes the endpoint that runs it. */
+  public static final String CRASH_MARK = "crash-this-endpoint";
+
+  static final ObjectMapper JSON = new ObjectMapper();
+
+  private static final Pattern NONCE = Pattern.compile("nonce:([A-Za-z0-9-]+)");
+  private static final long DEFAULT_DOWN_MILLIS = 300;
+
+  final FaultSwitches faults = new FaultSwitches();
+  final EndpointRecord record;
+
+  private final String name;
+  private final ColdStart coldStart;
+  private final int bound;
+  private volatile String bootId = UUID.randomUUID().toString();
+  private volatile long startNanos;
+  private volatile long frozenUntilNanos = System.nanoTime();
+  private volatile boolean down;
+  private WireServer server;
+
+  FakeEndpoint(String name, String kind, ColdStart coldStart, int bound, boolean warm) {
+    this.name = name;
+    this.coldStart = coldStart;
+    this.bound = bound;
+    this.record = new EndpointRecord(name, kind);
+    this.startNanos = System.nanoTime() - (warm ? coldStart.rampMillis() * 1_000_000 : 0);
+    record.event(EndpointRecord.EventKind.START, bootId);
+  }
+
+  /** Returns the name given to the builder. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the address as {@code http://ip:port}. */
+  public String url() {
+    return "http://127.0.0.1:" + port();
+  }
+
+  /** Returns the port that accepts. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Returns the endpoint's own record. */
+  public EndpointRecord record() {
+    return record;
+  }
+
+  /** Returns the identity of the present start. */
+  public String bootId() {
+    return bootId;
+  }
+
+  /** Switches a fault on for {@code count} occurrences. */
+  public void fault(EndpointFault fault, int count) {
+    fault(fault, count, 0, "");
+  }
+
+  /**
+   * Switches a fault on.
+   *
+   * @param count occurrences, where the fault has them; 0 clears it
+   * @param millis duration, where the fault has one
+   * @param text key for {@link EndpointFault#WATCH_KEY}
+   */
+  public void fault(EndpointFault fault, int count, long millis, String text) {
+    switch (fault) {
+      case RESTART -> restart(millis);
+      case SILENCE -> server.silenceOpenConnections();
+      case FREEZE -> frozenUntilNanos = System.nanoTime() + millis * 1_000_000;
+      case REFUSE -> refuse(millis);
+      case WATCH_KEY -> record.watchKey(text);
+      default -> faults.arm(fault, count, millis);
+    }
+  }
+
+  /** Restarts the endpoint empty and cold; it is down for 300 ms when {@code downMillis} is 0. */
+  public void restart(long downMillis) {
+    down = true;
+    server.refuse(true);
+    server.dropOpenConnections();
+    stopWork();
+    bootId = UUID.randomUUID().toString();
+    later(
+        downMillis == 0 ? DEFAULT_DOWN_MILLIS : downMillis,
+        () -> {
+          startNanos = System.nanoTime();
+          record.event(EndpointRecord.EventKind.START, bootId);
+          down = false;
+          server.refuse(false);
+        });
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+
+  /** Ends all work and forgets all state, as a process that dies does. */
+  abstract void stopWork();
+
+  abstract void handle(WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException;
+
+  final void listen(InetSocketAddress address) throws IOException {
+    server = new WireServer(address, this::receive);
+  }
+
+  final void crash(String detail) {
+    record.event(EndpointRecord.EventKind.CRASH, detail);
+    restart(0);
+  }
+
+  final long uptimeMillis() {
+    return (System.nanoTime() - startNanos) / 1_000_000;
+  }
+
+  final boolean isDown() {
+    return down;
+  }
+
+  final int allowed() {
+    return coldStart.allowed(uptimeMillis(), bound);
+  }
+
+  final int bound() {
+    return bound;
+  }
+
+  final void awaitThaw() throws InterruptedException {
+    long left = frozenUntilNanos - System.nanoTime();
+    while (left > 0) {
+      Thread.sleep(left / 1_000_000 + 1);
+      left = frozenUntilNanos - System.nanoTime();
+    }
+  }
+
+  final void reply(WireServer.Response response, int status, Object body, String attempt)
+      throws IOException {
+    response.send(status, headers("application/json", attempt), JSON.writeValueAsBytes(body));
+  }
+
+  final Map<String, String> headers(String contentType, String attempt) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("content-type", contentType);
+    headers.put("x-boot-id", bootId);
+    if (!attempt.isEmpty()) {
+      headers.put("x-request-id", attempt);
+    }
+    return headers;
+  }
+
+  static JsonNode json(byte[] body) throws IOException {
+    return JSON.readTree(body.length == 0 ? "{}".getBytes(StandardCharsets.US_ASCII) : body);
+  }
+
+  static Map<String, Object> error(String code, String message) {
+    return Map.of("error", Map.of("code", code, "message", message));
+  }
+
+  /** Returns the caller's mark, written {@code nonce:VALUE} anywhere in the text, or empty. */
+  static String nonce(String text) {
+    Matcher matcher = NONCE.matcher(text);
+    return matcher.find() ? matcher.group(1) : "";
+  }
+
+  private void receive(WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    if (request.path().equals("/record")) {
+      response.send(200, headers("application/json", ""), record.json());
+      return;
+    }
+    record.received(request.raw());
+    awaitThaw();
+    if (down) {
+      throw new IOException(name + " is down");
+    }
+    handle(request, response);
+  }
+
+  private void refuse(long millis) {
+    server.refuse(true);
+    server.dropOpenConnections();
+    later(millis, () -> server.refuse(false));
+  }
+
+  private void later(long millis, Runnable action) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                Thread.sleep(millis);
+                action.run();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            },
+            name + "-later");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeEngine.java
@@ -0,0 +1,550 @@
+package org.comfreygap.testkit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.comfreygap.testkit.EndpointRecord.EventKind;
+
+/**
+ * A fake inference engine that speaks the endpoint protocol of the design page, section 6.
+ *
+ * <pre>{@code
+ * try (FakeEngine engine = FakeEngine.builder("engine-1").slots(4).maxBatch(8).start()) {
+ *   engine.fault(EndpointFault.FAIL_LOADS, 1);
+ * }
+ * }</pre>
+ *
+ * <p>Requests take the number in {@code priority} (lower is earlier) and {@code cache_salt} (the
+ * namespace of cached prefixes) from their body. {@code GET /engine/state} also has {@code "load":
+ * {"running", "waiting"}}, which lags; the other fields are current. Thread safety: one lock guards
+ * all state; all methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class FakeEngine extends FakeEndpoint {
+
+  private static final int KEPT_ANSWERS = 1_000;
+  private static final int PREFILL_TOKENS_PER_STEP = 512;
+  private static final int CHARACTERS_PER_TOKEN = 4;
+  private static final int CACHE_BLOCKS = 4_096;
+  private static final String BASE = "base";
+
+  private final Builder options;
+  private final Object lock = new Object();
+  private final Set<String> resident = new LinkedHashSet<>();
+  private final Set<String> loading = new LinkedHashSet<>();
+  private final List<EngineRun> running = new ArrayList<>();
+  private final List<EngineRun> waiting = new ArrayList<>();
+  private final Map<String, EngineRun> answers = new LinkedHashMap<>();
+  private final PrefixCache prefixes = new PrefixCache(CACHE_BLOCKS);
+  private final Deque<LoadSample> samples = new ArrayDeque<>();
+  private final AnswerWriter writer = new AnswerWriter(this);
+  private final Thread stepper;
+  private long fencing;
+  private volatile boolean closed;
+
+  private FakeEngine(Builder options) throws IOException {
+    super(options.name, "engine", options.coldStart, options.maxBatch, options.warm);
+    this.options = options;
+    this.stepper = new Thread(this::stepLoop, options.name + "-steps");
+    stepper.setDaemon(true);
+    listen(options.address);
+    stepper.start();
+  }
+
+  /** Starts the description of an engine. */
+  public static Builder builder(String name) {
+    return new Builder(name);
+  }
+
+  /** Returns the names of the resident adapters. */
+  public Set<String> resident() {
+    synchronized (lock) {
+      return new LinkedHashSet<>(resident);
+    }
+  }
+
+  /** Returns the present batch. */
+  public int runningBatch() {
+    synchronized (lock) {
+      return running.size();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closed = true;
+    stepper.interrupt();
+    super.close();
+  }
+
+  @Override
+  void stopWork() {
+    synchronized (lock) {
+      running.forEach(run -> finish(run, "crashed"));
+      waiting.forEach(run -> finish(run, "crashed"));
+      running.clear();
+      waiting.clear();
+      resident.clear();
+      loading.clear();
+      answers.clear();
+      prefixes.clear();
+      fencing = 0;
+      lock.notifyAll();
+    }
+  }
+
+  @Override
+  void handle(WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    String path = URLDecoder.decode(request.path(), StandardCharsets.UTF_8);
+    if (path.equals("/engine/state")) {
+      reply(response, 200, state(), "");
+    } else if (path.equals("/engine/adapters")) {
+      load(json(request.body()), response);
+    } else if (path.startsWith("/engine/adapters/")) {
+      long number = Long.parseLong(request.query("fencing", "0"));
+      unload(path.substring("/engine/adapters/".length()), number, response);
+    } else if (path.equals("/v1/chat/completions") || path.equals("/v1/completions")) {
+      run(EngineRequest.parse(request.header("x-request-id"), path, request.body()), response);
+    } else if (path.startsWith("/engine/requests/")) {
+      attempt(path.substring("/engine/requests/".length()), request, response);
+    } else if (path.startsWith("/engine/kv/")) {
+      cache(path.substring("/engine/kv/".length()), request, response);
+    } else {
+      reply(response, 404, error("not_found", path), "");
+    }
+  }
+
+  private Map<String, Object> state() {
+    synchronized (lock) {
+      Map<String, Object> state = new LinkedHashMap<>();
+      state.put("bootId", bootId());
+      state.put("uptimeMillis", uptimeMillis());
+      state.put("fencing", fencing);
+      state.put("slots", options.slots);
+      state.put("maxBatch", options.maxBatch);
+      state.put("resident", new ArrayList<>(resident));
+      List<Map<String, String>> runs = new ArrayList<>();
+      for (EngineRun run : running) {
+        runs.add(Map.of("attempt", run.entry.attempt, "adapter", run.entry.adapter));
+      }
+      for (EngineRun run : waiting) {
+        runs.add(Map.of("attempt", run.entry.attempt, "adapter", run.entry.adapter));
+      }
+      state.put("running", runs);
+      state.put("load", laggingLoad(System.nanoTime()));
+      return state;
+    }
+  }
+
+  private Map<String, Integer> laggingLoad(long nowNanos) {
+    samples.addLast(new LoadSample(nowNanos, running.size(), waiting.size()));
+    LoadSample reported = samples.peekFirst();
+    while (samples.size() > 1
+        && nowNanos - samples.peekFirst().atNanos() >= options.reportLagMillis * 1_000_000L) {
+      reported = samples.pollFirst();
+    }
+    return Map.of("running", reported.running(), "waiting", reported.waiting());
+  }
+
+  private void load(JsonNode command, WireServer.Response response)
+      throws IOException, InterruptedException {
+    String adapter = command.path("name").asText();
+    long number = command.path("fencing").asLong(0);
+    String boot = bootId();
+    synchronized (lock) {
+      if (stale(number, "load " + adapter)) {
+        reply(response, 412, error("stale_fencing", "given " + number + ", seen " + fencing), "");
+        return;
+      }
+      if (resident.contains(adapter)) {
+        reply(response, 200, Map.of("name", adapter), "");
+        return;
+      }
+      if (loading.contains(adapter) || resident.size() + loading.size() >= options.slots) {
+        reply(response, 409, error("full", "slots " + options.slots + ", no slot is free"), "");
+        return;
+      }
+      loading.add(adapter);
+    }
+    long startMillis = System.currentTimeMillis();
+    int inFlight = options.store.load(options.loadMillis);
+    awaitThaw();
+    boolean failed = faults.take(EndpointFault.FAIL_LOADS);
+    boolean current;
+    synchronized (lock) {
+      current = boot.equals(bootId()) && !isDown();
+      if (current) {
+        loading.remove(adapter);
+      }
+      if (current && !failed) {
+        resident.add(adapter);
+      }
+    }
+    boolean done = current && !failed;
+    long endMillis = System.currentTimeMillis();
+    record.loaded(new EndpointRecord.Load(adapter, true, startMillis, endMillis, inFlight, done));
+    if (!current || faults.take(EndpointFault.LOST_LOAD_ACK)) {
+      throw new IOException("the acknowledgement is lost");
+    }
+    reply(
+        response,
+        done ? 200 : 500,
+        done ? Map.of("name", adapter) : error("load_failed", adapter),
+        "");
+  }
+
+  private void unload(String adapter, long number, WireServer.Response response)
+      throws IOException {
+    synchronized (lock) {
+      if (stale(number, "unload " + adapter)) {
+        reply(response, 412, error("stale_fencing", "given " + number + ", seen " + fencing), "");
+        return;
+      }
+      if (!resident.remove(adapter)) {
+        reply(response, 404, error("not_resident", adapter), "");
+        return;
+      }
+      List<EngineRun> users = new ArrayList<>(running);
+      users.addAll(waiting);
+      users.removeIf(run -> !run.entry.adapter.equals(adapter));
+      for (EngineRun run : users) {
+        record.event(EventKind.EVICTED_IN_USE, adapter + " " + run.entry.attempt);
+        finish(run, "failed");
+      }
+      running.removeAll(users);
+      waiting.removeAll(users);
+    }
+    long now = System.currentTimeMillis();
+    record.loaded(new EndpointRecord.Load(adapter, false, now, now, 0, true));
+    reply(response, 200, Map.of("name", adapter), "");
+  }
+
+  private boolean stale(long number, String command) {
+    if (number < fencing) {
+      record.event(EventKind.STALE_FENCING, command + " given " + number + " seen " + fencing);
+      return options.checksFencing;
+    }
+    fencing = number;
+    return false;
+  }
+
+  private void run(EngineRequest request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    if (request.body().contains(CRASH_MARK)) {
+      EndpointRecord.Run entry = entry(request, request.model(), false);
+      record.finish(entry, "crashed", 0);
+      crash(request.attempt());
+      throw new IOException("crashed");
+    }
+    EngineRun run;
+    synchronized (lock) {
+      Refusal refusal = refusal(request);
+      if (refusal != null) {
+        reply(response, refusal.status, error(refusal.code, name()), request.attempt());
+        return;
+      }
+      run = accept(request);
+    }
+    if (faults.take(EndpointFault.LOST_RUN_ACK)) {
+      throw new IOException("the answer is lost");
+    }
+    if (faults.take(EndpointFault.LATE)) {
+      Thread.sleep(faults.millis(EndpointFault.LATE));
+    }
+    if (faults.take(EndpointFault.CROSSED)) {
+      writer.writeCrossed(request, response);
+      return;
+    }
+    writer.write(run, 0, response);
+  }
+
+  private Refusal refusal(EngineRequest request) {
+    if (!resident.contains(request.model()) && !faults.armed(EndpointFault.BASE_FALLBACK)) {
+      record.event(EventKind.NOT_RESIDENT, request.model());
+      return Refusal.NOT_RESIDENT;
+    }
+    int carried = running.size() + waiting.size();
+    int allowed = allowed();
+    if (allowed < bound() && carried >= allowed) {
+      record.event(EventKind.COLD_OVERLOAD, "carried " + carried + " allowed " + allowed);
+      return Refusal.OVERLOADED;
+    }
+    if (carried >= bound() + options.maxWaiting) {
+      record.event(EventKind.OVER_BOUND, "carried " + carried + " bound " + bound());
+      return Refusal.OVERLOADED;
+    }
+    return null;
+  }
+
+  private EngineRun accept(EngineRequest request) {
+    String adapter = resident.contains(request.model()) ? request.model() : BASE;
+    int cached = prefixes.lookUp(request.namespace(), adapter, request.prompt());
+    int uncached = Math.max(0, request.promptTokens() - cached / CHARACTERS_PER_TOKEN);
+    EndpointRecord.Run entry = entry(request, adapter, running.size() >= bound());
+    EngineRun run = new EngineRun(entry, request, uncached / PREFILL_TOKENS_PER_STEP);
+    enqueue(run);
+    return run;
+  }
+
+  private void enqueue(EngineRun run) {
+    if (running.size() < bound()) {
+      running.add(run);
+    } else {
+      int at = 0;
+      while (at < waiting.size() && waiting.get(at).priority <= run.priority) {
+        at++;
+      }
+      waiting.add(at, run);
+    }
+    answers.put(run.entry.attempt, run);
+    if (answers.size() > KEPT_ANSWERS) {
+      answers.remove(answers.keySet().iterator().next());
+    }
+    lock.notifyAll();
+  }
+
+  private EndpointRecord.Run entry(EngineRequest request, String adapter, boolean waited) {
+    return record.start(
+        new EndpointRecord.Run(
+            request.attempt(), request.model(), adapter, request.nonce(), "", waited));
+  }
+
+  private void attempt(String rest, WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    boolean cancel = rest.endsWith("/cancel");
+    String id = cancel ? rest.substring(0, rest.length() - "/cancel".length()) : rest;
+    EngineRun run;
+    synchronized (lock) {
+      run = answers.get(id);
+    }
+    if (run == null) {
+      reply(response, 404, error("unknown_attempt", id), id);
+    } else if (cancel) {
+      cancel(run, response);
+    } else {
+      writer.write(run, Integer.parseInt(request.query("offset", "0")), response);
+    }
+  }
+
+  private void cancel(EngineRun run, WireServer.Response response) throws IOException {
+    synchronized (lock) {
+      if (!run.ended()) {
+        finish(run, "cancelled");
+        running.remove(run);
+        waiting.remove(run);
+      }
+    }
+    Map<String, Object> body =
+        Map.of("attempt", run.entry.attempt, "state", run.entry.state, "tokens", run.count());
+    reply(response, 200, body, run.entry.attempt);
+  }
+
+  private void cache(String id, WireServer.Request request, WireServer.Response response)
+      throws IOException {
+    if (request.method().equals("PUT")) {
+      importCache(id, json(request.body()), response);
+      return;
+    }
+    EngineRun run;
+    synchronized (lock) {
+      run = answers.get(id);
+    }
+    if (run == null) {
+      reply(response, 404, error("unknown_attempt", id), id);
+      return;
+    }
+    Map<String, Object> exported = new LinkedHashMap<>();
+    exported.put("attempt", id);
+    exported.put("adapter", run.entry.adapter);
+    exported.put("chat", run.chat);
+    exported.put("body", run.body);
+    exported.put("position", run.count());
+    reply(response, 200, exported, id);
+  }
+
+  private void importCache(String id, JsonNode exported, WireServer.Response response)
+      throws IOException {
+    String path = exported.path("chat").asBoolean() ? "/v1/chat/completions" : "/v1/completions";
+    byte[] body = exported.path("body").asText().getBytes(StandardCharsets.UTF_8);
+    EngineRequest request = EngineRequest.parse(id, path, body);
+    synchronized (lock) {
+      Refusal refusal = refusal(request);
+      if (refusal != null) {
+        reply(response, refusal.status, error(refusal.code, name()), id);
+        return;
+      }
+      EngineRun run = accept(request);
+      run.skipTo(exported.path("position").asInt());
+    }
+    reply(response, 200, Map.of("attempt", id), id);
+  }
+
+  private void finish(EngineRun run, String state) {
+    record.finish(run.entry, state, run.count());
+    run.end();
+  }
+
+  private void stepLoop() {
+    try {
+      while (!closed) {
+        awaitThaw();
+        int batch;
+        synchronized (lock) {
+          while (running.isEmpty() && !closed) {
+            lock.wait();
+          }
+          batch = running.size();
+        }
+        long micros = options.stepMicros + options.stepMicrosPerRun * batch;
+        Thread.sleep(micros / 1_000, (int) (micros % 1_000) * 1_000);
+        step(batch);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void step(int batch) {
+    synchronized (lock) {
+      record.step(batch);
+      List<EngineRun> ended = new ArrayList<>();
+      for (EngineRun run : running) {
+        if (run.step()) {
+          ended.add(run);
+        }
+      }
+      for (EngineRun run : ended) {
+        record.finish(run.entry, run.complete() ? "finished" : "failed", run.count());
+      }
+      running.removeAll(ended);
+      while (running.size() < bound() && !waiting.isEmpty()) {
+        running.add(waiting.remove(0));
+      }
+    }
+  }
+
+  private enum Refusal {
+    NOT_RESIDENT(404, "adapter_not_resident"),
+    OVERLOADED(503, "overloaded");
+
+    private final int status;
+    private final String code;
+
+    Refusal(int status, String code) {
+      this.status = status;
+      this.code = code;
+    }
+  }
+
+  private record LoadSample(long atNanos, int running, int waiting) {}
+
+  /** Describes an engine. Not thread-safe. */
+  public static final class Builder {
+
+    private final String name;
+    private InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
+    private int slots = 4;
+    private int maxBatch = 8;
+    private int maxWaiting;
+    private long loadMillis = 250;
+    private long stepMicros = 5_000;
+    private long stepMicrosPerRun = 100;
+    private long reportLagMillis = 200;
+    private boolean checksFencing = true;
+    private boolean warm = true;
+    private ColdStart coldStart = ColdStart.none();
+    private WeightStore store = WeightStore.unlimited();
+
+    private Builder(String name) {
+      this.name = name;
+    }
+
+    /** Sets the port on 127.0.0.1; 0, the default, chooses a free one. */
+    public Builder port(int port) {
+      address = new InetSocketAddress("127.0.0.1", port);
+      return this;
+    }
+
+    /** Sets the number of adapters that fit. */
+    public Builder slots(int count) {
+      slots = count;
+      return this;
+    }
+
+    /** Sets the batch bound. */
+    public Builder maxBatch(int count) {
+      maxBatch = count;
+      return this;
+    }
+
+    /** Sets how many requests beyond the batch bound wait inside instead of failing; default 0. */
+    public Builder maxWaiting(int count) {
+      maxWaiting = count;
+      return this;
+    }
+
+    /** Sets the load time while the store is not overloaded. */
+    public Builder loadMillis(long millis) {
+      loadMillis = millis;
+      return this;
+    }
+
+    /** Sets the time of a step: {@code base} and {@code perRun} for each request in the batch. */
+    public Builder stepMicros(long base, long perRun) {
+      stepMicros = base;
+      stepMicrosPerRun = perRun;
+      return this;
+    }
+
+    /** Sets how old the load in {@code /engine/state} is. */
+    public Builder reportLagMillis(long millis) {
+      reportLagMillis = millis;
+      return this;
+    }
+
+    /** Sets whether a stale fencing number is rejected or ignored. */
+    public Builder checksFencing(boolean checks) {
+      checksFencing = checks;
+      return this;
+    }
+
+    /** Sets what the engine carries after a start. */
+    public Builder coldStart(ColdStart start) {
+      coldStart = start;
+      return this;
+    }
+
+    /** Sets whether the engine has been up for longer than its ramp when it starts. */
+    public Builder warm(boolean isWarm) {
+      warm = isWarm;
+      return this;
+    }
+
+    /** Sets the store that the fleet shares. */
+    public Builder store(WeightStore shared) {
+      store = shared;
+      return this;
+    }
+
+    /**
+     * Starts the engine.
+     *
+     * @throws IOException when its port cannot be bound
+     */
+    public FakeEngine start() throws IOException {
+      return new FakeEngine(this);
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakePlainService.java
@@ -0,0 +1,189 @@
+package org.comfreygap.testkit;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.comfreygap.testkit.EndpointRecord.EventKind;
+
+/**
+ * A fake plain HTTP service that counts what it does for each idempotency key.
+ *
+ * <pre>{@code
+ * try (FakePlainService orders = FakePlainService.builder("orders-1").serviceMillis(5).start()) {
+ *   orders.record().runsPerIdempotencyKey();
+ * }
+ * }</pre>
+ *
+ * <p>It deduplicates nothing: each accepted request is a run. Every answer carries the service's
+ * name, the caller's nonce and a running count. Thread safety: all methods may be called from any
+ * thread.
+ *
+ * @since 0.1
+ */
+public final class FakePlainService extends FakeEndpoint {
+
+  private final Builder options;
+  private final Object lock = new Object();
+  private int running;
+  private int count;
+
+  private FakePlainService(Builder options) throws IOException {
+    super(options.name, "service", options.coldStart, options.maxConcurrent, options.warm);
+    this.options = options;
+    listen(options.address);
+  }
+
+  /** Starts the description of a service. */
+  public static Builder builder(String name) {
+    return new Builder(name);
+  }
+
+  @Override
+  void stopWork() {
+    synchronized (lock) {
+      running = 0;
+    }
+  }
+
+  @Override
+  void handle(WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    if (request.path().equals("/health")) {
+      reply(response, 200, Map.of("bootId", bootId(), "uptimeMillis", uptimeMillis()), "");
+      return;
+    }
+    String body = new String(request.body(), StandardCharsets.UTF_8);
+    String text = body + " " + request.target();
+    String attempt = request.header("x-request-id");
+    synchronized (lock) {
+      int allowed = allowed();
+      if (running >= allowed) {
+        EventKind kind = allowed < bound() ? EventKind.COLD_OVERLOAD : EventKind.OVER_BOUND;
+        record.event(kind, "carried " + running + " allowed " + allowed);
+        reply(response, 503, error("overloaded", name()), attempt);
+        return;
+      }
+      running++;
+    }
+    EndpointRecord.Run run =
+        record.start(
+            new EndpointRecord.Run(
+                attempt.isEmpty() ? request.path() : attempt,
+                options.service,
+                options.service,
+                nonce(text),
+                request.header("idempotency-key"),
+                false));
+    record.step(running);
+    if (text.contains(CRASH_MARK)) {
+      record.finish(run, "crashed", 0);
+      crash(attempt);
+      throw new IOException("crashed");
+    }
+    String boot = bootId();
+    Thread.sleep(options.serviceMillis);
+    awaitThaw();
+    synchronized (lock) {
+      if (!boot.equals(bootId())) {
+        record.finish(run, "crashed", 0);
+        throw new IOException("restarted");
+      }
+      running--;
+      count++;
+    }
+    record.finish(run, "finished", 1);
+    answer(run, request, response);
+  }
+
+  private void answer(
+      EndpointRecord.Run run, WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    if (faults.take(EndpointFault.LOST_RUN_ACK)) {
+      throw new IOException("the answer is lost");
+    }
+    if (faults.take(EndpointFault.LATE)) {
+      Thread.sleep(faults.millis(EndpointFault.LATE));
+    }
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("service", options.service);
+    body.put("endpoint", name());
+    body.put("nonce", faults.take(EndpointFault.CROSSED) ? "other" : run.nonce);
+    body.put("method", request.method());
+    body.put("count", count);
+    body.put("end", true);
+    byte[] bytes = JSON.writeValueAsBytes(body);
+    boolean abrupt = faults.take(EndpointFault.TRUNCATE);
+    boolean clean = !abrupt && faults.take(EndpointFault.TRUNCATE_CLEAN);
+    response.begin(200, headers("application/json", request.header("x-request-id")));
+    int sent = abrupt || clean ? bytes.length / 2 : bytes.length;
+    response.chunk(java.util.Arrays.copyOf(bytes, sent));
+    if (abrupt) {
+      throw new IOException("cut");
+    }
+    response.end();
+  }
+
+  /** Describes a service. Not thread-safe. */
+  public static final class Builder {
+
+    private final String name;
+    private InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
+    private String service;
+    private int maxConcurrent = 16;
+    private long serviceMillis = 5;
+    private boolean warm = true;
+    private ColdStart coldStart = ColdStart.none();
+
+    private Builder(String name) {
+      this.name = name;
+      this.service = name;
+    }
+
+    /** Sets the port on 127.0.0.1; 0, the default, chooses a free one. */
+    public Builder port(int port) {
+      address = new InetSocketAddress("127.0.0.1", port);
+      return this;
+    }
+
+    /** Sets the service's name in answers; by default the endpoint's name. */
+    public Builder service(String serviceName) {
+      service = serviceName;
+      return this;
+    }
+
+    /** Sets how many requests run at once; further ones fail. */
+    public Builder maxConcurrent(int count) {
+      maxConcurrent = count;
+      return this;
+    }
+
+    /** Sets the time of one request. */
+    public Builder serviceMillis(long millis) {
+      serviceMillis = millis;
+      return this;
+    }
+
+    /** Sets what the service carries after a start. */
+    public Builder coldStart(ColdStart start) {
+      coldStart = start;
+      return this;
+    }
+
+    /** Sets whether the service has been up for longer than its ramp when it starts. */
+    public Builder warm(boolean isWarm) {
+      warm = isWarm;
+      return this;
+    }
+
+    /**
+     * Starts the service.
+     *
+     * @throws IOException when its port cannot be bound
+     */
+    public FakePlainService start() throws IOException {
+      return new FakePlainService(this);
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/FaultSwitches.java
@@ -0,0 +1,40 @@
+package org.comfreygap.testkit;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * Counts of the faults that are still to happen.
+ *
+ * <p>Thread safety: all methods are synchronized.
+ *
+ * @since 0.1
+ */
+final class FaultSwitches {
+
+  private final Map<EndpointFault, Integer> counts = new EnumMap<>(EndpointFault.class);
+  private final Map<EndpointFault, Long> millis = new EnumMap<>(EndpointFault.class);
+
+  synchronized void arm(EndpointFault fault, int count, long duration) {
+    counts.put(fault, count);
+    millis.put(fault, duration);
+  }
+
+  /** Returns true, and uses up one occurrence, when the fault is to happen now. */
+  synchronized boolean take(EndpointFault fault) {
+    int left = counts.getOrDefault(fault, 0);
+    if (left == 0) {
+      return false;
+    }
+    counts.put(fault, left - 1);
+    return true;
+  }
+
+  synchronized boolean armed(EndpointFault fault) {
+    return counts.getOrDefault(fault, 0) > 0;
+  }
+
+  synchronized long millis(EndpointFault fault) {
+    return millis.getOrDefault(fault, 0L);
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/WeightStore.java
@@ -0,0 +1,68 @@
+package org.comfreygap.testkit;
+
+/**
+ * The weight store shared by the fake engines of a fleet.
+ *
+ * <p>The first {@code fullSpeedLoads} loads start at once; further ones are paced at {@code
+ * loadsPerSecond}. The transfer takes the base time while at most {@code maxInFlight} loads are in
+ * flight and proportionally longer beyond. Thread safety: all methods may be called from any
+ * thread.
+ *
+ * @since 0.1
+ */
+public final class WeightStore {
+
+  private final double loadsPerSecond;
+  private final int fullSpeedLoads;
+  private final int maxInFlight;
+  private double tokens;
+  private long refilledNanos = System.nanoTime();
+  private int inFlight;
+  private int mostInFlight;
+
+  /** Creates a store with the given rate, full-speed concurrency and fleet-wide bound. */
+  public WeightStore(double loadsPerSecond, int fullSpeedLoads, int maxInFlight) {
+    this.loadsPerSecond = loadsPerSecond;
+    this.fullSpeedLoads = fullSpeedLoads;
+    this.maxInFlight = maxInFlight;
+    this.tokens = fullSpeedLoads;
+  }
+
+  /** Returns a store without limits, for tests that do not concern loads. */
+  public static WeightStore unlimited() {
+    return new WeightStore(1_000_000, 1_000_000, 1_000_000);
+  }
+
+  /** Waits as long as a load with the given base time takes now; returns the loads in flight. */
+  public int load(long baseMillis) throws InterruptedException {
+    int others;
+    long waitNanos;
+    synchronized (this) {
+      inFlight++;
+      others = inFlight;
+      mostInFlight = Math.max(mostInFlight, inFlight);
+      waitNanos = turn(System.nanoTime());
+    }
+    try {
+      double stretch = Math.max(1.0, (double) others / maxInFlight);
+      Thread.sleep(waitNanos / 1_000_000 + (long) (baseMillis * stretch));
+    } finally {
+      synchronized (this) {
+        inFlight--;
+      }
+    }
+    return others;
+  }
+
+  /** Returns the most loads that were in flight at one time. */
+  public synchronized int mostInFlight() {
+    return mostInFlight;
+  }
+
+  private long turn(long nowNanos) {
+    double refill = (nowNanos - refilledNanos) / 1e9 * loadsPerSecond;
+    tokens = Math.min(fullSpeedLoads, tokens + refill) - 1;
+    refilledNanos = nowNanos;
+    return tokens >= 0 ? 0 : (long) (-tokens / loadsPerSecond * 1e9);
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/WireServer.java
@@ -0,0 +1,341 @@
+package org.comfreygap.testkit;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * A small HTTP/1.1 server on plain sockets. The fakes use it in place of a library because they
+ * must search every received byte, trailers included, and must be able to silence, drop and refuse
+ * connections.
+ *
+ * <p>Invariant: one thread serves one connection; requests on a connection do not overlap. Thread
+ * safety: all public methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class WireServer implements AutoCloseable {
+
+  private static final int MAX_LINE_BYTES = 65_536;
+  private static final int BACKLOG = 512;
+
+  private final ServerSocket listener;
+  private final Handler handler;
+  private final ExecutorService threads;
+  private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+  private volatile boolean refusing;
+
+  /**
+   * Binds {@code address} and starts to accept.
+   *
+   * @throws IOException when the address cannot be bound
+   */
+  public WireServer(InetSocketAddress address, Handler handler) throws IOException {
+    this.handler = handler;
+    this.listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(address, BACKLOG);
+    this.threads =
+        Executors.newCachedThreadPool(
+            task -> {
+              Thread thread = new Thread(task, "fake-" + listener.getLocalPort());
+              thread.setDaemon(true);
+              return thread;
+            });
+    threads.execute(this::accept);
+  }
+
+  /** Returns the port that accepts. */
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  /** Makes every open connection lose all bytes in both directions; new connections work. */
+  public void silenceOpenConnections() {
+    connections.forEach(connection -> connection.silent = true);
+  }
+
+  /** Closes every open connection. */
+  public void dropOpenConnections() {
+    connections.forEach(Connection::close);
+  }
+
+  /** Sets whether new connections are closed at once. */
+  public void refuse(boolean refuseNew) {
+    refusing = refuseNew;
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    dropOpenConnections();
+    threads.shutdownNow();
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        if (refusing) {
+          socket.setSoLinger(true, 0);
+          socket.close();
+          continue;
+        }
+        socket.setTcpNoDelay(true);
+        Connection connection = new Connection(socket);
+        connections.add(connection);
+        threads.execute(() -> serve(connection));
+      } catch (IOException e) {
+        if (listener.isClosed()) {
+          return;
+        }
+      }
+    }
+  }
+
+  private void serve(Connection connection) {
+    try (Socket socket = connection.socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      boolean open = true;
+      while (open) {
+        Request request = read(in, connection);
+        if (connection.silent) {
+          connection.swallow(in);
+          return;
+        }
+        Response response = new Response(connection);
+        try {
+          handler.handle(request, response);
+          open = response.ended && !"close".equalsIgnoreCase(request.header("connection"));
+        } catch (SilencedException e) {
+          connection.swallow(in);
+          return;
+        }
+      }
+    } catch (IOException ignored) {
+      // The caller closed the connection, or a fault did.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      connections.remove(connection);
+    }
+  }
+
+  private static Request read(InputStream in, Connection connection) throws IOException {
+    ByteArrayOutputStream raw = new ByteArrayOutputStream();
+    String[] start = line(in, raw).split(" ");
+    if (start.length < 2) {
+      throw new IOException("request line has " + start.length + " parts, expected 3");
+    }
+    Map<String, String> headers = headers(in, raw);
+    if (headers.containsKey("expect")) {
+      connection.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    }
+    byte[] body = body(in, raw, headers);
+    return new Request(start[0], start[1], headers, body, raw.toByteArray());
+  }
+
+  private static Map<String, String> headers(InputStream in, ByteArrayOutputStream raw)
+      throws IOException {
+    Map<String, String> headers = new TreeMap<>();
+    String line = line(in, raw);
+    while (!line.isEmpty()) {
+      int colon = line.indexOf(':');
+      if (colon > 0) {
+        headers.put(
+            line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+      }
+      line = line(in, raw);
+    }
+    return headers;
+  }
+
+  private static byte[] body(InputStream in, ByteArrayOutputStream raw, Map<String, String> headers)
+      throws IOException {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    if (headers.getOrDefault("transfer-encoding", "").contains("chunked")) {
+      int size = Integer.parseInt(line(in, raw).split(";")[0].trim(), 16);
+      while (size > 0) {
+        body.write(in.readNBytes(size));
+        line(in, raw);
+        size = Integer.parseInt(line(in, raw).split(";")[0].trim(), 16);
+      }
+      headers(in, raw);
+    } else {
+      int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+      byte[] bytes = in.readNBytes(length);
+      if (bytes.length < length) {
+        throw new EOFException("body ended after " + bytes.length + " of " + length + " bytes");
+      }
+      body.write(bytes);
+    }
+    raw.write(body.toByteArray());
+    return body.toByteArray();
+  }
+
+  private static String line(InputStream in, ByteArrayOutputStream raw) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    int next = in.read();
+    while (next != '\n') {
+      if (next < 0 || line.size() > MAX_LINE_BYTES) {
+        throw new EOFException("connection ended inside a line");
+      }
+      raw.write(next);
+      if (next != '\r') {
+        line.write(next);
+      }
+      next = in.read();
+    }
+    raw.write('\n');
+    return line.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Answers requests. Called from the connection's thread. */
+  @FunctionalInterface
+  public interface Handler {
+
+    /** Answers {@code request}; a response that is not ended closes the connection. */
+    void handle(Request request, Response response) throws IOException, InterruptedException;
+  }
+
+  /**
+   * A request as received; {@code raw} holds its bytes including headers, body and trailers.
+   *
+   * @param method HTTP method
+   * @param target path and query as sent
+   * @param headers by lower-case name
+   * @param body decoded body
+   * @param raw received bytes, without chunk framing of the body
+   */
+  public record Request(
+      String method, String target, Map<String, String> headers, byte[] body, byte[] raw) {
+
+    /** Returns the header with the given lower-case name, or the empty string. */
+    public String header(String name) {
+      return headers.getOrDefault(name, "");
+    }
+
+    /** Returns the path without the query. */
+    public String path() {
+      int question = target.indexOf('?');
+      return question < 0 ? target : target.substring(0, question);
+    }
+
+    /** Returns the first value of a query parameter, or {@code absent}. */
+    public String query(String name, String absent) {
+      int question = target.indexOf('?');
+      if (question >= 0) {
+        for (String pair : target.substring(question + 1).split("&")) {
+          if (pair.startsWith(name + "=")) {
+            return pair.substring(name.length() + 1);
+          }
+        }
+      }
+      return absent;
+    }
+  }
+
+  /** Writes one response. Used by the connection's thread only. */
+  public static final class Response {
+
+    private final Connection connection;
+    private boolean ended;
+
+    private Response(Connection connection) {
+      this.connection = connection;
+    }
+
+    /** Sends a whole response with a length. */
+    public void send(int status, Map<String, String> headers, byte[] body) throws IOException {
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      out.write(head(status, headers, "content-length: " + body.length));
+      out.write(body);
+      connection.write(out.toByteArray());
+      ended = true;
+    }
+
+    /** Starts a chunked response. */
+    public void begin(int status, Map<String, String> headers) throws IOException {
+      connection.write(head(status, headers, "transfer-encoding: chunked"));
+    }
+
+    /** Sends one chunk; nothing when {@code bytes} is empty. */
+    public void chunk(byte[] bytes) throws IOException {
+      if (bytes.length == 0) {
+        return;
+      }
+      ByteArrayOutputStream out = new ByteArrayOutputStream(bytes.length + 16);
+      out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+      out.write(bytes);
+      out.write('\r');
+      out.write('\n');
+      connection.write(out.toByteArray());
+    }
+
+    /** Ends a chunked response. */
+    public void end() throws IOException {
+      connection.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      ended = true;
+    }
+
+    private static byte[] head(int status, Map<String, String> headers, String framing) {
+      StringBuilder head = new StringBuilder("HTTP/1.1 ").append(status).append(" status\r\n");
+      headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+      return head.append(framing).append("\r\n\r\n").toString().getBytes(StandardCharsets.US_ASCII);
+    }
+  }
+
+  private static final class SilencedException extends IOException {
+
+    private static final long serialVersionUID = 1L;
+  }
+
+  private static final class Connection {
+
+    private final Socket socket;
+    private volatile boolean silent;
+
+    Connection(Socket socket) {
+      this.socket = socket;
+    }
+
+    void write(byte[] bytes) throws IOException {
+      if (silent) {
+        throw new SilencedException();
+      }
+      BufferedOutputStream out = new BufferedOutputStream(socket.getOutputStream(), bytes.length);
+      out.write(bytes);
+      out.flush();
+    }
+
+    void swallow(InputStream in) throws IOException {
+      byte[] lost = new byte[4_096];
+      int count = in.read(lost);
+      while (count >= 0) {
+        count = in.read(lost);
+      }
+    }
+
+    void close() {
+      try {
+        socket.close();
+      } catch (IOException ignored) {
+        // The socket is already closed.
+      }
+    }
+  }
+}
