Keep events recorded directly after the start of the event log

EventLogTest lost an event in one of two runs: the Disruptor's shutdown skips handlers whose thread has not started yet.

--- a/runtime/src/main/java/org/comfreygap/runtime/EventLog.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/EventLog.java
@@ -8,6 +8,7 @@
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
@@ -50,9 +51,12 @@
             EventLog::writerThread,
             ProducerType.MULTI,
             new BlockingWaitStrategy());
-    EventHandler<Slot> writer = (slot, sequence, endOfBatch) -> write(slot);
+    Writer writer = new Writer();
     disruptor.handleEventsWith(writer);
     this.ring = disruptor.start();
+    // The Disruptor's shutdown does not wait for a handler that has not started, so that events
+    // recorded just after the start were lost when the process stopped at once.
+    writer.awaitStart();
   }
 
   /** Records an event that happens now. */
@@ -107,6 +111,29 @@
     return thread;
   }
 
+  private final class Writer implements EventHandler<Slot> {
+
+    private final CountDownLatch started = new CountDownLatch(1);
+
+    @Override
+    public void onStart() {
+      started.countDown();
+    }
+
+    @Override
+    public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+      write(slot);
+    }
+
+    void awaitStart() {
+      try {
+        started.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
   private static final class Slot {
 
     private Event event;
--- /dev/null
+++ b/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
@@ -0,0 +1,225 @@
+package org.comfreygap.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import org.apache.thrift.TException;
+import org.comfreygap.protocol.generated.BeginReply;
+import org.comfreygap.protocol.generated.BeginRequest;
+import org.comfreygap.protocol.generated.Change;
+import org.comfreygap.protocol.generated.ChangeKind;
+import org.comfreygap.protocol.generated.ControlService;
+import org.comfreygap.protocol.generated.CrashReply;
+import org.comfreygap.protocol.generated.CrashReport;
+import org.comfreygap.protocol.generated.CreditExchange;
+import org.comfreygap.protocol.generated.CreditReply;
+import org.comfreygap.protocol.generated.EndpointLeaseReply;
+import org.comfreygap.protocol.generated.EndpointLeaseRequest;
+import org.comfreygap.protocol.generated.FinishRequest;
+import org.comfreygap.protocol.generated.HeartbeatReply;
+import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.Member;
+import org.comfreygap.protocol.generated.MemberState;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.comfreygap.protocol.generated.PermitReply;
+import org.comfreygap.protocol.generated.PermitRequest;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.protocol.generated.WatchReply;
+import org.comfreygap.protocol.generated.WatchRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a process that acts on old settings or on a reverted revision. */
+class MembershipAgentTest {
+
+  private static final PeerSecurity SECURITY =
+      PeerSecurity.of(SharedKey.of("0123456789abcdef".getBytes(StandardCharsets.UTF_8)));
+
+  private final Closer closer = new Closer();
+  private final StubControl control = new StubControl();
+  private MembershipAgent agent;
+
+  @BeforeEach
+  void start() throws Exception {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    ThriftServer server =
+        closer.register(
+            ThriftServer.start("stub", any, SECURITY, new ControlService.Processor<>(control)));
+    control.address = Addresses.text(server.address());
+    EventLog events =
+        closer.register(new EventLog("p", new HybridClock(() -> 1_000), new Timeline(100)));
+    ControlClient client = closer.register(new ControlClient(List.of(server.address()), SECURITY));
+    ProcessIdentity identity =
+        new ProcessIdentity(
+            "gateway-1", ProcessKind.GATEWAY, "s1", "north", "127.0.0.1:1", "127.0.0.1:2");
+    agent = closer.register(MembershipAgent.start(identity, client, events, Optional::empty));
+  }
+
+  @AfterEach
+  void stop() {
+    closer.close();
+  }
+
+  @Test
+  void admitsOnlyOnceTheCommittedRevisionIsInForce() {
+    control.committed = 5;
+    control.watchRevision = 4;
+    await(() -> agent.settings().revision() == 4);
+    await(() -> control.heartbeats.size() >= 3);
+    assertThat(agent.admits()).isFalse();
+
+    control.watchRevision = 5;
+    await(agent::admits);
+  }
+
+  @Test
+  void stopsAdmittingWithinTheBoundWhenControlHasNoLeader() {
+    await(agent::admits);
+    control.leading = false;
+
+    long start = System.nanoTime();
+    await(() -> !agent.admits());
+
+    // One heartbeat sent just before the change may still be answered: bound plus one period.
+    assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(7));
+  }
+
+  @Test
+  void keepsItsRevisionWhenAReplicaLags() {
+    control.watchRevision = 9;
+    await(() -> agent.settings().revision() == 9);
+    int asked = control.watches.size();
+    control.watchRevision = 3;
+    await(() -> control.watches.size() >= asked + 2);
+
+    assertThat(agent.settings().revision()).isEqualTo(9);
+    assertThat(agent.settings().customer("blue/c9")).isPresent();
+  }
+
+  @Test
+  void keepsQuarantineForItsTimeAndMembersUntilTheyAreGone() {
+    control.quarantined = Map.of("bad", 60_000L);
+    control.member = Optional.of(MemberState.LEAVING);
+    await(() -> agent.quarantined("bad", System.nanoTime()));
+    await(() -> !agent.members().isEmpty());
+    long later = System.nanoTime() + Duration.ofSeconds(61).toNanos();
+    assertThat(agent.quarantined("bad", later)).isFalse();
+    assertThat(agent.quarantined("good", System.nanoTime())).isFalse();
+
+    control.member = Optional.of(MemberState.GONE);
+    await(() -> agent.members().isEmpty());
+  }
+
+  @Test
+  void tellsControlThatItIsLeaving() {
+    agent.leave();
+
+    await(() -> control.heartbeats.stream().anyMatch(HeartbeatRequest::isLeaving));
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("condition within 20 s").isLessThan(end);
+      try {
+        Thread.sleep(10);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  /** Answers heartbeats and watches from its fields; the other calls are not used here. */
+  private static final class StubControl implements ControlService.Iface {
+
+    private final List<HeartbeatRequest> heartbeats = new CopyOnWriteArrayList<>();
+    private final List<WatchRequest> watches = new CopyOnWriteArrayList<>();
+    private volatile String address;
+    private volatile boolean leading = true;
+    private volatile long committed;
+    private volatile long watchRevision;
+    private volatile Map<String, Long> quarantined = Map.of();
+    private volatile Optional<MemberState> member = Optional.empty();
+
+    @Override
+    public HeartbeatReply heartbeat(HeartbeatRequest request) throws NotLeader {
+      heartbeats.add(request);
+      if (!leading) {
+        throw new NotLeader();
+      }
+      List<Member> changed = new ArrayList<>();
+      member.ifPresent(
+          state -> {
+            ProcessIdentity identity = request.getIdentity().deepCopy().setProcessId("sidecar-1");
+            changed.add(new Member(identity, state, 0));
+          });
+      return new HeartbeatReply(committed, 1, 1, changed, false, List.of(address));
+    }
+
+    @Override
+    public WatchReply watch(WatchRequest request) {
+      watches.add(request);
+      pause();
+      List<Change> changes = new ArrayList<>();
+      if (watchRevision > request.getAfterRevision()) {
+        String path = "/teams/blue/customers/c" + watchRevision;
+        changes.add(new Change(path, ChangeKind.PUT, watchRevision).setDocument("{}"));
+      }
+      return new WatchReply(watchRevision, false, changes).setQuarantined(quarantined);
+    }
+
+    @Override
+    public CreditReply exchangeCredit(CreditExchange request) throws TException {
+      throw new TException("not used");
+    }
+
+    @Override
+    public PermitReply acquireLoadPermit(PermitRequest request) throws TException {
+      throw new TException("not used");
+    }
+
+    @Override
+    public void releaseLoadPermit(String permitId) throws TException {
+      throw new TException("not used");
+    }
+
+    @Override
+    public EndpointLeaseReply acquireEndpoint(EndpointLeaseRequest request) throws TException {
+      throw new TException("not used");
+    }
+
+    @Override
+    public BeginReply beginRequest(BeginRequest request) throws TException {
+      throw new TException("not used");
+    }
+
+    @Override
+    public void finishRequest(FinishRequest request) throws TException {
+      throw new TException("not used");
+    }
+
+    @Override
+    public CrashReply reportCrash(CrashReport report) throws TException {
+      throw new TException("not used");
+    }
+
+    private static void pause() {
+      try {
+        Thread.sleep(20);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
