Free the port before ThriftServer.close returns

ThriftConnectionTest.opensANewConnectionAfterTheServerRestarted failed once in three runs with 'Address already in use': the kernel keeps a listening port until the thread blocked in accept returns, and close did not wait for it. It now joins the acceptor thread.

--- a/runtime/src/main/java/org/comfreygap/runtime/ThriftServer.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ThriftServer.java
@@ -42,16 +42,20 @@
   // Every peer sends at least each second; a connection silent for longer has lost its peer.
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(5);
   private static final long WORKER_STACK_BYTES = 256 * 1024;
 
   private final TThreadPoolServer server;
   private final ServerSocket socket;
   private final ThreadPoolExecutor workers;
+  private final Thread acceptor;
 
-  private ThriftServer(TThreadPoolServer server, ServerSocket socket, ThreadPoolExecutor workers) {
+  private ThriftServer(
+      TThreadPoolServer server, ServerSocket socket, ThreadPoolExecutor workers, Thread acceptor) {
     this.server = server;
     this.socket = socket;
     this.workers = workers;
+    this.acceptor = acceptor;
   }
 
   /**
@@ -78,7 +82,7 @@
       Thread acceptor = new Thread(server::serve, name + "-acceptor");
       acceptor.setDaemon(true);
       acceptor.start();
-      return new ThriftServer(server, socket, workers);
+      return new ThriftServer(server, socket, workers, acceptor);
     } catch (TTransportException e) {
       socket.close();
       throw new IOException("cannot serve on " + Addresses.text(address), e);
@@ -90,12 +94,18 @@
     return (InetSocketAddress) socket.getLocalSocketAddress();
   }
 
-  /** Stops accepting and ends open connections. */
+  /** Stops accepting and ends open connections; the address is free again when this returns. */
   @Override
   public void close() throws IOException {
     server.stop();
     socket.close();
     workers.shutdownNow();
+    try {
+      // The kernel keeps the port until the thread blocked in accept has returned.
+      acceptor.join(JOIN_TIMEOUT.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private static ServerSocket bind(InetSocketAddress address, PeerSecurity security)
