--- a/runtime/src/main/java/org/comfreygap/runtime/ThriftServer.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ThriftServer.java
@@ -41,7 +41,7 @@
   private static final int BACKLOG = 512;
   // Every peer sends at least each second; a connection silent for longer has lost its peer.
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
-  private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration STOP_TIMEOUT = Duration.ofMillis(250);
   private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(5);
   private static final long WORKER_STACK_BYTES = 256 * 1024;
 
@@ -77,7 +77,8 @@
               .inputTransportFactory(new Authenticating(security.sharedKey()))
               .outputTransportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
               .executorService(workers);
-      args.stopTimeoutVal = (int) STOP_TIMEOUT.toSeconds();
+      args.stopTimeoutUnit = TimeUnit.MILLISECONDS;
+      args.stopTimeoutVal = (int) STOP_TIMEOUT.toMillis();
       TThreadPoolServer server = new TThreadPoolServer(args);
       Thread acceptor = new Thread(server::serve, name + "-acceptor");
       acceptor.setDaemon(true);
