--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -1,5 +1,6 @@
 package org.comfreygap.runtime;
 
+import com.fasterxml.jackson.databind.node.TextNode;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.Configuration;
 import io.dropwizard.core.server.DefaultServerFactory;
@@ -7,6 +8,8 @@
 import io.dropwizard.core.setup.Environment;
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.logging.common.BootstrapLogging;
+import io.dropwizard.logging.common.DefaultLoggingFactory;
+import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
@@ -17,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -83,6 +87,7 @@
     private InetSocketAddress admin;
     private EventLog events;
     private BooleanSupplier ready = () -> true;
+    private String logLevel = "INFO";
     private int threads = 64;
     private java.time.Duration idleTimeout = java.time.Duration.ofSeconds(30);
 
@@ -120,6 +125,12 @@
       return this;
     }
 
+    /** Sets the level from which log lines are written, such as {@code INFO}. */
+    public Builder logLevel(String level) {
+      this.logLevel = level;
+      return this;
+    }
+
     /** Sets how long a connection may be silent while a request is read or written. */
     public Builder idleTimeout(java.time.Duration timeout) {
       this.idleTimeout = timeout;
@@ -163,8 +174,17 @@
       factory.setRegisterDefaultExceptionMappers(true);
       factory.setDetailedJsonProcessingExceptionMapper(false);
       factory.setShutdownGracePeriod(Duration.seconds(30));
+      // The timeline records requests; an access log would write a line for each of them.
+      LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
+      requestLog.setAppenders(List.of());
+      factory.setRequestLogFactory(requestLog);
+      DefaultLoggingFactory logging = new DefaultLoggingFactory();
+      logging.setLevel(logLevel);
+      // Thrift logs each connection that a peer closes as an error.
+      logging.setLoggers(Map.of("org.apache.thrift", TextNode.valueOf("OFF")));
       Configuration configuration = new Configuration();
       configuration.setServerFactory(factory);
+      configuration.setLoggingFactory(logging);
       return configuration;
     }
 
