--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
@@ -0,0 +1,173 @@
+package org.comfreygap.consensus;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.comfreygap.consensus.ReplicatedLog.Applied;
+import org.comfreygap.protocol.generated.EntryKind;
+import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * Applies committed entries to the state machine, answers their proposers and writes snapshots.
+ *
+ * <p>Invariant: only this thread calls the state machine. Thread safety: any thread may submit.
+ */
+final class ApplyDuty implements AutoCloseable {
+
+  private static final int RING_SIZE = 1_024;
+  private static final Duration IDLE = Duration.ofMillis(250);
+
+  private final RaftOptions options;
+  private final SnapshotStore snapshots;
+  private final EventLog events;
+  private final Consumer<SnapshotMeta> snapshotTaken;
+  private final Map<Long, Proposal> proposals = new ConcurrentHashMap<>();
+  private final DutyRing<Work> ring;
+  private List<ReplicaMember> members;
+  private long nextSnapshot;
+  private volatile long applied;
+
+  ApplyDuty(
+      String name,
+      RaftOptions options,
+      SnapshotStore snapshots,
+      SnapshotMeta loaded,
+      Consumer<SnapshotMeta> snapshotTaken,
+      Consumer<Exception> failureHandler) {
+    this.options = options;
+    this.snapshots = snapshots;
+    this.events = options.events();
+    this.snapshotTaken = snapshotTaken;
+    this.members = loaded.members();
+    this.applied = loaded.index();
+    this.nextSnapshot = applied + options.snapshotEntries();
+    this.ring = new DutyRing<>(name, RING_SIZE, IDLE, new Applying(), failureHandler).start();
+  }
+
+  /** A command whose proposer waits; Thread safety: immutable. */
+  record Proposal(long term, CompletableFuture<Applied> future) {}
+
+  /** One step of work on the apply thread. */
+  @FunctionalInterface
+  private interface Work {
+
+    void run() throws IOException;
+  }
+
+  long applied() {
+    return applied;
+  }
+
+  /** Registers a proposer before its entry can be committed. */
+  void expect(long index, Proposal proposal) {
+    proposals.put(index, proposal);
+  }
+
+  /** Submits committed entries; false when too much is waiting. */
+  boolean submit(List<LogEntry> committed) {
+    return ring.tryPublish(() -> apply(committed));
+  }
+
+  /** Submits the newest snapshot for installation; false when too much is waiting. */
+  boolean install(SnapshotMeta meta) {
+    return ring.tryPublish(() -> load(meta));
+  }
+
+  /** Fails the proposers of entries after {@code commitIndex}, whose outcome is unknown here. */
+  void leadershipLost(long commitIndex) {
+    for (Map.Entry<Long, Proposal> entry : proposals.entrySet()) {
+      if (entry.getKey() > commitIndex && proposals.remove(entry.getKey(), entry.getValue())) {
+        fail(entry.getValue());
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    ring.close();
+    leadershipLost(0);
+  }
+
+  private void apply(List<LogEntry> committed) throws IOException {
+    for (LogEntry entry : committed) {
+      if (entry.getIndex() <= applied) {
+        continue;
+      }
+      byte[] answer = null;
+      if (entry.getKind() == EntryKind.COMMAND) {
+        answer = options.stateMachine().apply(entry.getIndex(), entry.getPayload());
+      } else if (entry.getKind() == EntryKind.MEMBERSHIP) {
+        members = Memberships.decode(entry.getPayload());
+      }
+      applied = entry.getIndex();
+      answer(entry, answer);
+    }
+    LogEntry last = committed.get(committed.size() - 1);
+    if (last.getIndex() >= nextSnapshot) {
+      nextSnapshot = last.getIndex() + options.snapshotEntries();
+      takeSnapshot(new SnapshotMeta(last.getIndex(), last.getTerm(), members));
+    }
+  }
+
+  private void answer(LogEntry entry, byte[] answer) {
+    Proposal proposal = proposals.remove(entry.getIndex());
+    if (proposal == null) {
+      return;
+    }
+    if (proposal.term() == entry.getTerm()) {
+      proposal.future().complete(new Applied(entry.getIndex(), answer));
+    } else {
+      fail(proposal);
+    }
+  }
+
+  private void takeSnapshot(SnapshotMeta meta) throws IOException {
+    try {
+      snapshots.write(meta, options.stateMachine()::writeSnapshot);
+      events.record(ConsensusEvent.SNAPSHOT_WRITTEN, Field.of("index", meta.index()));
+      snapshotTaken.accept(meta);
+    } catch (SyncFailedException e) {
+      throw e;
+    } catch (IOException e) {
+      events.record(ConsensusEvent.SNAPSHOT_FAILED, Field.of("error", e.getMessage()));
+    }
+  }
+
+  private void load(SnapshotMeta meta) throws IOException {
+    if (meta.index() <= applied) {
+      return;
+    }
+    // A still newer one may have been received meanwhile.
+    SnapshotMeta loaded = snapshots.load(options.stateMachine()::readSnapshot);
+    members = loaded.members();
+    applied = loaded.index();
+    nextSnapshot = applied + options.snapshotEntries();
+    events.record(ConsensusEvent.SNAPSHOT_INSTALLED, Field.of("index", applied));
+    leadershipLost(0);
+  }
+
+  private static void fail(Proposal proposal) {
+    proposal
+        .future()
+        .completeExceptionally(
+            new OutcomeUnknownException(
+                "leadership of term "
+                    + proposal.term()
+                    + " ended before the outcome of the command was known"));
+  }
+
+  private final class Applying implements DutyRing.Handler<Work> {
+
+    @Override
+    public void handle(Work work, boolean endOfBatch) throws Exception {
+      work.run();
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/Bootstrap.java
@@ -0,0 +1,76 @@
+package org.comfreygap.consensus;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.protocol.generated.VoteReply;
+import org.comfreygap.protocol.generated.VoteRequest;
+
+/**
+ * Decides whether a replica with an empty folder may create the log.
+ *
+ * <p>Only the first initial member may, and only once each other initial member has answered, in
+ * the same round, that its folder is empty too. Otherwise a first member that lost its disk would
+ * create a second log. Thread safety: not thread-safe.
+ */
+final class Bootstrap {
+
+  private final String self;
+  private final List<ReplicaMember> initialMembers;
+  private final Set<String> empty = new HashSet<>();
+  private boolean refused;
+
+  Bootstrap(String self, List<ReplicaMember> initialMembers) {
+    this.self = self;
+    this.initialMembers = initialMembers;
+  }
+
+  /** Returns the answer to a probe by a replica whose folder is empty, or to another request. */
+  static boolean isProbe(VoteRequest request) {
+    return request.isPreVote() && request.getTerm() == 0;
+  }
+
+  /** Returns true when this replica is the one that may create the log. */
+  boolean isCreator() {
+    return !refused
+        && !initialMembers.isEmpty()
+        && initialMembers.get(0).getReplicaId().equals(self);
+  }
+
+  /** Begins a round and returns whom to ask. */
+  List<ReplicaMember> beginRound() {
+    empty.clear();
+    empty.add(self);
+    return initialMembers.subList(1, initialMembers.size());
+  }
+
+  VoteRequest probe() {
+    return new VoteRequest(0, self, 0, 0, true, false);
+  }
+
+  /** Notes an answer; false when the log exists already. */
+  boolean accept(VoteReply reply) {
+    if (reply.isGranted()) {
+      empty.add(reply.getVoter());
+    } else {
+      refused = true;
+    }
+    return !refused;
+  }
+
+  boolean allEmpty() {
+    return isCreator()
+        && initialMembers.stream().allMatch(member -> empty.contains(member.getReplicaId()));
+  }
+
+  /** Returns the members of the new log: the creator votes, the others are learners at first. */
+  List<ReplicaMember> firstMembers() {
+    List<ReplicaMember> members = new ArrayList<>();
+    for (ReplicaMember member : initialMembers) {
+      members.add(Memberships.as(member, member.getReplicaId().equals(self)));
+    }
+    return members;
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/CoreLog.java
@@ -0,0 +1,164 @@
+package org.comfreygap.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.comfreygap.protocol.generated.EntryKind;
+import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.protocol.generated.ReplicaMember;
+
+/**
+ * The part of the log after the newest compaction, in memory.
+ *
+ * <p>Invariant: indexes rise by one and terms never fall. Thread safety: not thread-safe.
+ */
+final class CoreLog {
+
+  private final List<LogEntry> entries = new ArrayList<>();
+  private final TreeMap<Long, List<ReplicaMember>> memberships = new TreeMap<>();
+  private long baseIndex;
+  private long baseTerm;
+  private SnapshotMeta snapshot;
+  private boolean entriesDiscarded;
+
+  /**
+   * Creates the log from what was on disk.
+   *
+   * <p>Entries are kept only when they continue the snapshot; otherwise the replica had received
+   * the snapshot because its own entries were out of date.
+   */
+  CoreLog(SnapshotMeta snapshot, long baseIndex, long baseTerm, List<LogEntry> entries) {
+    this.snapshot = snapshot;
+    this.baseIndex = baseIndex;
+    this.baseTerm = baseTerm;
+    memberships.put(snapshot.index(), snapshot.members());
+    for (LogEntry entry : entries) {
+      append(entry);
+    }
+    if (!contains(snapshot.index(), snapshot.term())) {
+      install(snapshot);
+      entriesDiscarded = true;
+    }
+  }
+
+  /** Returns true when the entries on disk did not continue the snapshot. */
+  boolean entriesDiscarded() {
+    return entriesDiscarded;
+  }
+
+  long lastIndex() {
+    return baseIndex + entries.size();
+  }
+
+  long lastTerm() {
+    return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).getTerm();
+  }
+
+  /** Returns the newest index whose entry is no longer held. */
+  long baseIndex() {
+    return baseIndex;
+  }
+
+  SnapshotMeta snapshot() {
+    return snapshot;
+  }
+
+  /** Returns the term at {@code index}, or -1 when it is not known here. */
+  long term(long index) {
+    if (index == baseIndex) {
+      return baseTerm;
+    }
+    return index < baseIndex || index > lastIndex() ? -1 : get(index).getTerm();
+  }
+
+  boolean contains(long index, long term) {
+    return term(index) == term;
+  }
+
+  /** Returns true when a log that ends there is at least as up to date as this one. */
+  boolean isCoveredBy(long otherIndex, long otherTerm) {
+    return otherTerm > lastTerm() || (otherTerm == lastTerm() && otherIndex >= lastIndex());
+  }
+
+  /** Returns the index after which a leader may continue whose entry at {@code index} differs. */
+  long conflictHint(long index, long commitIndex) {
+    if (index > lastIndex()) {
+      return lastIndex();
+    }
+    long conflictTerm = term(index);
+    long hint = index - 1;
+    while (hint > Math.max(commitIndex, 1) && term(hint) == conflictTerm) {
+      hint--;
+    }
+    return hint;
+  }
+
+  LogEntry get(long index) {
+    return entries.get((int) (index - baseIndex - 1));
+  }
+
+  /** Returns entries from {@code from} on, at least one when there is one. */
+  List<LogEntry> slice(long from, long to, int maxEntries, int maxBytes) {
+    List<LogEntry> result = new ArrayList<>();
+    int bytes = 0;
+    for (long i = from; i <= to && result.size() < maxEntries && bytes < maxBytes; i++) {
+      LogEntry entry = get(i);
+      result.add(entry);
+      bytes += entry.bufferForPayload().remaining();
+    }
+    return result;
+  }
+
+  void append(LogEntry entry) {
+    entries.add(entry);
+    if (entry.getKind() == EntryKind.MEMBERSHIP) {
+      memberships.put(entry.getIndex(), Memberships.decode(entry.getPayload()));
+    }
+  }
+
+  /** Removes the entries from {@code index} on. */
+  void truncateFrom(long index) {
+    entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+    memberships.tailMap(index, true).clear();
+  }
+
+  /** Returns the members of the newest membership entry, committed or not. */
+  List<ReplicaMember> members() {
+    return memberships.lastEntry().getValue();
+  }
+
+  /** Returns the index of the newest membership entry. */
+  long membershipIndex() {
+    return memberships.lastKey();
+  }
+
+  /** Returns the members as of {@code index}. */
+  List<ReplicaMember> membersAt(long index) {
+    Map.Entry<Long, List<ReplicaMember>> entry = memberships.floorEntry(index);
+    return entry == null ? List.of() : entry.getValue();
+  }
+
+  /** Notes a new snapshot and drops entries more than {@code trailing} before it. */
+  void compact(SnapshotMeta newer, int trailing) {
+    snapshot = newer;
+    long newBase = Math.max(baseIndex, newer.index() - trailing);
+    if (newBase > baseIndex) {
+      baseTerm = term(newBase);
+      entries.subList(0, (int) (newBase - baseIndex)).clear();
+      baseIndex = newBase;
+    }
+    memberships.headMap(newer.index(), true).clear();
+    memberships.put(newer.index(), newer.members());
+  }
+
+  /** Drops all entries and continues after a snapshot from the leader. */
+  void install(SnapshotMeta newer) {
+    entries.clear();
+    snapshot = newer;
+    baseIndex = newer.index();
+    baseTerm = newer.term();
+    memberships.clear();
+    memberships.put(newer.index(), newer.members());
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
@@ -0,0 +1,306 @@
+package org.comfreygap.consensus;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.comfreygap.protocol.generated.AppendReply;
+import org.comfreygap.protocol.generated.AppendRequest;
+import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.protocol.generated.TimeoutNow;
+
+/**
+ * What a replica knows while it leads: the progress of the others, the lease, the hand-over.
+ *
+ * <p>Each round carries its send time, and followers echo it. The lease and check-quorum count from
+ * the send time of the newest round that a quorum of voters answered. Thread safety: not
+ * thread-safe.
+ */
+final class Leadership {
+
+  private static final int MAX_BATCH_ENTRIES = 1_024;
+  private static final int MAX_BATCH_BYTES = 1024 * 1024;
+  private static final long RETRY_PAUSE_NANOS = 20_000_000;
+
+  private final RaftCore core;
+  private final CoreLog log;
+  private final long since;
+  private final long termStartIndex;
+  private final Map<String, Progress> peers = new LinkedHashMap<>();
+  private long nextHeartbeat;
+  private Transfer transfer;
+
+  Leadership(RaftCore core, long now, long termStartIndex) {
+    this.core = core;
+    this.log = core.log();
+    this.since = now;
+    this.termStartIndex = termStartIndex;
+    this.nextHeartbeat = now;
+    membersChanged(now);
+  }
+
+  long termStartIndex() {
+    return termStartIndex;
+  }
+
+  boolean transferring() {
+    return transfer != null;
+  }
+
+  /** Follows a new membership. */
+  void membersChanged(long now) {
+    List<ReplicaMember> members = log.members();
+    peers.keySet().removeIf(id -> Memberships.find(members, id).isEmpty());
+    for (ReplicaMember member : members) {
+      String id = member.getReplicaId();
+      if (!id.equals(core.self())) {
+        Progress progress = peers.computeIfAbsent(id, key -> new Progress(now));
+        progress.member = member;
+      }
+    }
+  }
+
+  /** Sends heartbeats, steps down without a quorum, ends a hand-over that takes too long. */
+  void tick(long now) {
+    long quorumAge = now - Math.max(quorumAnswered(now), since);
+    if (quorumAge > core.timing().electionMax().toNanos()) {
+      core.stepDown(now);
+      return;
+    }
+    if (transfer != null && now - transfer.deadline >= 0) {
+      endTransfer(now);
+      return;
+    }
+    if (now - nextHeartbeat >= 0) {
+      nextHeartbeat = now + core.timing().heartbeat().toNanos();
+      peers.values().forEach(peer -> sendHeartbeat(now, peer));
+      replicateAll(now);
+    }
+  }
+
+  void replicateAll(long now) {
+    for (Progress peer : peers.values()) {
+      replicate(now, peer);
+    }
+  }
+
+  void onAppendReply(long now, String from, AppendRequest request, AppendReply reply) {
+    Progress peer = peers.get(from);
+    if (peer == null) {
+      return;
+    }
+    boolean heartbeat = request.getEntriesSize() == 0;
+    peer.ended(heartbeat);
+    peer.answered = Math.max(peer.answered, reply.getRound());
+    if (reply.isSuccess()) {
+      peer.match = Math.max(peer.match, reply.getMatchIndex());
+      onProgress(now, peer);
+    } else if (!heartbeat) {
+      onMismatch(peer, reply.getMatchIndex());
+    }
+  }
+
+  void onSendFailed(long now, String to, boolean heartbeat) {
+    Progress peer = peers.get(to);
+    if (peer != null) {
+      peer.ended(heartbeat);
+      peer.retryAt = now + RETRY_PAUSE_NANOS;
+    }
+  }
+
+  void onSnapshotSent(long now, String to, boolean accepted, long index) {
+    Progress peer = peers.get(to);
+    if (peer == null) {
+      return;
+    }
+    peer.ended(false);
+    if (accepted) {
+      peer.match = Math.max(peer.match, index);
+      onProgress(now, peer);
+    } else {
+      peer.retryAt = now + RETRY_PAUSE_NANOS;
+    }
+  }
+
+  /** Returns the newest index that a quorum of voters holds durably. */
+  long committedByQuorum() {
+    List<Long> held = new ArrayList<>();
+    for (ReplicaMember member : log.members()) {
+      if (member.isVoter()) {
+        Progress peer = peers.get(member.getReplicaId());
+        held.add(peer == null ? core.durableIndex() : peer.match);
+      }
+    }
+    return quorumValue(held);
+  }
+
+  OptionalLong leaseEnd(long now) {
+    // A voter that campaigns after a hand-over ignores the lease, however late the message arrives.
+    return transfer != null && transfer.sent
+        ? OptionalLong.empty()
+        : OptionalLong.of(quorumAnswered(now) + core.timing().lease().toNanos());
+  }
+
+  boolean beginTransfer(long now) {
+    if (transfer != null) {
+      return true;
+    }
+    Progress target = null;
+    for (Progress peer : peers.values()) {
+      if (peer.member.isVoter() && (target == null || peer.match > target.match)) {
+        target = peer;
+      }
+    }
+    if (target == null) {
+      return false;
+    }
+    transfer = new Transfer(target, now + core.timing().electionMax().toNanos());
+    continueTransfer(now);
+    return true;
+  }
+
+  private void onProgress(long now, Progress peer) {
+    peer.next = Math.max(peer.next, peer.match + 1);
+    core.advanceCommit(now);
+    promoteWhenCaughtUp(now, peer);
+    continueTransfer(now);
+  }
+
+  private void endTransfer(long now) {
+    if (transfer.sent) {
+      core.stepDown(now);
+    } else {
+      transfer = null;
+    }
+  }
+
+  private void continueTransfer(long now) {
+    if (transfer == null || transfer.sent || transfer.target.match < log.lastIndex()) {
+      return;
+    }
+    transfer.sent = true;
+    transfer.deadline = now + core.timing().electionMax().toNanos();
+    ReplicaMember target = transfer.target.member;
+    TimeoutNow request = new TimeoutNow(core.term(), core.self());
+    core.sendInTerm(() -> core.output().timeoutNow(target, request));
+  }
+
+  private void promoteWhenCaughtUp(long now, Progress peer) {
+    if (!peer.member.isVoter() && peer.match >= core.commitIndex() && core.changeAllowed()) {
+      ReplicaMember voter = Memberships.as(peer.member, true);
+      core.changeMembers(now, Memberships.with(log.members(), voter));
+    }
+  }
+
+  private void onMismatch(Progress peer, long hint) {
+    if (hint == 0 && peer.member.isVoter()) {
+      // Every voter holds the first entry durably, so this one has lost its disk. Its earlier
+      // answers counted for commits; feeding it now would let it vote without those entries.
+      if (!peer.withoutDisk) {
+        core.output().event(ConsensusEvent.REPLICA_WITHOUT_DISK, peer.member.getReplicaId());
+      }
+      peer.withoutDisk = true;
+    }
+    peer.next = Math.max(peer.match + 1, Math.min(peer.next - 1, hint + 1));
+  }
+
+  private void sendHeartbeat(long now, Progress peer) {
+    if (!peer.heartbeatBusy) {
+      peer.heartbeatBusy = true;
+      long previous = peer.match >= log.baseIndex() ? peer.match : 0;
+      send(now, peer, previous, List.of());
+    }
+  }
+
+  private void replicate(long now, Progress peer) {
+    if (peer.busy || peer.withoutDisk || now - peer.retryAt < 0) {
+      return;
+    }
+    if (peer.next <= log.baseIndex()) {
+      peer.busy = true;
+      ReplicaMember member = peer.member;
+      SnapshotMeta meta = log.snapshot();
+      long term = core.term();
+      core.sendInTerm(() -> core.output().snapshot(member, meta, term, now));
+    } else if (peer.next <= log.lastIndex()) {
+      peer.busy = true;
+      send(
+          now,
+          peer,
+          peer.next - 1,
+          log.slice(peer.next, log.lastIndex(), MAX_BATCH_ENTRIES, MAX_BATCH_BYTES));
+    }
+  }
+
+  private void send(long now, Progress peer, long previous, List<LogEntry> entries) {
+    ReplicaMember member = peer.member;
+    AppendRequest request =
+        new AppendRequest(
+            core.term(),
+            core.self(),
+            previous,
+            previous == 0 ? 0 : log.term(previous),
+            entries,
+            core.commitIndex(),
+            now);
+    core.sendInTerm(() -> core.output().append(member, request));
+  }
+
+  /** Returns the send time of the newest round that a quorum of voters answered. */
+  private long quorumAnswered(long now) {
+    List<Long> answered = new ArrayList<>();
+    for (ReplicaMember member : log.members()) {
+      if (member.isVoter()) {
+        Progress peer = peers.get(member.getReplicaId());
+        answered.add(peer == null ? now : peer.answered);
+      }
+    }
+    return quorumValue(answered);
+  }
+
+  private long quorumValue(List<Long> values) {
+    values.sort(Collections.reverseOrder());
+    return values.get(Memberships.quorum(log.members()) - 1);
+  }
+
+  private final class Progress {
+
+    private ReplicaMember member;
+    private long match;
+    private long next = Math.max(log.lastIndex(), log.baseIndex() + 1);
+    private long answered;
+    private long retryAt;
+    private boolean busy;
+    private boolean heartbeatBusy;
+    private boolean withoutDisk;
+
+    Progress(long now) {
+      // No answer yet: outside the lease and outside check-quorum.
+      answered = now - core.timing().electionMax().toNanos();
+      retryAt = now;
+    }
+
+    void ended(boolean heartbeat) {
+      if (heartbeat) {
+        heartbeatBusy = false;
+      } else {
+        busy = false;
+      }
+    }
+  }
+
+  private static final class Transfer {
+
+    private final Progress target;
+    private long deadline;
+    private boolean sent;
+
+    Transfer(Progress target, long deadline) {
+      this.target = target;
+      this.deadline = deadline;
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -0,0 +1,356 @@
+package org.comfreygap.consensus;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.comfreygap.protocol.generated.LogEntry;
+
+/**
+ * The log on disk: segment files of checksummed records, only ever appended to.
+ *
+ * <p>An entry record replaces the entry of the same index and all later ones, so a conflicting
+ * suffix is never cut from a file. The newest hard state is repeated at the start of each segment.
+ *
+ * <p>Invariant: a segment is begun only after the one before is synced completely; so only the last
+ * segment can have a torn tail. Thread safety: one thread.
+ */
+final class LogStore implements AutoCloseable {
+
+  static final int SEGMENT_BYTES = 8 * 1024 * 1024;
+
+  private static final String PREFIX = "log-";
+  private static final int INITIAL_BATCH_BYTES = 64 * 1024;
+
+  private final Disk disk;
+  private final Deque<Segment> segments = new ArrayDeque<>();
+  private ByteArrayOutputStream batch = new ByteArrayOutputStream(INITIAL_BATCH_BYTES);
+  private Disk.DiskFile file;
+  private long syncedSize;
+  private HardState hardState = HardState.NONE;
+  private long lastIndex;
+  private long lastTerm;
+  private long syncedIndex;
+  private long syncedTerm;
+  private boolean partlyWritten;
+
+  private LogStore(Disk disk) {
+    this.disk = disk;
+  }
+
+  /** Content of the log on disk. Thread safety: not thread-safe. */
+  static final class Contents {
+
+    private final List<LogEntry> entries = new ArrayList<>();
+    private HardState hardState = HardState.NONE;
+    private long baseIndex;
+    private long baseTerm;
+    private boolean present;
+    private String tornSegment = "";
+    private long tornBytes;
+
+    /** Returns the entries after the base. */
+    List<LogEntry> entries() {
+      return entries;
+    }
+
+    HardState hardState() {
+      return hardState;
+    }
+
+    /** Returns the index before the first entry. */
+    long baseIndex() {
+      return baseIndex;
+    }
+
+    long baseTerm() {
+      return baseTerm;
+    }
+
+    /** Returns false when the folder had no log, as at the very first start. */
+    boolean present() {
+      return present;
+    }
+
+    /** Returns how many bytes of an unfinished write were cut off. */
+    long tornBytes() {
+      return tornBytes;
+    }
+
+    /** Returns the segment that was cut, or empty text. */
+    String tornSegment() {
+      return tornSegment;
+    }
+
+    private long lastIndex() {
+      return baseIndex + entries.size();
+    }
+
+    private void replay(LogRecord record, String segment) throws LogCorruptException {
+      switch (record.type()) {
+        case HARD_STATE -> hardState = record.toHardState();
+        case RESET -> resetTo(record.index(), record.term());
+        case ENTRY -> replayEntry(record, segment);
+        default -> {
+          // Segment headers and sync marks carry no state.
+        }
+      }
+    }
+
+    private void replayEntry(LogRecord record, String segment) throws LogCorruptException {
+      if (record.index() > lastIndex() + 1 || record.index() <= baseIndex) {
+        throw new LogCorruptException(
+            segment
+                + " has entry "
+                + record.index()
+                + ", expected "
+                + (baseIndex + 1)
+                + " to "
+                + (lastIndex() + 1)
+                + "; replace this replica under a new id");
+      }
+      int keep = (int) (record.index() - baseIndex - 1);
+      if (keep < entries.size()) {
+        entries.subList(keep, entries.size()).clear();
+      }
+      entries.add(record.toEntry());
+    }
+
+    private void resetTo(long index, long term) {
+      entries.clear();
+      baseIndex = index;
+      baseTerm = term;
+    }
+  }
+
+  /** A store with what it held when it was opened. */
+  record Opened(LogStore store, Contents contents) {}
+
+  /**
+   * Reads the log and prepares it for appending.
+   *
+   * @throws LogCorruptException when synced data is damaged or missing
+   */
+  static Opened open(Disk disk) throws IOException {
+    LogStore store = new LogStore(disk);
+    Contents contents = new Contents();
+    List<String> names = disk.list().stream().filter(name -> name.startsWith(PREFIX)).toList();
+    for (int i = 0; i < names.size(); i++) {
+      store.readSegment(names.get(i), i == 0, i == names.size() - 1, contents);
+    }
+    store.hardState = contents.hardState;
+    store.lastIndex = contents.lastIndex();
+    store.lastTerm =
+        contents.entries.isEmpty()
+            ? contents.baseTerm
+            : contents.entries.get(contents.entries.size() - 1).getTerm();
+    store.syncedIndex = store.lastIndex;
+    store.syncedTerm = store.lastTerm;
+    if (!store.segments.isEmpty()) {
+      store.file = disk.append(store.segments.getLast().name);
+      store.syncedSize = store.file.size();
+    }
+    return new Opened(store, contents);
+  }
+
+  /** Adds a hard state to the batch. */
+  void add(HardState state) {
+    hardState = state;
+    LogRecord.hardState(syncedSize, state).write(batch);
+  }
+
+  /** Adds an entry to the batch. */
+  void add(LogEntry entry) {
+    lastIndex = entry.getIndex();
+    lastTerm = entry.getTerm();
+    LogRecord.entry(syncedSize, entry).write(batch);
+    if (!segments.isEmpty()) {
+      Segment last = segments.getLast();
+      last.maxIndex = Math.max(last.maxIndex, lastIndex);
+    }
+  }
+
+  /** Adds a record that drops all entries and continues after a snapshot. */
+  void reset(long index, long term) {
+    lastIndex = index;
+    lastTerm = term;
+    LogRecord.reset(syncedSize, index, term).write(batch);
+  }
+
+  /**
+   * Writes the batch; may be repeated after a failure.
+   *
+   * @throws IOException when the disk refuses the write, for example because it is full; a repeat
+   *     replaces what was written of the batch
+   */
+  void write() throws IOException {
+    if (file == null) {
+      beginSegment();
+    }
+    if (partlyWritten) {
+      file.truncate(syncedSize);
+    }
+    partlyWritten = true;
+    file.write(ByteBuffer.wrap(batch.toByteArray()));
+    partlyWritten = false;
+  }
+
+  /**
+   * Makes the written batch durable and begins the next one.
+   *
+   * @throws SyncFailedException when it may not be durable; the store must not be used any more
+   */
+  void sync() throws IOException {
+    file.sync();
+    syncedSize += batch.size();
+    syncedIndex = lastIndex;
+    syncedTerm = lastTerm;
+    batch = new ByteArrayOutputStream(INITIAL_BATCH_BYTES);
+    if (syncedSize >= SEGMENT_BYTES) {
+      Disk.DiskFile full = file;
+      file = null;
+      full.close();
+    }
+  }
+
+  /** Deletes segments that hold only entries before {@code index}. */
+  void compact(long index) throws IOException {
+    boolean deleted = false;
+    while (segments.size() > 1 && segments.getFirst().maxIndex < index) {
+      disk.delete(segments.removeFirst().name);
+      deleted = true;
+    }
+    if (deleted) {
+      disk.syncFolder();
+    }
+  }
+
+  /** Marks everything as synced, so that later damage to the end is recognised, and closes. */
+  @Override
+  public void close() throws IOException {
+    if (file != null) {
+      LogRecord.syncMark(syncedSize).write(batch);
+      write();
+      sync();
+    }
+    abandon();
+  }
+
+  /** Closes the file without writing. */
+  void abandon() throws IOException {
+    if (file != null) {
+      file.close();
+      file = null;
+    }
+  }
+
+  private void beginSegment() throws IOException {
+    long sequence = segments.isEmpty() ? 1 : segments.getLast().sequence + 1;
+    String name = PREFIX + "%016d".formatted(sequence);
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    LogRecord.segment(sequence, syncedIndex, syncedTerm).write(head);
+    LogRecord.hardState(0, hardState).write(head);
+    Disk.DiskFile next = disk.append(name);
+    try {
+      next.truncate(0);
+      next.write(ByteBuffer.wrap(head.toByteArray()));
+    } catch (IOException e) {
+      next.close();
+      throw e;
+    }
+    next.sync();
+    disk.syncFolder();
+    file = next;
+    syncedSize = head.size();
+    Segment segment = new Segment(sequence, name);
+    segment.maxIndex = lastIndex;
+    segments.add(segment);
+  }
+
+  private void readSegment(String name, boolean first, boolean last, Contents contents)
+      throws IOException {
+    ByteBuffer bytes;
+    try (InputStream in = disk.read(name)) {
+      bytes = ByteBuffer.wrap(in.readAllBytes());
+    }
+    Segment segment = new Segment(Long.parseLong(name.substring(PREFIX.length())), name);
+    if (!segments.isEmpty() && segment.sequence != segments.getLast().sequence + 1) {
+      throw new LogCorruptException(
+          "given segment "
+              + name
+              + " after "
+              + segments.getLast().name
+              + ", expected the next in sequence; replace this replica under a new id");
+    }
+    int offset = 0;
+    while (offset < bytes.limit()) {
+      Optional<LogRecord> found = LogRecord.read(bytes, offset);
+      if (found.isEmpty()) {
+        cutTornTail(name, bytes, offset, last, contents);
+        break;
+      }
+      LogRecord record = found.get();
+      if (record.type() == LogRecord.Type.SEGMENT && first) {
+        contents.resetTo(record.index(), record.term());
+      }
+      contents.replay(record, name);
+      segment.maxIndex = Math.max(segment.maxIndex, contents.lastIndex());
+      offset += record.size();
+    }
+    if (offset == 0) {
+      disk.delete(name);
+      disk.syncFolder();
+      return;
+    }
+    contents.present = true;
+    segments.add(segment);
+  }
+
+  private void cutTornTail(
+      String name, ByteBuffer bytes, int offset, boolean last, Contents contents)
+      throws IOException {
+    if (!last || syncedBeyond(bytes, offset)) {
+      throw new LogCorruptException(
+          "segment "
+              + name
+              + " is damaged at byte "
+              + offset
+              + ", which had been synced; replace this replica under a new id");
+    }
+    contents.tornSegment = name;
+    contents.tornBytes = bytes.limit() - offset;
+    try (Disk.DiskFile torn = disk.append(name)) {
+      torn.truncate(offset);
+      torn.sync();
+    }
+  }
+
+  /** Returns true when an intact record after {@code offset} proves that it had been synced. */
+  private static boolean syncedBeyond(ByteBuffer bytes, int offset) {
+    int syncedOffsetAt = LogRecord.HEADER_BYTES + 1;
+    for (int i = offset + 1; i + syncedOffsetAt + Long.BYTES <= bytes.limit(); i++) {
+      long synced = bytes.getLong(i + syncedOffsetAt);
+      if (synced > offset && synced <= i && LogRecord.read(bytes, i).isPresent()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static final class Segment {
+
+    private final long sequence;
+    private final String name;
+    private long maxIndex;
+
+    Segment(long sequence, String name) {
+      this.sequence = sequence;
+      this.name = name;
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/MembershipChanges.java
@@ -0,0 +1,132 @@
+package org.comfreygap.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import org.comfreygap.consensus.ReplicatedLog.Role;
+import org.comfreygap.protocol.generated.ReplicaMember;
+
+/**
+ * Callers that wait for a membership change or a hand-over.
+ *
+ * <p>Thread safety: used only by the thread of the core.
+ */
+final class MembershipChanges {
+
+  private final RaftCore core;
+  private final String self;
+  private final List<Change> changes = new ArrayList<>();
+  private final List<Transfer> transfers = new ArrayList<>();
+
+  MembershipChanges(RaftCore core, String self) {
+    this.core = core;
+    this.self = self;
+  }
+
+  void add(ReplicaMember member, CompletableFuture<Void> future) {
+    changes.add(new Change(member.getReplicaId(), Optional.of(member), future));
+  }
+
+  void remove(String id, CompletableFuture<Void> future) {
+    changes.add(new Change(id, Optional.empty(), future));
+  }
+
+  void transfer(long now, long deadline, CompletableFuture<Void> future) {
+    if (core.role() != Role.LEADER) {
+      future.completeExceptionally(new NotLeaderException("given a hand-over at a follower"));
+    } else if (!core.transferLeadership(now)) {
+      future.completeExceptionally(
+          new IllegalStateException("given a hand-over, expected another voter"));
+    } else {
+      transfers.add(new Transfer(deadline, future));
+    }
+  }
+
+  /** Begins, completes and fails what is due. */
+  void advance(long now) {
+    changes.removeIf(change -> isOver(now, change));
+    transfers.removeIf(transfer -> isOver(now, transfer));
+  }
+
+  void failAll(Exception failure) {
+    changes.forEach(change -> change.future.completeExceptionally(failure));
+    transfers.forEach(transfer -> transfer.future.completeExceptionally(failure));
+    changes.clear();
+    transfers.clear();
+  }
+
+  private boolean isOver(long now, Change change) {
+    List<ReplicaMember> members = core.log().members();
+    boolean committed = core.log().membershipIndex() <= core.commitIndex();
+    if (committed && change.isDone(members)) {
+      change.future.complete(null);
+      return true;
+    }
+    if (core.role() != Role.LEADER) {
+      change.future.completeExceptionally(
+          change.begun
+              ? new OutcomeUnknownException("leadership ended before the change was committed")
+              : new NotLeaderException("given a membership change at a follower"));
+      return true;
+    }
+    if (!change.begun && core.changeAllowed()) {
+      List<ReplicaMember> changed = change.apply(members);
+      if (changed.stream().noneMatch(ReplicaMember::isVoter)) {
+        change.future.completeExceptionally(
+            new IllegalArgumentException("given the removal of the last voter " + change.id));
+        return true;
+      }
+      change.begun = true;
+      if (!changed.equals(members)) {
+        core.changeMembers(now, changed);
+      }
+    }
+    return false;
+  }
+
+  private boolean isOver(long now, Transfer transfer) {
+    Optional<ReplicaMember> leader = core.leader();
+    if (leader.isPresent() && !leader.get().getReplicaId().equals(self)) {
+      transfer.future.complete(null);
+      return true;
+    }
+    if (now - transfer.deadline >= 0) {
+      transfer.future.completeExceptionally(
+          new TimeoutException("no other replica took leadership over"));
+      return true;
+    }
+    return false;
+  }
+
+  private static final class Change {
+
+    private final String id;
+    private final Optional<ReplicaMember> member;
+    private final CompletableFuture<Void> future;
+    private boolean begun;
+
+    Change(String id, Optional<ReplicaMember> member, CompletableFuture<Void> future) {
+      this.id = id;
+      this.member = member;
+      this.future = future;
+    }
+
+    boolean isDone(List<ReplicaMember> members) {
+      return member.isPresent()
+          ? Memberships.isVoter(members, id)
+          : Memberships.find(members, id).isEmpty();
+    }
+
+    List<ReplicaMember> apply(List<ReplicaMember> members) {
+      if (member.isEmpty()) {
+        return Memberships.without(members, id);
+      }
+      boolean known = Memberships.find(members, id).isPresent();
+      return known ? members : Memberships.with(members, Memberships.as(member.get(), false));
+    }
+  }
+
+  private record Transfer(long deadline, CompletableFuture<Void> future) {}
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/PeerLanes.java
@@ -0,0 +1,190 @@
+package org.comfreygap.consensus;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.thrift.TException;
+import org.comfreygap.protocol.generated.AppendRequest;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.protocol.generated.SnapshotChunk;
+import org.comfreygap.protocol.generated.SnapshotReply;
+import org.comfreygap.protocol.generated.TimeoutNow;
+import org.comfreygap.protocol.generated.VoteRequest;
+
+/**
+ * Two sequences of calls to one peer: one for entries and snapshots, one for heartbeats and votes.
+ *
+ * <p>They are apart because an answer to entries waits for the peer's disk, while the lease and
+ * check-quorum depend on prompt answers to heartbeats. Thread safety: any thread may submit.
+ */
+final class PeerLanes implements AutoCloseable {
+
+  private static final int RING_SIZE = 64;
+  private static final Duration IDLE = Duration.ofMillis(500);
+  private static final Duration CONTROL_TIMEOUT = Duration.ofMillis(300);
+  // A connection that went silent must not hold up commits for long; a repeat costs little.
+  private static final Duration DATA_TIMEOUT = Duration.ofMillis(1_000);
+  private static final int CHUNK_BYTES = 256 * 1024;
+
+  private final ReplicaMember peer;
+  private final CoreAccess core;
+  private final SnapshotStore snapshots;
+  private final DutyRing<Call> control;
+  private final DutyRing<Call> data;
+
+  PeerLanes(
+      String self,
+      ReplicaMember peer,
+      Transport transport,
+      SnapshotStore snapshots,
+      CoreAccess core,
+      Consumer<Exception> failureHandler) {
+    this.peer = peer;
+    this.core = core;
+    this.snapshots = snapshots;
+    String name = "raft-" + self + "-to-" + peer.getReplicaId();
+    this.control = lane(name, transport.link(peer, CONTROL_TIMEOUT), failureHandler);
+    this.data = lane(name + "-data", transport.link(peer, DATA_TIMEOUT), failureHandler);
+  }
+
+  /** Runs tasks on the thread of the core. */
+  @FunctionalInterface
+  interface CoreAccess {
+
+    void submit(CoreTask task);
+  }
+
+  /** A task on the thread of the core. */
+  @FunctionalInterface
+  interface CoreTask {
+
+    void run(RaftCore core, long now);
+  }
+
+  @FunctionalInterface
+  private interface Call {
+
+    void run(Transport.Link link);
+  }
+
+  ReplicaMember peer() {
+    return peer;
+  }
+
+  void vote(VoteRequest request) {
+    control.tryPublish(
+        link -> {
+          try {
+            var reply = link.requestVote(request);
+            core.submit((raft, now) -> raft.onVoteReply(now, request, reply));
+          } catch (TException ignored) {
+            // The candidate asks again after its election timeout.
+          }
+        });
+  }
+
+  void timeoutNow(TimeoutNow request) {
+    control.tryPublish(
+        link -> {
+          try {
+            link.timeoutNow(request);
+          } catch (TException ignored) {
+            // The leader steps down when the hand-over takes too long.
+          }
+        });
+  }
+
+  /** Sends entries or a heartbeat; false when too much is waiting. */
+  boolean append(AppendRequest request) {
+    DutyRing<Call> lane = request.getEntriesSize() == 0 ? control : data;
+    return lane.tryPublish(link -> sendEntries(link, request));
+  }
+
+  /** Sends the newest snapshot; false when too much is waiting. */
+  boolean snapshot(SnapshotMeta meta, String self, long term, long round) {
+    return data.tryPublish(link -> sendSnapshot(link, meta, self, term, round));
+  }
+
+  @Override
+  public void close() {
+    control.stop();
+    data.stop();
+  }
+
+  private void sendEntries(Transport.Link link, AppendRequest request) {
+    String to = peer.getReplicaId();
+    try {
+      var reply = link.appendEntries(request);
+      core.submit((raft, now) -> raft.onAppendReply(now, to, request, reply));
+    } catch (TException e) {
+      core.submit((raft, now) -> raft.onSendFailed(now, to, request));
+    }
+  }
+
+  private void sendSnapshot(
+      Transport.Link link, SnapshotMeta meta, String self, long term, long round) {
+    String to = peer.getReplicaId();
+    boolean accepted = false;
+    long peerTerm = 0;
+    try {
+      Optional<InputStream> file = snapshots.openNewest(meta.index());
+      if (file.isPresent()) {
+        try (InputStream in = file.get()) {
+          SnapshotReply last = sendChunks(link, in, meta, self, term, round);
+          peerTerm = last.getTerm();
+          accepted = last.isAccepted();
+        }
+      }
+    } catch (TException | IOException ignored) {
+      // Reported below as not accepted; the leader tries again.
+    }
+    boolean done = accepted;
+    long seenTerm = peerTerm;
+    core.submit((raft, now) -> raft.onSnapshotSent(now, to, term, seenTerm, done, meta.index()));
+  }
+
+  private static SnapshotReply sendChunks(
+      Transport.Link link, InputStream in, SnapshotMeta meta, String self, long term, long round)
+      throws IOException, TException {
+    byte[] membership = Memberships.encode(meta.members());
+    long offset = 0;
+    byte[] bytes = in.readNBytes(CHUNK_BYTES);
+    while (true) {
+      byte[] next = in.readNBytes(CHUNK_BYTES);
+      SnapshotChunk chunk = new SnapshotChunk();
+      chunk.setTerm(term).setLeader(self).setLastIndex(meta.index()).setLastTerm(meta.term());
+      chunk.setMembership(membership).setOffset(offset).setBytes(bytes);
+      chunk.setLast(next.length == 0).setRound(round);
+      SnapshotReply reply = link.installSnapshot(chunk);
+      offset += bytes.length;
+      boolean stored = reply.isAccepted() && reply.getNextOffset() == offset;
+      if (!stored || next.length == 0) {
+        return reply.setAccepted(stored);
+      }
+      bytes = next;
+    }
+  }
+
+  private static DutyRing<Call> lane(
+      String name, Transport.Link link, Consumer<Exception> failureHandler) {
+    return new DutyRing<Call>(
+            name,
+            RING_SIZE,
+            IDLE,
+            new DutyRing.Handler<>() {
+              @Override
+              public void handle(Call call, boolean endOfBatch) {
+                call.run(link);
+              }
+
+              @Override
+              public void ended() {
+                link.close();
+              }
+            },
+            failureHandler)
+        .start();
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
@@ -0,0 +1,599 @@
+package org.comfreygap.consensus;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.comfreygap.consensus.ReplicatedLog.Role;
+import org.comfreygap.protocol.generated.AppendReply;
+import org.comfreygap.protocol.generated.AppendRequest;
+import org.comfreygap.protocol.generated.EntryKind;
+import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.protocol.generated.SnapshotChunk;
+import org.comfreygap.protocol.generated.SnapshotReply;
+import org.comfreygap.protocol.generated.TimeoutNow;
+import org.comfreygap.protocol.generated.VoteReply;
+import org.comfreygap.protocol.generated.VoteRequest;
+
+/**
+ * The decisions of one replica: no I/O, no clock, no threads; the time is an argument.
+ *
+ * <p>Invariants: at most one vote in each term; no message leaves before the state it depends on is
+ * durable; a committed entry is never replaced. A replica with an empty folder is not established:
+ * it takes entries from a leader but never votes or campaigns, since it may have forgotten a
+ * promise it made before it lost its disk. Thread safety: not thread-safe.
+ */
+final class RaftCore {
+
+  private static final long MAX_UNCOMMITTED_ENTRIES = 10_000;
+
+  private final String self;
+  private final RaftTiming timing;
+  private final Bootstrap bootstrap;
+  private final CoreLog log;
+  private final CoreOutput output;
+  private final RandomGenerator random;
+  private final Durability durability;
+  private final Set<String> votes = new HashSet<>();
+
+  private Role role = Role.FOLLOWER;
+  private long term;
+  private String votedFor;
+  private String leaderId = "";
+  private boolean established;
+  private boolean preVoting;
+  private boolean transferred;
+  private long commitIndex;
+  private long lastContact;
+  private long electionDeadline;
+  private Leadership leadership;
+
+  /**
+   * Creates the core of a replica that has just started.
+   *
+   * @param established false when the data folder was empty
+   */
+  RaftCore(
+      String self,
+      RaftTiming timing,
+      List<ReplicaMember> initialMembers,
+      CoreLog log,
+      HardState hardState,
+      boolean established,
+      CoreOutput output,
+      RandomGenerator random,
+      long now) {
+    this.self = self;
+    this.timing = timing;
+    this.bootstrap = new Bootstrap(self, initialMembers);
+    this.log = log;
+    this.established = established;
+    this.output = output;
+    this.random = random;
+    this.term = Math.max(hardState.term(), log.lastTerm());
+    this.votedFor = term == hardState.term() ? hardState.votedFor() : "";
+    this.commitIndex = log.snapshot().index();
+    this.durability = new Durability(log.lastIndex());
+    // A voter that has just started may have acknowledged a lease before: it waits the lease out.
+    this.lastContact = now;
+    resetElectionDeadline(now);
+    if (!established || isOnlyVoter()) {
+      electionDeadline = now;
+    }
+  }
+
+  Role role() {
+    return role != Role.LEADER && !isVoter() ? Role.LEARNER : role;
+  }
+
+  long term() {
+    return term;
+  }
+
+  long commitIndex() {
+    return commitIndex;
+  }
+
+  CoreLog log() {
+    return log;
+  }
+
+  boolean established() {
+    return established;
+  }
+
+  Optional<ReplicaMember> leader() {
+    return Memberships.find(log.members(), leaderId);
+  }
+
+  /** Returns the end of the leader lease; empty when this replica holds none. */
+  OptionalLong leaseEnd(long now) {
+    return role == Role.LEADER ? leadership.leaseEnd(now) : OptionalLong.empty();
+  }
+
+  /** Returns the index that must be applied before the lease may be used. */
+  long termStartIndex() {
+    return role == Role.LEADER ? leadership.termStartIndex() : Long.MAX_VALUE;
+  }
+
+  /** Advances timers. */
+  void tick(long now) {
+    if (role == Role.LEADER) {
+      leadership.tick(now);
+    } else if (now - electionDeadline >= 0) {
+      electionDue(now);
+    }
+  }
+
+  /** Appends a command; empty when this replica does not lead or is overloaded. */
+  OptionalLong propose(long now, byte[] command) {
+    if (role != Role.LEADER
+        || leadership.transferring()
+        || log.lastIndex() - commitIndex >= MAX_UNCOMMITTED_ENTRIES) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(appendOwn(EntryKind.COMMAND, command));
+  }
+
+  /** Returns true when a membership change may be appended. */
+  boolean changeAllowed() {
+    return role == Role.LEADER
+        && !leadership.transferring()
+        && commitIndex >= leadership.termStartIndex()
+        && log.membershipIndex() <= commitIndex;
+  }
+
+  /** Appends a membership that differs from the present one in one member. */
+  void changeMembers(long now, List<ReplicaMember> members) {
+    if (!changeAllowed()) {
+      throw new IllegalStateException("a membership change is not allowed now");
+    }
+    appendOwn(EntryKind.MEMBERSHIP, Memberships.encode(members));
+    leadership.membersChanged(now);
+    advanceCommit(now);
+  }
+
+  /** Begins to hand leadership over; false when there is nobody to hand it to. */
+  boolean transferLeadership(long now) {
+    return role == Role.LEADER && leadership.beginTransfer(now);
+  }
+
+  /** Sends what is new to the followers. */
+  void replicate(long now) {
+    if (role == Role.LEADER) {
+      leadership.replicateAll(now);
+    }
+  }
+
+  /** A peer asks for a vote. */
+  void onVoteRequest(long now, VoteRequest request, Consumer<VoteReply> replyTo) {
+    boolean granted = established ? decideVote(now, request) : Bootstrap.isProbe(request);
+    long replyTerm = established ? term : 0;
+    if (granted && request.isPreVote()) {
+      replyTerm = request.getTerm();
+    }
+    VoteReply reply = new VoteReply(replyTerm, granted, self);
+    durability.afterState(() -> replyTo.accept(reply));
+  }
+
+  /** A peer answered a request for a vote. */
+  void onVoteReply(long now, VoteRequest request, VoteReply reply) {
+    if (!established) {
+      onBootstrapReply(now, reply);
+      return;
+    }
+    if (!reply.isGranted() && reply.getTerm() > term) {
+      becomeFollower(now, reply.getTerm(), "");
+      return;
+    }
+    long expected = preVoting ? term + 1 : term;
+    if (role != Role.CANDIDATE
+        || !reply.isGranted()
+        || request.isPreVote() != preVoting
+        || request.getTerm() != expected) {
+      return;
+    }
+    votes.add(reply.getVoter());
+    countVotes(now);
+  }
+
+  /** The leader sends entries or a heartbeat. */
+  void onAppend(long now, AppendRequest request, Consumer<AppendReply> replyTo) {
+    if (request.getTerm() < term) {
+      answer(request, false, 0, false, replyTo);
+      return;
+    }
+    followLeader(now, request.getTerm(), request.getLeader());
+    long previous = request.getPreviousIndex();
+    long last = previous + request.getEntriesSize();
+    if (previous > log.baseIndex() && !log.contains(previous, request.getPreviousTerm())) {
+      answer(request, false, log.conflictHint(previous, commitIndex), false, replyTo);
+      return;
+    }
+    for (LogEntry entry : request.getEntries()) {
+      acceptEntry(entry);
+    }
+    commitIndex = Math.max(commitIndex, Math.min(request.getCommitIndex(), last));
+    if (request.getEntriesSize() == 0) {
+      answer(request, true, Math.min(last, durability.durableIndex()), false, replyTo);
+    } else {
+      answer(request, true, last, true, replyTo);
+    }
+  }
+
+  /** A follower answered; {@code request} is what it answers. */
+  void onAppendReply(long now, String from, AppendRequest request, AppendReply reply) {
+    if (reply.getTerm() > term) {
+      becomeFollower(now, reply.getTerm(), "");
+    } else if (role == Role.LEADER && request.getTerm() == term) {
+      leadership.onAppendReply(now, from, request, reply);
+    }
+  }
+
+  /** A call to a peer failed or timed out. */
+  void onSendFailed(long now, String to, AppendRequest request) {
+    if (role == Role.LEADER && request.getTerm() == term) {
+      leadership.onSendFailed(now, to, request.getEntriesSize() == 0);
+    }
+  }
+
+  /** Sending a snapshot ended. */
+  void onSnapshotSent(
+      long now, String to, long sentTerm, long peerTerm, boolean accepted, long index) {
+    if (peerTerm > term) {
+      becomeFollower(now, peerTerm, "");
+    } else if (role == Role.LEADER && sentTerm == term) {
+      leadership.onSnapshotSent(now, to, accepted, index);
+    }
+  }
+
+  /** The leader sends a part of a snapshot. */
+  void onSnapshotChunk(long now, SnapshotChunk chunk, Consumer<SnapshotReply> replyTo) {
+    if (chunk.getTerm() < term) {
+      SnapshotReply refusal = new SnapshotReply(term, false, 0, chunk.getRound());
+      durability.afterState(() -> replyTo.accept(refusal));
+      return;
+    }
+    followLeader(now, chunk.getTerm(), chunk.getLeader());
+    if (chunk.getLastIndex() <= commitIndex) {
+      long next = chunk.getOffset() + chunk.getBytes().length;
+      SnapshotReply known = new SnapshotReply(term, true, next, chunk.getRound());
+      durability.afterEntries(() -> replyTo.accept(known));
+      return;
+    }
+    output.storeChunk(chunk, replyTo);
+  }
+
+  /** A part of a snapshot was stored; {@code complete} carries the whole when it was the last. */
+  void onChunkStored(
+      SnapshotChunk chunk,
+      long nextOffset,
+      Optional<SnapshotMeta> complete,
+      Consumer<SnapshotReply> replyTo) {
+    if (complete.isPresent() && complete.get().index() > commitIndex) {
+      install(complete.get());
+    }
+    SnapshotReply reply = new SnapshotReply(term, true, nextOffset, chunk.getRound());
+    durability.afterEntries(() -> replyTo.accept(reply));
+  }
+
+  /** The leader asks this replica to campaign at once. */
+  void onTimeoutNow(long now, TimeoutNow request) {
+    if (established
+        && request.getTerm() == term
+        && request.getLeader().equals(leaderId)
+        && role == Role.FOLLOWER
+        && isVoter()) {
+      transferred = true;
+      campaign(now);
+    }
+  }
+
+  /** The state machine wrote a snapshot. */
+  void onSnapshotTaken(SnapshotMeta meta, int trailingEntries) {
+    if (meta.index() > log.snapshot().index()) {
+      log.compact(meta, trailingEntries);
+    }
+  }
+
+  /** The disk has not completed a write for too long; a leader hands its duty to others. */
+  void onDiskStalled(long now) {
+    if (role == Role.LEADER && Memberships.quorum(log.members()) > 1) {
+      becomeFollower(now, term, "");
+    }
+    resetElectionDeadline(now);
+  }
+
+  /** Takes what has to be persisted; empty when there is nothing. */
+  Optional<Persist> takePersist() {
+    return durability.take();
+  }
+
+  /** Everything up to {@code sequence} is durable. */
+  void onPersisted(long now, long sequence) {
+    durability.persisted(sequence);
+    if (role == Role.LEADER) {
+      advanceCommit(now);
+    }
+  }
+
+  /** Sends the messages whose state is durable. */
+  void releaseMessages() {
+    durability.releaseMessages();
+  }
+
+  // Used by Leadership.
+
+  String self() {
+    return self;
+  }
+
+  RaftTiming timing() {
+    return timing;
+  }
+
+  long durableIndex() {
+    return durability.durableIndex();
+  }
+
+  CoreOutput output() {
+    return output;
+  }
+
+  /** Sends once the term is durable. */
+  void sendInTerm(Runnable action) {
+    durability.afterState(action);
+  }
+
+  void stepDown(long now) {
+    becomeFollower(now, term, "");
+  }
+
+  void advanceCommit(long now) {
+    long committed = leadership.committedByQuorum();
+    if (committed > commitIndex && log.term(committed) == term) {
+      commitIndex = committed;
+      if (log.membershipIndex() <= commitIndex && Memberships.find(log.members(), self).isEmpty()) {
+        stepDown(now);
+      }
+    }
+  }
+
+  private boolean isVoter() {
+    return Memberships.isVoter(log.members(), self);
+  }
+
+  private boolean isOnlyVoter() {
+    return isVoter()
+        && Memberships.quorum(log.members()) == 1
+        && log.members().stream().filter(ReplicaMember::isVoter).count() == 1;
+  }
+
+  private void resetElectionDeadline(long now) {
+    long min = timing.electionMin().toNanos();
+    long max = timing.electionMax().toNanos();
+    electionDeadline = now + min + random.nextLong(max - min);
+  }
+
+  private void electionDue(long now) {
+    resetElectionDeadline(now);
+    if (!established) {
+      probeForBootstrap(now);
+    } else if (isVoter()) {
+      role = Role.CANDIDATE;
+      leaderId = "";
+      preVoting = true;
+      transferred = false;
+      requestVotes(now, term + 1);
+    }
+  }
+
+  private void campaign(long now) {
+    role = Role.CANDIDATE;
+    leaderId = "";
+    preVoting = false;
+    setTerm(term + 1, self);
+    resetElectionDeadline(now);
+    requestVotes(now, term);
+  }
+
+  private void requestVotes(long now, long voteTerm) {
+    votes.clear();
+    votes.add(self);
+    for (ReplicaMember member : log.members()) {
+      if (member.isVoter() && !member.getReplicaId().equals(self)) {
+        VoteRequest request =
+            new VoteRequest(
+                voteTerm, self, log.lastIndex(), log.lastTerm(), preVoting, transferred);
+        durability.afterState(() -> output.vote(member, request));
+      }
+    }
+    countVotes(now);
+  }
+
+  private void countVotes(long now) {
+    long granted =
+        log.members().stream()
+            .filter(member -> member.isVoter() && votes.contains(member.getReplicaId()))
+            .count();
+    if (granted < Memberships.quorum(log.members())) {
+      return;
+    }
+    if (preVoting) {
+      campaign(now);
+    } else {
+      becomeLeader(now);
+    }
+  }
+
+  private void becomeLeader(long now) {
+    role = Role.LEADER;
+    leaderId = self;
+    long termStart = log.lastIndex() + 1;
+    leadership = new Leadership(this, now, termStart);
+    // Only entries of the own term are committed by counting; this one commits those before it.
+    appendOwn(EntryKind.NOOP, new byte[0]);
+    leadership.tick(now);
+    leadership.replicateAll(now);
+  }
+
+  private void becomeFollower(long now, long newTerm, String leader) {
+    if (newTerm > term) {
+      setTerm(newTerm, "");
+    }
+    role = Role.FOLLOWER;
+    leaderId = leader;
+    leadership = null;
+    preVoting = false;
+    transferred = false;
+    resetElectionDeadline(now);
+  }
+
+  private void followLeader(long now, long leaderTerm, String leader) {
+    if (role == Role.LEADER && leaderTerm == term) {
+      throw new IllegalStateException(
+          "given leader " + leader + " in term " + term + ", which this replica leads");
+    }
+    if (leaderTerm > term || role != Role.FOLLOWER || !leader.equals(leaderId)) {
+      becomeFollower(now, leaderTerm, leader);
+    }
+    lastContact = now;
+    resetElectionDeadline(now);
+  }
+
+  private void setTerm(long newTerm, String vote) {
+    term = newTerm;
+    votedFor = vote;
+    if (established) {
+      durability.changed(new HardState(term, votedFor));
+    }
+  }
+
+  private boolean decideVote(long now, VoteRequest request) {
+    boolean leaderHeard = role == Role.LEADER || now - lastContact < timing.electionMin().toNanos();
+    if (leaderHeard && !request.isTransfer()) {
+      return false;
+    }
+    if (request.isPreVote()) {
+      return request.getTerm() > term
+          && log.isCoveredBy(request.getLastIndex(), request.getLastTerm());
+    }
+    if (request.getTerm() > term) {
+      becomeFollower(now, request.getTerm(), "");
+    }
+    boolean free = votedFor.isEmpty() || votedFor.equals(request.getCandidate());
+    if (request.getTerm() < term
+        || !free
+        || !log.isCoveredBy(request.getLastIndex(), request.getLastTerm())) {
+      return false;
+    }
+    if (votedFor.isEmpty()) {
+      setTerm(term, request.getCandidate());
+    }
+    resetElectionDeadline(now);
+    return true;
+  }
+
+  private void probeForBootstrap(long now) {
+    if (!bootstrap.isCreator()) {
+      return;
+    }
+    for (ReplicaMember member : bootstrap.beginRound()) {
+      durability.afterState(() -> output.vote(member, bootstrap.probe()));
+    }
+    bootstrapWhenAllEmpty(now);
+  }
+
+  private void onBootstrapReply(long now, VoteReply reply) {
+    if (!bootstrap.isCreator()) {
+      return;
+    }
+    if (bootstrap.accept(reply)) {
+      bootstrapWhenAllEmpty(now);
+    } else {
+      output.event(ConsensusEvent.BOOTSTRAP_REFUSED, reply.getVoter());
+    }
+  }
+
+  private void bootstrapWhenAllEmpty(long now) {
+    if (bootstrap.allEmpty()) {
+      established = true;
+      setTerm(1, self);
+      appendOwn(EntryKind.MEMBERSHIP, Memberships.encode(bootstrap.firstMembers()));
+      output.event(ConsensusEvent.CLUSTER_BOOTSTRAPPED, self);
+      becomeLeader(now);
+    }
+  }
+
+  private long appendOwn(EntryKind kind, byte[] payload) {
+    long index = log.lastIndex() + 1;
+    append(new LogEntry(index, term, kind, java.nio.ByteBuffer.wrap(payload)));
+    return index;
+  }
+
+  private void append(LogEntry entry) {
+    log.append(entry);
+    durability.appended(entry);
+    if (entry.getKind() == EntryKind.MEMBERSHIP) {
+      output.event(ConsensusEvent.MEMBERSHIP_CHANGED, log.members().toString());
+    }
+  }
+
+  private void acceptEntry(LogEntry entry) {
+    long index = entry.getIndex();
+    if (index <= log.baseIndex() || log.contains(index, entry.getTerm())) {
+      return;
+    }
+    if (index <= commitIndex) {
+      throw new IllegalStateException(
+          "given entry "
+              + index
+              + " of term "
+              + entry.getTerm()
+              + ", which would replace a committed entry");
+    }
+    if (index <= log.lastIndex()) {
+      truncateFrom(index);
+    }
+    establish();
+    append(entry);
+  }
+
+  private void establish() {
+    if (!established) {
+      established = true;
+      durability.changed(new HardState(term, votedFor));
+    }
+  }
+
+  private void truncateFrom(long index) {
+    log.truncateFrom(index);
+    durability.truncatedFrom(index);
+  }
+
+  private void answer(
+      AppendRequest request,
+      boolean success,
+      long matchIndex,
+      boolean afterEntries,
+      Consumer<AppendReply> replyTo) {
+    AppendReply reply = new AppendReply(term, success, matchIndex, request.getRound(), self);
+    if (afterEntries) {
+      durability.afterEntries(() -> replyTo.accept(reply));
+    } else {
+      durability.afterState(() -> replyTo.accept(reply));
+    }
+  }
+
+  private void install(SnapshotMeta meta) {
+    log.install(meta);
+    commitIndex = meta.index();
+    durability.installed(meta);
+    establish();
+    output.install(meta);
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -0,0 +1,514 @@
+package org.comfreygap.consensus;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.comfreygap.protocol.generated.AppendRequest;
+import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.protocol.generated.SnapshotChunk;
+import org.comfreygap.protocol.generated.SnapshotReply;
+import org.comfreygap.protocol.generated.TimeoutNow;
+import org.comfreygap.protocol.generated.VoteRequest;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * A replica of the log: joins the decisions of {@link RaftCore} with disk, network and threads.
+ *
+ * <pre>{@code
+ * try (RaftLog log = RaftLog.open(options)) {
+ *   byte[] answer = log.propose(command).get().answer();
+ * }
+ * }</pre>
+ *
+ * <p>Invariant: the thread of the core never waits for another duty, so the duties cannot block
+ * each other in a circle. Futures complete on the threads of the replica; what depends on them must
+ * not block. Thread safety: all methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class RaftLog implements ReplicatedLog {
+
+  private static final int CORE_RING_SIZE = 4_096;
+  private static final Duration TICK = Duration.ofMillis(15);
+  // More batches at the disk would not be written sooner; what waits joins the next batch.
+  private static final long MAX_BATCHES_AT_DISK = 2;
+  private static final int MAX_APPLY_ENTRIES = 1_024;
+  private static final int MAX_APPLY_BYTES = 4 * 1024 * 1024;
+  private static final Duration HAND_OVER_BOUND = Duration.ofMillis(1_500);
+
+  private final RaftOptions options;
+  private final EventLog events;
+  private final Disk disk;
+  private final Transport transport;
+  private final SnapshotStore snapshots;
+  private final RaftCore core;
+  private final MembershipChanges changes;
+  private final DutyRing<PeerLanes.CoreTask> ring;
+  private final StorageDuty storage;
+  private final ApplyDuty apply;
+  private final Map<String, PeerLanes> lanes = new HashMap<>();
+  private final AtomicBoolean closed = new AtomicBoolean();
+
+  private volatile View view;
+  private Optional<SnapshotMeta> installing = Optional.empty();
+  private long handedIndex;
+  private long submittedSequence;
+  private long persistedSequence;
+  private long diskBusySince;
+
+  private RaftLog(RaftOptions options, Disk disk) throws IOException {
+    this.options = options;
+    this.events = options.events();
+    this.disk = disk;
+    this.transport = options.transport();
+    this.snapshots = new SnapshotStore(disk);
+    SnapshotMeta snapshot = snapshots.open();
+    LogStore.Opened opened = openStore();
+    LogStore.Contents contents = opened.contents();
+    CoreLog log =
+        new CoreLog(snapshot, contents.baseIndex(), contents.baseTerm(), contents.entries());
+    if (log.entriesDiscarded()) {
+      opened.store().reset(snapshot.index(), snapshot.term());
+      opened.store().write();
+      opened.store().sync();
+    }
+    snapshots.load(options.stateMachine()::readSnapshot);
+    this.handedIndex = snapshot.index();
+    boolean established = contents.present() || snapshot.index() > 0;
+    this.core =
+        new RaftCore(
+            options.replicaId(),
+            options.timing(),
+            options.initialMembers(),
+            log,
+            contents.hardState(),
+            established,
+            new Messages(),
+            new Random(options.seed()),
+            now());
+    this.changes = new MembershipChanges(core, options.replicaId());
+    this.view = View.of(core, now());
+    String name = "raft-" + options.replicaId();
+    Consumer<Exception> failure = this::fail;
+    this.ring = new DutyRing<>(name, CORE_RING_SIZE, TICK, new Deciding(), failure);
+    this.storage =
+        new StorageDuty(
+            name + "-disk", opened.store(), snapshots, events, this::persisted, failure);
+    this.apply =
+        new ApplyDuty(name + "-apply", options, snapshots, snapshot, this::snapshotTaken, failure);
+  }
+
+  /**
+   * Opens a replica; it takes part until it is closed.
+   *
+   * @throws LogCorruptException when synced data is damaged; the message says how to recover
+   * @throws IOException when the folder or the address cannot be used
+   */
+  public static RaftLog open(RaftOptions options) throws IOException {
+    Disk disk = options.disk();
+    try {
+      RaftLog log = new RaftLog(options, disk);
+      log.ring.start();
+      log.transport.serve(new PeerCalls(log::submit));
+      log.events.record(
+          ConsensusEvent.REPLICA_OPENED,
+          Field.of("replica", options.replicaId()),
+          Field.of("lastIndex", log.core.log().lastIndex()));
+      return log;
+    } catch (IOException e) {
+      disk.close();
+      throw e;
+    }
+  }
+
+  @Override
+  public CompletableFuture<Applied> propose(byte[] command) {
+    CompletableFuture<Applied> future = new CompletableFuture<>();
+    boolean submitted = submit((raft, now) -> onPropose(raft, now, command, future));
+    if (!submitted) {
+      future.completeExceptionally(new NotLeaderException("the replica is closed"));
+    }
+    return future;
+  }
+
+  @Override
+  public Optional<LeaderLease> lease(long nowNanos) {
+    View current = view;
+    boolean valid =
+        current.leaseEnd.isPresent()
+            && nowNanos - current.leaseEnd.getAsLong() < 0
+            && apply.applied() >= current.termStartIndex;
+    return valid
+        ? Optional.of(new LeaderLease(current.term, current.leaseEnd.getAsLong()))
+        : Optional.empty();
+  }
+
+  @Override
+  public Role role() {
+    return view.role;
+  }
+
+  @Override
+  public long term() {
+    return view.term;
+  }
+
+  @Override
+  public long appliedIndex() {
+    return apply.applied();
+  }
+
+  @Override
+  public Optional<ReplicaMember> leader() {
+    return view.leader;
+  }
+
+  @Override
+  public List<ReplicaMember> members() {
+    return view.members;
+  }
+
+  @Override
+  public CompletableFuture<Void> addMember(ReplicaMember member) {
+    return change((raft, now, future) -> changes.add(member, future));
+  }
+
+  @Override
+  public CompletableFuture<Void> removeMember(String replicaId) {
+    return change((raft, now, future) -> changes.remove(replicaId, future));
+  }
+
+  @Override
+  public CompletableFuture<Void> transferLeadership() {
+    long bound = HAND_OVER_BOUND.toNanos();
+    return change((raft, now, future) -> changes.transfer(now, now + bound, future));
+  }
+
+  /** Hands leadership over when this replica leads, for at most 1.5 s, and stops. */
+  @Override
+  public void close() {
+    if (closed.get()) {
+      return;
+    }
+    if (view.role == Role.LEADER
+        && view.members.stream().filter(ReplicaMember::isVoter).count() > 1) {
+      handOver();
+    }
+    stop(true);
+  }
+
+  /** Stops at once, as a crash would: no hand-over and no mark on the log. */
+  void kill() {
+    stop(false);
+  }
+
+  private void handOver() {
+    try {
+      transferLeadership().get(HAND_OVER_BOUND.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException ignored) {
+      // The others elect a leader after the election timeout.
+    }
+  }
+
+  private void stop(boolean clean) {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
+    try {
+      transport.close();
+    } catch (IOException e) {
+      events.record(ConsensusEvent.REPLICA_CLOSED, Field.of("error", e.getMessage()));
+    }
+    ring.close();
+    lanes.values().forEach(PeerLanes::close);
+    if (clean) {
+      storage.close();
+    } else {
+      storage.abandon();
+    }
+    apply.close();
+    changes.failAll(new OutcomeUnknownException("the replica was closed"));
+    try {
+      disk.close();
+    } catch (IOException e) {
+      events.record(ConsensusEvent.REPLICA_CLOSED, Field.of("error", e.getMessage()));
+    }
+    events.record(ConsensusEvent.REPLICA_CLOSED, Field.of("replica", options.replicaId()));
+  }
+
+  /** Called on the thread of the duty that failed. */
+  private void fail(Exception failure) {
+    ConsensusEvent event =
+        failure instanceof SyncFailedException
+            ? ConsensusEvent.SYNC_FAILED
+            : ConsensusEvent.REPLICA_FAILED;
+    events.record(event, Field.of("error", failure));
+    ring.stop();
+    view = view.withoutLease();
+    options.failureHandler().accept(failure);
+  }
+
+  private LogStore.Opened openStore() throws IOException {
+    try {
+      LogStore.Opened opened = LogStore.open(disk);
+      if (!opened.contents().tornSegment().isEmpty()) {
+        events.record(
+            ConsensusEvent.TORN_TAIL_CUT,
+            Field.of("segment", opened.contents().tornSegment()),
+            Field.of("bytes", opened.contents().tornBytes()));
+      }
+      return opened;
+    } catch (LogCorruptException e) {
+      events.record(ConsensusEvent.LOG_CORRUPT, Field.of("error", e.getMessage()));
+      throw e;
+    }
+  }
+
+  private boolean submit(PeerLanes.CoreTask task) {
+    return ring.publish(task);
+  }
+
+  private long now() {
+    return options.nanoClock().getAsLong();
+  }
+
+  private void onPropose(
+      RaftCore raft, long now, byte[] command, CompletableFuture<Applied> future) {
+    OptionalLong index = raft.propose(now, command);
+    if (index.isPresent()) {
+      apply.expect(index.getAsLong(), new ApplyDuty.Proposal(raft.term(), future));
+    } else {
+      String text = "given a command at a " + raft.role() + " that does not take commands now";
+      future.completeExceptionally(new NotLeaderException(text));
+    }
+  }
+
+  private CompletableFuture<Void> change(ChangeTask task) {
+    CompletableFuture<Void> future = new CompletableFuture<>();
+    if (!submit((raft, now) -> task.run(raft, now, future))) {
+      future.completeExceptionally(new NotLeaderException("the replica is closed"));
+    }
+    return future;
+  }
+
+  private void persisted(long sequence) {
+    submit(
+        (raft, now) -> {
+          persistedSequence = sequence;
+          diskBusySince = now;
+          raft.onPersisted(now, sequence);
+        });
+  }
+
+  private void snapshotTaken(SnapshotMeta meta) {
+    submit(
+        (raft, now) -> {
+          raft.onSnapshotTaken(meta, options.trailingEntries());
+          storage.compact(raft.log().baseIndex());
+        });
+  }
+
+  private void afterBatch(long now) {
+    watchDisk(now);
+    core.tick(now);
+    changes.advance(now);
+    core.replicate(now);
+    if (submittedSequence - persistedSequence < MAX_BATCHES_AT_DISK) {
+      core.takePersist().ifPresent(persist -> write(now, persist));
+    }
+    handCommitted();
+    publishView(now);
+    core.releaseMessages();
+    closeUnusedLanes();
+  }
+
+  private void write(long now, Persist persist) {
+    if (submittedSequence == persistedSequence) {
+      diskBusySince = now;
+    }
+    submittedSequence = persist.sequence();
+    if (!storage.submit(persist)) {
+      throw new IllegalStateException("the ring of the disk is full with few batches in it");
+    }
+  }
+
+  private void watchDisk(long now) {
+    boolean busy = submittedSequence != persistedSequence;
+    if (busy && now - diskBusySince > options.timing().diskStall().toNanos()) {
+      core.onDiskStalled(now);
+    }
+  }
+
+  private void handCommitted() {
+    if (installing.isPresent() && apply.install(installing.get())) {
+      handedIndex = installing.get().index();
+      installing = Optional.empty();
+    }
+    while (installing.isEmpty() && handedIndex < core.commitIndex()) {
+      List<LogEntry> committed =
+          core.log().slice(handedIndex + 1, core.commitIndex(), MAX_APPLY_ENTRIES, MAX_APPLY_BYTES);
+      if (!apply.submit(committed)) {
+        return;
+      }
+      handedIndex += committed.size();
+    }
+  }
+
+  private void publishView(long now) {
+    View before = view;
+    View after = View.of(core, now);
+    view = after;
+    boolean led = before.role == Role.LEADER;
+    if (led && (after.role != Role.LEADER || after.term != before.term)) {
+      apply.leadershipLost(core.commitIndex());
+    }
+    if (before.role != after.role
+        || before.term != after.term
+        || !before.leader.equals(after.leader)) {
+      events.record(
+          ConsensusEvent.ROLE_CHANGED,
+          Field.of("replica", options.replicaId()),
+          Field.of("role", after.role),
+          Field.of("term", after.term),
+          Field.of("leader", after.leader.map(ReplicaMember::getReplicaId).orElse("")));
+    }
+  }
+
+  private PeerLanes lanesTo(ReplicaMember member) {
+    PeerLanes existing = lanes.get(member.getReplicaId());
+    if (existing != null && existing.peer().getAddress().equals(member.getAddress())) {
+      return existing;
+    }
+    if (existing != null) {
+      existing.close();
+    }
+    PeerLanes opened =
+        new PeerLanes(options.replicaId(), member, transport, snapshots, this::submit, this::fail);
+    lanes.put(member.getReplicaId(), opened);
+    return opened;
+  }
+
+  private void closeUnusedLanes() {
+    List<ReplicaMember> members = core.log().members();
+    if (!core.established() || lanes.size() < members.size()) {
+      return;
+    }
+    lanes
+        .values()
+        .removeIf(
+            lane -> {
+              boolean unused = Memberships.find(members, lane.peer().getReplicaId()).isEmpty();
+              if (unused) {
+                lane.close();
+              }
+              return unused;
+            });
+  }
+
+  @FunctionalInterface
+  private interface ChangeTask {
+
+    void run(RaftCore raft, long now, CompletableFuture<Void> future);
+  }
+
+  /** What other threads see of the core. */
+  private record View(
+      Role role,
+      long term,
+      Optional<ReplicaMember> leader,
+      List<ReplicaMember> members,
+      OptionalLong leaseEnd,
+      long termStartIndex) {
+
+    static View of(RaftCore core, long now) {
+      return new View(
+          core.role(),
+          core.term(),
+          core.leader(),
+          core.log().members(),
+          core.leaseEnd(now),
+          core.termStartIndex());
+    }
+
+    View withoutLease() {
+      return new View(role, term, leader, members, OptionalLong.empty(), termStartIndex);
+    }
+  }
+
+  private final class Deciding implements DutyRing.Handler<PeerLanes.CoreTask> {
+
+    @Override
+    public void handle(PeerLanes.CoreTask task, boolean endOfBatch) {
+      task.run(core, now());
+      if (endOfBatch) {
+        afterBatch(now());
+      }
+    }
+
+    @Override
+    public void idle() {
+      afterBatch(now());
+    }
+  }
+
+  private final class Messages implements CoreOutput {
+
+    @Override
+    public void vote(ReplicaMember to, VoteRequest request) {
+      lanesTo(to).vote(request);
+    }
+
+    @Override
+    public void append(ReplicaMember to, AppendRequest request) {
+      if (!lanesTo(to).append(request)) {
+        core.onSendFailed(now(), to.getReplicaId(), request);
+      }
+    }
+
+    @Override
+    public void snapshot(ReplicaMember to, SnapshotMeta meta, long term, long round) {
+      if (!lanesTo(to).snapshot(meta, options.replicaId(), term, round)) {
+        core.onSnapshotSent(now(), to.getReplicaId(), term, 0, false, meta.index());
+      }
+    }
+
+    @Override
+    public void timeoutNow(ReplicaMember to, TimeoutNow request) {
+      lanesTo(to).timeoutNow(request);
+    }
+
+    @Override
+    public void storeChunk(SnapshotChunk chunk, Consumer<SnapshotReply> replyTo) {
+      storage.submit(
+          chunk,
+          (next, complete) ->
+              submit((raft, now) -> raft.onChunkStored(chunk, next, complete, replyTo)));
+    }
+
+    @Override
+    public void install(SnapshotMeta meta) {
+      installing = Optional.of(meta);
+      handedIndex = meta.index();
+    }
+
+    @Override
+    public void event(ConsensusEvent event, String detail) {
+      events.record(event, Field.of("replica", options.replicaId()), Field.of("detail", detail));
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftOptions.java
@@ -0,0 +1,244 @@
+package org.comfreygap.consensus;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.PeerSecurity;
+
+/**
+ * What a {@link RaftLog} is opened with.
+ *
+ * <pre>{@code
+ * RaftLog log =
+ *     RaftLog.open(
+ *         RaftOptions.builder()
+ *             .replicaId("control-1")
+ *             .dataFolder(folder)
+ *             .address("10.0.0.1:7400")
+ *             .initialMembers(members)
+ *             .security(security)
+ *             .events(events)
+ *             .stateMachine(stateMachine)
+ *             .build());
+ * }</pre>
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @since 0.1
+ */
+public final class RaftOptions {
+
+  private final Builder values;
+
+  private RaftOptions(Builder values) {
+    this.values = values;
+  }
+
+  /** Returns a builder with the standard timing. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the id of this replica. */
+  public String replicaId() {
+    return values.replicaId;
+  }
+
+  /** Returns the own replication address as {@code ip:port}. */
+  public String address() {
+    return values.address;
+  }
+
+  /** Returns the members that create the log together, sorted by id. */
+  public List<ReplicaMember> initialMembers() {
+    return values.initialMembers;
+  }
+
+  /** Returns how replicas authenticate each other. */
+  public PeerSecurity security() {
+    return values.security;
+  }
+
+  /** Returns where events are recorded. */
+  public EventLog events() {
+    return values.events;
+  }
+
+  /** Returns the state that the log drives. */
+  public StateMachine stateMachine() {
+    return values.stateMachine;
+  }
+
+  /** Returns the timing constants. */
+  public RaftTiming timing() {
+    return values.timing;
+  }
+
+  /** Returns after how many applied entries a snapshot is written. */
+  public int snapshotEntries() {
+    return values.snapshotEntries;
+  }
+
+  /** Returns how many entries before a snapshot are kept for followers that lag a little. */
+  public int trailingEntries() {
+    return values.trailingEntries;
+  }
+
+  /** Returns what is called once when the replica cannot go on, for example after a failed sync. */
+  public Consumer<Exception> failureHandler() {
+    return values.failureHandler;
+  }
+
+  LongSupplier nanoClock() {
+    return values.nanoClock;
+  }
+
+  long seed() {
+    return values.seed;
+  }
+
+  Disk disk() throws java.io.IOException {
+    return values.disk != null ? values.disk : FileDisk.open(values.dataFolder);
+  }
+
+  Transport transport() {
+    return values.transport != null
+        ? values.transport
+        : new ThriftTransport(values.address, values.security);
+  }
+
+  /** Collects the options. Thread safety: one thread. */
+  public static final class Builder {
+
+    private static final int SNAPSHOT_ENTRIES = 20_000;
+    private static final int TRAILING_ENTRIES = 2_000;
+    // Halt, not exit: shutdown hooks could hang on the disk that has just failed.
+    private static final Consumer<Exception> END_PROCESS = e -> Runtime.getRuntime().halt(70);
+
+    private String replicaId;
+    private Path dataFolder;
+    private String address;
+    private List<ReplicaMember> initialMembers = List.of();
+    private PeerSecurity security;
+    private EventLog events;
+    private StateMachine stateMachine;
+    private RaftTiming timing = RaftTiming.STANDARD;
+    private int snapshotEntries = SNAPSHOT_ENTRIES;
+    private int trailingEntries = TRAILING_ENTRIES;
+    private Consumer<Exception> failureHandler = END_PROCESS;
+    private LongSupplier nanoClock = System::nanoTime;
+    private long seed = System.nanoTime();
+    private Disk disk;
+    private Transport transport;
+
+    private Builder() {}
+
+    /** Sets the id, unique for ever: a replica that lost its disk gets a new one. */
+    public Builder replicaId(String value) {
+      replicaId = value;
+      return this;
+    }
+
+    /** Sets the folder for the log and the snapshots. */
+    public Builder dataFolder(Path value) {
+      dataFolder = value;
+      return this;
+    }
+
+    /** Sets the own replication address as {@code ip:port}. */
+    public Builder address(String value) {
+      address = value;
+      return this;
+    }
+
+    /** Sets the members that create the log together; equal at all of them. */
+    public Builder initialMembers(List<ReplicaMember> value) {
+      List<ReplicaMember> sorted = new ArrayList<>(value);
+      sorted.sort((a, b) -> a.getReplicaId().compareTo(b.getReplicaId()));
+      initialMembers = List.copyOf(sorted);
+      return this;
+    }
+
+    /** Sets how replicas authenticate each other. */
+    public Builder security(PeerSecurity value) {
+      security = value;
+      return this;
+    }
+
+    /** Sets where events are recorded. */
+    public Builder events(EventLog value) {
+      events = value;
+      return this;
+    }
+
+    /** Sets the state that the log drives. */
+    public Builder stateMachine(StateMachine value) {
+      stateMachine = value;
+      return this;
+    }
+
+    /** Sets the timing constants. */
+    public Builder timing(RaftTiming value) {
+      timing = value;
+      return this;
+    }
+
+    /** Sets after how many applied entries a snapshot is written. */
+    public Builder snapshotEntries(int value) {
+      snapshotEntries = value;
+      return this;
+    }
+
+    /** Sets how many entries before a snapshot are kept for followers that lag a little. */
+    public Builder trailingEntries(int value) {
+      trailingEntries = value;
+      return this;
+    }
+
+    /** Sets what is called once when the replica cannot go on; the default ends the process. */
+    public Builder failureHandler(Consumer<Exception> value) {
+      failureHandler = value;
+      return this;
+    }
+
+    /** Returns the options. */
+    public RaftOptions build() {
+      Objects.requireNonNull(replicaId, "replicaId");
+      Objects.requireNonNull(events, "events");
+      Objects.requireNonNull(stateMachine, "stateMachine");
+      if (disk == null) {
+        Objects.requireNonNull(dataFolder, "dataFolder");
+      }
+      if (transport == null) {
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(security, "security");
+      }
+      return new RaftOptions(this);
+    }
+
+    Builder nanoClock(LongSupplier value) {
+      nanoClock = value;
+      return this;
+    }
+
+    Builder seed(long value) {
+      seed = value;
+      return this;
+    }
+
+    Builder disk(Disk value) {
+      disk = value;
+      return this;
+    }
+
+    Builder transport(Transport value) {
+      transport = value;
+      return this;
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
@@ -0,0 +1,322 @@
+package org.comfreygap.consensus;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+import java.util.zip.CheckedInputStream;
+import java.util.zip.CheckedOutputStream;
+
+/**
+ * Snapshot files: {@code magic, index, term, membership, state, CRC-32C}.
+ *
+ * <p>Invariant: a file under its final name is complete and synced; the newest is kept until a
+ * newer one is durable. Thread safety: {@link #write} and {@link #receive} are each used by one
+ * thread; the other methods may be called from any thread.
+ */
+final class SnapshotStore {
+
+  /** Writes the state of the state machine. */
+  @FunctionalInterface
+  interface Body {
+
+    void write(OutputStream out) throws IOException;
+  }
+
+  /** Reads the state of the state machine. */
+  @FunctionalInterface
+  interface Reader {
+
+    void read(InputStream in) throws IOException;
+  }
+
+  private static final String PREFIX = "snapshot-";
+  private static final String TEMPORARY = ".tmp";
+  private static final String OWN = "own" + TEMPORARY;
+  private static final String RECEIVED = "received" + TEMPORARY;
+  private static final int MAGIC = 0x43465331;
+  private static final int CHECKSUM_BYTES = 4;
+  private static final int BUFFER_BYTES = 64 * 1024;
+
+  private final Disk disk;
+  private long receivingIndex = -1;
+  private Disk.DiskFile receiving;
+
+  SnapshotStore(Disk disk) {
+    this.disk = disk;
+  }
+
+  /** Deletes unfinished files and returns what the newest snapshot covers. */
+  SnapshotMeta open() throws IOException {
+    for (String name : disk.list()) {
+      if (name.endsWith(TEMPORARY)) {
+        disk.delete(name);
+      }
+    }
+    Optional<String> newest = newest();
+    return newest.isEmpty() ? SnapshotMeta.NONE : read(newest.get(), in -> {});
+  }
+
+  /** Reads the state of the newest snapshot and returns what it covers. */
+  SnapshotMeta load(Reader reader) throws IOException {
+    synchronized (disk) {
+      Optional<String> newest = newest();
+      return newest.isEmpty() ? SnapshotMeta.NONE : read(newest.get(), reader);
+    }
+  }
+
+  /** Opens the file of the newest snapshot, which stays readable after it is replaced. */
+  Optional<InputStream> openNewest(long index) throws IOException {
+    synchronized (disk) {
+      Optional<String> newest = newest();
+      if (newest.isEmpty() || !newest.get().equals(name(index))) {
+        return Optional.empty();
+      }
+      return Optional.of(disk.read(newest.get()));
+    }
+  }
+
+  /** Writes and syncs a snapshot and deletes older ones. */
+  void write(SnapshotMeta meta, Body body) throws IOException {
+    disk.delete(OWN);
+    try (Disk.DiskFile file = disk.append(OWN)) {
+      CheckedOutputStream checked =
+          new CheckedOutputStream(
+              new BufferedOutputStream(new FileOutput(file), BUFFER_BYTES), new CRC32C());
+      DataOutputStream out = new DataOutputStream(checked);
+      byte[] membership = Memberships.encode(meta.members());
+      out.writeInt(MAGIC);
+      out.writeLong(meta.index());
+      out.writeLong(meta.term());
+      out.writeInt(membership.length);
+      out.write(membership);
+      BlockOutput blocks = new BlockOutput(out);
+      body.write(blocks);
+      blocks.finish();
+      out.writeInt((int) checked.getChecksum().getValue());
+      out.flush();
+      file.sync();
+    }
+    publish(OWN, meta.index());
+  }
+
+  /**
+   * Stores a part of a snapshot from the leader.
+   *
+   * @return the offset expected next; the given one when this part was not stored
+   */
+  synchronized long receive(long index, long offset, byte[] bytes) throws IOException {
+    if (offset == 0) {
+      closeReceiving();
+      disk.delete(RECEIVED);
+      receiving = disk.append(RECEIVED);
+      receivingIndex = index;
+    }
+    if (receivingIndex != index || receiving == null) {
+      return 0;
+    }
+    long size = receiving.size();
+    if (offset == size) {
+      receiving.write(ByteBuffer.wrap(bytes));
+    }
+    return receiving.size();
+  }
+
+  /** Verifies, syncs and publishes the received snapshot. */
+  synchronized SnapshotMeta finishReceiving() throws IOException {
+    receiving.sync();
+    closeReceiving();
+    SnapshotMeta meta = read(RECEIVED, in -> {});
+    publish(RECEIVED, meta.index());
+    return meta;
+  }
+
+  private void closeReceiving() throws IOException {
+    if (receiving != null) {
+      receiving.close();
+      receiving = null;
+      receivingIndex = -1;
+    }
+  }
+
+  private void publish(String temporary, long index) throws IOException {
+    synchronized (disk) {
+      disk.rename(temporary, name(index));
+      disk.syncFolder();
+      List<String> names = names();
+      for (String older : names.subList(0, names.size() - 1)) {
+        disk.delete(older);
+      }
+    }
+  }
+
+  private Optional<String> newest() throws IOException {
+    List<String> names = names();
+    return names.isEmpty() ? Optional.empty() : Optional.of(names.get(names.size() - 1));
+  }
+
+  private List<String> names() throws IOException {
+    return disk.list().stream()
+        .filter(name -> name.startsWith(PREFIX) && !name.endsWith(TEMPORARY))
+        .toList();
+  }
+
+  private SnapshotMeta read(String name, Reader reader) throws IOException {
+    try (InputStream file = disk.read(name)) {
+      CheckedInputStream checked =
+          new CheckedInputStream(new BufferedInputStream(file, BUFFER_BYTES), new CRC32C());
+      DataInputStream in = new DataInputStream(checked);
+      if (in.readInt() != MAGIC) {
+        throw corrupt(name);
+      }
+      long index = in.readLong();
+      long term = in.readLong();
+      int length = in.readInt();
+      if (length < 0 || length > BUFFER_BYTES) {
+        throw corrupt(name);
+      }
+      byte[] membership = in.readNBytes(length);
+      BlockInput body = new BlockInput(in);
+      reader.read(body);
+      body.skipRest();
+      int expected = (int) checked.getChecksum().getValue();
+      if (in.readInt() != expected) {
+        throw corrupt(name);
+      }
+      return new SnapshotMeta(index, term, Memberships.decode(membership));
+    } catch (EOFException e) {
+      throw corrupt(name);
+    }
+  }
+
+  private static String name(long index) {
+    return PREFIX + "%016d".formatted(index);
+  }
+
+  private static LogCorruptException corrupt(String name) {
+    return new LogCorruptException(
+        name + " is damaged, expected an intact snapshot; replace this replica under a new id");
+  }
+
+  /** Passes writes to a file of the disk. */
+  private static final class FileOutput extends OutputStream {
+
+    private final Disk.DiskFile file;
+
+    FileOutput(Disk.DiskFile file) {
+      this.file = file;
+    }
+
+    @Override
+    public void write(int value) throws IOException {
+      write(new byte[] {(byte) value}, 0, 1);
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) throws IOException {
+      file.write(ByteBuffer.wrap(bytes, offset, length));
+    }
+  }
+
+  /** Frames the state, whose length is not known in advance, into blocks. */
+  private static final class BlockOutput extends OutputStream {
+
+    private final DataOutputStream out;
+    private final byte[] block = new byte[BUFFER_BYTES];
+    private int used;
+
+    BlockOutput(DataOutputStream out) {
+      this.out = out;
+    }
+
+    @Override
+    public void write(int value) throws IOException {
+      if (used == block.length) {
+        writeBlock();
+      }
+      block[used++] = (byte) value;
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) throws IOException {
+      int written = 0;
+      while (written < length) {
+        if (used == block.length) {
+          writeBlock();
+        }
+        int part = Math.min(length - written, block.length - used);
+        System.arraycopy(bytes, offset + written, block, used, part);
+        used += part;
+        written += part;
+      }
+    }
+
+    /** Writes the last block and the end mark. */
+    void finish() throws IOException {
+      writeBlock();
+      out.writeInt(0);
+    }
+
+    private void writeBlock() throws IOException {
+      if (used > 0) {
+        out.writeInt(used);
+        out.write(block, 0, used);
+        used = 0;
+      }
+    }
+  }
+
+  /** Reads the state from blocks. */
+  private static final class BlockInput extends InputStream {
+
+    private final DataInputStream in;
+    private int remaining;
+    private boolean ended;
+
+    BlockInput(DataInputStream in) {
+      this.in = in;
+    }
+
+    @Override
+    public int read() throws IOException {
+      byte[] one = new byte[1];
+      return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+    }
+
+    @Override
+    public int read(byte[] bytes, int offset, int length) throws IOException {
+      if (length == 0) {
+        return 0;
+      }
+      if (remaining == 0 && !ended) {
+        remaining = in.readInt();
+        ended = remaining == 0;
+      }
+      if (ended) {
+        return -1;
+      }
+      int count = in.read(bytes, offset, Math.min(length, remaining));
+      if (count < 0) {
+        throw new EOFException();
+      }
+      remaining -= count;
+      return count;
+    }
+
+    void skipRest() throws IOException {
+      byte[] rest = new byte[BUFFER_BYTES];
+      int count = read(rest, 0, rest.length);
+      while (count >= 0) {
+        count = read(rest, 0, rest.length);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/comfreygap/consensus/StorageDuty.java
@@ -0,0 +1,185 @@
+package org.comfreygap.consensus;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.comfreygap.protocol.generated.SnapshotChunk;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * Writes and syncs what the core wants persisted; everything waiting shares one sync.
+ *
+ * <p>Invariant: completion is reported only after the sync, and never again after a sync failed. A
+ * refused write, for example on a full disk, is repeated until it succeeds; meanwhile nothing is
+ * acknowledged. Thread safety: any thread may submit; one thread writes.
+ */
+final class StorageDuty implements AutoCloseable {
+
+  /** Reports that a part of a snapshot was stored. */
+  @FunctionalInterface
+  interface ChunkStored {
+
+    void accept(long nextOffset, Optional<SnapshotMeta> complete);
+  }
+
+  private static final int RING_SIZE = 256;
+  private static final Duration IDLE = Duration.ofMillis(250);
+  private static final long RETRY_MILLIS = 50;
+
+  private final LogStore store;
+  private final SnapshotStore snapshots;
+  private final EventLog events;
+  private final LongConsumer persisted;
+  private final DutyRing<Work> ring;
+  private volatile boolean closed;
+  private long unsyncedSequence;
+
+  StorageDuty(
+      String name,
+      LogStore store,
+      SnapshotStore snapshots,
+      EventLog events,
+      LongConsumer persisted,
+      Consumer<Exception> failureHandler) {
+    this.store = store;
+    this.snapshots = snapshots;
+    this.events = events;
+    this.persisted = persisted;
+    this.ring = new DutyRing<>(name, RING_SIZE, IDLE, new Writing(), failureHandler).start();
+  }
+
+  /** One step of work on the storage thread. */
+  @FunctionalInterface
+  private interface Work {
+
+    void run() throws IOException;
+  }
+
+  /** Adds to the batch; false when too much is waiting. */
+  boolean submit(Persist persist) {
+    return ring.tryPublish(() -> add(persist));
+  }
+
+  /** Stores a part of a snapshot; dropped when too much is waiting. */
+  void submit(SnapshotChunk chunk, ChunkStored stored) {
+    ring.tryPublish(() -> storeChunk(chunk, stored));
+  }
+
+  /** Deletes segments with only entries before {@code index}. */
+  void compact(long index) {
+    ring.tryPublish(
+        () -> {
+          flush();
+          store.compact(index);
+        });
+  }
+
+  /** Stops the thread and closes the log, marking it as synced. */
+  @Override
+  public void close() {
+    stop();
+    try {
+      if (unsyncedSequence == 0) {
+        store.close();
+      } else {
+        store.abandon();
+      }
+    } catch (IOException e) {
+      events.record(ConsensusEvent.WRITE_REFUSED, Field.of("error", e.getMessage()));
+    }
+  }
+
+  /** Stops the thread and abandons the file. */
+  void abandon() {
+    stop();
+    try {
+      store.abandon();
+    } catch (IOException e) {
+      events.record(ConsensusEvent.WRITE_REFUSED, Field.of("error", e.getMessage()));
+    }
+  }
+
+  private void stop() {
+    closed = true;
+    ring.close();
+  }
+
+  private void add(Persist persist) {
+    persist.reset().ifPresent(meta -> store.reset(meta.index(), meta.term()));
+    persist.hardState().ifPresent(store::add);
+    persist.entries().forEach(store::add);
+    unsyncedSequence = persist.sequence();
+  }
+
+  private void flush() throws IOException {
+    if (unsyncedSequence == 0 || !writeUntilAccepted()) {
+      return;
+    }
+    store.sync();
+    long sequence = unsyncedSequence;
+    unsyncedSequence = 0;
+    persisted.accept(sequence);
+  }
+
+  private boolean writeUntilAccepted() throws IOException {
+    boolean refused = false;
+    while (!closed) {
+      try {
+        store.write();
+        if (refused) {
+          events.record(ConsensusEvent.WRITE_ACCEPTED);
+        }
+        return true;
+      } catch (SyncFailedException e) {
+        throw e;
+      } catch (IOException e) {
+        if (!refused) {
+          events.record(ConsensusEvent.WRITE_REFUSED, Field.of("error", e.getMessage()));
+        }
+        refused = true;
+        pause();
+      }
+    }
+    return false;
+  }
+
+  private void storeChunk(SnapshotChunk chunk, ChunkStored stored) throws IOException {
+    long next = 0;
+    Optional<SnapshotMeta> complete = Optional.empty();
+    try {
+      byte[] bytes = chunk.getBytes();
+      next = snapshots.receive(chunk.getLastIndex(), chunk.getOffset(), bytes);
+      if (chunk.isLast() && next == chunk.getOffset() + bytes.length) {
+        complete = Optional.of(snapshots.finishReceiving());
+      }
+    } catch (SyncFailedException e) {
+      throw e;
+    } catch (IOException e) {
+      events.record(ConsensusEvent.WRITE_REFUSED, Field.of("error", e.getMessage()));
+      next = 0;
+    }
+    stored.accept(next, complete);
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(RETRY_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private final class Writing implements DutyRing.Handler<Work> {
+
+    @Override
+    public void handle(Work work, boolean endOfBatch) throws Exception {
+      work.run();
+      if (endOfBatch) {
+        flush();
+      }
+    }
+  }
+}
