--- a/consensus/src/main/java/org/comfreygap/consensus/DutyRing.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/DutyRing.java
@@ -85,6 +85,11 @@
     return !stopped && ring.tryPublishEvent((slot, sequence) -> slot.item = item);
   }
 
+  /** Returns true once no further item is handled. */
+  boolean stopped() {
+    return stopped;
+  }
+
   /** Stops after the present item without waiting for it. */
   void stop() {
     stopped = true;
--- a/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
@@ -74,6 +74,7 @@
       endTransfer(now);
       return;
     }
+    continueTransfer(now);
     if (now - nextHeartbeat >= 0) {
       nextHeartbeat = now + core.timing().heartbeat().toNanos();
       peers.values().forEach(peer -> sendHeartbeat(now, peer));
@@ -138,8 +139,7 @@
   }
 
   OptionalLong leaseEnd(long now) {
-    // A voter that campaigns after a hand-over ignores the lease, however late the message arrives.
-    return transfer != null && transfer.sent
+    return transfer != null
         ? OptionalLong.empty()
         : OptionalLong.of(quorumAnswered(now) + core.timing().lease().toNanos());
   }
@@ -157,8 +157,12 @@
     if (target == null) {
       return false;
     }
-    transfer = new Transfer(target, now + core.timing().electionMax().toNanos());
-    continueTransfer(now);
+    // A voter that campaigns after a hand-over ignores the lease, so the lease granted so far has
+    // to
+    // end first, and none is granted until the hand-over is given up without having been sent.
+    long leaseEnd = quorumAnswered(now) + core.timing().lease().toNanos();
+    long lastStart = Math.max(now, leaseEnd) + core.timing().electionMax().toNanos();
+    transfer = new Transfer(target, leaseEnd, lastStart);
     return true;
   }
 
@@ -178,7 +182,10 @@
   }
 
   private void continueTransfer(long now) {
-    if (transfer == null || transfer.sent || transfer.target.match < log.lastIndex()) {
+    if (transfer == null
+        || transfer.sent
+        || now - transfer.leaseEnd < 0
+        || transfer.target.match < log.lastIndex()) {
       return;
     }
     transfer.sent = true;
@@ -295,11 +302,13 @@
   private static final class Transfer {
 
     private final Progress target;
+    private final long leaseEnd;
     private long deadline;
     private boolean sent;
 
-    Transfer(Progress target, long deadline) {
+    Transfer(Progress target, long leaseEnd, long deadline) {
       this.target = target;
+      this.leaseEnd = leaseEnd;
       this.deadline = deadline;
     }
   }
--- a/consensus/src/main/java/org/comfreygap/consensus/MembershipChanges.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/MembershipChanges.java
@@ -50,13 +50,6 @@
     transfers.removeIf(transfer -> isOver(now, transfer));
   }
 
-  void failAll(Exception failure) {
-    changes.forEach(change -> change.future.completeExceptionally(failure));
-    transfers.forEach(transfer -> transfer.future.completeExceptionally(failure));
-    changes.clear();
-    transfers.clear();
-  }
-
   private boolean isOver(long now, Change change) {
     List<ReplicaMember> members = core.log().members();
     boolean committed = core.log().membershipIndex() <= core.commitIndex();
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -8,7 +8,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -60,6 +62,7 @@
   private final StorageDuty storage;
   private final ApplyDuty apply;
   private final Map<String, PeerLanes> lanes = new HashMap<>();
+  private final Set<CompletableFuture<?>> waiting = ConcurrentHashMap.newKeySet();
   private final AtomicBoolean closed = new AtomicBoolean();
 
   private volatile View view;
@@ -136,12 +139,7 @@
 
   @Override
   public CompletableFuture<Applied> propose(byte[] command) {
-    CompletableFuture<Applied> future = new CompletableFuture<>();
-    boolean submitted = submit((raft, now) -> onPropose(raft, now, command, future));
-    if (!submitted) {
-      future.completeExceptionally(new NotLeaderException("the replica is closed"));
-    }
-    return future;
+    return ask((raft, now, future) -> onPropose(raft, now, command, future));
   }
 
   @Override
@@ -183,18 +181,18 @@
 
   @Override
   public CompletableFuture<Void> addMember(ReplicaMember member) {
-    return change((raft, now, future) -> changes.add(member, future));
+    return ask((raft, now, future) -> changes.add(member, future));
   }
 
   @Override
   public CompletableFuture<Void> removeMember(String replicaId) {
-    return change((raft, now, future) -> changes.remove(replicaId, future));
+    return ask((raft, now, future) -> changes.remove(replicaId, future));
   }
 
   @Override
   public CompletableFuture<Void> transferLeadership() {
     long bound = HAND_OVER_BOUND.toNanos();
-    return change((raft, now, future) -> changes.transfer(now, now + bound, future));
+    return ask((raft, now, future) -> changes.transfer(now, now + bound, future));
   }
 
   /** Hands leadership over when this replica leads, for at most 1.5 s, and stops. */
@@ -235,6 +233,7 @@
       events.record(ConsensusEvent.REPLICA_CLOSED, Field.of("error", e.getMessage()));
     }
     ring.close();
+    view = view.withoutLease();
     lanes.values().forEach(PeerLanes::close);
     if (clean) {
       storage.close();
@@ -242,7 +241,7 @@
       storage.abandon();
     }
     apply.close();
-    changes.failAll(new OutcomeUnknownException("the replica was closed"));
+    failWaiting();
     try {
       disk.close();
     } catch (IOException e) {
@@ -260,6 +259,7 @@
     events.record(event, Field.of("error", failure));
     ring.stop();
     view = view.withoutLease();
+    failWaiting();
     options.failureHandler().accept(failure);
   }
 
@@ -298,14 +298,23 @@
     }
   }
 
-  private CompletableFuture<Void> change(ChangeTask task) {
-    CompletableFuture<Void> future = new CompletableFuture<>();
-    if (!submit((raft, now) -> task.run(raft, now, future))) {
+  private <T> CompletableFuture<T> ask(Question<T> question) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    waiting.add(future);
+    future.whenComplete((value, failure) -> waiting.remove(future));
+    if (!submit((raft, now) -> question.ask(raft, now, future))) {
       future.completeExceptionally(new NotLeaderException("the replica is closed"));
+    } else if (ring.stopped()) {
+      failWaiting();
     }
     return future;
   }
 
+  private void failWaiting() {
+    OutcomeUnknownException failure = new OutcomeUnknownException("the replica has stopped");
+    waiting.forEach(future -> future.completeExceptionally(failure));
+  }
+
   private void persisted(long sequence) {
     submit(
         (raft, now) -> {
@@ -421,9 +430,9 @@
   }
 
   @FunctionalInterface
-  private interface ChangeTask {
+  private interface Question<T> {
 
-    void run(RaftCore raft, long now, CompletableFuture<Void> future);
+    void ask(RaftCore raft, long now, CompletableFuture<T> future);
   }
 
   /** What other threads see of the core. */
--- a/consensus/src/test/java/org/comfreygap/consensus/CounterMachine.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/CounterMachine.java
@@ -18,6 +18,10 @@
 
   private final List<String> commands = new ArrayList<>();
 
+  synchronized int size() {
+    return commands.size();
+  }
+
   synchronized List<String> commands() {
     return List.copyOf(commands);
   }
--- /dev/null
+++ b/consensus/src/test/java/org/comfreygap/consensus/MemoryDisk.java
@@ -0,0 +1,169 @@
+package org.comfreygap.consensus;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * A disk in memory that forgets what was not synced when it crashes, and that fails on request.
+ *
+ * <p>Thread safety: all methods are synchronized.
+ */
+final class MemoryDisk implements Disk {
+
+  private TreeMap<String, Content> files = new TreeMap<>();
+  private TreeMap<String, Content> durableNames = new TreeMap<>();
+  private volatile long syncDelayMillis;
+  private volatile boolean full;
+  private volatile boolean syncFails;
+
+  void syncDelayMillis(long value) {
+    syncDelayMillis = value;
+  }
+
+  void full(boolean value) {
+    full = value;
+  }
+
+  void syncFails(boolean value) {
+    syncFails = value;
+  }
+
+  /** Loses what was not synced, but for a random, possibly damaged part of each unsynced tail. */
+  synchronized void crash(Random random) {
+    files = new TreeMap<>(durableNames);
+    for (Content content : files.values()) {
+      int unsynced = content.bytes.length - content.synced;
+      int kept = unsynced == 0 ? 0 : random.nextInt(unsynced + 1);
+      content.bytes = Arrays.copyOf(content.bytes, content.synced + kept);
+      if (kept > 0 && random.nextBoolean()) {
+        content.bytes[content.synced + random.nextInt(kept)] ^= 0x55;
+      }
+      content.synced = content.bytes.length;
+    }
+    syncFails = false;
+    full = false;
+    syncDelayMillis = 0;
+  }
+
+  /** Flips bits of one byte. */
+  synchronized void damage(String name, int offset) {
+    files.get(name).bytes[offset] ^= 0x55;
+  }
+
+  synchronized int size(String name) {
+    return files.get(name).bytes.length;
+  }
+
+  @Override
+  public synchronized List<String> list() {
+    return List.copyOf(files.keySet());
+  }
+
+  @Override
+  public synchronized InputStream read(String name) throws IOException {
+    if (!files.containsKey(name)) {
+      throw new IOException("no file " + name);
+    }
+    return new ByteArrayInputStream(files.get(name).bytes);
+  }
+
+  @Override
+  public synchronized DiskFile append(String name) throws IOException {
+    return new MemoryFile(files.computeIfAbsent(name, key -> new Content()));
+  }
+
+  @Override
+  public synchronized void rename(String from, String to) {
+    files.put(to, files.remove(from));
+  }
+
+  @Override
+  public synchronized void delete(String name) {
+    files.remove(name);
+  }
+
+  @Override
+  public void syncFolder() throws IOException {
+    beforeSync();
+    synchronized (this) {
+      durableNames = new TreeMap<>(files);
+    }
+  }
+
+  @Override
+  public void close() {}
+
+  private void beforeSync() throws IOException {
+    if (syncFails) {
+      throw new SyncFailedException("injected", new IOException("injected"));
+    }
+    if (syncDelayMillis > 0) {
+      try {
+        Thread.sleep(syncDelayMillis);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  private static final class Content {
+
+    private byte[] bytes = {};
+    private int synced;
+  }
+
+  private final class MemoryFile implements DiskFile {
+
+    private final Content content;
+
+    MemoryFile(Content content) {
+      this.content = content;
+    }
+
+    @Override
+    public long size() {
+      synchronized (MemoryDisk.this) {
+        return content.bytes.length;
+      }
+    }
+
+    @Override
+    public void write(ByteBuffer bytes) throws IOException {
+      synchronized (MemoryDisk.this) {
+        int count = full ? bytes.remaining() / 2 : bytes.remaining();
+        int old = content.bytes.length;
+        content.bytes = Arrays.copyOf(content.bytes, old + count);
+        bytes.get(content.bytes, old, count);
+        if (full) {
+          throw new IOException("injected: no space left");
+        }
+      }
+    }
+
+    @Override
+    public void truncate(long size) {
+      synchronized (MemoryDisk.this) {
+        content.bytes = Arrays.copyOf(content.bytes, (int) size);
+        content.synced = Math.min(content.synced, (int) size);
+      }
+    }
+
+    @Override
+    public void sync() throws IOException {
+      int size = (int) size();
+      beforeSync();
+      synchronized (MemoryDisk.this) {
+        content.synced = Math.max(content.synced, Math.min(size, content.bytes.length));
+      }
+    }
+
+    @Override
+    public void close() {}
+  }
+}
