--- a/consensus/src/test/java/org/comfreygap/consensus/History.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/History.java
@@ -34,6 +34,7 @@
   private final Queue<String> refused = new ConcurrentLinkedQueue<>();
   private final Queue<Read> reads = new ConcurrentLinkedQueue<>();
   private final Map<String, long[]> leases = new HashMap<>();
+  private final AtomicInteger attempts = new AtomicInteger();
   private final AtomicInteger nextCommand = new AtomicInteger();
   private final List<DutyThread> clients = new ArrayList<>();
 
@@ -78,8 +79,11 @@
   }
 
   private void write() throws InterruptedException {
+    // Some commands go to a replica that need not be the leader.
     Optional<TestCluster.Replica> target =
-        nextCommand.get() % 5 == 0 ? Optional.of(cluster.replicas().get(0)) : cluster.leader();
+        attempts.incrementAndGet() % 5 == 0
+            ? Optional.of(cluster.replicas().get(0))
+            : cluster.leader();
     RaftLog log = target.map(replica -> replica.log).orElse(null);
     if (log == null) {
       Thread.sleep(5);
--- /dev/null
+++ b/consensus/src/test/java/org/comfreygap/consensus/LogStoreTest.java
@@ -0,0 +1,217 @@
+package org.comfreygap.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.comfreygap.protocol.generated.EntryKind;
+import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a log on disk that differs from what was synced to it. */
+class LogStoreTest {
+
+  private static final String SEGMENT = "log-0000000000000001";
+
+  @Test
+  void tornTailIsCutAtEveryLength() throws Exception {
+    MemoryDisk whole = new MemoryDisk();
+    int synced = writeBatches(whole, 2, false);
+    int full = whole.size(SEGMENT);
+    for (int length = synced; length < full; length++) {
+      MemoryDisk torn = copy(whole);
+      try (Disk.DiskFile file = torn.append(SEGMENT)) {
+        file.truncate(length);
+      }
+      LogStore.Contents contents = LogStore.open(torn).contents();
+      assertThat(contents.entries()).hasSizeBetween(3, 5);
+      assertThat(torn.size(SEGMENT)).isLessThanOrEqualTo(length);
+    }
+  }
+
+  @Test
+  void damageToSyncedDataStopsTheReplicaWhereverItIs() throws Exception {
+    MemoryDisk whole = new MemoryDisk();
+    writeBatches(whole, 2, true);
+    int marked = whole.size(SEGMENT) - LogRecord.syncMark(0).size();
+    for (int offset = 0; offset < marked; offset++) {
+      MemoryDisk damaged = copy(whole);
+      damaged.damage(SEGMENT, offset);
+      assertThatThrownBy(() -> LogStore.open(damaged))
+          .as("damage at " + offset)
+          .isInstanceOf(LogCorruptException.class);
+    }
+  }
+
+  @Test
+  void missingSegmentStopsTheReplica() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore store = LogStore.open(disk).store();
+    for (int i = 1; i <= 30; i++) {
+      store.add(entry(i, 1, 1024 * 1024));
+      store.write();
+      store.sync();
+    }
+    store.close();
+    assertThat(disk.list()).hasSizeGreaterThan(2);
+    disk.delete(disk.list().get(1));
+    assertThatThrownBy(() -> LogStore.open(disk)).isInstanceOf(LogCorruptException.class);
+  }
+
+  @Test
+  void refusedWriteIsRepeatedWithoutATrace() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore store = LogStore.open(disk).store();
+    store.add(entry(1, 1, 10));
+    store.write();
+    store.sync();
+    store.add(entry(2, 1, 100));
+    disk.full(true);
+    assertThatThrownBy(store::write).isInstanceOf(IOException.class);
+    assertThatThrownBy(store::write).isInstanceOf(IOException.class);
+    disk.full(false);
+    store.write();
+    store.sync();
+    disk.crash(new Random(1));
+    assertThat(LogStore.open(disk).contents().entries()).hasSize(2);
+  }
+
+  @Test
+  void compactionKeepsWhatFollowsTheSnapshotAndTheHardState() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore store = LogStore.open(disk).store();
+    store.add(new HardState(7, "b"));
+    for (int i = 1; i <= 30; i++) {
+      store.add(entry(i, 1, 1024 * 1024));
+      store.write();
+      store.sync();
+    }
+    int before = disk.list().size();
+    store.compact(20);
+    store.close();
+    disk.crash(new Random(1));
+    LogStore.Contents contents = LogStore.open(disk).contents();
+    assertThat(disk.list()).hasSizeLessThan(before);
+    assertThat(contents.baseIndex()).isLessThan(20);
+    assertThat(contents.entries().get(contents.entries().size() - 1).getIndex()).isEqualTo(30);
+    assertThat(contents.hardState()).isEqualTo(new HardState(7, "b"));
+  }
+
+  /** Differential: any sequence of appends, replacements, resets and crashes against a list. */
+  @Property(tries = 200, seed = "4711")
+  void contentsEqualThoseOfAList(
+      @ForAll @Size(min = 1, max = 40) List<@IntRange(min = 0, max = 99) Integer> steps)
+      throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore store = LogStore.open(disk).store();
+    List<Long> terms = new ArrayList<>();
+    long base = 0;
+    for (int step : steps) {
+      if (step < 10) {
+        store.abandon();
+        disk.crash(new Random(step));
+        store = LogStore.open(disk).store();
+      } else if (step < 15) {
+        base += terms.size() + step;
+        terms.clear();
+        store.reset(base, step);
+      } else {
+        int keep = step < 40 ? terms.size() * (step - 15) / 25 : terms.size();
+        terms.subList(keep, terms.size()).clear();
+        terms.add((long) step);
+        store.add(entry(base + terms.size(), step, step));
+      }
+      if (step >= 10) {
+        store.write();
+        store.sync();
+      }
+    }
+    disk.crash(new Random(0));
+    LogStore.Contents contents = LogStore.open(disk).contents();
+    assertThat(contents.baseIndex()).isEqualTo(base);
+    assertThat(contents.entries()).extracting(LogEntry::getTerm).isEqualTo(terms);
+  }
+
+  @Test
+  void damagedSnapshotIsNotLoaded() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    SnapshotMeta meta =
+        new SnapshotMeta(5, 2, List.of(new ReplicaMember("a", "127.0.0.1:1", true)));
+    byte[] state = new byte[200];
+    new SnapshotStore(disk).write(meta, out -> out.write(state));
+    String name = disk.list().get(0);
+    assertThat(new SnapshotStore(disk).open()).isEqualTo(meta);
+    for (int offset = 0; offset < disk.size(name); offset++) {
+      MemoryDisk damaged = copy(disk);
+      damaged.damage(name, offset);
+      assertThatThrownBy(() -> new SnapshotStore(damaged).open())
+          .as("damage at " + offset)
+          .isInstanceOf(LogCorruptException.class);
+    }
+  }
+
+  @Test
+  void repeatedAndReorderedChunksGiveTheSameSnapshot() throws Exception {
+    MemoryDisk source = new MemoryDisk();
+    SnapshotMeta meta = new SnapshotMeta(5, 2, List.of());
+    new SnapshotStore(source).write(meta, out -> out.write(new byte[300]));
+    byte[] file;
+    try (InputStream in = source.read(source.list().get(0))) {
+      file = in.readAllBytes();
+    }
+    byte[] first = java.util.Arrays.copyOfRange(file, 0, 100);
+    byte[] rest = java.util.Arrays.copyOfRange(file, 100, file.length);
+    SnapshotStore target = new SnapshotStore(new MemoryDisk());
+    assertThat(target.receive(5, 100, rest)).isZero();
+    assertThat(target.receive(5, 0, first)).isEqualTo(100);
+    assertThat(target.receive(5, 0, first)).isEqualTo(100);
+    assertThat(target.receive(5, 100, rest)).isEqualTo(file.length);
+    assertThat(target.receive(5, 100, rest)).isEqualTo(file.length);
+    assertThat(target.finishReceiving()).isEqualTo(meta);
+  }
+
+  /** Writes three entries in a synced batch and two in each further one. */
+  private static int writeBatches(MemoryDisk disk, int batches, boolean mark) throws IOException {
+    LogStore store = LogStore.open(disk).store();
+    int index = 0;
+    int beforeLast = 0;
+    for (int batch = 0; batch < batches; batch++) {
+      beforeLast = batch == 0 ? 0 : disk.size(SEGMENT);
+      for (int i = 0; i < (batch == 0 ? 3 : 2); i++) {
+        index++;
+        store.add(entry(index, 1, 20));
+      }
+      store.write();
+      store.sync();
+    }
+    if (mark) {
+      store.close();
+    }
+    return beforeLast;
+  }
+
+  private static MemoryDisk copy(MemoryDisk disk) throws IOException {
+    MemoryDisk copy = new MemoryDisk();
+    for (String name : disk.list()) {
+      try (InputStream in = disk.read(name);
+          Disk.DiskFile file = copy.append(name)) {
+        file.write(ByteBuffer.wrap(in.readAllBytes()));
+      }
+    }
+    return copy;
+  }
+
+  private static LogEntry entry(long index, long term, int size) {
+    return new LogEntry(index, term, EntryKind.COMMAND, ByteBuffer.wrap(new byte[size]));
+  }
+}
