--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/Command.java
@@ -0,0 +1,127 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.decisions.RequestLedger;
+import org.comfreygap.decisions.TokenBudget;
+
+/**
+ * A change of the replicated state, as it stands in the log.
+ *
+ * <p>Invariant: a command holds all that its effect depends on besides the state, so that every
+ * replica decides alike. Absent values are null, since this is the stored form. Thread safety:
+ * immutable.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = Command.ChangeSettings.class, name = "change"),
+  @JsonSubTypes.Type(value = Command.DeletePrefix.class, name = "deletePrefix"),
+  @JsonSubTypes.Type(value = Command.Rollback.class, name = "rollback"),
+  @JsonSubTypes.Type(value = Command.CommitCeilings.class, name = "ceilings"),
+  @JsonSubTypes.Type(value = Command.GrantEndpoint.class, name = "endpoint"),
+  @JsonSubTypes.Type(value = Command.BeginEntry.class, name = "begin"),
+  @JsonSubTypes.Type(value = Command.FinishEntry.class, name = "finish"),
+  @JsonSubTypes.Type(value = Command.OwnerGone.class, name = "ownerGone"),
+  @JsonSubTypes.Type(value = Command.RecordCrash.class, name = "crash"),
+  @JsonSubTypes.Type(value = Command.RegisterReplica.class, name = "replica")
+})
+sealed interface Command {
+
+  /** Returns the time of the log in milliseconds; it advances only by monotonic time of leaders. */
+  long logMillis();
+
+  /** A change of the settings tree, made by an operator under an operation id. */
+  sealed interface SettingsCommand extends Command {
+
+    /** Returns who makes the change. */
+    Author author();
+
+    /** Returns what a resend must have in common with the first command. */
+    Object content();
+  }
+
+  /**
+   * Who changes the settings.
+   *
+   * @param wallMillis wall-clock time for the history; nothing is decided by it
+   */
+  record Author(String operationId, String operator, long wallMillis) {}
+
+  /** Expected revision of a path; 0: it must not exist. */
+  record Expectation(String path, long revision) {}
+
+  /** New document of a path, or null to delete it. */
+  record DocumentChange(String path, String document) {}
+
+  /** Changes documents, all or none. */
+  record ChangeSettings(
+      long logMillis, Author author, List<Expectation> expect, List<DocumentChange> changes)
+      implements SettingsCommand {
+
+    @Override
+    public Object content() {
+      return List.of(expect, changes);
+    }
+  }
+
+  /** Deletes every document at and below a path. */
+  record DeletePrefix(long logMillis, Author author, List<Expectation> expect, String prefix)
+      implements SettingsCommand {
+
+    @Override
+    public Object content() {
+      return List.of(expect, prefix);
+    }
+  }
+
+  /** Restores the documents at and below a path to those of an earlier revision. */
+  record Rollback(long logMillis, Author author, String prefix, long toRevision)
+      implements SettingsCommand {
+
+    @Override
+    public Object content() {
+      return List.of(prefix, toRevision);
+    }
+  }
+
+  /** Commits credit ceilings before grants are made under them. */
+  record CommitCeilings(long logMillis, List<TokenBudget.Ceiling> ceilings) implements Command {}
+
+  /** Gives an endpoint to a sidecar under the next fencing number. */
+  record GrantEndpoint(
+      long logMillis, String endpoint, String processId, String startId, long fencing)
+      implements Command {}
+
+  /** Enters a request into the ledger before its dispatch. */
+  record BeginEntry(
+      long logMillis,
+      String customer,
+      String idempotencyKey,
+      String fingerprint,
+      RequestLedger.Owner owner,
+      String requestId)
+      implements Command {}
+
+  /** Closes a ledger entry. */
+  record FinishEntry(
+      long logMillis,
+      String customer,
+      String idempotencyKey,
+      String requestId,
+      Outcome outcome,
+      RequestLedger.Answer answer)
+      implements Command {}
+
+  /** Closes the ledger entries in progress of a gateway process that is gone. */
+  record OwnerGone(long logMillis, RequestLedger.Owner owner) implements Command {}
+
+  /** Records a crash with the requests that were in flight. */
+  record RecordCrash(long logMillis, String crashId, List<String> fingerprints)
+      implements Command {}
+
+  /** Makes the addresses of a control instance known to the others. */
+  record RegisterReplica(long logMillis, String replicaId, String rpcAddress, String httpAddress)
+      implements Command {}
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -0,0 +1,330 @@
+package org.comfreygap.control;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.comfreygap.consensus.StateMachine;
+import org.comfreygap.decisions.EndpointLeases;
+import org.comfreygap.decisions.Quarantine;
+import org.comfreygap.decisions.RequestLedger;
+import org.comfreygap.decisions.TokenBudget;
+
+/**
+ * The replicated state of control: settings tree, fencing numbers, request ledger, quarantine list,
+ * credit ceilings and the addresses of the control instances.
+ *
+ * <p>Ages are measured in the time of the log, which advances only by the monotonic time of the
+ * leaders: a wall clock that jumps ends no quarantine and drops no ledger entry.
+ *
+ * <p>Invariant: equal commands in equal order give equal state. Thread safety: one thread applies
+ * commands, any thread may read; everything is guarded by the monitor of this object.
+ */
+@Singleton
+final class ControlState implements StateMachine {
+
+  /** Far above 920 endpoints. */
+  static final int MAX_ENDPOINTS = 10_000;
+
+  /** Far above the number of customers with limits. */
+  static final int MAX_CEILINGS = 20_000;
+
+  private static final int MAX_REPLICAS = 100;
+
+  private final LongSupplier nanoTime;
+  private SettingsStore settings = new SettingsStore();
+  private RequestLedger ledger = new RequestLedger(RequestLedger.Bounds.DEFAULT);
+  private Quarantine quarantine = new Quarantine(Quarantine.Bounds.DEFAULT);
+  private Map<String, EndpointLeases.Grant> endpoints = new HashMap<>();
+  private Map<String, TokenBudget.Ceiling> ceilings = new LinkedHashMap<>();
+  private Map<String, ReplicaAddresses> replicas = new LinkedHashMap<>();
+  private long logMillis;
+  private long appliedNanos;
+  private long quarantineVersion;
+
+  /** Creates an empty state that uses the monotonic clock of the machine. */
+  @Inject
+  ControlState() {
+    this(System::nanoTime);
+  }
+
+  /** Creates an empty state with the given monotonic clock. */
+  ControlState(LongSupplier nanoTime) {
+    this.nanoTime = nanoTime;
+    this.appliedNanos = nanoTime.getAsLong();
+  }
+
+  /** Where a control instance serves gateways and sidecars, and operators. */
+  record ReplicaAddresses(String replicaId, String rpcAddress, String httpAddress) {}
+
+  /** Answer to {@link Command.BeginEntry}. */
+  record LedgerAnswer(RequestLedger.State state, RequestLedger.Answer answer) {}
+
+  /** Answer to {@link Command.RecordCrash}. */
+  record CrashAnswer(List<String> quarantined) {}
+
+  /** Answer to commands of which nothing needs to be known but that they were applied. */
+  record Applied(boolean done) {}
+
+  @Override
+  public synchronized byte[] apply(long index, byte[] bytes) {
+    Command command = Codec.decode(bytes);
+    logMillis = Math.max(logMillis, command.logMillis());
+    appliedNanos = nanoTime.getAsLong();
+    return Codec.encodeAnswer(decide(command));
+  }
+
+  @Override
+  public synchronized void writeSnapshot(OutputStream out) throws IOException {
+    SnapshotFile.write(out, lines -> writeLines(lines));
+  }
+
+  @Override
+  public synchronized void readSnapshot(InputStream in) throws IOException {
+    settings = new SettingsStore();
+    ledger = new RequestLedger(RequestLedger.Bounds.DEFAULT);
+    quarantine = new Quarantine(Quarantine.Bounds.DEFAULT);
+    endpoints = new HashMap<>();
+    ceilings = new LinkedHashMap<>();
+    replicas = new LinkedHashMap<>();
+    SnapshotFile.read(in, this::readLine);
+    appliedNanos = nanoTime.getAsLong();
+    quarantineVersion++;
+    notifyAll();
+  }
+
+  /** Reads a consistent part of the settings. */
+  synchronized <R> R readSettings(Function<SettingsStore, R> reader) {
+    return reader.apply(settings);
+  }
+
+  synchronized long revision() {
+    return settings.revision();
+  }
+
+  synchronized long quarantineVersion() {
+    return quarantineVersion;
+  }
+
+  /**
+   * Waits until the revision is above {@code revision} or the quarantine list is not the one of
+   * {@code knownQuarantine}.
+   *
+   * @return false when {@code waitNanos} passed without a change
+   */
+  synchronized boolean awaitChange(long revision, long knownQuarantine, long waitNanos)
+      throws InterruptedException {
+    long end = nanoTime.getAsLong() + waitNanos;
+    while (settings.revision() <= revision && quarantineVersion == knownQuarantine) {
+      long left = end - nanoTime.getAsLong();
+      if (left <= 0) {
+        return false;
+      }
+      TimeUnit.NANOSECONDS.timedWait(this, Math.max(left, 1_000_000));
+    }
+    return true;
+  }
+
+  /** Returns the time of the log: that of the newest command plus the time passed here since. */
+  synchronized long logMillis() {
+    long passed = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - appliedNanos);
+    return logMillis + passed;
+  }
+
+  /** Returns the quarantined fingerprints with the milliseconds that remain. */
+  synchronized Map<String, Long> quarantined() {
+    Map<String, Long> remaining = new LinkedHashMap<>();
+    quarantine
+        .remaining(TimeUnit.MILLISECONDS.toNanos(logMillis()))
+        .forEach((fingerprint, nanos) -> remaining.put(fingerprint, nanos / 1_000_000));
+    return remaining;
+  }
+
+  synchronized Optional<EndpointLeases.Grant> endpointGrant(String endpoint) {
+    return Optional.ofNullable(endpoints.get(endpoint));
+  }
+
+  synchronized int endpointCount() {
+    return endpoints.size();
+  }
+
+  synchronized List<TokenBudget.Ceiling> ceilings() {
+    return new ArrayList<>(ceilings.values());
+  }
+
+  synchronized Collection<RequestLedger.Owner> ledgerOwners() {
+    return ledger.owners();
+  }
+
+  synchronized int ledgerSize() {
+    return ledger.size();
+  }
+
+  synchronized Optional<ReplicaAddresses> replica(String replicaId) {
+    return Optional.ofNullable(replicas.get(replicaId));
+  }
+
+  synchronized List<ReplicaAddresses> replicas() {
+    return new ArrayList<>(replicas.values());
+  }
+
+  private Object decide(Command command) {
+    long now = TimeUnit.MILLISECONDS.toNanos(logMillis);
+    if (command instanceof Command.SettingsCommand change) {
+      long before = settings.revision();
+      SettingsAnswer answer = settings.apply(change);
+      if (settings.revision() != before) {
+        notifyAll();
+      }
+      return answer;
+    } else if (command instanceof Command.CommitCeilings commit) {
+      commit.ceilings().forEach(this::commit);
+      return new Applied(true);
+    } else if (command instanceof Command.GrantEndpoint grant) {
+      return grant(grant);
+    } else if (command instanceof Command.BeginEntry begin) {
+      RequestLedger.Begin result =
+          ledger.begin(
+              begin.customer(),
+              begin.idempotencyKey(),
+              begin.fingerprint(),
+              begin.owner(),
+              begin.requestId(),
+              now);
+      return new LedgerAnswer(result.state(), result.answer().orElse(null));
+    } else if (command instanceof Command.FinishEntry finish) {
+      ledger.finish(
+          finish.customer(),
+          finish.idempotencyKey(),
+          finish.requestId(),
+          finish.outcome(),
+          Optional.ofNullable(finish.answer()),
+          now);
+      return new Applied(true);
+    } else if (command instanceof Command.OwnerGone gone) {
+      return new Applied(ledger.ownerGone(gone.owner(), now) > 0);
+    } else if (command instanceof Command.RecordCrash crash) {
+      return crash(crash, now);
+    }
+    Command.RegisterReplica replica = (Command.RegisterReplica) command;
+    replicas.remove(replica.replicaId());
+    replicas.put(
+        replica.replicaId(),
+        new ReplicaAddresses(replica.replicaId(), replica.rpcAddress(), replica.httpAddress()));
+    trimOldest(replicas, MAX_REPLICAS);
+    return new Applied(true);
+  }
+
+  private void commit(TokenBudget.Ceiling ceiling) {
+    ceilings.remove(ceiling.customer());
+    ceilings.put(ceiling.customer(), ceiling);
+    // The least recently active customer's bucket has been full for long.
+    trimOldest(ceilings, MAX_CEILINGS);
+  }
+
+  private EndpointLeases.Grant grant(Command.GrantEndpoint grant) {
+    EndpointLeases.Grant present = endpoints.get(grant.endpoint());
+    long fencing = present == null ? 0 : present.fencing();
+    boolean room = present != null || endpoints.size() < MAX_ENDPOINTS;
+    if (grant.fencing() != fencing + 1 || !room) {
+      return present;
+    }
+    EndpointLeases.Grant granted =
+        new EndpointLeases.Grant(
+            grant.endpoint(),
+            new EndpointLeases.Holder(grant.processId(), grant.startId()),
+            grant.fencing());
+    endpoints.put(grant.endpoint(), granted);
+    return granted;
+  }
+
+  private CrashAnswer crash(Command.RecordCrash crash, long now) {
+    List<Quarantine.Banned> before = List.copyOf(quarantine.banned());
+    List<String> banned = quarantine.crashed(crash.crashId(), crash.fingerprints(), now);
+    if (!before.equals(List.copyOf(quarantine.banned()))) {
+      quarantineVersion++;
+      notifyAll();
+    }
+    return new CrashAnswer(banned);
+  }
+
+  private void writeLines(SnapshotFile.Lines out) throws IOException {
+    out.write(
+        new SnapshotLine.Header(
+            SnapshotLine.Header.FORMAT,
+            settings.revision(),
+            settings.history().floor(),
+            logMillis));
+    for (Map.Entry<String, SettingsTree.Entry> e : settings.tree().subtree("/").entrySet()) {
+      SettingsTree.Entry entry = e.getValue();
+      out.write(
+          new SnapshotLine.Document(
+              e.getKey(),
+              entry.document(),
+              entry.revision(),
+              entry.changedBy(),
+              entry.changedAtMillis()));
+    }
+    for (Map.Entry<String, String> e : settings.tree().deletedVersions().entrySet()) {
+      out.write(new SnapshotLine.DeletedVersion(e.getKey(), e.getValue()));
+    }
+    out.writeAll(settings.history().all(), SnapshotLine.HistoryChange::new);
+    out.writeAll(settings.operations().all(), SnapshotLine.Operation::new);
+    out.writeAll(ledger.entries(), SnapshotLine.Ledger::new);
+    out.writeAll(quarantine.suspects(), SnapshotLine.Suspect::new);
+    out.writeAll(quarantine.banned(), SnapshotLine.Banned::new);
+    out.writeAll(endpoints.values(), SnapshotLine.Endpoint::new);
+    out.writeAll(ceilings.values(), SnapshotLine.CreditCeiling::new);
+    out.writeAll(replicas.values(), SnapshotLine.Replica::new);
+  }
+
+  private void readLine(SnapshotLine line) {
+    if (line instanceof SnapshotLine.Header header) {
+      settings.revision(header.revision());
+      settings.history().floor(header.historyFloor());
+      logMillis = header.logMillis();
+    } else if (line instanceof SnapshotLine.Document d) {
+      settings
+          .tree()
+          .put(
+              d.path(),
+              new SettingsTree.Entry(
+                  d.document(), d.revision(), d.changedBy(), d.changedAtMillis()));
+    } else if (line instanceof SnapshotLine.DeletedVersion deleted) {
+      settings.tree().restoreDeletedVersion(deleted.path(), deleted.document());
+    } else if (line instanceof SnapshotLine.HistoryChange change) {
+      settings.history().add(change.change());
+    } else if (line instanceof SnapshotLine.Operation operation) {
+      settings.operations().add(operation.operation());
+    } else if (line instanceof SnapshotLine.Ledger entry) {
+      ledger.restore(entry.entry());
+    } else if (line instanceof SnapshotLine.Suspect suspect) {
+      quarantine.restore(suspect.suspect());
+    } else if (line instanceof SnapshotLine.Banned banned) {
+      quarantine.restore(banned.banned());
+    } else if (line instanceof SnapshotLine.Endpoint endpoint) {
+      endpoints.put(endpoint.grant().endpoint(), endpoint.grant());
+    } else if (line instanceof SnapshotLine.CreditCeiling ceiling) {
+      ceilings.put(ceiling.ceiling().customer(), ceiling.ceiling());
+    } else if (line instanceof SnapshotLine.Replica replica) {
+      replicas.put(replica.replica().replicaId(), replica.replica());
+    }
+  }
+
+  private static void trimOldest(Map<String, ?> map, int most) {
+    if (map.size() > most) {
+      map.remove(map.keySet().iterator().next());
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/CreditController.java
@@ -0,0 +1,155 @@
+package org.comfreygap.control;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.comfreygap.decisions.TokenBudget;
+import org.comfreygap.protocol.generated.CreditExchange;
+import org.comfreygap.protocol.generated.CreditGrant;
+import org.comfreygap.protocol.generated.CreditItem;
+import org.comfreygap.protocol.generated.CreditReply;
+import org.comfreygap.protocol.generated.InvalidCall;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.comfreygap.settings.Priority;
+
+/**
+ * Shares out customer credit at the leader and commits the ceilings.
+ *
+ * <p>Invariant: no answer holds tokens past a committed ceiling, and none leaves after the lease
+ * ended. Thread safety: any thread may call; the budget is guarded by its own monitor.
+ */
+@Singleton
+final class CreditController {
+
+  private static final int MAX_ITEMS = 1_000;
+  private static final long MAX_TOKENS = 10_000_000_000L;
+
+  private final Leadership leadership;
+  private final SettingsFollower follower;
+
+  @Inject
+  CreditController(Leadership leadership, ControlState state) {
+    this.leadership = leadership;
+    this.follower = new SettingsFollower(state);
+  }
+
+  CreditReply exchange(CreditExchange request) throws NotLeader, InvalidCall {
+    List<TokenBudget.Item> items = items(request);
+    LeaderTerm term = leadership.require();
+    TokenBudget budget = term.budget();
+    CompletableFuture<?> commit = null;
+    synchronized (budget) {
+      long now = System.nanoTime();
+      follower.follow(term, now);
+      commit(term, budget.ceilingsFor(items, now));
+      if (budget.waitsForCeiling(items)) {
+        commit = term.ceilingCommit();
+      }
+    }
+    await(commit);
+    Optional<TokenBudget.Answer> answer;
+    TokenBudget.Holder holder =
+        new TokenBudget.Holder(request.getGatewayId(), request.getStartId());
+    synchronized (budget) {
+      if (!leadership.holds(term)) {
+        throw leadership.notLeader();
+      }
+      answer = budget.exchange(holder, request.getSequence(), items, System.nanoTime());
+    }
+    TokenBudget.Answer found =
+        answer.orElseThrow(
+            () ->
+                new InvalidCall(
+                    "given sequence " + request.getSequence() + ", expected a higher one"));
+    return reply(request.getSequence(), found);
+  }
+
+  /** Commits ceilings ahead of need and applies changed limits; called a few times a second. */
+  void maintain(LeaderTerm term) {
+    synchronized (term.budget()) {
+      long now = System.nanoTime();
+      follower.follow(term, now);
+      commit(term, term.budget().ceilingsAhead(now));
+      term.budget().forgetIdle(now);
+    }
+  }
+
+  private void commit(LeaderTerm term, List<TokenBudget.Ceiling> due) {
+    if (due.isEmpty()) {
+      return;
+    }
+    TokenBudget budget = term.budget();
+    term.ceilingCommit(
+        leadership
+            .propose(term, millis -> new Command.CommitCeilings(millis, due))
+            .thenRun(
+                () -> {
+                  synchronized (budget) {
+                    budget.committed(due);
+                  }
+                }));
+  }
+
+  private void await(CompletableFuture<?> commit) throws NotLeader {
+    if (commit == null) {
+      return;
+    }
+    try {
+      leadership.await(commit);
+    } catch (LeadershipLost e) {
+      throw leadership.notLeader();
+    }
+  }
+
+  private static List<TokenBudget.Item> items(CreditExchange request) throws InvalidCall {
+    if (request.getItemsSize() > MAX_ITEMS) {
+      throw new InvalidCall(
+          "given " + request.getItemsSize() + " items, expected at most " + MAX_ITEMS);
+    }
+    List<TokenBudget.Item> items = new ArrayList<>(request.getItemsSize());
+    Set<String> customers = new HashSet<>();
+    for (CreditItem item : request.getItems()) {
+      if (!customers.add(item.getCustomer())) {
+        throw new InvalidCall("given " + item.getCustomer() + " twice, expected one item each");
+      }
+      items.add(
+          new TokenBudget.Item(
+              item.getCustomer(),
+              tokens(item.getUsed()),
+              tokens(item.getReturned()),
+              tokens(item.getRefunded()),
+              tokens(item.getWanted()),
+              Priority.valueOf(item.getPriority().name())));
+    }
+    return items;
+  }
+
+  private static long tokens(long given) throws InvalidCall {
+    if (given < 0 || given > MAX_TOKENS) {
+      throw new InvalidCall("given " + given + " tokens, expected 0 to " + MAX_TOKENS);
+    }
+    return given;
+  }
+
+  private static CreditReply reply(long sequence, TokenBudget.Answer answer) {
+    long lifetimeMillis = TimeUnit.NANOSECONDS.toMillis(answer.lifetimeNanos());
+    List<CreditGrant> grants = new ArrayList<>(answer.grants().size());
+    for (TokenBudget.Granted grant : answer.grants()) {
+      grants.add(
+          new CreditGrant(
+              grant.customer(),
+              grant.tokens(),
+              lifetimeMillis,
+              TimeUnit.NANOSECONDS.toMillis(grant.retryAfterNanos()),
+              grant.rate(),
+              grant.burst()));
+    }
+    return new CreditReply(sequence, grants);
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/Leadership.java
@@ -0,0 +1,153 @@
+package org.comfreygap.control;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import com.google.inject.name.Named;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.LongFunction;
+import org.comfreygap.consensus.NotLeaderException;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.consensus.ReplicatedLog.LeaderLease;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * Gives access to the leader's state while this instance holds the leader lease.
+ *
+ * <pre>{@code
+ * LeaderTerm term = leadership.require();
+ * LedgerAnswer answer = leadership.commit(term, millis -> command(millis), LedgerAnswer.class);
+ * }</pre>
+ *
+ * <p>Invariant: {@link #current} returns a term only under a valid lease, and the state of an
+ * earlier term is never used in a later one. Thread safety: any thread may call.
+ */
+@Singleton
+final class Leadership {
+
+  private static final Duration COMMIT_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(5);
+
+  private final ReplicatedLog log;
+  private final ControlState state;
+  private final EventLog events;
+  private final ControlState.ReplicaAddresses self;
+  private LeaderTerm term;
+
+  @Inject
+  Leadership(
+      ReplicatedLog log,
+      ControlState state,
+      EventLog events,
+      @Named("self") ControlState.ReplicaAddresses self) {
+    this.log = log;
+    this.state = state;
+    this.events = events;
+    this.self = self;
+  }
+
+  /** Returns the leader's state when the lease is valid now. */
+  Optional<LeaderTerm> current() {
+    long now = System.nanoTime();
+    Optional<LeaderLease> lease = log.lease(now);
+    if (lease.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(termOf(lease.get(), now));
+  }
+
+  /** Returns the leader's state, or fails with the address of the leader. */
+  LeaderTerm require() throws NotLeader {
+    return current().orElseThrow(this::notLeader);
+  }
+
+  /** Returns true when the lease is valid now and {@code expected} is its term. */
+  boolean holds(LeaderTerm expected) {
+    return log.lease(System.nanoTime())
+        .filter(lease -> lease.term() == expected.term())
+        .isPresent();
+  }
+
+  /** Returns the error that names the leader where it is known. */
+  NotLeader notLeader() {
+    NotLeader error = new NotLeader();
+    leaderAddresses()
+        .filter(leader -> !leader.replicaId().equals(self.replicaId()))
+        .ifPresent(leader -> error.setLeaderAddress(leader.rpcAddress()));
+    return error;
+  }
+
+  /** Returns the addresses of the leader where they are known. */
+  Optional<ControlState.ReplicaAddresses> leaderAddresses() {
+    return log.leader().map(ReplicaMember::getReplicaId).flatMap(state::replica);
+  }
+
+  /**
+   * Proposes a command and waits until it is committed and applied.
+   *
+   * @param command makes the command for the time of the log
+   */
+  <T> T commit(LeaderTerm leader, LongFunction<Command> command, Class<T> answer)
+      throws LeadershipLost {
+    CompletableFuture<ReplicatedLog.Applied> future = propose(leader, command);
+    return Codec.decodeAnswer(await(future).answer(), answer);
+  }
+
+  /** Proposes a command. */
+  CompletableFuture<ReplicatedLog.Applied> propose(
+      LeaderTerm leader, LongFunction<Command> command) {
+    Command made = command.apply(leader.logMillis(System.nanoTime()));
+    return log.propose(Codec.encode(made));
+  }
+
+  /** Waits for a proposal. */
+  <T> T await(CompletableFuture<T> future) throws LeadershipLost {
+    try {
+      return future.get(COMMIT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      boolean notAppended = e.getCause() instanceof NotLeaderException;
+      throw new LeadershipLost("the command was not committed", !notAppended, e.getCause());
+    } catch (TimeoutException e) {
+      throw new LeadershipLost("no quorum within " + COMMIT_TIMEOUT, true, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new LeadershipLost("interrupted", true, e);
+    }
+  }
+
+  /** Hands the leadership over when this instance has it and there is another voter. */
+  void handOver() {
+    boolean alone = log.members().stream().filter(ReplicaMember::isVoter).count() < 2;
+    if (log.role() != ReplicatedLog.Role.LEADER || alone) {
+      return;
+    }
+    try {
+      log.transferLeadership().get(HAND_OVER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      events.record(ControlEvent.LEADERSHIP_HANDED_OVER);
+    } catch (ExecutionException | TimeoutException e) {
+      events.record(ControlEvent.HAND_OVER_FAILED, Field.of("cause", e));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized LeaderTerm termOf(LeaderLease lease, long now) {
+    if (term == null || term.term() != lease.term()) {
+      term = new LeaderTerm(lease.term(), now, state);
+      events.record(ControlEvent.LEADERSHIP_BEGAN, Field.of("term", lease.term()));
+      propose(
+          term,
+          millis ->
+              new Command.RegisterReplica(
+                  millis, self.replicaId(), self.rpcAddress(), self.httpAddress()));
+    }
+    return term;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/LedgerController.java
@@ -0,0 +1,175 @@
+package org.comfreygap.control;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.comfreygap.decisions.MembershipView;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.decisions.RequestLedger;
+import org.comfreygap.protocol.generated.BeginReply;
+import org.comfreygap.protocol.generated.BeginRequest;
+import org.comfreygap.protocol.generated.CrashReply;
+import org.comfreygap.protocol.generated.CrashReport;
+import org.comfreygap.protocol.generated.FinishRequest;
+import org.comfreygap.protocol.generated.InvalidCall;
+import org.comfreygap.protocol.generated.LedgerState;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.comfreygap.protocol.generated.StoredAnswer;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * The request ledger and the crash reports at the leader.
+ *
+ * <p>Invariant: an entry is committed before its request is answered STARTED. Thread safety: any
+ * thread may call.
+ */
+@Singleton
+final class LedgerController {
+
+  private static final long IN_PROGRESS_RETRY_MILLIS = 500;
+  private static final long FULL_RETRY_MILLIS = 5_000;
+  private static final int MAX_FINGERPRINTS = 1_000;
+
+  private final Leadership leadership;
+  private final ControlState state;
+  private final EventLog events;
+
+  @Inject
+  LedgerController(Leadership leadership, ControlState state, EventLog events) {
+    this.leadership = leadership;
+    this.state = state;
+    this.events = events;
+  }
+
+  BeginReply begin(BeginRequest request) throws NotLeader, InvalidCall {
+    Limits.name("customer", request.getCustomer());
+    Limits.name("idempotencyKey", request.getIdempotencyKey());
+    Limits.name("fingerprint", request.getFingerprint());
+    Limits.name("requestId", request.getRequestId());
+    LeaderTerm term = leadership.require();
+    RequestLedger.Owner owner =
+        new RequestLedger.Owner(request.getGatewayId(), request.getStartId());
+    term.ownersHeard().put(owner, System.nanoTime());
+    ControlState.LedgerAnswer answer =
+        commit(
+            term,
+            millis ->
+                new Command.BeginEntry(
+                    millis,
+                    request.getCustomer(),
+                    request.getIdempotencyKey(),
+                    request.getFingerprint(),
+                    owner,
+                    request.getRequestId()),
+            ControlState.LedgerAnswer.class);
+    BeginReply reply = new BeginReply(LedgerState.valueOf(answer.state().name()));
+    if (answer.answer() != null) {
+      reply.setAnswer(
+          new StoredAnswer(
+              answer.answer().status(),
+              answer.answer().headers(),
+              java.nio.ByteBuffer.wrap(answer.answer().body())));
+    }
+    switch (answer.state()) {
+      case IN_PROGRESS -> reply.setRetryAfterMillis(IN_PROGRESS_RETRY_MILLIS);
+      case FULL -> reply.setRetryAfterMillis(FULL_RETRY_MILLIS);
+      default -> {
+        // The other states are final.
+      }
+    }
+    return reply;
+  }
+
+  void finish(FinishRequest request) throws NotLeader, InvalidCall {
+    Limits.name("customer", request.getCustomer());
+    Limits.name("idempotencyKey", request.getIdempotencyKey());
+    commit(
+        leadership.require(),
+        millis ->
+            new Command.FinishEntry(
+                millis,
+                request.getCustomer(),
+                request.getIdempotencyKey(),
+                request.getRequestId(),
+                Outcome.valueOf(request.getOutcome().name()),
+                storable(request)),
+        ControlState.Applied.class);
+  }
+
+  CrashReply crash(CrashReport report) throws NotLeader, InvalidCall {
+    Limits.name("endpoint", report.getEndpoint());
+    Limits.name("endedBootId", report.getEndedBootId());
+    if (report.getFingerprintsSize() > MAX_FINGERPRINTS) {
+      throw new InvalidCall(
+          "given " + report.getFingerprintsSize() + " fingerprints, expected at most "
+              + MAX_FINGERPRINTS);
+    }
+    for (String fingerprint : report.getFingerprints()) {
+      Limits.name("fingerprint", fingerprint);
+    }
+    String crashId = report.getEndpoint() + "/" + report.getEndedBootId();
+    ControlState.CrashAnswer answer =
+        commit(
+            leadership.require(),
+            millis -> new Command.RecordCrash(millis, crashId, report.getFingerprints()),
+            ControlState.CrashAnswer.class);
+    events.record(
+        ControlEvent.CRASH_REPORTED,
+        Field.of("crash", crashId),
+        Field.of("suspects", report.getFingerprintsSize()));
+    answer
+        .quarantined()
+        .forEach(
+            fingerprint ->
+                events.record(
+                    ControlEvent.REQUEST_QUARANTINED, Field.of("fingerprint", fingerprint)));
+    return new CrashReply(answer.quarantined());
+  }
+
+  /** Closes the entries of gateways that are gone; called about once a second. */
+  void maintain(LeaderTerm term) throws LeadershipLost {
+    long now = System.nanoTime();
+    long goneAfter = MembershipView.GONE_AFTER.toNanos();
+    List<RequestLedger.Owner> gone = new ArrayList<>();
+    synchronized (term.members()) {
+      for (RequestLedger.Owner owner : state.ledgerOwners()) {
+        Long heard = term.ownersHeard().get(owner);
+        boolean heardLately = heard != null && now - heard < goneAfter;
+        if (!heardLately && term.members().ended(owner.gatewayId(), owner.startId(), now)) {
+          gone.add(owner);
+        }
+      }
+    }
+    term.ownersHeard().values().removeIf(heard -> now - heard >= goneAfter);
+    for (RequestLedger.Owner owner : gone) {
+      leadership.commit(
+          term, millis -> new Command.OwnerGone(millis, owner), ControlState.Applied.class);
+      events.record(ControlEvent.LEDGER_OWNER_GONE, Field.of("gateway", owner.gatewayId()));
+    }
+  }
+
+  private <T> T commit(
+      LeaderTerm term, java.util.function.LongFunction<Command> command, Class<T> answer)
+      throws NotLeader {
+    try {
+      return leadership.commit(term, command, answer);
+    } catch (LeadershipLost e) {
+      throw leadership.notLeader();
+    }
+  }
+
+  private static RequestLedger.Answer storable(FinishRequest request) {
+    if (!request.isSetAnswer()) {
+      return null;
+    }
+    StoredAnswer answer = request.getAnswer();
+    byte[] body = answer.getBody();
+    // A larger body would only pass through the log to be dropped by the ledger.
+    return body.length > RequestLedger.Bounds.DEFAULT.oneAnswerBytes()
+        ? null
+        : new RequestLedger.Answer(answer.getStatus(), Map.copyOf(answer.getHeaders()), body);
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/SettingsAnswer.java
@@ -0,0 +1,73 @@
+package org.comfreygap.control;
+
+import java.util.List;
+import org.comfreygap.settings.Fault;
+
+/**
+ * Answer to a change of the settings tree, as it is kept for resends.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param revision revision of the tree after the change; of no meaning after a failure
+ * @param currentRevision on a lost race: present revision of the path
+ * @param changedBy on a lost race: who made that revision
+ */
+record SettingsAnswer(
+    Code code,
+    long revision,
+    String message,
+    List<Fault> faults,
+    long currentRevision,
+    String changedBy) {
+
+  /** Outcome with its HTTP status. */
+  enum Code {
+    OK(200),
+    CONFLICT(409),
+    INVALID(422),
+    NOT_FOUND(404),
+    OPERATION_REUSED(409),
+    HISTORY_GONE(410),
+    FULL(507);
+
+    private final int status;
+
+    Code(int status) {
+      this.status = status;
+    }
+
+    int status() {
+      return status;
+    }
+  }
+
+  static SettingsAnswer ok(long revision) {
+    return new SettingsAnswer(Code.OK, revision, null, null, 0, null);
+  }
+
+  static SettingsAnswer failed(Code code, String message) {
+    return new SettingsAnswer(code, 0, message, null, 0, null);
+  }
+
+  static SettingsAnswer invalid(List<Fault> faults) {
+    String message = faults.size() + (faults.size() == 1 ? " fault" : " faults");
+    return new SettingsAnswer(Code.INVALID, 0, message, List.copyOf(faults), 0, null);
+  }
+
+  static SettingsAnswer conflict(String path, long expected, long current, String changedBy) {
+    String message =
+        "given revision " + expected + " of " + path + ", expected the present one, " + current;
+    return new SettingsAnswer(Code.CONFLICT, 0, message, null, current, changedBy);
+  }
+
+  /** Returns the approximate memory in bytes beyond that of a success. */
+  int extraBytes() {
+    int bytes = message == null ? 0 : message.length();
+    if (faults != null) {
+      for (Fault fault : faults) {
+        bytes += 100 + fault.path().length() + fault.given().length() + fault.expected().length();
+      }
+    }
+    return bytes;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/SettingsFollower.java
@@ -0,0 +1,93 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.comfreygap.decisions.LoadPermits;
+import org.comfreygap.settings.DocumentKind;
+import org.comfreygap.settings.SettingsPath;
+
+/**
+ * Carries customers' limits and the store's limits from the settings tree into a leader's policies.
+ *
+ * <p>Invariant: once {@link #follow} returns, the policies have the limits of the revision that was
+ * current at the call. Thread safety: guarded by the monitor of the term's budget.
+ */
+final class SettingsFollower {
+
+  private final ControlState state;
+  private LeaderTerm followed;
+  private long revision;
+
+  SettingsFollower(ControlState state) {
+    this.state = state;
+  }
+
+  /** Applies the changes since the last call; the caller holds the monitor of the budget. */
+  void follow(LeaderTerm term, long now) {
+    if (followed == term && state.revision() == revision) {
+      return;
+    }
+    state.readSettings(
+        store -> {
+          Optional<List<ChangeHistory.Change>> changes =
+              followed == term ? store.history().after(revision) : Optional.empty();
+          if (changes.isPresent()) {
+            changes.get().forEach(c -> apply(term, c.path(), c.document(), now));
+          } else {
+            for (Map.Entry<String, SettingsTree.Entry> entry :
+                store.tree().subtree("/").entrySet()) {
+              apply(term, entry.getKey(), entry.getValue().document(), now);
+            }
+          }
+          followed = term;
+          revision = store.revision();
+          return null;
+        });
+  }
+
+  private void apply(LeaderTerm term, String path, String document, long now) {
+    if (!path.endsWith("/limits") && !path.equals("/platform/store")) {
+      return;
+    }
+    SettingsPath parsed = SettingsPath.parse(path).orElseThrow();
+    Optional<DocumentKind> kind = DocumentKind.of(parsed);
+    if (kind.filter(DocumentKind.LIMITS::equals).isPresent()) {
+      String customer = parsed.segment(1) + "/" + parsed.segment(3);
+      if (document == null) {
+        term.budget().close(customer);
+      } else {
+        JsonNode limits = parse(document);
+        term.budget()
+            .limits(
+                customer,
+                limits.path("tokensPerSecond").asLong(),
+                limits.path("burstTokens").asLong(),
+                now);
+      }
+    } else if (kind.filter(DocumentKind.STORE::equals).isPresent()) {
+      LoadPermits.Limits limits = document == null ? LoadPermits.Limits.DEFAULT : store(document);
+      synchronized (term.permits()) {
+        term.permits().limits(limits);
+      }
+    }
+  }
+
+  private static LoadPermits.Limits store(String document) {
+    JsonNode node = parse(document);
+    return new LoadPermits.Limits(
+        node.path("loadsPerSecond").asDouble(),
+        node.path("fullSpeedLoads").asInt(),
+        node.path("maxInFlight").asInt());
+  }
+
+  private static JsonNode parse(String document) {
+    try {
+      return Codec.MAPPER.readTree(document);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("the tree holds a malformed document", e);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/SettingsStore.java
@@ -0,0 +1,204 @@
+package org.comfreygap.control;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.comfreygap.control.Command.Author;
+import org.comfreygap.control.Command.ChangeSettings;
+import org.comfreygap.control.Command.DeletePrefix;
+import org.comfreygap.control.Command.DocumentChange;
+import org.comfreygap.control.Command.Expectation;
+import org.comfreygap.control.Command.Rollback;
+import org.comfreygap.control.Command.SettingsCommand;
+import org.comfreygap.control.SettingsAnswer.Code;
+import org.comfreygap.settings.DocumentKind;
+import org.comfreygap.settings.Fault;
+import org.comfreygap.settings.SettingsPath;
+import org.comfreygap.settings.TreeRules;
+
+/**
+ * The settings tree with its revision, history and answered operations.
+ *
+ * <p>Invariants: the revision rises by one with each change, and all documents of a change get the
+ * same revision; a change is applied whole or not at all; a repeated operation id receives its
+ * first answer. Not thread-safe.
+ */
+final class SettingsStore {
+
+  private final SettingsTree tree = new SettingsTree();
+  private final ChangeHistory history = new ChangeHistory();
+  private final OperationAnswers operations = new OperationAnswers();
+  // Operators are few; one string for each keeps the entries small.
+  private final Map<String, String> operatorNames = new HashMap<>();
+  private long revision;
+
+  SettingsTree tree() {
+    return tree;
+  }
+
+  ChangeHistory history() {
+    return history;
+  }
+
+  OperationAnswers operations() {
+    return operations;
+  }
+
+  long revision() {
+    return revision;
+  }
+
+  void revision(long restored) {
+    revision = restored;
+  }
+
+  /** Applies a command, or returns the first answer when it is a resend. */
+  SettingsAnswer apply(SettingsCommand command) {
+    Author author = command.author();
+    String id = author.operator() + ":" + author.operationId();
+    long digest = digest(command);
+    Optional<OperationAnswers.Operation> first = operations.find(id);
+    if (first.isPresent()) {
+      return first.get().digest() == digest
+          ? first.get().answer()
+          : SettingsAnswer.failed(
+              Code.OPERATION_REUSED,
+              "given operation id "
+                  + author.operationId()
+                  + " with another change, expected an"
+                  + " unused id");
+    }
+    SettingsAnswer answer = decide(command);
+    operations.add(new OperationAnswers.Operation(id, digest, command.logMillis(), answer));
+    return answer;
+  }
+
+  private SettingsAnswer decide(SettingsCommand command) {
+    if (command instanceof ChangeSettings change) {
+      Map<String, Optional<String>> documents = new LinkedHashMap<>();
+      for (DocumentChange one : change.changes()) {
+        documents.put(one.path(), Optional.ofNullable(one.document()));
+      }
+      return change(change.author(), change.expect(), documents);
+    }
+    if (command instanceof DeletePrefix delete) {
+      Map<String, Optional<String>> documents = new LinkedHashMap<>();
+      tree.subtree(delete.prefix()).keySet().forEach(p -> documents.put(p, Optional.empty()));
+      return documents.isEmpty()
+          ? notFound(delete.prefix())
+          : change(delete.author(), delete.expect(), documents);
+    }
+    return rollback((Rollback) command);
+  }
+
+  private SettingsAnswer rollback(Rollback command) {
+    Optional<Map<String, String>> earlier =
+        history.documentsAt(command.toRevision(), command.prefix());
+    if (earlier.isEmpty() || command.toRevision() > revision) {
+      return SettingsAnswer.failed(
+          Code.HISTORY_GONE,
+          "given revision "
+              + command.toRevision()
+              + ", expected one from "
+              + history.floor()
+              + " to "
+              + revision);
+    }
+    Map<String, Optional<String>> documents = new LinkedHashMap<>();
+    earlier
+        .get()
+        .forEach(
+            (path, document) -> {
+              Optional<String> wanted = Optional.ofNullable(document);
+              if (!wanted.equals(tree.document(path)) && !revivesKey(path, wanted)) {
+                documents.put(path, wanted);
+              }
+            });
+    return documents.isEmpty()
+        ? SettingsAnswer.ok(revision)
+        : change(command.author(), List.of(), documents);
+  }
+
+  /** A rollback never makes a withdrawn or deleted key valid again. */
+  private static boolean revivesKey(String path, Optional<String> wanted) {
+    return SettingsPath.parse(path)
+            .flatMap(DocumentKind::of)
+            .filter(DocumentKind.KEY::equals)
+            .isPresent()
+        && wanted.filter(SettingsTree::activeKeyDocument).isPresent();
+  }
+
+  private SettingsAnswer change(
+      Author author, List<Expectation> expect, Map<String, Optional<String>> documents) {
+    for (Expectation expectation : expect) {
+      long current = tree.find(expectation.path()).map(SettingsTree.Entry::revision).orElse(0L);
+      if (current != expectation.revision()) {
+        return SettingsAnswer.conflict(
+            expectation.path(), expectation.revision(), current, lastAuthor(expectation.path()));
+      }
+    }
+    for (Map.Entry<String, Optional<String>> document : documents.entrySet()) {
+      if (document.getValue().isEmpty() && tree.find(document.getKey()).isEmpty()) {
+        return notFound(document.getKey());
+      }
+    }
+    List<Fault> faults = TreeRules.check(tree, documents);
+    if (!faults.isEmpty()) {
+      return SettingsAnswer.invalid(faults);
+    }
+    long added = documents.values().stream().filter(Optional::isPresent).count();
+    if (added > 0 && tree.size() + added > SettingsTree.MAX_DOCUMENTS) {
+      return SettingsAnswer.failed(
+          Code.FULL, "given more documents, expected at most " + SettingsTree.MAX_DOCUMENTS);
+    }
+    revision++;
+    documents.forEach((path, document) -> write(author, path, document));
+    return SettingsAnswer.ok(revision);
+  }
+
+  private void write(Author author, String path, Optional<String> document) {
+    String operator = operatorNames.computeIfAbsent(author.operator(), name -> name);
+    Optional<String> previous = tree.document(path);
+    if (document.isPresent()) {
+      tree.put(
+          path, new SettingsTree.Entry(document.get(), revision, operator, author.wallMillis()));
+    } else {
+      tree.delete(path);
+    }
+    history.add(
+        new ChangeHistory.Change(
+            revision,
+            path,
+            document.orElse(null),
+            previous.orElse(null),
+            operator,
+            author.wallMillis()));
+  }
+
+  private String lastAuthor(String path) {
+    return tree.find(path)
+        .map(SettingsTree.Entry::changedBy)
+        .or(() -> history.newest(path, 1).stream().findFirst().map(c -> c.changedBy()))
+        .orElse(null);
+  }
+
+  private static SettingsAnswer notFound(String path) {
+    return SettingsAnswer.failed(
+        Code.NOT_FOUND, "given " + path + ", expected the path of an existing document");
+  }
+
+  private static long digest(SettingsCommand command) {
+    try {
+      byte[] content = command.content().toString().getBytes(StandardCharsets.UTF_8);
+      return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(content)).getLong();
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("this Java runtime lacks SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/SettingsTree.java
@@ -0,0 +1,174 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.comfreygap.settings.DocumentKind;
+import org.comfreygap.settings.SettingsPath;
+import org.comfreygap.settings.TreeRules;
+
+/**
+ * The documents of the settings tree by path.
+ *
+ * <p>Invariant: the indexes of open services and active keys match the documents. Documents are
+ * kept as JSON text only, since typed ones would double the memory. Not thread-safe.
+ */
+final class SettingsTree implements TreeRules.Tree {
+
+  /** Far above 12,000 adapters with a few versions each; keeps the heap bounded. */
+  static final int MAX_DOCUMENTS = 100_000;
+
+  /** Names of deleted versions that may not be used for other weights. */
+  private static final int MAX_DELETED_VERSIONS = 20_000;
+
+  private final TreeMap<String, Entry> entries = new TreeMap<>();
+  private final Map<String, String> openServices = new HashMap<>();
+  private final Map<String, String> activeKeys = new HashMap<>();
+  private final Map<String, String> deletedVersions = new LinkedHashMap<>();
+
+  /** A document with its last change. */
+  record Entry(String document, long revision, String changedBy, long changedAtMillis) {}
+
+  /** Returns true when {@code path} is {@code prefix} or lies below it. */
+  static boolean within(String path, String prefix) {
+    return prefix.equals("/")
+        || path.equals(prefix)
+        || (path.startsWith(prefix) && path.charAt(prefix.length()) == '/');
+  }
+
+  /** Returns true when {@code document} is that of a key in state active. */
+  static boolean activeKeyDocument(String document) {
+    return parse(document).path("state").asText().equals("active");
+  }
+
+  Optional<Entry> find(String path) {
+    return Optional.ofNullable(entries.get(path));
+  }
+
+  int size() {
+    return entries.size();
+  }
+
+  /** Returns the documents at and below {@code prefix}. */
+  Map<String, Entry> subtree(String prefix) {
+    if (prefix.equals("/")) {
+      return entries;
+    }
+    Map<String, Entry> found = new LinkedHashMap<>();
+    find(prefix).ifPresent(entry -> found.put(prefix, entry));
+    found.putAll(below(prefix));
+    return found;
+  }
+
+  void put(String path, Entry entry) {
+    unindex(path);
+    entries.put(path, entry);
+    index(path, entry.document);
+  }
+
+  void delete(String path) {
+    unindex(path);
+    Entry removed = entries.remove(path);
+    if (removed != null && kind(path).filter(DocumentKind.ADAPTER_VERSION::equals).isPresent()) {
+      restoreDeletedVersion(path, removed.document);
+    }
+  }
+
+  Map<String, String> deletedVersions() {
+    return deletedVersions;
+  }
+
+  void restoreDeletedVersion(String path, String document) {
+    deletedVersions.put(path, document);
+    if (deletedVersions.size() > MAX_DELETED_VERSIONS) {
+      Iterator<String> oldest = deletedVersions.keySet().iterator();
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
+  Collection<Entry> all() {
+    return entries.values();
+  }
+
+  @Override
+  public Optional<String> document(String path) {
+    return find(path).map(Entry::document);
+  }
+
+  @Override
+  public List<String> pathsBelow(String prefix) {
+    return new ArrayList<>(below(prefix).keySet());
+  }
+
+  @Override
+  public Optional<String> openService(String name) {
+    return Optional.ofNullable(openServices.get(name));
+  }
+
+  @Override
+  public Optional<String> activeKey(String sha256) {
+    return Optional.ofNullable(activeKeys.get(sha256));
+  }
+
+  @Override
+  public Optional<String> deletedVersion(String path) {
+    return Optional.ofNullable(deletedVersions.get(path));
+  }
+
+  private Map<String, Entry> below(String prefix) {
+    // '0' follows '/', so the range holds exactly the paths that start with the prefix and a slash.
+    return entries.subMap(prefix + "/", prefix + "0");
+  }
+
+  private void index(String path, String document) {
+    indexKey(path, document).ifPresent(key -> key.map.put(key.name, path));
+  }
+
+  private void unindex(String path) {
+    Entry entry = entries.get(path);
+    if (entry != null) {
+      indexKey(path, entry.document).ifPresent(key -> key.map.remove(key.name, path));
+    }
+  }
+
+  private Optional<IndexKey> indexKey(String path, String document) {
+    Optional<DocumentKind> kind = kind(path);
+    if (kind.isEmpty()) {
+      return Optional.empty();
+    }
+    return switch (kind.get()) {
+      case SERVICE ->
+          parse(document).path("open").asBoolean(false)
+              ? Optional.of(new IndexKey(openServices, path.substring(path.lastIndexOf('/') + 1)))
+              : Optional.empty();
+      case KEY ->
+          activeKeyDocument(document)
+              ? Optional.of(new IndexKey(activeKeys, parse(document).path("sha256").asText()))
+              : Optional.empty();
+      default -> Optional.empty();
+    };
+  }
+
+  private static Optional<DocumentKind> kind(String path) {
+    return SettingsPath.parse(path).flatMap(DocumentKind::of);
+  }
+
+  private static JsonNode parse(String document) {
+    try {
+      return Codec.MAPPER.readTree(document);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("the tree holds a malformed document", e);
+    }
+  }
+
+  private record IndexKey(Map<String, String> map, String name) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/WatchController.java
@@ -0,0 +1,131 @@
+package org.comfreygap.control;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.protocol.generated.Change;
+import org.comfreygap.protocol.generated.ChangeKind;
+import org.comfreygap.protocol.generated.InvalidCall;
+import org.comfreygap.protocol.generated.WatchReply;
+import org.comfreygap.protocol.generated.WatchRequest;
+
+/**
+ * Serves the settings and the quarantine list to watching processes, at any replica.
+ *
+ * <p>Invariant: no answer has a lower revision than the reader holds. A replica without contact to
+ * a leader sends its readers away, since it may be cut off from changes for long. Thread safety:
+ * any thread may call.
+ */
+@Singleton
+final class WatchController {
+
+  private static final int MAX_WAIT_MILLIS = 30_000;
+  private static final int MAX_READERS = 4_096;
+
+  private final ControlState state;
+  private final ReplicatedLog log;
+  private final MembershipController membership;
+  // Quarantine version last sent to each reader; a new one is sent at once.
+  private final Map<String, Long> sentQuarantine =
+      Collections.synchronizedMap(
+          new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+              return size() > MAX_READERS;
+            }
+          });
+
+  @Inject
+  WatchController(ControlState state, ReplicatedLog log, MembershipController membership) {
+    this.state = state;
+    this.log = log;
+    this.membership = membership;
+  }
+
+  /** The settings after a revision, and whether they are the whole tree. */
+  record Update(long revision, boolean snapshot, List<Change> changes) {}
+
+  WatchReply watch(WatchRequest request) throws InvalidCall {
+    Limits.name("processId", request.getProcessId());
+    membership.revisionInForce(request.getProcessId(), request.getAfterRevision());
+    long sent = sentQuarantine.getOrDefault(request.getProcessId(), 0L);
+    await(request.getAfterRevision(), sent, request.getWaitMillis());
+    if (log.leader().isEmpty()) {
+      throw new InvalidCall("this instance has no contact with a leader; watch another one");
+    }
+    long quarantineVersion = state.quarantineVersion();
+    Map<String, Long> quarantined = state.quarantined();
+    Update update = update(request.getAfterRevision());
+    if (update.revision() < request.getAfterRevision()) {
+      throw new InvalidCall(
+          "given revision " + request.getAfterRevision() + ", this instance is at "
+              + update.revision() + "; watch another one");
+    }
+    WatchReply reply =
+        new WatchReply(update.revision(), update.snapshot(), update.changes());
+    // Sent each time, since an answer can be lost; the list is short.
+    reply.setQuarantined(quarantined);
+    sentQuarantine.put(request.getProcessId(), quarantineVersion);
+    return reply;
+  }
+
+  /** Returns what changed after {@code revision}, or the whole tree when that is not known. */
+  Update update(long revision) {
+    return state.readSettings(
+        store -> {
+          long current = store.revision();
+          Optional<List<ChangeHistory.Change>> changes =
+              revision <= 0 ? Optional.empty() : store.history().after(revision);
+          if (current <= revision) {
+            return new Update(current, false, List.of());
+          }
+          return changes
+              .map(found -> new Update(current, false, wire(found)))
+              .orElseGet(() -> new Update(current, true, snapshot(store)));
+        });
+  }
+
+  /** Waits for a change of the settings or the quarantine list, at most {@code waitMillis}. */
+  void await(long afterRevision, long knownQuarantine, int waitMillis) {
+    int bounded = Math.max(0, Math.min(MAX_WAIT_MILLIS, waitMillis));
+    try {
+      state.awaitChange(afterRevision, knownQuarantine, TimeUnit.MILLISECONDS.toNanos(bounded));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static List<Change> wire(List<ChangeHistory.Change> changes) {
+    List<Change> wire = new ArrayList<>(changes.size());
+    for (ChangeHistory.Change change : changes) {
+      ChangeKind kind = change.document() == null ? ChangeKind.DELETE : ChangeKind.PUT;
+      Change one = new Change(change.path(), kind, change.revision());
+      one.setDocument(change.document());
+      wire.add(one);
+    }
+    return wire;
+  }
+
+  private static List<Change> snapshot(SettingsStore store) {
+    List<Change> changes = new ArrayList<>(store.tree().size());
+    store
+        .tree()
+        .subtree("/")
+        .forEach(
+            (path, entry) -> {
+              Change change = new Change(path, ChangeKind.PUT, entry.revision());
+              change.setDocument(entry.document());
+              changes.add(change);
+            });
+    return changes;
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
@@ -0,0 +1,345 @@
+package org.comfreygap.decisions;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.comfreygap.settings.Priority;
+
+/**
+ * The token bucket of one customer with the grants that are out at gateways.
+ *
+ * <p>Invariant: level + outstanding never exceeds the burst. The level is negative after a limit
+ * was lowered below what was outstanding; nothing is granted until the rate has made up for it.
+ * Levels are in millionths of a token so that refills at any rate lose nothing. Not thread-safe.
+ */
+final class CustomerBucket {
+
+  private static final long MICROS = 1_000_000L;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long WAITER_VALID_NANOS = NANOS_PER_SECOND;
+  // Below a quarter of a second's tokens a part of what is wanted rarely covers a request.
+  private static final int SMALLEST_PART_OF_RATE = 4;
+  private static final int STEP_PART_OF_BURST = 10;
+
+  private final Map<TokenBudget.Holder, Holding> holdings = new HashMap<>();
+  // All grants in order of expiry, since all have the same lifetime.
+  private final Deque<Grant> grants = new ArrayDeque<>();
+  private long rate;
+  private long burst;
+  private long levelMicros;
+  private long refilledNanos;
+  private long outstanding;
+  private long granted;
+  private long ceiling;
+  private long pendingCeiling;
+  private TokenBudget.Ceiling committed;
+  private boolean limitsChanged;
+
+  /** Starts with a full bucket: no token was ever granted to the customer. */
+  CustomerBucket(long rate, long burst, long now) {
+    this.rate = rate;
+    this.burst = burst;
+    this.levelMicros = burst * MICROS;
+    this.refilledNanos = now;
+  }
+
+  /** Starts from what the previous leader committed, assuming that it granted all of it. */
+  static CustomerBucket restored(TokenBudget.Ceiling committed, long rate, long burst, long now) {
+    CustomerBucket bucket = new CustomerBucket(rate, burst, now);
+    long ahead = committed.ceiling() - committed.granted();
+    bucket.granted = committed.ceiling();
+    bucket.ceiling = committed.ceiling();
+    bucket.pendingCeiling = committed.ceiling();
+    bucket.committed = committed;
+    bucket.outstanding = committed.outstanding() + ahead;
+    Grant unknown = new Grant(null, bucket.outstanding, now);
+    bucket.grants.add(unknown);
+    bucket.levelMicros = (committed.level() - ahead) * MICROS;
+    bucket.capLevel();
+    return bucket;
+  }
+
+  long rate() {
+    return rate;
+  }
+
+  long burst() {
+    return burst;
+  }
+
+  long level() {
+    return Math.floorDiv(levelMicros, MICROS);
+  }
+
+  long outstanding() {
+    return outstanding;
+  }
+
+  void limits(long newRate, long newBurst, long now) {
+    if (newRate == rate && newBurst == burst) {
+      return;
+    }
+    advance(now);
+    rate = newRate;
+    burst = newBurst;
+    limitsChanged = true;
+    capLevel();
+  }
+
+  /** Refills up to {@code now} and counts expired grants as spent. */
+  void advance(long now) {
+    while (!grants.isEmpty()) {
+      Grant oldest = grants.peekFirst();
+      long end = oldest.grantedNanos + TokenBudget.CONTROL_LIFETIME.toNanos();
+      if (oldest.left > 0 && end - now > 0) {
+        break;
+      }
+      grants.removeFirst();
+      if (oldest.left > 0) {
+        refill(end);
+        spend(oldest, oldest.left);
+      }
+    }
+    refill(now);
+  }
+
+  /** Applies what a gateway reports; what exceeds its valid grants is already spent. */
+  void report(TokenBudget.Holder holder, long used, long returned, long refunded, long now) {
+    advance(now);
+    Holding holding = holdings.computeIfAbsent(holder, h -> new Holding());
+    holding.seenNanos = now;
+    holding.take(used).forEach(part -> spend(part.grant, part.amount));
+    for (Part part : holding.take(returned)) {
+      part.grant.left -= part.amount;
+      outstanding -= part.amount;
+      levelMicros += part.amount * MICROS;
+    }
+    long refund = Math.min(refunded, holding.spent);
+    holding.spent -= refund;
+    levelMicros += refund * MICROS;
+    capLevel();
+  }
+
+  /** Grants up to {@code wanted} tokens. */
+  long grant(TokenBudget.Holder holder, long wanted, Priority priority, long now) {
+    Holding holding = holdings.computeIfAbsent(holder, h -> new Holding());
+    holding.seenNanos = now;
+    if (wanted <= 0) {
+      holding.stopWaiting();
+      return 0;
+    }
+    holding.startWaiting(priority, now);
+    Contention contention = contention(holder, holding, now);
+    long free = Math.min(Math.max(0, level()), ceiling - granted) - contention.reservedBefore;
+    long amount = Math.min(wanted, free);
+    long smallest = Math.min(wanted, Math.max(1, rate / SMALLEST_PART_OF_RATE));
+    if (amount < Math.min(smallest, Math.max(1, contention.share))) {
+      holding.wanted = wanted;
+      return 0;
+    }
+    levelMicros -= amount * MICROS;
+    outstanding += amount;
+    granted += amount;
+    Grant grant = new Grant(holding, amount, now);
+    grants.addLast(grant);
+    holding.add(grant);
+    holding.granted(amount, wanted - amount, contention.share, now);
+    return amount;
+  }
+
+  /** Returns the nanoseconds after which asking again for {@code unmet} tokens is useful. */
+  long retryAfterNanos(long unmet, long now) {
+    long reserved = 0;
+    for (Holding other : holdings.values()) {
+      reserved += other.waiting(now) ? Math.min(other.wanted, burst) : 0;
+    }
+    long missing = Math.min(burst, Math.max(unmet, reserved)) - level();
+    long millis = missing <= 0 ? 0 : Math.min(60_000, missing * 1_000 / Math.max(1, rate));
+    return Math.max(TokenBudget.SHORTEST_RETRY.toNanos(), millis * 1_000_000);
+  }
+
+  /** Returns the ceiling to commit before {@code wanted} can be granted, or null if none is due. */
+  TokenBudget.Ceiling due(String customer, long wanted, boolean background, long now) {
+    advance(now);
+    long step = step();
+    long headroom = pendingCeiling - granted;
+    long needed = Math.min(wanted, Math.max(0, level()));
+    boolean raise = headroom < needed || (background && headroom < step / 2);
+    boolean stale = background && committed != null && pessimism() > 2 * step;
+    if (!raise && !stale && !(limitsChanged && committed != null)) {
+      return null;
+    }
+    limitsChanged = false;
+    pendingCeiling = Math.max(pendingCeiling, granted + Math.max(needed, step));
+    return new TokenBudget.Ceiling(customer, granted, pendingCeiling, level(), outstanding);
+  }
+
+  /** Takes note that {@code record} is committed. */
+  void committed(TokenBudget.Ceiling record) {
+    committed = record;
+    ceiling = Math.max(ceiling, record.ceiling());
+  }
+
+  boolean ceilingBlocks(long wanted) {
+    return ceiling - granted < Math.min(wanted, Math.max(0, level()));
+  }
+
+  /** Returns true when the customer has been active, so that its ceiling must be kept up. */
+  boolean active() {
+    return committed != null || pendingCeiling > 0;
+  }
+
+  void forgetIdleHolders(long now) {
+    Iterator<Holding> all = holdings.values().iterator();
+    while (all.hasNext()) {
+      Holding holding = all.next();
+      holding.grants.removeIf(grant -> grant.left == 0);
+      if (holding.grants.isEmpty() && now - holding.seenNanos > TokenBudget.HOLDER_IDLE.toNanos()) {
+        all.remove();
+      }
+    }
+  }
+
+  private long step() {
+    return Math.max(1, Math.min(burst / STEP_PART_OF_BURST, Math.max(1, rate / 2)));
+  }
+
+  private long pessimism() {
+    return level() - (committed.level() - (committed.ceiling() - committed.granted()));
+  }
+
+  private Contention contention(TokenBudget.Holder holder, Holding own, long now) {
+    int waiters = 1;
+    for (Map.Entry<TokenBudget.Holder, Holding> other : holdings.entrySet()) {
+      waiters += other.getValue() != own && other.getValue().waiting(now) ? 1 : 0;
+    }
+    long share = Math.max(1, burst / waiters);
+    long reserved = 0;
+    for (Map.Entry<TokenBudget.Holder, Holding> entry : holdings.entrySet()) {
+      Holding other = entry.getValue();
+      if (other != own
+          && other.waiting(now)
+          && other.before(own, entry.getKey().compareTo(holder))) {
+        reserved += Math.min(other.wanted, share);
+      }
+    }
+    return new Contention(share, reserved);
+  }
+
+  private void refill(long now) {
+    long elapsed = now - refilledNanos;
+    if (elapsed <= 0) {
+      return;
+    }
+    refilledNanos = now;
+    long room = (burst - outstanding) * MICROS - levelMicros;
+    if (room <= 0) {
+      return;
+    }
+    // A bucket fills within burst / rate seconds; the bound keeps the product below 2^63.
+    long seconds = Math.min(elapsed / NANOS_PER_SECOND, room / MICROS / rate + 1);
+    long rest = elapsed % NANOS_PER_SECOND;
+    long added = seconds * rate * MICROS + rest * rate / 1_000;
+    levelMicros += Math.min(room, added);
+  }
+
+  private void capLevel() {
+    levelMicros = Math.min(levelMicros, (burst - outstanding) * MICROS);
+  }
+
+  private void spend(Grant grant, long amount) {
+    grant.left -= amount;
+    outstanding -= amount;
+    if (grant.holding != null) {
+      grant.holding.spent += amount;
+    }
+  }
+
+  private record Contention(long share, long reservedBefore) {}
+
+  private record Part(Grant grant, long amount) {}
+
+  private static final class Grant {
+
+    private final Holding holding;
+    private final long grantedNanos;
+    private long left;
+
+    Grant(Holding holding, long amount, long now) {
+      this.holding = holding;
+      this.left = amount;
+      this.grantedNanos = now;
+    }
+  }
+
+  private static final class Holding {
+
+    private final Deque<Grant> grants = new ArrayDeque<>();
+    private long spent;
+    private long wanted;
+    private long waitingSince;
+    private long grantedWhileWaiting;
+    private long seenNanos;
+    private Priority priority = Priority.NORMAL;
+
+    java.util.List<Part> take(long amount) {
+      java.util.List<Part> parts = new java.util.ArrayList<>();
+      long left = amount;
+      while (left > 0 && !grants.isEmpty()) {
+        Grant oldest = grants.peekFirst();
+        long part = Math.min(left, oldest.left);
+        if (part > 0) {
+          parts.add(new Part(oldest, part));
+          left -= part;
+        }
+        if (part == oldest.left) {
+          grants.removeFirst();
+        }
+      }
+      return parts;
+    }
+
+    void add(Grant grant) {
+      while (!grants.isEmpty() && grants.peekFirst().left == 0) {
+        grants.removeFirst();
+      }
+      grants.addLast(grant);
+    }
+
+    boolean waiting(long now) {
+      return wanted > 0 && now - seenNanos <= WAITER_VALID_NANOS;
+    }
+
+    void startWaiting(Priority newPriority, long now) {
+      priority = newPriority;
+      if (wanted <= 0) {
+        waitingSince = now;
+        grantedWhileWaiting = 0;
+      }
+    }
+
+    void stopWaiting() {
+      wanted = 0;
+    }
+
+    void granted(long amount, long unmet, long share, long now) {
+      wanted = unmet;
+      grantedWhileWaiting += amount;
+      if (grantedWhileWaiting >= share) {
+        // It had its turn; gateways that waited longer go first.
+        waitingSince = now;
+        grantedWhileWaiting = 0;
+      }
+    }
+
+    boolean before(Holding other, int tie) {
+      if (priority != other.priority) {
+        return priority.before(other.priority);
+      }
+      long difference = waitingSince - other.waitingSince;
+      return difference != 0 ? difference < 0 : tie < 0;
+    }
+  }
+}
