--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/ApiCalls.java
@@ -0,0 +1,140 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import jakarta.ws.rs.core.UriInfo;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.control.ControlSettings.Operator;
+
+/**
+ * What the resources of the administration API have in common: authorization, the way to the
+ * leader, and answers to changes.
+ *
+ * <p>Thread safety: any thread may call.
+ */
+@Singleton
+final class ApiCalls {
+
+  private static final long DEFAULT_WAIT_MILLIS = 7_000;
+  private static final long MAX_WAIT_MILLIS = 30_000;
+
+  private final Operators operators;
+  private final Leadership leadership;
+  private final MembershipController membership;
+  private final ReplicatedLog log;
+
+  @Inject
+  ApiCalls(
+      Operators operators,
+      Leadership leadership,
+      MembershipController membership,
+      ReplicatedLog log) {
+    this.operators = operators;
+    this.leadership = leadership;
+    this.membership = membership;
+    this.log = log;
+  }
+
+  /** Answer to a change. */
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  record Changed(
+      String path, long revision, String operationId, Boolean inForce, List<String> laggards) {}
+
+  Operators operators() {
+    return operators;
+  }
+
+  /** Returns the operator of a call that only the leader answers. */
+  Operator atLeader(String authorization, UriInfo uri) {
+    Operator operator = operators.authenticate(authorization);
+    requireLeader(uri);
+    return operator;
+  }
+
+  /** Returns the leader's state, or sends the caller to the leader. */
+  LeaderTerm requireLeader(UriInfo uri) {
+    return leadership
+        .current()
+        .orElseThrow(
+            () ->
+                leaderHttpAddress()
+                    .map(address -> ApiException.elsewhere(redirect(uri, address)))
+                    .orElseGet(ApiException::noLeader));
+  }
+
+  /** Returns the answer to a change, after waiting for it to be in force where asked to. */
+  Changed changed(UriInfo uri, SettingsAnswer answer, String path, String operationId) {
+    boolean wait = Boolean.parseBoolean(uri.getQueryParameters().getFirst("wait"));
+    if (!wait) {
+      return new Changed(path, answer.revision(), operationId, null, null);
+    }
+    try {
+      List<String> laggards =
+          membership.awaitInForce(requireLeader(uri), answer.revision(), timeout(uri));
+      return new Changed(path, answer.revision(), operationId, laggards.isEmpty(), laggards);
+    } catch (LeadershipLost e) {
+      throw ApiException.unknownOutcome(e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw ApiException.unknownOutcome("interrupted");
+    }
+  }
+
+  /** Returns the body as JSON; 400 when it is none. */
+  static JsonNode body(String text) {
+    try {
+      JsonNode node = Codec.MAPPER.readTree(text == null ? "" : text);
+      if (node != null && node.isObject()) {
+        return node;
+      }
+    } catch (JsonProcessingException e) {
+      throw ApiException.of(
+          400,
+          "badRequest",
+          "given malformed JSON at line "
+              + e.getLocation().getLineNr()
+              + ", expected a JSON object");
+    }
+    throw ApiException.of(400, "badRequest", "given no JSON object, expected one as body");
+  }
+
+  /** Returns the whole number written as {@code text}; 400 when it is none. */
+  static long number(String name, String text, long absent) {
+    if (text == null || text.isBlank()) {
+      return absent;
+    }
+    try {
+      return Long.parseLong(text.strip().replace("\"", ""));
+    } catch (NumberFormatException e) {
+      throw ApiException.of(
+          400, "badRequest", name + ": given " + text + ", expected a whole number");
+    }
+  }
+
+  private static Duration timeout(UriInfo uri) {
+    String given = uri.getQueryParameters().getFirst("timeoutMillis");
+    long millis = number("timeoutMillis", given, DEFAULT_WAIT_MILLIS);
+    return Duration.ofMillis(Math.max(0, Math.min(MAX_WAIT_MILLIS, millis)));
+  }
+
+  private Optional<String> leaderHttpAddress() {
+    return leadership
+        .leaderAddresses()
+        .map(ControlState.ReplicaAddresses::httpAddress)
+        .or(() -> log.leader().map(leader -> leader.getAdminAddress()));
+  }
+
+  private static URI redirect(UriInfo uri, String address) {
+    String path = uri.getRequestUri().getRawPath();
+    String query = uri.getRequestUri().getRawQuery();
+    String scheme = uri.getRequestUri().getScheme();
+    return URI.create(scheme + "://" + address + path + (query == null ? "" : "?" + query));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/ControlHeartbeat.java
@@ -0,0 +1,31 @@
+package org.comfreygap.control;
+
+import java.time.Duration;
+import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.runtime.ControlClient;
+import org.comfreygap.runtime.ControlUnavailable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The heartbeat by which a control instance appears in the leader's membership view.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class ControlHeartbeat {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+  private static final Logger LOG = LoggerFactory.getLogger(ControlHeartbeat.class);
+
+  private ControlHeartbeat() {}
+
+  static void send(ControlClient client, ProcessIdentity identity, long revision, boolean leaving) {
+    try {
+      client.callLeader(
+          TIMEOUT, c -> c.heartbeat(new HeartbeatRequest(identity, revision, leaving, 0)));
+    } catch (ControlUnavailable e) {
+      LOG.debug("no leader took the heartbeat", e);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/ControlMain.java
@@ -0,0 +1,79 @@
+package org.comfreygap.control;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.comfreygap.consensus.RaftLog;
+import org.comfreygap.consensus.RaftOptions;
+import org.comfreygap.runtime.Closer;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.HybridClock;
+import org.comfreygap.runtime.PeerSecurity;
+import org.comfreygap.runtime.Program;
+import org.comfreygap.runtime.Timeline;
+
+/**
+ * The program {@code comfreygap-control}: an instance of the replicated log with the settings tree
+ * and the services for gateways, sidecars and operators.
+ *
+ * <pre>{@code
+ * bin/comfreygap-control settings.yaml
+ * }</pre>
+ *
+ * <p>Thread safety: used once.
+ *
+ * @since 0.1
+ */
+public final class ControlMain {
+
+  // Entries stay in memory until the next snapshot; at about 500 bytes each this is 3 MB.
+  private static final int SNAPSHOT_ENTRIES = 5_000;
+  private static final int TRAILING_ENTRIES = 1_000;
+
+  private ControlMain() {}
+
+  /** Runs the program with the settings file as its only argument. */
+  public static void main(String[] args) {
+    Program.run("comfreygap-control", args, ControlMain::start);
+  }
+
+  /**
+   * Starts an instance from its settings file.
+   *
+   * @throws Exception when the settings are invalid, or an address or the data folder cannot be
+   *     used
+   */
+  public static AutoCloseable start(Path settingsFile) throws Exception {
+    ControlSettings settings = ControlSettings.load(settingsFile);
+    PeerSecurity security = PeerSecurity.from(settings.file());
+    Closer closer = new Closer();
+    try {
+      EventLog events =
+          closer.register(
+              new EventLog(
+                  settings.processId(),
+                  new HybridClock(System::currentTimeMillis),
+                  new Timeline(Timeline.DEFAULT_CAPACITY)));
+      ControlState state = new ControlState();
+      Files.createDirectories(settings.dataFolder());
+      RaftLog log =
+          closer.register(
+              RaftLog.open(
+                  RaftOptions.builder()
+                      .replicaId(settings.replicaId())
+                      .dataFolder(settings.dataFolder())
+                      .address(settings.replicationAddress())
+                      .initialMembers(settings.initialMembers())
+                      .security(security)
+                      .events(events)
+                      .stateMachine(state)
+                      .snapshotEntries(SNAPSHOT_ENTRIES)
+                      .trailingEntries(TRAILING_ENTRIES)
+                      .build()));
+      closer.register(ControlServer.start(settings, state, log, security, events));
+      return closer;
+    } catch (Exception e) {
+      closer.close();
+      throw e;
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/ControlModule.java
@@ -0,0 +1,55 @@
+package org.comfreygap.control;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.name.Names;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.runtime.EventLog;
+
+/**
+ * Wires a control instance.
+ *
+ * <p>Thread safety: used once.
+ */
+final class ControlModule extends AbstractModule {
+
+  private final ControlSettings settings;
+  private final ControlState state;
+  private final ReplicatedLog log;
+  private final EventLog events;
+
+  ControlModule(ControlSettings settings, ControlState state, ReplicatedLog log, EventLog events) {
+    this.settings = settings;
+    this.state = state;
+    this.log = log;
+    this.events = events;
+  }
+
+  @Override
+  protected void configure() {
+    binder().requireExplicitBindings();
+    bind(ControlSettings.class).toInstance(settings);
+    bind(ControlState.class).toInstance(state);
+    bind(ReplicatedLog.class).toInstance(log);
+    bind(EventLog.class).toInstance(events);
+    bind(ControlState.ReplicaAddresses.class)
+        .annotatedWith(Names.named("self"))
+        .toInstance(settings.self());
+    bind(Leadership.class);
+    bind(MembershipController.class);
+    bind(WatchController.class);
+    bind(CreditController.class);
+    bind(PermitController.class);
+    bind(LeaseController.class);
+    bind(LedgerController.class);
+    bind(ControlHandler.class);
+    bind(Operators.class);
+    bind(SettingsController.class);
+    bind(ApiCalls.class);
+    bind(SettingsResource.class);
+    bind(OperationsResource.class);
+    bind(KeysAndZonesResource.class);
+    bind(StatusResource.class);
+    bind(PlatformListPoller.class);
+    bind(LeaderDuties.class);
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -0,0 +1,151 @@
+package org.comfreygap.control;
+
+import com.codahale.metrics.health.HealthCheck;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.protocol.generated.ControlService;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.runtime.Addresses;
+import org.comfreygap.runtime.Closer;
+import org.comfreygap.runtime.ControlClient;
+import org.comfreygap.runtime.DutyThread;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.MembershipAgent;
+import org.comfreygap.runtime.PeerSecurity;
+import org.comfreygap.runtime.RuntimeEvent;
+import org.comfreygap.runtime.ServiceShell;
+import org.comfreygap.runtime.ThriftServer;
+
+/**
+ * A running control instance around a replicated log.
+ *
+ * <p>Invariant: a planned stop hands the leadership over before anything is closed. Thread safety:
+ * {@link #close} is called once.
+ */
+final class ControlServer implements AutoCloseable {
+
+  private static final int HTTP_THREADS = 32;
+
+  private final Closer closer = new Closer();
+  private final EventLog events;
+  private final Leadership leadership;
+  private final Injector injector;
+  private volatile boolean stopping;
+
+  private ControlServer(Injector injector, EventLog events) {
+    this.injector = injector;
+    this.events = events;
+    this.leadership = injector.getInstance(Leadership.class);
+  }
+
+  /** Starts the services over {@code log}, whose state machine is {@code state}. */
+  static ControlServer start(
+      ControlSettings settings,
+      ControlState state,
+      ReplicatedLog log,
+      PeerSecurity security,
+      EventLog events)
+      throws Exception {
+    Injector injector = Guice.createInjector(new ControlModule(settings, state, log, events));
+    ControlServer server = new ControlServer(injector, events);
+    try {
+      server.open(settings, state, log, security);
+    } catch (Exception e) {
+      server.closer.close();
+      throw e;
+    }
+    events.record(RuntimeEvent.PROCESS_STARTED);
+    return server;
+  }
+
+  Injector injector() {
+    return injector;
+  }
+
+  @Override
+  public void close() {
+    stopping = true;
+    events.record(RuntimeEvent.PROCESS_STOPPING);
+    leadership.handOver();
+    closer.close();
+    events.record(RuntimeEvent.PROCESS_STOPPED);
+  }
+
+  private void open(
+      ControlSettings settings, ControlState state, ReplicatedLog log, PeerSecurity security)
+      throws Exception {
+    closer.register(
+        ThriftServer.start(
+            "control",
+            settings.rpcAddress(),
+            security,
+            new ControlService.Processor<>(injector.getInstance(ControlHandler.class))));
+    LeaderDuties duties = closer.register(injector.getInstance(LeaderDuties.class));
+    duties.start();
+    ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
+    ControlMetrics.bind(shell.metrics(), state, log);
+    closer.register(
+        shell
+            .http(settings.httpAddress())
+            .admin(settings.adminAddress())
+            .events(events)
+            .threads(HTTP_THREADS)
+            .ready(() -> !stopping && log.leader().isPresent())
+            .resources(
+                environment -> {
+                  environment
+                      .healthChecks()
+                      .register("leader", new LeaderKnown(() -> log.leader().isPresent()));
+                  environment.jersey().register(injector.getInstance(SettingsResource.class));
+                  environment.jersey().register(injector.getInstance(OperationsResource.class));
+                  environment.jersey().register(injector.getInstance(KeysAndZonesResource.class));
+                  environment.jersey().register(injector.getInstance(StatusResource.class));
+                })
+            .start());
+    closer.register(heartbeats(settings, state, security));
+  }
+
+  private AutoCloseable heartbeats(
+      ControlSettings settings, ControlState state, PeerSecurity security) {
+    ProcessIdentity identity =
+        new ProcessIdentity(
+            settings.processId(),
+            ProcessKind.CONTROL,
+            UUID.randomUUID().toString(),
+            settings.zone(),
+            Addresses.text(settings.rpcAddress()),
+            Addresses.text(settings.adminAddress()));
+    ControlClient client =
+        new ControlClient(
+            settings.controlAddresses().stream().map(Addresses::parse).toList(), security);
+    DutyThread duty =
+        DutyThread.every(
+            "control-heartbeat",
+            MembershipAgent.HEARTBEAT_PERIOD,
+            () -> ControlHeartbeat.send(client, identity, state.revision(), stopping));
+    return () -> {
+      duty.close();
+      client.close();
+    };
+  }
+
+  private static final class LeaderKnown extends HealthCheck {
+
+    private final BooleanSupplier known;
+
+    LeaderKnown(BooleanSupplier known) {
+      this.known = known;
+    }
+
+    @Override
+    protected Result check() {
+      return known.getAsBoolean()
+          ? Result.healthy()
+          : Result.unhealthy("no leader is known to this instance");
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/ControlSettings.java
@@ -0,0 +1,168 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.runtime.ProcessSettings;
+import org.comfreygap.runtime.SettingsInvalid;
+import org.comfreygap.settings.FieldRule;
+import org.comfreygap.settings.ObjectSchema;
+
+/**
+ * The settings file of a control instance.
+ *
+ * <p>Thread safety: immutable.
+ */
+final class ControlSettings {
+
+  private static final ObjectSchema MEMBER =
+      ObjectSchema.builder()
+          .required("replicaId", FieldRule.name())
+          .required("address", FieldRule.ipPort())
+          .optional("adminAddress", FieldRule.ipPort())
+          .build();
+
+  private static final ObjectSchema OPERATOR =
+      ObjectSchema.builder()
+          .required("name", FieldRule.name())
+          .required(
+              "tokenSha256",
+              FieldRule.text(
+                  "64 lower-case hexadecimal digits", value -> value.matches("[0-9a-f]{64}")))
+          .required(
+              "subtree", FieldRule.text("a path such as /teams/blue", ControlSettings::isTree))
+          .build();
+
+  private static final ObjectSchema PLATFORM_LIST =
+      ObjectSchema.builder()
+          .required("url", FieldRule.text("an http or https URL", v -> v.matches("https?://.+")))
+          .optional("pollMillis", FieldRule.integer(100, 3_600_000))
+          .build();
+
+  private static final ObjectSchema SCHEMA =
+      ProcessSettings.commonSchema()
+          .required("replicaId", FieldRule.name())
+          .required("rpcAddress", FieldRule.ipPort())
+          .required("replicationAddress", FieldRule.ipPort())
+          .required("httpAddress", FieldRule.ipPort())
+          .required("dataFolder", FieldRule.text(1_000))
+          .optional("initialMembers", FieldRule.listOf(FieldRule.object(MEMBER), 7))
+          .required("operators", FieldRule.listOf(FieldRule.object(OPERATOR), 1_000))
+          .optional("platformList", FieldRule.object(PLATFORM_LIST))
+          .build();
+
+  private static final Duration DEFAULT_POLL = Duration.ofSeconds(2);
+
+  private final ProcessSettings file;
+  private final List<Operator> operators;
+  private final List<ReplicaMember> initialMembers;
+
+  private ControlSettings(ProcessSettings file) {
+    this.file = file;
+    this.operators = new ArrayList<>();
+    this.initialMembers = new ArrayList<>();
+    file.present("operators").ifPresent(list -> list.forEach(o -> operators.add(operator(o))));
+    file.present("initialMembers")
+        .ifPresent(list -> list.forEach(m -> initialMembers.add(member(m))));
+  }
+
+  /** An operator; the token is known only by its hash. */
+  record Operator(String name, String tokenSha256, String subtree) {
+
+    boolean covers(String path) {
+      return SettingsTree.within(path, subtree);
+    }
+  }
+
+  /** Where the platform's list of instances is polled. */
+  record PlatformList(String url, Duration poll) {}
+
+  static ControlSettings load(Path path) throws SettingsInvalid {
+    return new ControlSettings(ProcessSettings.load(path, SCHEMA));
+  }
+
+  static ControlSettings parse(String yaml) throws SettingsInvalid {
+    return new ControlSettings(ProcessSettings.parse("settings", yaml, SCHEMA));
+  }
+
+  ProcessSettings file() {
+    return file;
+  }
+
+  String processId() {
+    return file.text("processId");
+  }
+
+  String replicaId() {
+    return file.text("replicaId");
+  }
+
+  String zone() {
+    return file.text("zone");
+  }
+
+  InetSocketAddress rpcAddress() {
+    return file.address("rpcAddress");
+  }
+
+  InetSocketAddress httpAddress() {
+    return file.address("httpAddress");
+  }
+
+  InetSocketAddress adminAddress() {
+    return file.address("adminAddress");
+  }
+
+  String replicationAddress() {
+    return file.text("replicationAddress");
+  }
+
+  Path dataFolder() {
+    return Path.of(file.text("dataFolder"));
+  }
+
+  List<String> controlAddresses() {
+    return file.texts("control");
+  }
+
+  List<Operator> operators() {
+    return operators;
+  }
+
+  List<ReplicaMember> initialMembers() {
+    return initialMembers;
+  }
+
+  Optional<PlatformList> platformList() {
+    return file.optionalText("platformList.url")
+        .map(url -> new PlatformList(url, file.millis("platformList.pollMillis", DEFAULT_POLL)));
+  }
+
+  ControlState.ReplicaAddresses self() {
+    return new ControlState.ReplicaAddresses(
+        replicaId(), file.text("rpcAddress"), file.text("httpAddress"));
+  }
+
+  private static boolean isTree(String path) {
+    return path.equals("/") || org.comfreygap.settings.SettingsPath.parse(path).isPresent();
+  }
+
+  private static Operator operator(JsonNode node) {
+    return new Operator(
+        node.get("name").asText(), node.get("tokenSha256").asText(), node.get("subtree").asText());
+  }
+
+  private static ReplicaMember member(JsonNode node) {
+    ReplicaMember member =
+        new ReplicaMember(node.get("replicaId").asText(), node.get("address").asText(), true);
+    if (node.hasNonNull("adminAddress")) {
+      member.setAdminAddress(node.get("adminAddress").asText());
+    }
+    return member;
+  }
+}
--- a/control/src/main/java/org/comfreygap/control/CreditController.java
+++ b/control/src/main/java/org/comfreygap/control/CreditController.java
@@ -47,6 +47,7 @@
     synchronized (budget) {
       long now = System.nanoTime();
       follower.follow(term, now);
+      takeCommitted(term);
       commit(term, budget.ceilingsFor(items, now));
       if (budget.waitsForCeiling(items)) {
         commit = term.ceilingCommit();
@@ -60,6 +61,7 @@
       if (!leadership.holds(term)) {
         throw leadership.notLeader();
       }
+      takeCommitted(term);
       answer = budget.exchange(holder, request.getSequence(), items, System.nanoTime());
     }
     TokenBudget.Answer found =
@@ -75,6 +77,7 @@
     synchronized (term.budget()) {
       long now = System.nanoTime();
       follower.follow(term, now);
+      takeCommitted(term);
       commit(term, term.budget().ceilingsAhead(now));
       term.budget().forgetIdle(now);
     }
@@ -84,16 +87,18 @@
     if (due.isEmpty()) {
       return;
     }
-    TokenBudget budget = term.budget();
     term.ceilingCommit(
         leadership
             .propose(term, millis -> new Command.CommitCeilings(millis, due))
-            .thenRun(
-                () -> {
-                  synchronized (budget) {
-                    budget.committed(due);
-                  }
-                }));
+            .thenRun(() -> term.committedCeilings().add(due)));
+  }
+
+  private static void takeCommitted(LeaderTerm term) {
+    List<TokenBudget.Ceiling> committed = term.committedCeilings().poll();
+    while (committed != null) {
+      term.budget().committed(committed);
+      committed = term.committedCeilings().poll();
+    }
   }
 
   private void await(CompletableFuture<?> commit) throws NotLeader {
--- a/control/src/main/java/org/comfreygap/control/LeaderTerm.java
+++ b/control/src/main/java/org/comfreygap/control/LeaderTerm.java
@@ -1,7 +1,10 @@
 package org.comfreygap.control;
 
+import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.decisions.EndpointLeases;
 import org.comfreygap.decisions.LoadPermits;
@@ -31,6 +34,7 @@
   private final EndpointLeases leases;
   private final ConcurrentHashMap<RequestLedger.Owner, Long> ownersHeard =
       new ConcurrentHashMap<>();
+  private final Queue<List<TokenBudget.Ceiling>> committedCeilings = new ConcurrentLinkedQueue<>();
   private volatile CompletableFuture<?> ceilingCommit = CompletableFuture.completedFuture(null);
 
   LeaderTerm(long term, long startNanos, ControlState state) {
@@ -73,6 +77,14 @@
     return ownersHeard;
   }
 
+  /**
+   * Returns the committed ceilings that the budget does not know yet. The threads of the log only
+   * add to it, since they must not wait for the monitor of the budget.
+   */
+  Queue<List<TokenBudget.Ceiling>> committedCeilings() {
+    return committedCeilings;
+  }
+
   /** Returns the newest commit of credit ceilings. */
   CompletableFuture<?> ceilingCommit() {
     return ceilingCommit;
--- a/control/src/main/java/org/comfreygap/control/LeaseController.java
+++ b/control/src/main/java/org/comfreygap/control/LeaseController.java
@@ -68,8 +68,8 @@
   private void commit(LeaderTerm term, EndpointLeaseRequest request, long fencing)
       throws NotLeader, InvalidCall {
     if (fencing == 1 && state.endpointCount() >= ControlState.MAX_ENDPOINTS) {
-      throw new InvalidCall("given another endpoint, expected at most "
-          + ControlState.MAX_ENDPOINTS);
+      throw new InvalidCall(
+          "given another endpoint, expected at most " + ControlState.MAX_ENDPOINTS);
     }
     try {
       leadership.commit(
--- a/control/src/main/java/org/comfreygap/control/LedgerController.java
+++ b/control/src/main/java/org/comfreygap/control/LedgerController.java
@@ -104,7 +104,9 @@
     Limits.name("endedBootId", report.getEndedBootId());
     if (report.getFingerprintsSize() > MAX_FINGERPRINTS) {
       throw new InvalidCall(
-          "given " + report.getFingerprintsSize() + " fingerprints, expected at most "
+          "given "
+              + report.getFingerprintsSize()
+              + " fingerprints, expected at most "
               + MAX_FINGERPRINTS);
     }
     for (String fingerprint : report.getFingerprints()) {
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/OperationsResource.java
@@ -0,0 +1,184 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.annotation.JsonRawValue;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HeaderParam;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.QueryParam;
+import jakarta.ws.rs.core.Context;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.UriInfo;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.comfreygap.control.Command.DocumentChange;
+import org.comfreygap.control.Command.Expectation;
+import org.comfreygap.control.ControlSettings.Operator;
+import org.comfreygap.protocol.generated.Change;
+import org.comfreygap.protocol.generated.ChangeKind;
+
+/**
+ * Transactions, history, rollback and watch.
+ *
+ * <p>Thread safety: any thread may call.
+ *
+ * @since 0.1
+ */
+@Path("/")
+@Produces(MediaType.APPLICATION_JSON)
+public final class OperationsResource {
+
+  private static final int DEFAULT_LIMIT = 100;
+  private static final int MAX_LIMIT = 10_000;
+
+  private final ApiCalls calls;
+  private final SettingsController settings;
+  private final ControlState state;
+  private final WatchController watches;
+
+  @Inject
+  OperationsResource(
+      ApiCalls calls, SettingsController settings, ControlState state, WatchController watches) {
+    this.calls = calls;
+    this.settings = settings;
+    this.state = state;
+    this.watches = watches;
+  }
+
+  /** One change in the history. */
+  record HistoryEntry(
+      long revision,
+      String path,
+      String kind,
+      String changedBy,
+      long changedAtMillis,
+      @JsonRawValue String document,
+      @JsonRawValue String previous) {}
+
+  /** Answer of the history. */
+  record History(List<HistoryEntry> changes) {}
+
+  /** One change in a watch. */
+  record WatchedChange(String path, String kind, @JsonRawValue String document, long revision) {}
+
+  /** Answer of a watch. */
+  record Watched(long revision, boolean snapshot, List<WatchedChange> changes) {}
+
+  /** Changes several documents, all or none. */
+  @POST
+  @Path("transactions")
+  public Object transaction(
+      @HeaderParam("Authorization") String authorization, @Context UriInfo uri, String text) {
+    Operator operator = calls.atLeader(authorization, uri);
+    JsonNode body = ApiCalls.body(text);
+    String operationId = SettingsController.operationId(body.path("operationId").asText(null));
+    List<Expectation> expect = new ArrayList<>();
+    body.path("expect")
+        .properties()
+        .forEach(e -> expect.add(new Expectation(e.getKey(), e.getValue().asLong(-1))));
+    List<DocumentChange> changes = new ArrayList<>();
+    for (JsonNode change : body.path("changes")) {
+      JsonNode document = change.path("document");
+      boolean delete = document.isNull() || document.isMissingNode();
+      changes.add(
+          new DocumentChange(change.path("path").asText(""), delete ? null : document.toString()));
+    }
+    SettingsAnswer answer = settings.change(operator, operationId, expect, changes);
+    return calls.changed(uri, answer, null, operationId);
+  }
+
+  /** Returns the newest changes, newest first. */
+  @GET
+  @Path("history")
+  public History history(
+      @HeaderParam("Authorization") String authorization,
+      @QueryParam("prefix") String prefix,
+      @QueryParam("limit") String limit,
+      @Context UriInfo uri) {
+    Operator operator = calls.atLeader(authorization, uri);
+    String within = prefix(operator, prefix);
+    int most = (int) Math.min(MAX_LIMIT, ApiCalls.number("limit", limit, DEFAULT_LIMIT));
+    List<HistoryEntry> entries = new ArrayList<>();
+    for (ChangeHistory.Change change :
+        state.readSettings(store -> store.history().newest(within, most))) {
+      entries.add(
+          new HistoryEntry(
+              change.revision(),
+              change.path(),
+              change.document() == null ? "delete" : "put",
+              change.changedBy(),
+              change.changedAtMillis(),
+              change.document(),
+              change.previous()));
+    }
+    return new History(entries);
+  }
+
+  /** Restores the documents of an earlier revision, as a new change. */
+  @POST
+  @Path("rollback")
+  public Object rollback(
+      @HeaderParam("Authorization") String authorization, @Context UriInfo uri, String text) {
+    Operator operator = calls.atLeader(authorization, uri);
+    JsonNode body = ApiCalls.body(text);
+    String operationId = SettingsController.operationId(body.path("operationId").asText(null));
+    if (!body.path("toRevision").isIntegralNumber()) {
+      throw ApiException.of(400, "badRequest", "given no toRevision, expected a whole number");
+    }
+    String within = prefix(operator, body.path("prefix").asText(null));
+    SettingsAnswer answer =
+        settings.rollback(operator, operationId, body.path("toRevision").asLong(), within);
+    return calls.changed(uri, answer, within, operationId);
+  }
+
+  /** Waits for changes after a revision; any replica answers. */
+  @GET
+  @Path("watch")
+  public Watched watch(
+      @HeaderParam("Authorization") String authorization,
+      @QueryParam("after") String after,
+      @QueryParam("waitMillis") String waitMillis,
+      @QueryParam("prefix") String prefix) {
+    Operator operator = calls.operators().authenticate(authorization);
+    String within = prefix(operator, prefix);
+    long revision = ApiCalls.number("after", after, 0);
+    int wait = (int) Math.min(Integer.MAX_VALUE, ApiCalls.number("waitMillis", waitMillis, 0));
+    watches.await(revision, state.quarantineVersion(), wait);
+    WatchController.Update update = watches.update(revision);
+    if (update.revision() < revision) {
+      throw ApiException.of(
+          503,
+          "behind",
+          "given revision " + revision + ", this instance is at " + update.revision());
+    }
+    List<WatchedChange> changes = new ArrayList<>();
+    for (Change change : update.changes()) {
+      if (SettingsTree.within(change.getPath(), within)) {
+        String kind = change.getKind() == ChangeKind.PUT ? "put" : "delete";
+        changes.add(
+            new WatchedChange(change.getPath(), kind, change.getDocument(), change.getRevision()));
+      }
+    }
+    return new Watched(update.revision(), update.snapshot(), changes);
+  }
+
+  private String prefix(Operator operator, String given) {
+    String prefix = Optional.ofNullable(given).filter(p -> !p.isBlank()).orElse(operator.subtree());
+    String bare =
+        prefix.length() > 1 && prefix.endsWith("/")
+            ? prefix.substring(0, prefix.length() - 1).toString()
+            : prefix;
+    calls.operators().require(operator, bare);
+    return bare;
+  }
+
+  /** Names of the kinds in lower case. */
+  static String lower(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT);
+  }
+}
--- a/control/src/main/java/org/comfreygap/control/PermitController.java
+++ b/control/src/main/java/org/comfreygap/control/PermitController.java
@@ -43,8 +43,7 @@
     long end = now + TimeUnit.MILLISECONDS.toNanos(wait);
     synchronized (permits) {
       if (!permits.enqueue(request(request), now)) {
-        events.record(
-            ControlEvent.PERMIT_QUEUE_FULL, Field.of("endpoint", request.getEndpoint()));
+        events.record(ControlEvent.PERMIT_QUEUE_FULL, Field.of("endpoint", request.getEndpoint()));
         return new PermitReply(false, 0, LoadPermits.LIFETIME.toMillis());
       }
       grant(term);
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
@@ -0,0 +1,91 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.hc.client5.http.classic.methods.HttpGet;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.core5.util.Timeout;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * Reads the platform's lagging list of live and leaving instances.
+ *
+ * <p>Invariant: a list that cannot be read changes nothing; the last one is ignored after a time.
+ * Thread safety: one thread polls.
+ */
+@Singleton
+final class PlatformListPoller implements AutoCloseable {
+
+  private static final Timeout TIMEOUT = Timeout.ofSeconds(2);
+  private static final int MAX_BYTES = 4 << 20;
+
+  private final Optional<ControlSettings.PlatformList> source;
+  private final MembershipController membership;
+  private final EventLog events;
+  private final CloseableHttpClient client;
+
+  @Inject
+  PlatformListPoller(ControlSettings settings, MembershipController membership, EventLog events) {
+    this.source = settings.platformList();
+    this.membership = membership;
+    this.events = events;
+    this.client =
+        HttpClients.custom()
+            .disableAutomaticRetries()
+            .setDefaultRequestConfig(
+                RequestConfig.custom()
+                    .setResponseTimeout(TIMEOUT)
+                    .setConnectionRequestTimeout(TIMEOUT)
+                    .build())
+            .build();
+  }
+
+  Optional<Duration> period() {
+    return source.map(ControlSettings.PlatformList::poll);
+  }
+
+  void poll(LeaderTerm term) {
+    String url = source.orElseThrow().url();
+    try {
+      JsonNode list =
+          client.execute(
+              new HttpGet(url),
+              response -> {
+                if (response.getCode() != 200) {
+                  throw new IOException("status " + response.getCode());
+                }
+                return Codec.MAPPER.readTree(
+                    response.getEntity().getContent().readNBytes(MAX_BYTES));
+              });
+      if (!list.path("instances").isArray()) {
+        throw new IOException("no list of instances");
+      }
+      Map<String, Boolean> leaving = new HashMap<>();
+      for (JsonNode instance : list.path("instances")) {
+        leaving.put(
+            instance.path("address").asText(), instance.path("state").asText().equals("leaving"));
+      }
+      membership.platformList(term, leaving);
+    } catch (IOException e) {
+      events.record(ControlEvent.PLATFORM_LIST_FAILED, Field.of("cause", e.getMessage()));
+    }
+  }
+
+  @Override
+  public void close() {
+    try {
+      client.close();
+    } catch (IOException ignored) {
+      // The process ends.
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/SettingsController.java
@@ -0,0 +1,151 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import org.comfreygap.control.Command.Author;
+import org.comfreygap.control.Command.DocumentChange;
+import org.comfreygap.control.Command.Expectation;
+import org.comfreygap.control.ControlSettings.Operator;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+import org.comfreygap.settings.Fault;
+import org.comfreygap.settings.TreeRules;
+
+/**
+ * Takes changes of the settings from operators to the replicated log.
+ *
+ * <p>Documents are checked against their schemas before they are proposed, so that a replica of
+ * another version never decides differently; references between documents and expected revisions
+ * are checked when the command is applied, so that no two racing changes break them together.
+ *
+ * <p>Thread safety: any thread may call.
+ */
+@Singleton
+final class SettingsController {
+
+  private static final int MAX_CHANGES = 2_000;
+  private static final int MAX_CHARACTERS = 4_000_000;
+  private static final int MAX_OPERATION_ID = 128;
+
+  private final Leadership leadership;
+  private final Operators operators;
+  private final EventLog events;
+
+  @Inject
+  SettingsController(Leadership leadership, Operators operators, EventLog events) {
+    this.leadership = leadership;
+    this.operators = operators;
+    this.events = events;
+  }
+
+  /** Changes documents, all or none. */
+  SettingsAnswer change(
+      Operator operator,
+      String operationId,
+      List<Expectation> expect,
+      List<DocumentChange> changes) {
+    expect.forEach(e -> operators.require(operator, e.path()));
+    changes.forEach(c -> operators.require(operator, c.path()));
+    check(changes);
+    Author author = author(operator, operationId);
+    return submit(author, millis -> new Command.ChangeSettings(millis, author, expect, changes));
+  }
+
+  /** Deletes the subtree at {@code prefix}. */
+  SettingsAnswer deletePrefix(
+      Operator operator, String operationId, List<Expectation> expect, String prefix) {
+    operators.require(operator, prefix);
+    Author author = author(operator, operationId);
+    return submit(author, millis -> new Command.DeletePrefix(millis, author, expect, prefix));
+  }
+
+  /** Restores the subtree at {@code prefix} to an earlier revision, as a new change. */
+  SettingsAnswer rollback(Operator operator, String operationId, long toRevision, String prefix) {
+    operators.require(operator, prefix);
+    Author author = author(operator, operationId);
+    return submit(author, millis -> new Command.Rollback(millis, author, prefix, toRevision));
+  }
+
+  /** Returns {@code given}, or a new operation id when none was given. */
+  static String operationId(String given) {
+    if (given == null || given.isBlank()) {
+      return UUID.randomUUID().toString();
+    }
+    if (given.length() > MAX_OPERATION_ID) {
+      throw ApiException.of(
+          400,
+          "badRequest",
+          "given an operation id of "
+              + given.length()
+              + " characters, expected at most "
+              + MAX_OPERATION_ID);
+    }
+    return given;
+  }
+
+  private SettingsAnswer submit(Author author, java.util.function.LongFunction<Command> command) {
+    LeaderTerm term = leadership.current().orElseThrow(ApiException::noLeader);
+    SettingsAnswer answer;
+    try {
+      answer = leadership.commit(term, command, SettingsAnswer.class);
+    } catch (LeadershipLost e) {
+      throw e.outcomeUnknown()
+          ? ApiException.unknownOutcome(e.getMessage())
+          : ApiException.noLeader();
+    }
+    boolean accepted = answer.code() == SettingsAnswer.Code.OK;
+    events.record(
+        accepted ? ControlEvent.SETTINGS_CHANGED : ControlEvent.SETTINGS_REFUSED,
+        Field.of("operator", author.operator()),
+        Field.of("operation", author.operationId()),
+        Field.of("revision", answer.revision()),
+        Field.of("code", answer.code()));
+    if (!accepted) {
+      throw ApiException.of(answer);
+    }
+    return answer;
+  }
+
+  private static Author author(Operator operator, String operationId) {
+    return new Author(operationId, operator.name(), System.currentTimeMillis());
+  }
+
+  private static void check(List<DocumentChange> changes) {
+    List<Fault> faults = new ArrayList<>();
+    Set<String> paths = new HashSet<>();
+    long characters = 0;
+    for (DocumentChange change : changes) {
+      if (!paths.add(change.path())) {
+        faults.add(new Fault(change.path(), "two changes", "one change of each path"));
+      }
+      if (change.document() != null) {
+        characters += change.document().length();
+        faults.addAll(TreeRules.checkDocument(change.path(), parse(change.document())));
+      }
+    }
+    if (changes.isEmpty() || changes.size() > MAX_CHANGES || characters > MAX_CHARACTERS) {
+      String given = changes.size() + " changes of " + characters + " characters";
+      String expected = "1 to " + MAX_CHANGES + " changes of at most " + MAX_CHARACTERS;
+      faults.add(new Fault("changes", given, expected));
+    }
+    if (!faults.isEmpty()) {
+      int most = Math.min(faults.size(), TreeRules.MAX_FAULTS);
+      throw ApiException.invalid(faults.subList(0, most));
+    }
+  }
+
+  private static JsonNode parse(String document) {
+    try {
+      return Codec.MAPPER.readTree(document);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a change holds a malformed document", e);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/StatusResource.java
@@ -0,0 +1,206 @@
+package org.comfreygap.control;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.inject.Inject;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HeaderParam;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.Context;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.UriInfo;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.control.ControlSettings.Operator;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.protocol.generated.ReplicaMember;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+import org.comfreygap.settings.FieldRule;
+
+/**
+ * Members of the replicated log and the status of all processes.
+ *
+ * <p>Thread safety: any thread may call.
+ *
+ * @since 0.1
+ */
+@Path("/")
+@Produces(MediaType.APPLICATION_JSON)
+public final class StatusResource {
+
+  private static final Duration MEMBER_CHANGE_TIMEOUT = Duration.ofSeconds(25);
+  private static final String ROOT = "/";
+
+  private final ApiCalls calls;
+  private final ReplicatedLog log;
+  private final ControlState state;
+  private final MembershipController membership;
+  private final EventLog events;
+
+  @Inject
+  StatusResource(
+      ApiCalls calls,
+      ReplicatedLog log,
+      ControlState state,
+      MembershipController membership,
+      EventLog events) {
+    this.calls = calls;
+    this.log = log;
+    this.state = state;
+    this.membership = membership;
+    this.events = events;
+  }
+
+  /** A control instance. */
+  record Replica(String replicaId, String address, String adminAddress, String role) {}
+
+  /** A process. */
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  record Process(
+      String processId,
+      String kind,
+      String zone,
+      String state,
+      long revisionInForce,
+      String address,
+      String adminAddress,
+      String endpoint) {}
+
+  /** Answer of {@code /status}. */
+  record Status(
+      String leader, long term, long revision, List<Replica> replicas, List<Process> processes) {}
+
+  /** Answer of {@code /members}. */
+  record Members(List<Replica> members) {}
+
+  /** Returns the leader, the replicas and all processes. */
+  @GET
+  @Path("status")
+  public Status status(@HeaderParam("Authorization") String authorization, @Context UriInfo uri) {
+    calls.operators().authenticate(authorization);
+    LeaderTerm term = calls.requireLeader(uri);
+    List<Process> processes =
+        membership.processes(term).stream()
+            .map(
+                s ->
+                    process(
+                        s.identity().description(),
+                        OperationsResource.lower(s.state()),
+                        s.revisionInForce()))
+            .sorted(Comparator.comparing(Process::processId))
+            .toList();
+    String leader = log.leader().map(ReplicaMember::getReplicaId).orElse(null);
+    return new Status(leader, log.term(), state.revision(), replicas(), processes);
+  }
+
+  /** Returns the members of the replicated log. */
+  @GET
+  @Path("members")
+  public Members members(@HeaderParam("Authorization") String authorization, @Context UriInfo uri) {
+    calls.atLeader(authorization, uri);
+    return new Members(replicas());
+  }
+
+  /** Adds a replica: first as learner, then as voter. */
+  @POST
+  @Path("members")
+  public Members add(
+      @HeaderParam("Authorization") String authorization, @Context UriInfo uri, String text) {
+    Operator operator = calls.atLeader(authorization, uri);
+    calls.operators().require(operator, ROOT);
+    JsonNode body = ApiCalls.body(text);
+    String replicaId = body.path("replicaId").asText("");
+    String address = body.path("address").asText("");
+    if (!FieldRule.NAME.matcher(replicaId).matches()
+        || !FieldRule.IP_PORT.matcher(address).matches()) {
+      throw ApiException.of(
+          400,
+          "badRequest",
+          "given replicaId "
+              + replicaId
+              + " and address "
+              + address
+              + ", expected a name and ip:port");
+    }
+    ReplicaMember member = new ReplicaMember(replicaId, address, false);
+    if (body.hasNonNull("adminAddress")) {
+      member.setAdminAddress(body.path("adminAddress").asText());
+    }
+    change(log.addMember(member), operator, "add", replicaId);
+    return new Members(replicas());
+  }
+
+  /** Removes a replica. */
+  @DELETE
+  @Path("members/{replicaId}")
+  public Members remove(
+      @PathParam("replicaId") String replicaId,
+      @HeaderParam("Authorization") String authorization,
+      @Context UriInfo uri) {
+    Operator operator = calls.atLeader(authorization, uri);
+    calls.operators().require(operator, ROOT);
+    boolean known = log.members().stream().anyMatch(m -> m.getReplicaId().equals(replicaId));
+    if (!known) {
+      throw ApiException.of(
+          404, "notFound", "given " + replicaId + ", expected the id of a member");
+    }
+    change(log.removeMember(replicaId), operator, "remove", replicaId);
+    return new Members(replicas());
+  }
+
+  private void change(
+      CompletableFuture<Void> future, Operator operator, String kind, String replicaId) {
+    try {
+      future.get(MEMBER_CHANGE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      throw ApiException.of(503, "memberChangeFailed", String.valueOf(e.getCause().getMessage()));
+    } catch (TimeoutException e) {
+      throw ApiException.of(
+          503, "memberChangeOpen", "the change of members goes on; ask /members for its end");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw ApiException.noLeader();
+    }
+    events.record(
+        ControlEvent.MEMBER_CHANGED,
+        Field.of("operator", operator.name()),
+        Field.of("kind", kind),
+        Field.of("replica", replicaId));
+  }
+
+  private List<Replica> replicas() {
+    String leader = log.leader().map(ReplicaMember::getReplicaId).orElse("");
+    return log.members().stream()
+        .map(
+            member -> {
+              String voter = member.isVoter() ? "follower" : "learner";
+              String role = member.getReplicaId().equals(leader) ? "leader" : voter;
+              return new Replica(
+                  member.getReplicaId(), member.getAddress(), member.getAdminAddress(), role);
+            })
+        .toList();
+  }
+
+  private static Process process(ProcessIdentity identity, String processState, long revision) {
+    return new Process(
+        identity.getProcessId(),
+        OperationsResource.lower(identity.getKind()),
+        identity.getZone(),
+        processState,
+        revision,
+        identity.getAddress(),
+        identity.getAdminAddress(),
+        identity.getEndpoint());
+  }
+}
--- a/control/src/main/java/org/comfreygap/control/WatchController.java
+++ b/control/src/main/java/org/comfreygap/control/WatchController.java
@@ -67,11 +67,13 @@
     Update update = update(request.getAfterRevision());
     if (update.revision() < request.getAfterRevision()) {
       throw new InvalidCall(
-          "given revision " + request.getAfterRevision() + ", this instance is at "
-              + update.revision() + "; watch another one");
+          "given revision "
+              + request.getAfterRevision()
+              + ", this instance is at "
+              + update.revision()
+              + "; watch another one");
     }
-    WatchReply reply =
-        new WatchReply(update.revision(), update.snapshot(), update.changes());
+    WatchReply reply = new WatchReply(update.revision(), update.snapshot(), update.changes());
     // Sent each time, since an answer can be lost; the list is short.
     reply.setQuarantined(quarantined);
     sentQuarantine.put(request.getProcessId(), quarantineVersion);
--- /dev/null
+++ b/control/src/test/java/org/comfreygap/control/MemoryCluster.java
@@ -0,0 +1,186 @@
+package org.comfreygap.control;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.comfreygap.consensus.NotLeaderException;
+import org.comfreygap.consensus.OutcomeUnknownException;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.protocol.generated.ReplicaMember;
+
+/**
+ * Replicated logs in memory that share one list of commands, with a leader set by the test.
+ * Commands are applied at every replica that is connected, in the thread that proposes.
+ */
+final class MemoryCluster {
+
+  private static final long LEASE_NANOS = 3_600_000_000_000L;
+
+  private final List<byte[]> commands = new ArrayList<>();
+  private final List<Replica> replicas = new ArrayList<>();
+  private Replica leader;
+  private long term;
+  private int answersToLose;
+
+  synchronized Replica add(String id, ControlState state) {
+    Replica replica = new Replica(id, state);
+    replicas.add(replica);
+    return replica;
+  }
+
+  /** Makes {@code replica} the leader of a new term, with everything committed applied. */
+  synchronized void lead(Replica replica) {
+    term++;
+    leader = replica;
+    replica.connected = true;
+    replica.catchUp();
+  }
+
+  /** Leaves the cluster without a leader. */
+  synchronized void noLeader() {
+    leader = null;
+  }
+
+  /** Lets the next proposals be committed but fail as if the leadership was lost meanwhile. */
+  synchronized void loseAnswers(int count) {
+    answersToLose = count;
+  }
+
+  synchronized int commandCount() {
+    return commands.size();
+  }
+
+  /** Returns a copy of a state by way of a snapshot. */
+  static ControlState copy(ControlState state) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    state.writeSnapshot(bytes);
+    ControlState copy = new ControlState();
+    copy.readSnapshot(new ByteArrayInputStream(bytes.toByteArray()));
+    return copy;
+  }
+
+  /** One replica. */
+  final class Replica implements ReplicatedLog {
+
+    private final ReplicaMember member;
+    private ControlState state;
+    private int applied;
+    private boolean connected = true;
+
+    private Replica(String id, ControlState state) {
+      this.member = new ReplicaMember(id, "127.0.0.1:1", true);
+      this.state = state;
+    }
+
+    ControlState state() {
+      return state;
+    }
+
+    /** Cuts the replica off from further commands. */
+    void disconnect() {
+      synchronized (MemoryCluster.this) {
+        connected = false;
+      }
+    }
+
+    @Override
+    public CompletableFuture<Applied> propose(byte[] command) {
+      synchronized (MemoryCluster.this) {
+        if (leader != this) {
+          return CompletableFuture.failedFuture(new NotLeaderException("not the leader"));
+        }
+        commands.add(command);
+        byte[] answer = new byte[0];
+        for (Replica replica : replicas) {
+          if (replica.connected) {
+            byte[] given = replica.catchUp();
+            answer = replica == this ? given : answer;
+          }
+        }
+        if (answersToLose > 0) {
+          answersToLose--;
+          return CompletableFuture.failedFuture(new OutcomeUnknownException("lost"));
+        }
+        return CompletableFuture.completedFuture(new Applied(applied, answer));
+      }
+    }
+
+    @Override
+    public Optional<LeaderLease> lease(long nowNanos) {
+      synchronized (MemoryCluster.this) {
+        return leader == this
+            ? Optional.of(new LeaderLease(term, nowNanos + LEASE_NANOS))
+            : Optional.empty();
+      }
+    }
+
+    @Override
+    public Role role() {
+      synchronized (MemoryCluster.this) {
+        return leader == this ? Role.LEADER : Role.FOLLOWER;
+      }
+    }
+
+    @Override
+    public long term() {
+      synchronized (MemoryCluster.this) {
+        return term;
+      }
+    }
+
+    @Override
+    public long appliedIndex() {
+      synchronized (MemoryCluster.this) {
+        return applied;
+      }
+    }
+
+    @Override
+    public Optional<ReplicaMember> leader() {
+      synchronized (MemoryCluster.this) {
+        return connected && leader != null ? Optional.of(leader.member) : Optional.empty();
+      }
+    }
+
+    @Override
+    public List<ReplicaMember> members() {
+      synchronized (MemoryCluster.this) {
+        return replicas.stream().map(replica -> replica.member).toList();
+      }
+    }
+
+    @Override
+    public CompletableFuture<Void> addMember(ReplicaMember added) {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> removeMember(String replicaId) {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> transferLeadership() {
+      synchronized (MemoryCluster.this) {
+        replicas.stream().filter(r -> r != this).findFirst().ifPresent(MemoryCluster.this::lead);
+      }
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public void close() {}
+
+    private byte[] catchUp() {
+      byte[] answer = new byte[0];
+      while (applied < commands.size()) {
+        answer = state.apply(applied + 1, commands.get(applied));
+        applied++;
+      }
+      return answer;
+    }
+  }
+}
--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointLeases.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointLeases.java
@@ -84,7 +84,8 @@
       renewedNanos.put(endpoint, now);
       return new Decision(Kind.GRANTED, committedFencing, 0);
     }
-    long wait = CONTROL_LIFETIME.toNanos() - (now - renewedNanos.getOrDefault(endpoint, startNanos));
+    long wait =
+        CONTROL_LIFETIME.toNanos() - (now - renewedNanos.getOrDefault(endpoint, startNanos));
     if (committed.isPresent() && wait > 0) {
       return new Decision(Kind.REFUSED, committedFencing, wait);
     }
