--- a/decisions/src/main/java/org/comfreygap/decisions/RequestLedger.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RequestLedger.java
@@ -136,6 +136,7 @@
       Outcome outcome,
       Optional<Answer> answer,
       long now) {
+    expire(now);
     EntryKey entryKey = new EntryKey(customer, key);
     Entry present = find(entryKey);
     if (present == null || !present.requestId.equals(requestId) || present.state == State.DONE) {
