--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/ColdStartRamp.java
@@ -0,0 +1,222 @@
+package org.comfreygap.decisions;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * The single gate for all work sent to an endpoint, probes and retries included.
+ *
+ * <p>The bound on work at once rises linearly from the initial concurrency to the full one over the
+ * ramp time, counted from the start of the endpoint. A start is only taken to lie in the past as
+ * far as an uptime reported by the endpoint proves it. The proof is doubted after a broken
+ * connection and after {@link #PROOF_LIFETIME} without a reply from the same boot; until a newer
+ * reply arrives the bound is the initial concurrency.
+ *
+ * <pre>{@code
+ * ramp.observed(bootId, uptimeMillis, sentAtNanos, receivedAtNanos);
+ * if (ramp.tryStart(nowNanos)) { send(); }
+ * }</pre>
+ *
+ * <p>Invariant: {@link #running} never rises above the bound in force at that moment. Thread
+ * safety: none; the caller holds the lock.
+ *
+ * @since 0.1
+ */
+public final class ColdStartRamp {
+
+  /**
+   * Longest time without a reply for which the endpoint is taken to be the same boot. A probe on
+   * loopback takes about 1 ms, so that the short time costs little and leaves a restarted endpoint
+   * at most this window of full load.
+   */
+  public static final Duration PROOF_LIFETIME = Duration.ofMillis(50);
+
+  private static final int REMEMBERED_BOOTS = 16;
+
+  private final Deque<String> endedBoots = new ArrayDeque<>();
+  private int fullConcurrency;
+  private int initialConcurrency;
+  private long rampNanos;
+  private int running;
+  private boolean probing;
+  private int foreign;
+  private String bootId = "";
+  private boolean proven;
+  private long provenAtNanos;
+  private long uptimeNanos;
+  private boolean doubted;
+  private long doubtedAtNanos;
+  private long lastReplyAtNanos;
+
+  /**
+   * Creates a gate in front of an endpoint whose uptime is unknown.
+   *
+   * @param fullConcurrency most requests at once when warm
+   * @param initialConcurrency most requests at once directly after a start
+   * @param ramp time from the start until the full concurrency is allowed
+   */
+  public ColdStartRamp(int fullConcurrency, int initialConcurrency, Duration ramp) {
+    configure(fullConcurrency, initialConcurrency, ramp);
+  }
+
+  /** Replaces the bounds; work that runs is not affected. */
+  public void configure(int newFull, int newInitial, Duration ramp) {
+    this.fullConcurrency = newFull;
+    this.initialConcurrency = Math.max(1, Math.min(newInitial, newFull));
+    this.rampNanos = ramp.toNanos();
+  }
+
+  /** Returns the boot id of the endpoint, empty while it is unknown. */
+  public String bootId() {
+    return bootId;
+  }
+
+  /**
+   * Records a reply that names the boot only. Returns true when it shows that a known boot ended.
+   *
+   * @param sentAtNanos time at which the request was sent; the proof counts from then
+   */
+  public boolean replied(String replyBootId, long sentAtNanos) {
+    if (replyBootId.isEmpty() || endedBoots.contains(replyBootId)) {
+      return false;
+    }
+    boolean changed = !bootId.isEmpty() && !bootId.equals(replyBootId);
+    if (!bootId.equals(replyBootId)) {
+      endBoot();
+      bootId = replyBootId;
+    }
+    if (sentAtNanos - lastReplyAtNanos > 0 || !proven) {
+      lastReplyAtNanos = sentAtNanos;
+    }
+    if (doubted && sentAtNanos - doubtedAtNanos > 0 && proven) {
+      doubted = false;
+    }
+    return changed;
+  }
+
+  /** Records a reply that carries the uptime. Returns true when a known boot ended. */
+  public boolean observed(
+      String replyBootId, long uptimeMillis, long sentAtNanos, long receivedAtNanos) {
+    if (endedBoots.contains(replyBootId)) {
+      return false;
+    }
+    final boolean changed = replied(replyBootId, sentAtNanos);
+    proven = true;
+    provenAtNanos = receivedAtNanos;
+    uptimeNanos = Duration.ofMillis(uptimeMillis).toNanos();
+    if (sentAtNanos - lastReplyAtNanos > 0) {
+      lastReplyAtNanos = sentAtNanos;
+    }
+    if (doubted && sentAtNanos - doubtedAtNanos > 0) {
+      doubted = false;
+    }
+    return changed;
+  }
+
+  /** Records that a connection broke: the endpoint may have started again. */
+  public void doubt(long nowNanos) {
+    doubted = true;
+    doubtedAtNanos = nowNanos;
+  }
+
+  /** Records that the known boot has ended; nothing is known about the next one. */
+  public void endBoot() {
+    if (!bootId.isEmpty()) {
+      endedBoots.addLast(bootId);
+      if (endedBoots.size() > REMEMBERED_BOOTS) {
+        endedBoots.removeFirst();
+      }
+    }
+    bootId = "";
+    proven = false;
+    doubted = false;
+  }
+
+  /** Returns true when {@code other} is a boot that has ended. */
+  public boolean ended(String other) {
+    return endedBoots.contains(other);
+  }
+
+  /** Sets how much work of another sidecar the endpoint still runs. */
+  public void foreign(int count) {
+    this.foreign = count;
+  }
+
+  /** Returns the bound on work at once that is in force at {@code nowNanos}. */
+  public int limit(long nowNanos) {
+    if (!proven || doubted || nowNanos - lastReplyAtNanos > PROOF_LIFETIME.toNanos()) {
+      return initialConcurrency;
+    }
+    return warmLimit(nowNanos);
+  }
+
+  /**
+   * Returns the bound that a fresh proof would allow at {@code nowNanos}; for reports, which must
+   * not swing with the age of the last reply.
+   */
+  public int expectedLimit(long nowNanos) {
+    return proven && !doubted ? warmLimit(nowNanos) : initialConcurrency;
+  }
+
+  /** Returns true when a reply to a probe could raise the bound. */
+  public boolean proofNeeded(long nowNanos) {
+    return limit(nowNanos) < fullConcurrency
+        && (!proven || doubted || nowNanos - lastReplyAtNanos > PROOF_LIFETIME.toNanos());
+  }
+
+  /** Returns how many more requests may start at {@code nowNanos}. */
+  public int free(long nowNanos) {
+    int limit = limit(nowNanos);
+    // A cold endpoint keeps one unit for the probe, unless it has only one at all.
+    int reserved = probing || (limit < fullConcurrency && limit > 1) ? 1 : 0;
+    return Math.max(0, limit - reserved - running - foreign);
+  }
+
+  /** Takes a unit for a request; false when none is free. */
+  public boolean tryStart(long nowNanos) {
+    if (free(nowNanos) == 0) {
+      return false;
+    }
+    running++;
+    return true;
+  }
+
+  /** Returns the unit of a request that no longer runs at the endpoint. */
+  public void finished() {
+    running--;
+  }
+
+  /**
+   * Takes the unit for a probe; at most one runs at a time.
+   *
+   * @param required true when work is held up that only a reply can settle; the probe then shares
+   *     the unit of that work
+   */
+  public boolean tryProbe(long nowNanos, boolean required) {
+    if (probing || (!required && running + foreign >= limit(nowNanos) && running > 0)) {
+      return false;
+    }
+    probing = true;
+    return true;
+  }
+
+  /** Returns the unit of the probe. */
+  public void probed() {
+    probing = false;
+  }
+
+  /** Returns how many requests run. */
+  public int running() {
+    return running;
+  }
+
+  private int warmLimit(long nowNanos) {
+    long age = uptimeNanos + (nowNanos - provenAtNanos);
+    if (age >= rampNanos) {
+      return fullConcurrency;
+    }
+    double share = Math.max(0, (double) age / rampNanos);
+    return initialConcurrency + (int) ((fullConcurrency - initialConcurrency) * share);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/FairQueue.java
@@ -0,0 +1,485 @@
+package org.comfreygap.decisions;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.comfreygap.settings.Priority;
+
+/**
+ * The queue in front of an endpoint: deficit round robin over customers, in tokens, inside each
+ * priority class.
+ *
+ * <p>Work is grouped by adapter. Only groups marked ready (adapter resident) are served; the others
+ * wait for their load, which {@link #wanted} orders: urgent first, then customers in turn. Every
+ * eighth turn goes to a class whose oldest item waits longer than the ageing time, so that no class
+ * starves. While several customers are active, the last eighth of the running bound is closed to a
+ * customer that already runs its equal share; a flood by one customer therefore does not make the
+ * others wait for a request to end.
+ *
+ * <p>When full, deferrable work is shed first, and within a class the newest work of the customer
+ * with the most queued tokens.
+ *
+ * <pre>{@code
+ * FairQueue.Offer<Attempt> offer = queue.offer(item, nowNanos);
+ * Optional<FairQueue.Item<Attempt>> next = queue.poll(nowNanos, free, limit, attempt -> true);
+ * }</pre>
+ *
+ * <p>Invariant: the number and the tokens of queued items stay within the bounds. Thread safety:
+ * none; the caller holds the lock.
+ *
+ * @param <T> payload
+ * @since 0.1
+ */
+public final class FairQueue<T> {
+
+  /** Tokens a customer may spend in one turn of the round robin. */
+  public static final long QUANTUM_TOKENS = 1_024;
+
+  /** One turn in this many goes to aged work; it also divides the reserved part of the bound. */
+  static final int SHARE = 8;
+
+  private static final Duration ACTIVE_TIME = Duration.ofSeconds(10);
+
+  private final int maxItems;
+  private final long maxTokens;
+  private final long ageingNanos;
+  private final Map<Priority, ClassQueue<T>> classes = new EnumMap<>(Priority.class);
+  private final Map<String, Item<T>> items = new HashMap<>();
+  private final Map<String, Customer> customers = new LinkedHashMap<>(16, 0.75f, true);
+  private final Set<String> ready = new HashSet<>();
+  private final Map<String, Integer> queuedByAdapter = new HashMap<>();
+  private long tokens;
+  private long polls;
+  private long loads;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param maxItems most queued items
+   * @param maxTokens most queued tokens; a single larger item is taken when nothing else is queued
+   * @param ageing wait after which a class gets a guaranteed share of the turns
+   */
+  public FairQueue(int maxItems, long maxTokens, Duration ageing) {
+    this.maxItems = maxItems;
+    this.maxTokens = maxTokens;
+    this.ageingNanos = ageing.toNanos();
+    for (Priority priority : Priority.values()) {
+      classes.put(priority, new ClassQueue<>());
+    }
+  }
+
+  /**
+   * Answer to an offered item.
+   *
+   * @param accepted false when the item was refused
+   * @param shed items that were removed to make room
+   */
+  public record Offer<T>(boolean accepted, List<Item<T>> shed) {}
+
+  /** Queues {@code item}, or refuses it when everything queued goes before it. */
+  public Offer<T> offer(Item<T> item, long nowNanos) {
+    item.enqueuedAtNanos = nowNanos;
+    touch(item.customer, nowNanos);
+    List<Item<T>> shed = List.of();
+    while (full(item)) {
+      Optional<Item<T>> victim = victim(item);
+      if (victim.isEmpty()) {
+        return new Offer<>(false, shed);
+      }
+      shed = shed.isEmpty() ? new ArrayList<>() : shed;
+      remove(victim.get().id);
+      shed.add(victim.get());
+    }
+    insert(item);
+    return new Offer<>(true, shed);
+  }
+
+  /**
+   * Removes and returns the next item to run.
+   *
+   * @param free units free at the endpoint; at least 1
+   * @param limit running bound in force
+   * @param admissible last check on the item in turn; a rejected item blocks its group only
+   */
+  public Optional<Item<T>> poll(long nowNanos, int free, int limit, Predicate<T> admissible) {
+    if (items.isEmpty()) {
+      return Optional.empty();
+    }
+    Share share = share(nowNanos, free, limit);
+    Item<T> next = ++polls % SHARE == 0 ? pollAged(nowNanos, share, admissible) : null;
+    for (Priority priority : Priority.values()) {
+      if (next == null) {
+        next = classes.get(priority).poll(share, admissible);
+      }
+    }
+    if (next == null) {
+      polls--;
+      return Optional.empty();
+    }
+    forget(next);
+    touch(next.customer, nowNanos).running++;
+    return Optional.of(next);
+  }
+
+  /** Records that polled work of {@code customer} no longer runs. */
+  public void finished(String customer) {
+    Customer known = customers.get(customer);
+    if (known != null && known.running > 0) {
+      known.running--;
+    }
+  }
+
+  /** Removes the item with the given id, or returns empty when it is not queued. */
+  public Optional<Item<T>> remove(String id) {
+    Item<T> item = items.get(id);
+    if (item == null) {
+      return Optional.empty();
+    }
+    classes.get(item.priority).remove(item);
+    forget(item);
+    return Optional.of(item);
+  }
+
+  /** Marks whether work on {@code adapter} may be served. Work without an adapter always may. */
+  public void ready(String adapter, boolean isReady) {
+    boolean changed = isReady ? ready.add(adapter) : ready.remove(adapter);
+    if (!changed) {
+      return;
+    }
+    classes.values().forEach(queue -> queue.ready(adapter, isReady));
+  }
+
+  /**
+   * Returns one item for each adapter that queued work waits for, best to load first: by class,
+   * then customers by the time of their last load, then by arrival.
+   */
+  public List<Item<T>> wanted() {
+    List<Item<T>> heads = new ArrayList<>();
+    Set<String> seen = new HashSet<>();
+    for (Priority priority : Priority.values()) {
+      List<Item<T>> ofClass = classes.get(priority).waitingHeads();
+      ofClass.sort(
+          (a, b) -> {
+            int byLoad = Long.compare(lastLoad(a.customer), lastLoad(b.customer));
+            return byLoad != 0 ? byLoad : Long.compare(a.enqueuedAtNanos, b.enqueuedAtNanos);
+          });
+      for (Item<T> head : ofClass) {
+        if (seen.add(head.adapter)) {
+          heads.add(head);
+        }
+      }
+    }
+    return heads;
+  }
+
+  /** Records that an adapter was loaded for {@code customer}. */
+  public void loadedFor(String customer) {
+    Customer known = customers.get(customer);
+    if (known != null) {
+      known.lastLoad = ++loads;
+    }
+  }
+
+  /** Returns how many queued items wait on {@code adapter}. */
+  public int queuedFor(String adapter) {
+    return queuedByAdapter.getOrDefault(adapter, 0);
+  }
+
+  /** Returns all queued items, in no particular order. */
+  public Collection<Item<T>> queued() {
+    return items.values();
+  }
+
+  /** Returns the number of queued items. */
+  public int size() {
+    return items.size();
+  }
+
+  /** Returns the tokens of all queued items. */
+  public long tokens() {
+    return tokens;
+  }
+
+  private boolean full(Item<T> item) {
+    return items.size() >= maxItems || (tokens > 0 && tokens + item.tokens > maxTokens);
+  }
+
+  private Optional<Item<T>> victim(Item<T> newcomer) {
+    Priority[] order = Priority.values();
+    for (int i = order.length - 1; i >= newcomer.priority.ordinal(); i--) {
+      ClassQueue<T> queue = classes.get(order[i]);
+      if (!queue.customers.isEmpty()) {
+        CustomerQueue<T> largest = queue.largest();
+        boolean sameClass = order[i] == newcomer.priority;
+        long own = sameClass ? queue.tokensOf(newcomer.customer) + newcomer.tokens : 0;
+        boolean newcomerGoes = sameClass && own >= largest.tokens;
+        return newcomerGoes ? Optional.empty() : Optional.of(largest.newest());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void insert(Item<T> item) {
+    items.put(item.id, item);
+    tokens += item.tokens;
+    queuedByAdapter.merge(item.adapter, 1, Integer::sum);
+    classes.get(item.priority).add(item, item.adapter.isEmpty() || ready.contains(item.adapter));
+  }
+
+  private void forget(Item<T> item) {
+    items.remove(item.id);
+    tokens -= item.tokens;
+    queuedByAdapter.computeIfPresent(item.adapter, (a, count) -> count == 1 ? null : count - 1);
+  }
+
+  private Item<T> pollAged(long nowNanos, Share share, Predicate<T> admissible) {
+    for (int i = Priority.values().length - 1; i > 0; i--) {
+      ClassQueue<T> queue = classes.get(Priority.values()[i]);
+      long oldest = queue.oldestReady(nowNanos);
+      if (nowNanos - oldest > ageingNanos) {
+        Item<T> item = queue.poll(share, admissible);
+        if (item != null) {
+          return item;
+        }
+      }
+    }
+    return null;
+  }
+
+  private Share share(long nowNanos, int free, int limit) {
+    var oldest = customers.entrySet().iterator();
+    while (oldest.hasNext()) {
+      Customer customer = oldest.next().getValue();
+      if (nowNanos - customer.seenAtNanos <= ACTIVE_TIME.toNanos()) {
+        break;
+      }
+      if (customer.running == 0) {
+        oldest.remove();
+      }
+    }
+    int active = Math.max(1, customers.size());
+    int reserve = active > 1 && limit >= SHARE / 2 ? Math.max(1, limit / SHARE) : 0;
+    return new Share(customers, free <= reserve, Math.max(1, limit / active));
+  }
+
+  private Customer touch(String name, long nowNanos) {
+    Customer customer = customers.computeIfAbsent(name, n -> new Customer());
+    customer.seenAtNanos = nowNanos;
+    return customer;
+  }
+
+  private long lastLoad(String customer) {
+    // Access order is left alone: only arrivals and polls count as activity.
+    Customer known = customers.get(customer);
+    return known == null ? 0 : known.lastLoad;
+  }
+
+  /** A queued item. Not thread-safe. */
+  public static final class Item<T> {
+
+    private final String id;
+    final String customer;
+    private final Priority priority;
+    final long tokens;
+    final String adapter;
+    final boolean alone;
+    final T payload;
+    long enqueuedAtNanos;
+    CustomerQueue.Group<T> group;
+    Item<T> previous;
+    Item<T> next;
+
+    /**
+     * Creates an item.
+     *
+     * @param adapter immutable adapter name, or empty when none is needed
+     * @param alone true when the item may have to wait for others like it; it is then grouped apart
+     *     so that it holds up no other work
+     */
+    public Item(
+        String id,
+        String customer,
+        Priority priority,
+        long tokens,
+        String adapter,
+        boolean alone,
+        T payload) {
+      this.id = id;
+      this.customer = customer;
+      this.priority = priority;
+      this.tokens = Math.max(1, tokens);
+      this.adapter = adapter;
+      this.alone = alone;
+      this.payload = payload;
+    }
+
+    /** Returns the id. */
+    public String id() {
+      return id;
+    }
+
+    /** Returns the customer. */
+    public String customer() {
+      return customer;
+    }
+
+    /** Returns the priority class. */
+    public Priority priority() {
+      return priority;
+    }
+
+    /** Returns the adapter, empty when none is needed. */
+    public String adapter() {
+      return adapter;
+    }
+
+    /** Returns the payload. */
+    public T payload() {
+      return payload;
+    }
+
+    /** Returns the monotonic time of arrival. */
+    public long enqueuedAtNanos() {
+      return enqueuedAtNanos;
+    }
+  }
+
+  private static final class Customer {
+
+    private int running;
+    private long seenAtNanos;
+    private long lastLoad;
+  }
+
+  private record Share(Map<String, Customer> customers, boolean scarce, int each) {
+
+    boolean permits(String customer) {
+      if (!scarce) {
+        return true;
+      }
+      Customer known = customers.get(customer);
+      return known == null || known.running < each;
+    }
+  }
+
+  /** The customers of one priority class, in round-robin order. */
+  private static final class ClassQueue<T> {
+
+    private final Map<String, CustomerQueue<T>> customers = new HashMap<>();
+    private final Deque<CustomerQueue<T>> ring = new ArrayDeque<>();
+
+    void add(Item<T> item, boolean isReady) {
+      CustomerQueue<T> queue = customers.get(item.customer);
+      if (queue == null) {
+        queue = new CustomerQueue<>(item.customer);
+        customers.put(item.customer, queue);
+        ring.addLast(queue);
+      }
+      queue.add(item, isReady);
+    }
+
+    void remove(Item<T> item) {
+      CustomerQueue<T> queue = customers.get(item.customer);
+      queue.remove(item);
+      if (queue.groups.isEmpty()) {
+        customers.remove(item.customer);
+        ring.remove(queue);
+      }
+    }
+
+    Item<T> poll(Share share, Predicate<T> admissible) {
+      long fewestRounds = Long.MAX_VALUE;
+      for (int i = ring.size(); i > 0; i--) {
+        CustomerQueue<T> queue = ring.peekFirst();
+        queue.candidate = share.permits(queue.name) ? queue.head(admissible) : null;
+        if (queue.candidate != null) {
+          if (!queue.inTurn) {
+            queue.inTurn = true;
+            queue.deficit += QUANTUM_TOKENS;
+          }
+          if (queue.deficit >= queue.candidate.tokens) {
+            return take(queue);
+          }
+          fewestRounds = Math.min(fewestRounds, queue.rounds());
+        }
+        queue.inTurn = false;
+        ring.addLast(ring.pollFirst());
+      }
+      if (fewestRounds == Long.MAX_VALUE) {
+        return null;
+      }
+      // Every candidate costs more than its deficit: the rounds that serve none are added at once.
+      for (CustomerQueue<T> queue : ring) {
+        if (queue.candidate != null) {
+          queue.deficit += (fewestRounds - 1) * QUANTUM_TOKENS;
+        }
+      }
+      return poll(share, admissible);
+    }
+
+    void ready(String adapter, boolean isReady) {
+      customers.values().forEach(queue -> queue.ready(adapter, isReady));
+    }
+
+    CustomerQueue<T> largest() {
+      CustomerQueue<T> largest = null;
+      for (CustomerQueue<T> queue : ring) {
+        if (largest == null || queue.tokens > largest.tokens) {
+          largest = queue;
+        }
+      }
+      return largest;
+    }
+
+    long tokensOf(String customer) {
+      CustomerQueue<T> queue = customers.get(customer);
+      return queue == null ? 0 : queue.tokens;
+    }
+
+    long oldestReady(long nowNanos) {
+      long oldest = nowNanos;
+      for (CustomerQueue<T> queue : ring) {
+        for (CustomerQueue.Group<T> group : queue.readyGroups) {
+          if (group.head.enqueuedAtNanos - oldest < 0) {
+            oldest = group.head.enqueuedAtNanos;
+          }
+        }
+      }
+      return oldest;
+    }
+
+    List<Item<T>> waitingHeads() {
+      List<Item<T>> heads = new ArrayList<>();
+      for (CustomerQueue<T> queue : ring) {
+        for (CustomerQueue.Group<T> group : queue.groups.values()) {
+          if (!group.isReady) {
+            heads.add(group.head);
+          }
+        }
+      }
+      return heads;
+    }
+
+    private Item<T> take(CustomerQueue<T> queue) {
+      Item<T> item = queue.candidate;
+      queue.deficit -= item.tokens;
+      queue.remove(item);
+      if (queue.groups.isEmpty()) {
+        customers.remove(queue.name);
+        ring.removeFirst();
+      }
+      return item;
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AdapterLoader.java
@@ -0,0 +1,212 @@
+package org.comfreygap.sidecar;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.comfreygap.decisions.AdapterResidency.Command;
+import org.comfreygap.decisions.AdapterResidency.Kind;
+import org.comfreygap.decisions.AdapterResidency.Result;
+import org.comfreygap.protocol.generated.PermitReply;
+import org.comfreygap.protocol.generated.PermitRequest;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.runtime.ControlClient;
+import org.comfreygap.runtime.ControlUnavailable;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+import org.comfreygap.sidecar.EngineClient.CommandReply;
+import org.comfreygap.sidecar.EngineClient.CommandStatus;
+import org.comfreygap.sidecar.ResidencyController.Plan;
+
+/**
+ * Loads the adapters that queued work waits for, one at a time, each under a permit of control.
+ *
+ * <p>Invariant: a permit that was asked for is released in every case. Thread safety: {@link #step}
+ * is run by one duty.
+ */
+@Singleton
+final class AdapterLoader {
+
+  private static final Duration IDLE_WAIT = Duration.ofMillis(100);
+  private static final Duration PERMIT_CALL_TIMEOUT = Duration.ofMillis(1_500);
+  private static final int PERMIT_WAIT_MILLIS = 200;
+  private static final Duration MAX_PAUSE = Duration.ofMillis(100);
+  // Shorter than the 10 s of a permit, so that a load never outlives it.
+  private static final Duration LOAD_TIMEOUT = Duration.ofSeconds(8);
+  // An unload sent just before the endpoint lease ends is over before control grants it again.
+  private static final Duration UNLOAD_TIMEOUT = Duration.ofMillis(1_500);
+  private static final Duration ROOM_TIMEOUT = Duration.ofSeconds(2);
+
+  private final EndpointCore core;
+  private final ResidencyController residency;
+  private final EngineClient engine;
+  private final EndpointLease lease;
+  private final ControlClient control;
+  private final ControlReports reports;
+  private final EventLog events;
+  private final SidecarMetrics metrics;
+  private final ProcessIdentity identity;
+  private long permits;
+  private String pendingPermit = "";
+  private String pendingAdapter = "";
+
+  @Inject
+  AdapterLoader(
+      EndpointCore core,
+      ResidencyController residency,
+      EngineClient engine,
+      EndpointLease lease,
+      ControlClient control,
+      ControlReports reports,
+      EventLog events,
+      SidecarMetrics metrics,
+      ProcessIdentity identity) {
+    this.core = core;
+    this.residency = residency;
+    this.engine = engine;
+    this.lease = lease;
+    this.control = control;
+    this.reports = reports;
+    this.events = events;
+    this.metrics = metrics;
+    this.identity = identity;
+  }
+
+  /** Waits for work and loads at most one adapter. */
+  void step() throws InterruptedException {
+    Optional<Plan> plan = residency.nextLoad();
+    if (plan.isEmpty()) {
+      core.awaitLoadWork(IDLE_WAIT);
+      return;
+    }
+    String permitId = permitFor(plan.get());
+    Optional<Long> permitEnd = acquire(permitId, plan.get());
+    if (permitEnd.isEmpty()) {
+      return;
+    }
+    try {
+      load(plan.get(), permitEnd.get());
+    } finally {
+      pendingPermit = "";
+      reports.release(permitId);
+    }
+  }
+
+  private String permitFor(Plan plan) {
+    if (!pendingPermit.isEmpty() && !pendingAdapter.equals(plan.adapter())) {
+      reports.release(pendingPermit);
+      pendingPermit = "";
+    }
+    if (pendingPermit.isEmpty()) {
+      pendingPermit = identity.getProcessId() + "/" + identity.getStartId() + "/" + ++permits;
+      pendingAdapter = plan.adapter();
+    }
+    return pendingPermit;
+  }
+
+  /** Returns the monotonic time at which the permit ends, or empty when it was not granted. */
+  private Optional<Long> acquire(String permitId, Plan plan) throws InterruptedException {
+    PermitRequest request =
+        new PermitRequest(
+            permitId,
+            identity.getEndpoint(),
+            plan.adapter(),
+            plan.customer(),
+            plan.priority(),
+            PERMIT_WAIT_MILLIS);
+    long pause = MAX_PAUSE.toMillis();
+    try {
+      long sentAt = System.nanoTime();
+      PermitReply reply =
+          control.callLeader(PERMIT_CALL_TIMEOUT, client -> client.acquireLoadPermit(request));
+      if (reply.isGranted()) {
+        return Optional.of(sentAt + TimeUnit.MILLISECONDS.toNanos(reply.getLifetimeMillis()));
+      }
+      pause = Math.max(1, Math.min(pause, reply.getRetryAfterMillis()));
+    } catch (ControlUnavailable e) {
+      events.record(
+          SidecarEvent.ADAPTER_COMMAND_FAILED,
+          Field.of("adapter", plan.adapter()),
+          Field.of("cause", "no load permit: " + e.getMessage()));
+    }
+    Thread.sleep(pause);
+    return Optional.empty();
+  }
+
+  private void load(Plan plan, long permitEnd) throws InterruptedException {
+    long giveUpAt = System.nanoTime() + ROOM_TIMEOUT.toNanos();
+    while (residency.wanted(plan.adapter()) && System.nanoTime() - giveUpAt < 0) {
+      Optional<Command> command = residency.begin(plan.adapter());
+      if (command.isEmpty()) {
+        core.wakeMonitor();
+        core.awaitLoadWork(Duration.ofMillis(5));
+        continue;
+      }
+      boolean done = run(command.get(), plan, permitEnd);
+      if (command.get().kind() == Kind.LOAD) {
+        if (!done) {
+          residency.loadFailed(plan.adapter());
+        }
+        return;
+      }
+    }
+  }
+
+  private boolean run(Command command, Plan plan, long permitEnd) throws InterruptedException {
+    boolean load = command.kind() == Kind.LOAD;
+    long left = Math.max(1, TimeUnit.NANOSECONDS.toMillis(permitEnd - System.nanoTime()));
+    Duration timeout =
+        load ? Duration.ofMillis(Math.min(LOAD_TIMEOUT.toMillis(), left)) : UNLOAD_TIMEOUT;
+    long fencing = lease.fencing();
+    Result result = Result.UNKNOWN;
+    String cause = "";
+    String bootId = "";
+    try {
+      CompletableFuture<CommandReply> call =
+          load
+              ? engine.load(command.adapter(), plan.source(), fencing, timeout)
+              : engine.unload(command.adapter(), fencing, timeout);
+      CommandReply reply = call.get(timeout.toMillis() + 500, TimeUnit.MILLISECONDS);
+      bootId = reply.bootId();
+      cause = reply.status().name();
+      result = reply.status() == CommandStatus.DONE ? Result.DONE : Result.REFUSED;
+      if (reply.status() == CommandStatus.STALE_FENCING) {
+        events.record(SidecarEvent.FENCING_STALE, Field.of("fencing", fencing));
+      }
+    } catch (ExecutionException e) {
+      cause = String.valueOf(e.getCause().getMessage());
+      boolean unsent =
+          e.getCause() instanceof EngineException failure
+              && failure.kind() == EngineException.Kind.NOT_SENT;
+      result = unsent ? Result.REFUSED : Result.UNKNOWN;
+    } catch (TimeoutException e) {
+      cause = "no answer within " + timeout;
+    } finally {
+      residency.ended(command, result, bootId);
+    }
+    record(command, result, cause);
+    return result == Result.DONE;
+  }
+
+  private void record(Command command, Result result, String cause) {
+    if (result != Result.DONE) {
+      metrics.commandFailed();
+      events.record(
+          SidecarEvent.ADAPTER_COMMAND_FAILED,
+          Field.of("command", command.kind()),
+          Field.of("adapter", command.adapter()),
+          Field.of("result", result),
+          Field.of("cause", cause));
+    } else if (command.kind() == Kind.LOAD) {
+      metrics.loaded();
+      events.record(SidecarEvent.ADAPTER_LOADED, Field.of("adapter", command.adapter()));
+    } else {
+      metrics.unloaded();
+      events.record(SidecarEvent.ADAPTER_UNLOADED, Field.of("adapter", command.adapter()));
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AnswerConsumer.java
@@ -0,0 +1,208 @@
+package org.comfreygap.sidecar;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Future;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.nio.AsyncResponseConsumer;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/**
+ * Receives one answer from the endpoint, checks that it belongs to the attempt and is whole, and
+ * takes no more bytes than were demanded.
+ *
+ * <p>Invariant: the listener gets exactly one end. Thread safety: the I/O thread delivers; {@link
+ * #demand} and {@link #abort} may be called from any thread.
+ */
+final class AnswerConsumer implements AsyncResponseConsumer<Void>, EngineClient.Answer {
+
+  static final String BOOT_ID_HEADER = "x-boot-id";
+  private static final String REQUEST_ID_HEADER = "x-request-id";
+
+  private final String attemptId;
+  private final boolean checked;
+  private final EngineClient.AnswerListener listener;
+  private AnswerEnd end;
+  private boolean over;
+  private CapacityChannel channel;
+  private int pendingDemand;
+  private Future<Void> exchange;
+  private boolean aborted;
+  private FutureCallback<Void> result;
+
+  AnswerConsumer(String attemptId, boolean checked, EngineClient.AnswerListener listener) {
+    this.attemptId = attemptId;
+    this.checked = checked;
+    this.listener = listener;
+  }
+
+  /** Sets the exchange that {@link #abort} cancels. */
+  void running(Future<Void> future) {
+    boolean cancel;
+    synchronized (this) {
+      exchange = future;
+      cancel = aborted;
+    }
+    if (cancel) {
+      future.cancel(true);
+    }
+  }
+
+  /** Returns the callback for the exchange. */
+  FutureCallback<Void> callback() {
+    return new FutureCallback<>() {
+      @Override
+      public void completed(Void result) {
+        // The end was delivered by streamEnd.
+      }
+
+      @Override
+      public void failed(Exception failure) {
+        fail(HttpEngineClient.translate(failure));
+      }
+
+      @Override
+      public void cancelled() {
+        fail(new EngineException(EngineException.Kind.BROKEN, "the exchange was aborted", null));
+      }
+    };
+  }
+
+  @Override
+  public void demand(int bytes) {
+    CapacityChannel known;
+    synchronized (this) {
+      known = channel;
+      if (known == null) {
+        pendingDemand += bytes;
+        return;
+      }
+    }
+    try {
+      known.update(bytes);
+    } catch (IOException e) {
+      fail(HttpEngineClient.translate(e));
+    }
+  }
+
+  @Override
+  public void abort() {
+    Future<Void> known;
+    synchronized (this) {
+      aborted = true;
+      known = exchange;
+    }
+    if (known != null) {
+      known.cancel(true);
+    }
+  }
+
+  @Override
+  public void consumeResponse(
+      HttpResponse response,
+      EntityDetails entity,
+      HttpContext context,
+      FutureCallback<Void> resultCallback)
+      throws IOException {
+    Map<String, String> headers = new HashMap<>();
+    for (Header header : response.getHeaders()) {
+      headers.putIfAbsent(header.getName().toLowerCase(Locale.ROOT), header.getValue());
+    }
+    String echoed = headers.get(REQUEST_ID_HEADER);
+    boolean crossed = checked ? !attemptId.equals(echoed) : echoed != null && !attemptId.equals(echoed);
+    if (crossed) {
+      EngineException failure =
+          new EngineException(
+              EngineException.Kind.MISMATCHED,
+              "the answer carries request id " + echoed + ", expected " + attemptId,
+              null);
+      fail(failure);
+      throw new IOException(failure);
+    }
+    end = AnswerEnd.of(headers, checked);
+    String bootId = headers.getOrDefault(BOOT_ID_HEADER, "");
+    listener.head(response.getCode(), headers, bootId);
+    if (entity == null) {
+      finish();
+      resultCallback.completed(null);
+    } else {
+      this.result = resultCallback;
+    }
+  }
+
+  @Override
+  public void informationResponse(HttpResponse response, HttpContext context) {
+    // Nothing depends on interim answers.
+  }
+
+  @Override
+  public void updateCapacity(CapacityChannel capacityChannel) throws IOException {
+    int bytes;
+    synchronized (this) {
+      channel = capacityChannel;
+      bytes = pendingDemand;
+      pendingDemand = 0;
+    }
+    if (bytes > 0) {
+      capacityChannel.update(bytes);
+    }
+  }
+
+  @Override
+  public void consume(ByteBuffer source) {
+    end.accept(source);
+    listener.data(source);
+    source.position(source.limit());
+  }
+
+  @Override
+  public void streamEnd(List<? extends Header> trailers) {
+    finish();
+    if (result != null) {
+      result.completed(null);
+    }
+  }
+
+  @Override
+  public void failed(Exception cause) {
+    fail(HttpEngineClient.translate(cause));
+  }
+
+  @Override
+  public void releaseResources() {
+    // Buffers belong to the connection.
+  }
+
+  private void finish() {
+    if (!markOver()) {
+      return;
+    }
+    if (end.whole()) {
+      listener.ended(end.totalTokens());
+    } else {
+      listener.failed(
+          new EngineException(
+              EngineException.Kind.TRUNCATED, "the answer has no end marker", null));
+    }
+  }
+
+  private void fail(EngineException failure) {
+    if (markOver()) {
+      listener.failed(failure);
+    }
+  }
+
+  private synchronized boolean markOver() {
+    boolean first = !over;
+    over = true;
+    return first;
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AnswerEnd.java
@@ -0,0 +1,152 @@
+package org.comfreygap.sidecar;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * Decides whether an answer that ended is whole. A body may end early although its transfer coding
+ * looks complete, for example behind a proxy that closes the last chunk for a lost origin.
+ *
+ * <p>Server-sent events are whole when their last event is {@code [DONE]}, JSON when its outermost
+ * object is closed, and any other body when its length was declared or it was sent in chunks.
+ *
+ * <p>Thread safety: none; one answer at a time.
+ */
+final class AnswerEnd {
+
+  private static final byte[] DONE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
+  private static final int TAIL_BYTES = 512;
+
+  private final Form form;
+  private final byte[] tail = new byte[TAIL_BYTES];
+  private long total;
+  private int depth;
+  private boolean inString;
+  private boolean escaped;
+  private boolean closed;
+
+  private AnswerEnd(Form form) {
+    this.form = form;
+  }
+
+  private enum Form {
+    EVENTS,
+    JSON,
+    FRAMED,
+    UNFRAMED
+  }
+
+  /**
+   * Returns the check for an answer with the given headers.
+   *
+   * @param checked true for an engine, whose answers carry an end marker
+   */
+  static AnswerEnd of(Map<String, String> headers, boolean checked) {
+    String type = headers.getOrDefault("content-type", "");
+    if (checked && type.startsWith("text/event-stream")) {
+      return new AnswerEnd(Form.EVENTS);
+    }
+    if (checked && type.startsWith("application/json")) {
+      return new AnswerEnd(Form.JSON);
+    }
+    boolean framed =
+        headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
+    return new AnswerEnd(framed ? Form.FRAMED : Form.UNFRAMED);
+  }
+
+  /** Notes bytes of the body; the position of {@code bytes} is left alone. */
+  void accept(ByteBuffer bytes) {
+    int length = bytes.remaining();
+    int kept = Math.min(length, TAIL_BYTES);
+    for (int i = bytes.limit() - kept; i < bytes.limit(); i++) {
+      tail[(int) ((total + i - bytes.position()) % TAIL_BYTES)] = bytes.get(i);
+    }
+    total += length;
+    if (form == Form.JSON) {
+      for (int i = bytes.position(); i < bytes.limit(); i++) {
+        scan(bytes.get(i));
+      }
+    }
+  }
+
+  /** Returns true when the body noted so far is whole. */
+  boolean whole() {
+    return switch (form) {
+      case EVENTS -> endsWithDone();
+      case JSON -> closed;
+      case FRAMED -> true;
+      case UNFRAMED -> total == 0;
+    };
+  }
+
+  /** Returns the total tokens that the engine reported near the end of the body, or -1. */
+  long totalTokens() {
+    String text = new String(tailBytes(), StandardCharsets.ISO_8859_1);
+    int at = text.lastIndexOf("\"total_tokens\":");
+    if (at < 0) {
+      return -1;
+    }
+    long value = -1;
+    for (int i = at + "\"total_tokens\":".length(); i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c >= '0' && c <= '9') {
+        value = Math.max(0, value) * 10 + (c - '0');
+      } else if (c != ' ' || value >= 0) {
+        break;
+      }
+    }
+    return value;
+  }
+
+  private void scan(byte b) {
+    if (inString) {
+      if (escaped) {
+        escaped = false;
+      } else if (b == '\\') {
+        escaped = true;
+      } else if (b == '"') {
+        inString = false;
+      }
+      return;
+    }
+    switch (b) {
+      case '"' -> inString = true;
+      case '{', '[' -> depth++;
+      case '}', ']' -> {
+        depth--;
+        closed = depth == 0;
+      }
+      default -> {
+        // Literals and white space do not change the nesting.
+      }
+    }
+  }
+
+  private boolean endsWithDone() {
+    byte[] bytes = tailBytes();
+    int end = bytes.length;
+    while (end > 0 && (bytes[end - 1] == '\n' || bytes[end - 1] == '\r')) {
+      end--;
+    }
+    if (end < DONE.length) {
+      return false;
+    }
+    int start = end - DONE.length;
+    for (int i = 0; i < DONE.length; i++) {
+      if (bytes[start + i] != DONE[i]) {
+        return false;
+      }
+    }
+    return start == 0 || bytes[start - 1] == '\n';
+  }
+
+  private byte[] tailBytes() {
+    int length = (int) Math.min(total, TAIL_BYTES);
+    byte[] ordered = new byte[length];
+    for (int i = 0; i < length; i++) {
+      ordered[i] = tail[(int) ((total - length + i) % TAIL_BYTES)];
+    }
+    return ordered;
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Attempt.java
@@ -0,0 +1,65 @@
+package org.comfreygap.sidecar;
+
+import java.util.concurrent.TimeUnit;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.protocol.generated.Outcome;
+
+/**
+ * One attempt known to the sidecar.
+ *
+ * <p>Thread safety: the request and the output may be used by any thread; the other fields are
+ * guarded by the lock of {@link AttemptController}.
+ */
+final class Attempt {
+
+  final AttemptRequest request;
+  final EngineClient.EngineRequest engineRequest;
+  final String adapter;
+  final AttemptOutput output;
+  final long receivedAtNanos;
+  final long deadlineAtNanos;
+  State state = State.QUEUED;
+  Outcome outcome = Outcome.NOT_RUN;
+  /** Boot under which the attempt was dispatched. */
+  String bootId = "";
+  /** True while the endpoint may still run the request. */
+  boolean atEndpoint;
+  /** True when the connection broke and a state read must decide what became of the request. */
+  boolean broken;
+  long brokenAtNanos;
+  /** Number of the exchange with the endpoint; events of earlier exchanges are ignored. */
+  int exchange;
+  EngineClient.Answer answer;
+  boolean waitedForLoad;
+  long dispatchedAtNanos;
+  long endedAtNanos;
+
+  Attempt(
+      AttemptRequest request,
+      EngineClient.EngineRequest engineRequest,
+      String adapter,
+      AttemptOutput output,
+      long nowNanos) {
+    this.request = request;
+    this.engineRequest = engineRequest;
+    this.adapter = adapter;
+    this.output = output;
+    this.receivedAtNanos = nowNanos;
+    this.deadlineAtNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(request.getDeadlineMillis());
+  }
+
+  /** Life of an attempt as the gateway sees it. */
+  enum State {
+    QUEUED,
+    RUNNING,
+    ENDED
+  }
+
+  String id() {
+    return request.getAttemptId();
+  }
+
+  boolean past(long nowNanos) {
+    return deadlineAtNanos - nowNanos <= 0;
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptOutput.java
@@ -0,0 +1,267 @@
+package org.comfreygap.sidecar;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Optional;
+import org.comfreygap.protocol.generated.FrameBody;
+import org.comfreygap.protocol.generated.FrameData;
+import org.comfreygap.protocol.generated.FrameEnd;
+import org.comfreygap.protocol.generated.FrameFailure;
+import org.comfreygap.protocol.generated.FrameHead;
+import org.comfreygap.protocol.generated.FrameRefusal;
+
+/**
+ * The answer of one attempt on its way to the gateway: a bounded buffer that one sink reads.
+ *
+ * <p>Bytes already handed to a sink are kept up to a bound, so that a gateway whose connection went
+ * silent can attach again at an earlier offset. Bytes not yet handed over are bounded by the demand
+ * given to the endpoint, which grows only as the sink reads.
+ *
+ * <p>Invariant: a sink receives head, data in order without gaps, then exactly one last frame; only
+ * the newest sink receives anything. Thread safety: all methods are synchronized, and no foreign
+ * code is called under the lock.
+ */
+final class AttemptOutput {
+
+  /** Most bytes of data in one frame. */
+  static final int MAX_FRAME_BYTES = 16 * 1024;
+
+  private static final int DEMAND_STEP = 8 * 1024;
+
+  private final BufferBudget budget;
+  private final Deque<byte[]> chunks = new ArrayDeque<>();
+  private FrameHead head;
+  private FrameBody last;
+  private long first;
+  private long end;
+  private FrameSink sink;
+  private long position;
+  private boolean headTaken;
+  private boolean lastTaken;
+  private boolean everComplete;
+  private long detachedAtNanos;
+  private EngineClient.Answer answer;
+  private int undemanded;
+
+  AttemptOutput(BufferBudget budget, long nowNanos) {
+    this.budget = budget;
+    this.detachedAtNanos = nowNanos;
+  }
+
+  /** Receives frames; told when there is something to take. */
+  interface FrameSink {
+
+    /** Sets the output that the sink reads; called once, before anything else. */
+    void reads(AttemptOutput output);
+
+    /** There may be frames to take. */
+    void ready();
+
+    /** Another sink has taken over; nothing more will come. */
+    void replaced();
+  }
+
+  /**
+   * Makes {@code newSink} the reader from {@code offset} on. Returns the sink it replaces, which
+   * the caller tells, or empty.
+   *
+   * @return false in {@code attached} when the offset is no longer or not yet held
+   */
+  synchronized Attachment attach(FrameSink newSink, long offset) {
+    if (offset < first || offset > end) {
+      return new Attachment(false, Optional.empty());
+    }
+    Optional<FrameSink> replaced = Optional.ofNullable(sink);
+    sink = newSink;
+    position = offset;
+    headTaken = false;
+    lastTaken = false;
+    return new Attachment(true, replaced);
+  }
+
+  /** Result of {@link #attach}. */
+  record Attachment(boolean attached, Optional<FrameSink> replaced) {}
+
+  /** Removes {@code oldSink} if it still is the reader. */
+  synchronized void detach(FrameSink oldSink, long nowNanos) {
+    if (sink == oldSink) {
+      sink = null;
+      detachedAtNanos = nowNanos;
+    }
+  }
+
+  /** Returns true when no sink has been attached since {@code beforeNanos}. */
+  synchronized boolean abandonedSince(long beforeNanos) {
+    return sink == null && detachedAtNanos - beforeNanos < 0;
+  }
+
+  /** Sets the exchange whose demand follows the sink. */
+  void feed(EngineClient.Answer newAnswer) {
+    synchronized (this) {
+      answer = newAnswer;
+      undemanded = 0;
+    }
+  }
+
+  /** Sets the head. Only the first counts: a resumed answer keeps it. */
+  void head(FrameHead newHead) {
+    FrameSink reader;
+    synchronized (this) {
+      if (head != null || last != null) {
+        return;
+      }
+      head = newHead;
+      reader = sink;
+    }
+    tell(reader);
+  }
+
+  /** Adds bytes of the body. */
+  void append(ByteBuffer bytes) {
+    FrameSink reader;
+    synchronized (this) {
+      if (last != null || !bytes.hasRemaining()) {
+        return;
+      }
+      byte[] chunk = new byte[bytes.remaining()];
+      bytes.get(chunk);
+      chunks.addLast(chunk);
+      end += chunk.length;
+      reader = sink;
+    }
+    tell(reader);
+  }
+
+  /** Ends the answer; false when it had already ended. */
+  boolean finish(FrameEnd frame) {
+    return end(FrameBody.finish(frame), true);
+  }
+
+  /** Ends the attempt before an answer; false when it had already ended. */
+  boolean refuse(FrameRefusal frame) {
+    return end(FrameBody.refusal(frame), false);
+  }
+
+  /** Ends the answer without success; false when it had already ended. */
+  boolean fail(FrameFailure frame) {
+    return end(FrameBody.failure(frame), false);
+  }
+
+  /** Returns the number of bytes received from the endpoint. */
+  synchronized long received() {
+    return end;
+  }
+
+  /** Returns true once the last frame was handed to a sink. */
+  synchronized boolean delivered() {
+    return everComplete;
+  }
+
+  /** Returns true when a last frame is set. */
+  synchronized boolean over() {
+    return last != null;
+  }
+
+  /** Removes and returns the next frame for {@code reader}; empty when there is none now. */
+  Optional<FrameBody> take(FrameSink reader) {
+    EngineClient.Answer fed = null;
+    int demand = 0;
+    FrameBody frame;
+    synchronized (this) {
+      if (sink != reader) {
+        return Optional.empty();
+      }
+      frame = next();
+      if (undemanded >= DEMAND_STEP && answer != null) {
+        fed = answer;
+        demand = undemanded;
+        undemanded = 0;
+      }
+    }
+    if (fed != null) {
+      fed.demand(demand);
+    }
+    return Optional.ofNullable(frame);
+  }
+
+  /** Returns true when no sink is attached. */
+  synchronized boolean abandoned() {
+    return sink == null;
+  }
+
+  /** Returns true when the last frame was taken by {@code reader}. */
+  synchronized boolean drained(FrameSink reader) {
+    return sink == reader && lastTaken;
+  }
+
+  private FrameBody next() {
+    if (head != null && !headTaken) {
+      headTaken = true;
+      return FrameBody.head(head);
+    }
+    if (position < end) {
+      return FrameBody.data(data());
+    }
+    if (last != null && !lastTaken) {
+      lastTaken = true;
+      everComplete = true;
+      return last;
+    }
+    return null;
+  }
+
+  private FrameData data() {
+    int length = (int) Math.min(MAX_FRAME_BYTES, end - position);
+    byte[] bytes = new byte[length];
+    long chunkStart = first;
+    int copied = 0;
+    Iterator<byte[]> iterator = chunks.iterator();
+    while (copied < length) {
+      byte[] chunk = iterator.next();
+      long from = position + copied - chunkStart;
+      if (from < chunk.length) {
+        int count = (int) Math.min(chunk.length - from, length - copied);
+        System.arraycopy(chunk, (int) from, bytes, copied, count);
+        copied += count;
+      }
+      chunkStart += chunk.length;
+    }
+    FrameData frame = new FrameData(position, ByteBuffer.wrap(bytes));
+    position += length;
+    undemanded += length;
+    trim();
+    return frame;
+  }
+
+  private void trim() {
+    int kept = budget.perAttempt();
+    byte[] oldest = chunks.peekFirst();
+    while (oldest != null && first + oldest.length <= position - kept) {
+      chunks.removeFirst();
+      first += oldest.length;
+      oldest = chunks.peekFirst();
+    }
+  }
+
+  private boolean end(FrameBody frame, boolean whole) {
+    FrameSink reader;
+    synchronized (this) {
+      if (last != null) {
+        return false;
+      }
+      last = frame;
+      answer = whole ? answer : null;
+      reader = sink;
+    }
+    tell(reader);
+    return true;
+  }
+
+  private static void tell(FrameSink reader) {
+    if (reader != null) {
+      reader.ready();
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptStream.java
@@ -0,0 +1,179 @@
+package org.comfreygap.sidecar;
+
+import jakarta.servlet.AsyncContext;
+import jakarta.servlet.AsyncEvent;
+import jakarta.servlet.AsyncListener;
+import jakarta.servlet.ServletOutputStream;
+import jakarta.servlet.WriteListener;
+import java.io.IOException;
+import java.util.Optional;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TTransportException;
+import org.comfreygap.protocol.generated.AttemptFrame;
+import org.comfreygap.protocol.generated.FrameBeat;
+import org.comfreygap.protocol.generated.FrameBody;
+import org.comfreygap.sidecar.AttemptOutput.FrameSink;
+
+/**
+ * Writes the frames of one attempt to one connection without blocking: whoever adds to the output
+ * writes as long as the connection takes bytes, and the container goes on when it takes bytes again.
+ *
+ * <p>Invariant: frames are taken from the output only while the connection is writable, so a gateway
+ * that reads slowly slows down the endpoint. Thread safety: all methods may be called from any
+ * thread.
+ */
+final class AttemptStream implements FrameSink, WriteListener, AsyncListener {
+
+  private static final ThreadLocal<TSerializer> SERIALIZER =
+      ThreadLocal.withInitial(AttemptStream::serializer);
+
+  private final String attemptId;
+  private final AsyncContext context;
+  private final ServletOutputStream out;
+  private final AttemptStreams streams;
+  private AttemptOutput output;
+  private boolean open;
+  private boolean closed;
+  private boolean unflushed;
+  private long lastFrameAtNanos = System.nanoTime();
+
+  AttemptStream(String attemptId, AsyncContext context, AttemptStreams streams)
+      throws IOException {
+    this.attemptId = attemptId;
+    this.context = context;
+    this.out = context.getResponse().getOutputStream();
+    this.streams = streams;
+  }
+
+  @Override
+  public void reads(AttemptOutput newOutput) {
+    synchronized (this) {
+      output = newOutput;
+    }
+  }
+
+  @Override
+  public void ready() {
+    drain(false);
+  }
+
+  @Override
+  public void replaced() {
+    close();
+  }
+
+  @Override
+  public void onWritePossible() {
+    synchronized (this) {
+      open = true;
+    }
+    drain(false);
+  }
+
+  @Override
+  public void onError(Throwable failure) {
+    close();
+  }
+
+  @Override
+  public void onError(AsyncEvent event) {
+    close();
+  }
+
+  @Override
+  public void onTimeout(AsyncEvent event) {
+    close();
+  }
+
+  @Override
+  public void onComplete(AsyncEvent event) {
+    close();
+  }
+
+  @Override
+  public void onStartAsync(AsyncEvent event) {
+    // The stream starts the only asynchronous cycle.
+  }
+
+  /** Writes a beat if nothing was written since {@code beforeNanos}. */
+  void beat(long beforeNanos) {
+    boolean due;
+    synchronized (this) {
+      due = lastFrameAtNanos - beforeNanos < 0;
+    }
+    if (due) {
+      drain(true);
+    }
+  }
+
+  private void drain(boolean beat) {
+    boolean complete = false;
+    boolean broken = false;
+    synchronized (this) {
+      if (closed || !open || output == null) {
+        return;
+      }
+      try {
+        complete = write(beat);
+      } catch (IOException | TException e) {
+        broken = true;
+      }
+    }
+    if (complete || broken) {
+      close();
+    }
+  }
+
+  /** Writes what there is; returns true when the last frame is on its way. */
+  private boolean write(boolean beat) throws IOException, TException {
+    boolean beatDue = beat;
+    while (out.isReady()) {
+      Optional<FrameBody> frame = output.take(this);
+      if (frame.isEmpty() && beatDue) {
+        frame = Optional.of(FrameBody.beat(new FrameBeat(0)));
+      }
+      beatDue = false;
+      if (frame.isPresent()) {
+        out.write(SERIALIZER.get().serialize(new AttemptFrame(attemptId, frame.get())));
+        lastFrameAtNanos = System.nanoTime();
+        unflushed = true;
+      } else if (unflushed) {
+        unflushed = false;
+        out.flush();
+      } else {
+        return output.drained(this);
+      }
+    }
+    return false;
+  }
+
+  private void close() {
+    AttemptOutput known;
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      closed = true;
+      known = output;
+    }
+    streams.remove(this);
+    if (known != null) {
+      known.detach(this, System.nanoTime());
+    }
+    try {
+      context.complete();
+    } catch (IllegalStateException ignored) {
+      // The container has already ended the cycle.
+    }
+  }
+
+  private static TSerializer serializer() {
+    try {
+      return new TSerializer(new TCompactProtocol.Factory());
+    } catch (TTransportException e) {
+      throw new IllegalStateException("cannot create a memory transport", e);
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
@@ -0,0 +1,230 @@
+package org.comfreygap.sidecar;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
+import org.comfreygap.decisions.AdapterResidency;
+import org.comfreygap.decisions.AttemptRegistry;
+import org.comfreygap.decisions.ColdStartRamp;
+import org.comfreygap.decisions.FairQueue;
+import org.comfreygap.protocol.generated.EndpointReport;
+import org.comfreygap.settings.Documents.ColdStart;
+import org.comfreygap.settings.Documents.Endpoint;
+
+/**
+ * The state of the endpoint and of its attempts, with the one lock under which residency is checked
+ * and work is dispatched.
+ *
+ * <p>Invariant: the policies and the map of live attempts are used only inside {@link #locked} and
+ * {@link #compute}; what those actions put into {@link #after} runs when the lock is free. Thread
+ * safety: any thread may call.
+ */
+@Singleton
+final class EndpointCore {
+
+  /** Most queued items; at the 5 ms of a short request this is a wait of about 2.5 s. */
+  static final int MAX_QUEUED = 512;
+
+  /** Most queued tokens. */
+  static final long MAX_QUEUED_TOKENS = 4_000_000;
+
+  /** Most attempt ids remembered; at about 200 bytes each this is 6 MB. */
+  static final int MAX_IDS = 32_768;
+
+  /** Time for which the id of an ended attempt is remembered. */
+  static final Duration ID_RETENTION = Duration.ofSeconds(60);
+
+  private static final Duration AGEING = Duration.ofSeconds(3);
+  private static final int SLOTS_BEFORE_SETTINGS = 1;
+
+  final FairQueue<Attempt> queue = new FairQueue<>(MAX_QUEUED, MAX_QUEUED_TOKENS, AGEING);
+  final AttemptRegistry<Attempt> registry = new AttemptRegistry<>(MAX_IDS, ID_RETENTION);
+  final AdapterResidency residency = new AdapterResidency(SLOTS_BEFORE_SETTINGS);
+  final ColdStartRamp ramp = new ColdStartRamp(1, 1, Duration.ofSeconds(60));
+  /** Attempts that are queued, running or possibly still running at the endpoint. */
+  final Map<String, Attempt> live = new LinkedHashMap<>();
+
+  private final String endpoint;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Semaphore loadSignal = new Semaphore(0);
+  private final Semaphore probeSignal = new Semaphore(0);
+  private List<Runnable> effects = new ArrayList<>();
+  private Set<String> usable = Set.of();
+  private List<String> usableNames = List.of();
+  private long reports;
+  private BootListener bootListener = (boot, now) -> {};
+  private volatile boolean reachable;
+
+  @Inject
+  EndpointCore(SidecarSettings settings) {
+    this.endpoint = settings.endpoint();
+  }
+
+  /** Runs {@code action} with the current time under the lock, then its after-effects. */
+  void locked(LongConsumer action) {
+    compute(
+        now -> {
+          action.accept(now);
+          return null;
+        });
+  }
+
+  /** Runs {@code action} under the lock, then its after-effects, and returns its result. */
+  <R> R compute(LongFunction<R> action) {
+    List<Runnable> due;
+    R result;
+    lock.lock();
+    try {
+      result = action.apply(System.nanoTime());
+      due = effects;
+      effects = due.isEmpty() ? due : new ArrayList<>();
+    } finally {
+      lock.unlock();
+    }
+    due.forEach(Runnable::run);
+    return result;
+  }
+
+  /** Runs {@code effect} once the lock is free; to be called under the lock. */
+  void after(Runnable effect) {
+    effects.add(effect);
+  }
+
+  /** Applies the settings of the endpoint. */
+  void configure(Endpoint settings) {
+    locked(
+        now -> {
+          ColdStart coldStart = settings.coldStart();
+          ramp.configure(
+              settings.maxBatch(),
+              coldStart.initialConcurrency(),
+              Duration.ofNanos((long) (coldStart.rampSeconds() * 1e9)));
+          residency.slots(settings.slots());
+        });
+  }
+
+  /** Sets what is told, under the lock, that a boot ended. */
+  void onBootEnded(BootListener listener) {
+    bootListener = listener;
+  }
+
+  /** Records a reply that names the boot of the endpoint. Under the lock. */
+  void replied(String bootId, long sentAtNanos, long now) {
+    String before = ramp.bootId();
+    if (ramp.replied(bootId, sentAtNanos)) {
+      bootListener.ended(before, now);
+    }
+  }
+
+  /** Records a state read. Under the lock. */
+  void observed(EngineClient.EngineState state, long now) {
+    String before = ramp.bootId();
+    if (ramp.observed(
+        state.bootId(), state.uptimeMillis(), state.sentAtNanos(), state.receivedAtNanos())) {
+      bootListener.ended(before, now);
+    }
+  }
+
+  /** Brings the queue in line with residency; to be called under the lock after any change. */
+  void syncReady(long nowNanos) {
+    Set<String> current = residency.usableAdapters(nowNanos);
+    if (current.equals(usable)) {
+      return;
+    }
+    for (String adapter : usable) {
+      if (!current.contains(adapter)) {
+        queue.ready(adapter, false);
+      }
+    }
+    for (String adapter : current) {
+      queue.ready(adapter, true);
+    }
+    usable = new HashSet<>(current);
+    usableNames = List.copyOf(current);
+  }
+
+  /** Returns the report for a last frame; to be called under the lock. */
+  EndpointReport reportLocked(long nowNanos) {
+    EndpointReport report =
+        new EndpointReport(
+            endpoint,
+            ramp.bootId(),
+            ++reports,
+            queue.size(),
+            ramp.running(),
+            ramp.expectedLimit(nowNanos),
+            residency.freeSlots(),
+            usableNames);
+    residency
+        .inProgress()
+        .filter(command -> command.kind() == AdapterResidency.Kind.LOAD)
+        .ifPresent(command -> report.setLoading(List.of(command.adapter())));
+    return report.setReady(reachable);
+  }
+
+  /** Returns the report for a heartbeat. */
+  Optional<EndpointReport> report() {
+    return compute(now -> Optional.of(reportLocked(now)));
+  }
+
+  /** Sets whether the endpoint answers. Returns true when this changes. */
+  boolean reachable(boolean now) {
+    boolean changed = reachable != now;
+    reachable = now;
+    return changed;
+  }
+
+  /** Returns true while the endpoint answers its state or health call. */
+  boolean reachable() {
+    return reachable;
+  }
+
+  /** Wakes the loader. */
+  void wakeLoader() {
+    if (loadSignal.availablePermits() == 0) {
+      loadSignal.release();
+    }
+  }
+
+  /** Wakes the monitor for a state read now. */
+  void wakeMonitor() {
+    if (probeSignal.availablePermits() == 0) {
+      probeSignal.release();
+    }
+  }
+
+  /** Waits until {@link #wakeLoader} or for {@code timeout}. */
+  void awaitLoadWork(Duration timeout) throws InterruptedException {
+    await(loadSignal, timeout);
+  }
+
+  /** Waits until {@link #wakeMonitor} or for {@code timeout}. */
+  void awaitProbe(Duration timeout) throws InterruptedException {
+    await(probeSignal, timeout);
+  }
+
+  /** Told under the lock that a boot of the endpoint has ended. */
+  interface BootListener {
+
+    /** The boot {@code bootId} ended; the next one is known to the ramp. */
+    void ended(String bootId, long now);
+  }
+
+  private static void await(Semaphore signal, Duration timeout) throws InterruptedException {
+    if (signal.tryAcquire(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
+      signal.drainPermits();
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Follower.java
@@ -0,0 +1,45 @@
+package org.comfreygap.sidecar;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+
+/**
+ * Passes one exchange with the endpoint on to its attempt.
+ *
+ * <p>Thread safety: called by one I/O thread at a time.
+ */
+final class Follower implements EngineClient.AnswerListener {
+
+  private final AttemptController controller;
+  private final Attempt attempt;
+  private final int exchange;
+  private boolean usable;
+
+  Follower(AttemptController controller, Attempt attempt, int exchange) {
+    this.controller = controller;
+    this.attempt = attempt;
+    this.exchange = exchange;
+  }
+
+  @Override
+  public void head(int status, Map<String, String> headers, String bootId) {
+    usable = controller.onHead(attempt, exchange, status, headers, bootId);
+  }
+
+  @Override
+  public void data(ByteBuffer bytes) {
+    if (usable) {
+      attempt.output.append(bytes);
+    }
+  }
+
+  @Override
+  public void ended(long totalTokens) {
+    controller.onEnded(attempt, exchange, totalTokens);
+  }
+
+  @Override
+  public void failed(EngineException failure) {
+    controller.onFailed(attempt, exchange, failure);
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -0,0 +1,313 @@
+package org.comfreygap.sidecar;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.async.methods.SimpleHttpRequest;
+import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
+import org.apache.hc.client5.http.async.methods.SimpleRequestBuilder;
+import org.apache.hc.client5.http.async.methods.SimpleRequestProducer;
+import org.apache.hc.client5.http.async.methods.SimpleResponseConsumer;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.config.TlsConfig;
+import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
+import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
+import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManager;
+import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http2.HttpVersionPolicy;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Talks to an endpoint with the HTTP protocol of the design page, section 6.
+ *
+ * <pre>{@code
+ * EngineClient engine = HttpEngineClient.engine(URI.create("http://127.0.0.1:9000"), 64);
+ * }</pre>
+ *
+ * <p>Invariant: no request is sent twice, no redirect is followed, no cookie is kept, and a
+ * connection on which a call failed is not used again. Thread safety: any thread may call; answers
+ * arrive on the I/O thread.
+ *
+ * @since 0.1
+ */
+public final class HttpEngineClient implements EngineClient {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(1);
+  // An idle connection that the endpoint closes at the moment of use makes an outcome unknown, so
+  // idle connections are dropped well before common keep-alive limits.
+  private static final TimeValue MAX_IDLE = TimeValue.ofSeconds(2);
+  private static final int SPARE_CONNECTIONS = 16;
+
+  private final boolean service;
+  private final URI base;
+  private final CloseableHttpAsyncClient client;
+
+  private HttpEngineClient(boolean service, URI base, int maxConcurrency) {
+    this.service = service;
+    this.base = base;
+    this.client = client(maxConcurrency);
+    client.start();
+  }
+
+  /** Returns the client of a language-model engine. */
+  public static HttpEngineClient engine(URI base, int maxConcurrency) {
+    return new HttpEngineClient(false, base, maxConcurrency);
+  }
+
+  /** Returns the client of a plain service. */
+  public static HttpEngineClient service(URI base, int maxConcurrency) {
+    return new HttpEngineClient(true, base, maxConcurrency);
+  }
+
+  @Override
+  public CompletableFuture<EngineState> state(Duration timeout) {
+    String path = service ? "/health" : "/engine/state";
+    long sentAt = System.nanoTime();
+    return call(SimpleRequestBuilder.get(uri(path)).build(), timeout)
+        .thenCompose(reply -> parseState(reply, sentAt));
+  }
+
+  @Override
+  public CompletableFuture<CommandReply> load(
+      String name, String source, long fencing, Duration timeout) {
+    ObjectNode body = MAPPER.createObjectNode();
+    body.put("name", name).put("source", source).put("fencing", fencing);
+    return command(
+        SimpleRequestBuilder.post(uri("/engine/adapters"))
+            .setBody(body.toString(), ContentType.APPLICATION_JSON)
+            .build(),
+        timeout);
+  }
+
+  @Override
+  public CompletableFuture<CommandReply> unload(String name, long fencing, Duration timeout) {
+    String path = "/engine/adapters/" + encode(name) + "?fencing=" + fencing;
+    return command(SimpleRequestBuilder.delete(uri(path)).build(), timeout);
+  }
+
+  @Override
+  public Answer start(EngineRequest request, AnswerListener listener) {
+    SimpleRequestBuilder builder =
+        SimpleRequestBuilder.create(request.method()).setUri(uri(request.path()));
+    request.headers().forEach(builder::setHeader);
+    if (request.body().length > 0) {
+      String type = request.headers().getOrDefault("content-type", "application/octet-stream");
+      builder.setBody(request.body(), ContentType.parseLenient(type));
+    }
+    return stream(
+        builder.build(), request.attemptId(), request.checked(), request.timeout(), listener);
+  }
+
+  @Override
+  public CompletableFuture<Boolean> cancel(String attemptId, Duration timeout) {
+    String path = "/engine/requests/" + encode(attemptId) + "/cancel";
+    return call(SimpleRequestBuilder.post(uri(path)).build(), timeout)
+        .thenApply(reply -> reply.getCode() / 100 == 2);
+  }
+
+  @Override
+  public Answer resume(String attemptId, long offset, AnswerListener listener) {
+    String path = "/engine/requests/" + encode(attemptId) + "?offset=" + offset;
+    SimpleHttpRequest request =
+        SimpleRequestBuilder.get(uri(path)).setHeader("x-request-id", attemptId).build();
+    return stream(request, attemptId, true, Duration.ofSeconds(30), listener);
+  }
+
+  @Override
+  public CompletableFuture<byte[]> exportCache(String attemptId, Duration timeout) {
+    SimpleHttpRequest request =
+        SimpleRequestBuilder.get(uri("/engine/kv/" + encode(attemptId))).build();
+    return call(request, timeout)
+        .thenCompose(
+            reply ->
+                reply.getCode() == 200
+                    ? CompletableFuture.completedFuture(reply.getBodyBytes())
+                    : malformed("KV export answered " + reply.getCode()));
+  }
+
+  @Override
+  public CompletableFuture<Boolean> importCache(
+      String attemptId, byte[] cache, Duration timeout) {
+    SimpleHttpRequest request =
+        SimpleRequestBuilder.put(uri("/engine/kv/" + encode(attemptId)))
+            .setBody(cache, ContentType.APPLICATION_OCTET_STREAM)
+            .build();
+    return call(request, timeout).thenApply(reply -> reply.getCode() / 100 == 2);
+  }
+
+  @Override
+  public void close() {
+    client.close(CloseMode.IMMEDIATE);
+  }
+
+  /** Returns the exception for a failed exchange. */
+  static EngineException translate(Exception failure) {
+    if (failure instanceof EngineException known) {
+      return known;
+    }
+    boolean notSent =
+        failure instanceof ConnectException
+            || failure instanceof ConnectTimeoutException
+            || failure instanceof NoRouteToHostException
+            || failure instanceof UnknownHostException;
+    EngineException.Kind kind =
+        notSent ? EngineException.Kind.NOT_SENT : EngineException.Kind.BROKEN;
+    return new EngineException(kind, failure.toString(), failure);
+  }
+
+  private Answer stream(
+      SimpleHttpRequest request,
+      String attemptId,
+      boolean checked,
+      Duration silence,
+      AnswerListener listener) {
+    request.setConfig(config(silence));
+    AnswerConsumer consumer = new AnswerConsumer(attemptId, checked, listener);
+    consumer.running(
+        client.execute(SimpleRequestProducer.create(request), consumer, consumer.callback()));
+    return consumer;
+  }
+
+  private CompletableFuture<SimpleHttpResponse> call(SimpleHttpRequest request, Duration timeout) {
+    request.setConfig(config(timeout));
+    CompletableFuture<SimpleHttpResponse> future = new CompletableFuture<>();
+    client.execute(
+        SimpleRequestProducer.create(request),
+        SimpleResponseConsumer.create(),
+        new FutureCallback<>() {
+          @Override
+          public void completed(SimpleHttpResponse reply) {
+            future.complete(reply);
+          }
+
+          @Override
+          public void failed(Exception failure) {
+            future.completeExceptionally(translate(failure));
+          }
+
+          @Override
+          public void cancelled() {
+            future.completeExceptionally(
+                new EngineException(EngineException.Kind.BROKEN, "the call was cancelled", null));
+          }
+        });
+    return future;
+  }
+
+  private CompletableFuture<CommandReply> command(SimpleHttpRequest request, Duration timeout) {
+    return call(request, timeout)
+        .thenApply(
+            reply -> {
+              CommandStatus status =
+                  switch (reply.getCode()) {
+                    case 409 -> CommandStatus.FULL;
+                    case 412 -> CommandStatus.STALE_FENCING;
+                    default ->
+                        reply.getCode() / 100 == 2 ? CommandStatus.DONE : CommandStatus.REFUSED;
+                  };
+              return new CommandReply(status, bootId(reply).orElse(""));
+            });
+  }
+
+  private CompletableFuture<EngineState> parseState(SimpleHttpResponse reply, long sentAt) {
+    if (reply.getCode() != 200) {
+      return malformed("the state call answered " + reply.getCode());
+    }
+    try {
+      JsonNode body = MAPPER.readTree(reply.getBodyBytes());
+      String bootInBody = body.path("bootId").asText();
+      String boot = bootId(reply).orElse(bootInBody);
+      if (boot.isEmpty() || !boot.equals(bootInBody)) {
+        // A report collected before a restart says nothing about the boot that sent it.
+        return malformed("the state names boot " + bootInBody + ", the reply came from " + boot);
+      }
+      List<String> resident = new ArrayList<>();
+      body.path("resident").forEach(name -> resident.add(name.asText()));
+      List<String> running = new ArrayList<>();
+      body.path("running").forEach(entry -> running.add(entry.path("attempt").asText()));
+      long uptime = body.path("uptimeMillis").asLong(0);
+      return CompletableFuture.completedFuture(
+          new EngineState(boot, uptime, resident, running, sentAt, System.nanoTime()));
+    } catch (IOException e) {
+      return malformed("the state is not JSON");
+    }
+  }
+
+  private URI uri(String path) {
+    return URI.create(base.toString() + path);
+  }
+
+  private static <T> CompletableFuture<T> malformed(String message) {
+    return CompletableFuture.failedFuture(
+        new EngineException(EngineException.Kind.MALFORMED, message, null));
+  }
+
+  private static Optional<String> bootId(SimpleHttpResponse reply) {
+    Header header = reply.getFirstHeader(AnswerConsumer.BOOT_ID_HEADER);
+    return header == null ? Optional.empty() : Optional.of(header.getValue());
+  }
+
+  private static String encode(String segment) {
+    return URLEncoder.encode(segment, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+
+  private static RequestConfig config(Duration silence) {
+    return RequestConfig.custom()
+        .setConnectionRequestTimeout(CONNECT_TIMEOUT)
+        .setResponseTimeout(Timeout.of(silence))
+        .setRedirectsEnabled(false)
+        .setAuthenticationEnabled(false)
+        .build();
+  }
+
+  private static CloseableHttpAsyncClient client(int maxConcurrency) {
+    int connections = maxConcurrency + SPARE_CONNECTIONS;
+    PoolingAsyncClientConnectionManager connectionManager =
+        PoolingAsyncClientConnectionManagerBuilder.create()
+            .setMaxConnTotal(connections)
+            .setMaxConnPerRoute(connections)
+            .setDefaultConnectionConfig(
+                ConnectionConfig.custom()
+                    .setConnectTimeout(CONNECT_TIMEOUT)
+                    .setValidateAfterInactivity(TimeValue.ofMilliseconds(100))
+                    .setTimeToLive(TimeValue.ofMinutes(5))
+                    .build())
+            .setDefaultTlsConfig(
+                TlsConfig.custom().setVersionPolicy(HttpVersionPolicy.FORCE_HTTP_1).build())
+            .build();
+    return HttpAsyncClients.custom()
+        .setConnectionManager(connectionManager)
+        .setHttp1Config(Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).build())
+        .setIOReactorConfig(
+            IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
+        .setKeepAliveStrategy((response, context) -> MAX_IDLE)
+        .disableAutomaticRetries()
+        .disableRedirectHandling()
+        .disableCookieManagement()
+        .disableAuthCaching()
+        .evictExpiredConnections()
+        .build();
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/ResidencyController.java
@@ -0,0 +1,128 @@
+package org.comfreygap.sidecar;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Optional;
+import org.comfreygap.decisions.AdapterResidency.Command;
+import org.comfreygap.decisions.AdapterResidency.Kind;
+import org.comfreygap.decisions.AdapterResidency.Result;
+import org.comfreygap.decisions.FairQueue;
+import org.comfreygap.protocol.generated.Priority;
+import org.comfreygap.protocol.generated.RefusalReason;
+
+/**
+ * Decides under the core's lock which adapter is loaded next and which commands lead there.
+ *
+ * <p>Thread safety: any thread may call; commands are begun by the one loader.
+ */
+@Singleton
+final class ResidencyController {
+
+  /** Wait after which work without room for its adapter makes one in use be drained. */
+  static final Duration DRAIN_PATIENCE = Duration.ofMillis(500);
+
+  private final EndpointCore core;
+  private final EndpointLease lease;
+  private final AttemptController attempts;
+  private String bootAtBegin = "";
+
+  @Inject
+  ResidencyController(EndpointCore core, EndpointLease lease, AttemptController attempts) {
+    this.core = core;
+    this.lease = lease;
+    this.attempts = attempts;
+  }
+
+  /** An adapter to load. */
+  record Plan(String adapter, String source, String customer, Priority priority) {}
+
+  /** Returns the adapter to load next, or empty when none is wanted or none finds room. */
+  Optional<Plan> nextLoad() {
+    return core.compute(
+        now -> {
+          if (core.queue.size() == 0 || !lease.valid(now) || core.residency.stateUnknown()) {
+            return Optional.empty();
+          }
+          for (FairQueue.Item<Attempt> head : core.queue.wanted()) {
+            if (core.residency.roomFor(head.adapter(), this::queued, now)) {
+              return Optional.of(plan(head.payload()));
+            }
+            if (now - head.enqueuedAtNanos() > DRAIN_PATIENCE.toNanos()) {
+              core.residency.drainOne(now);
+              core.syncReady(now);
+            }
+          }
+          return Optional.empty();
+        });
+  }
+
+  /** Returns true while work waits for {@code adapter} and it is not resident. */
+  boolean wanted(String adapter) {
+    return core.compute(
+        now -> core.queue.queuedFor(adapter) > 0 && !core.residency.usable(adapter, now));
+  }
+
+  /** Begins the next command towards {@code adapter}, or returns empty when none may begin now. */
+  Optional<Command> begin(String adapter) {
+    return core.compute(
+        now -> {
+          if (!lease.valid(now)) {
+            return Optional.empty();
+          }
+          bootAtBegin = core.ramp.bootId();
+          Optional<Command> command = core.residency.begin(adapter, this::queued, now);
+          core.syncReady(now);
+          return command;
+        });
+  }
+
+  /** Ends the command in progress. */
+  void ended(Command command, Result result, String bootId) {
+    core.locked(
+        now -> {
+          core.replied(bootId, now, now);
+          boolean otherBoot = !core.ramp.bootId().equals(bootAtBegin);
+          // An acknowledgement of a boot that ended meanwhile says nothing about the new one.
+          Result certain = otherBoot ? Result.UNKNOWN : result;
+          core.residency.ended(certain, now);
+          if (certain == Result.DONE && command.kind() == Kind.LOAD) {
+            core.queue
+                .wanted()
+                .stream()
+                .filter(item -> item.adapter().equals(command.adapter()))
+                .findFirst()
+                .ifPresent(item -> core.queue.loadedFor(item.customer()));
+          } else if (certain != Result.DONE) {
+            core.wakeMonitor();
+          }
+          core.syncReady(now);
+          attempts.pumpLocked(now);
+        });
+  }
+
+  /** Sends the work that waits for {@code adapter} back, so that another home is tried. */
+  void loadFailed(String adapter) {
+    core.locked(
+        now -> {
+          for (FairQueue.Item<Attempt> item : new ArrayList<>(core.queue.queued())) {
+            if (item.adapter().equals(adapter)) {
+              attempts.refuseLocked(item.payload(), RefusalReason.LOAD_FAILED, "", now);
+            }
+          }
+        });
+  }
+
+  private boolean queued(String adapter) {
+    return core.queue.queuedFor(adapter) > 0;
+  }
+
+  private static Plan plan(Attempt attempt) {
+    return new Plan(
+        attempt.adapter,
+        attempt.request.isSetSource() ? attempt.request.getSource() : "",
+        attempt.request.getCustomer(),
+        attempt.request.getPriority());
+  }
+}
