--- a/testkit/src/main/java/org/comfreygap/testkit/AnswerWriter.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/AnswerWriter.java
@@ -65,7 +65,7 @@
             "",
             "");
     EndpointRecord.Run unrecorded =
-        new EndpointRecord.Run(other.attempt(), other.model(), other.model(), "other", "", false);
+        new EndpointRecord.Run(other.attempt(), other.model(), other.model(), "other", "", 0);
     EngineRun run = new EngineRun(unrecorded, other, 0);
     run.skipTo(other.maxTokens());
     run.step();
--- a/testkit/src/main/java/org/comfreygap/testkit/EndpointRecord.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/EndpointRecord.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,7 +15,7 @@
 
 /**
  * What happened at one fake endpoint, kept by the fake itself and served as JSON at {@code
- * /record}. Times are milliseconds of the machine's clock.
+ * /record}. Times are milliseconds or microseconds of the machine's clock.
  *
  * <p>Thread safety: all methods are synchronized.
  *
@@ -74,6 +76,10 @@
     return steps == 0 ? 0 : (double) stepBatchSum / steps;
   }
 
+  static long nowMicros() {
+    return ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+  }
+
   synchronized void received(byte[] raw) {
     requestBytes += raw.length;
     if (keys.isEmpty()) {
@@ -95,7 +101,7 @@
   synchronized void finish(Run run, String state, int tokens) {
     run.state = state;
     run.tokens = tokens;
-    run.endMillis = System.currentTimeMillis();
+    run.endMicros = nowMicros();
   }
 
   synchronized void loaded(Load load) {
@@ -176,9 +182,9 @@
     final String adapter;
     final String nonce;
     final String idempotencyKey;
-    final long startMillis = System.currentTimeMillis();
-    final boolean waited;
-    volatile long endMillis;
+    final int promptTokens;
+    final long startMicros = nowMicros();
+    volatile long endMicros;
     volatile int tokens;
     volatile String state = "running";
 
@@ -188,13 +194,13 @@
         String adapter,
         String nonce,
         String idempotencyKey,
-        boolean waited) {
+        int promptTokens) {
       this.attempt = attempt;
       this.named = named;
       this.adapter = adapter;
       this.nonce = nonce;
       this.idempotencyKey = idempotencyKey;
-      this.waited = waited;
+      this.promptTokens = promptTokens;
     }
 
     /** Returns the attempt id, or the path for a plain service. */
@@ -229,7 +235,7 @@
 
     /** Returns when the request was accepted. */
     public long startMillis() {
-      return startMillis;
+      return startMicros / 1_000;
     }
   }
 }
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeEngine.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeEngine.java
@@ -243,7 +243,7 @@
   private void run(EngineRequest request, WireServer.Response response)
       throws IOException, InterruptedException {
     if (request.body().contains(CRASH_MARK)) {
-      EndpointRecord.Run entry = entry(request, request.model(), false);
+      EndpointRecord.Run entry = entry(request, request.model());
       record.finish(entry, "crashed", 0);
       crash(request.attempt());
       throw new IOException("crashed");
@@ -292,7 +292,7 @@
     String adapter = resident.contains(request.model()) ? request.model() : BASE;
     int cached = prefixes.lookUp(request.namespace(), adapter, request.prompt());
     int uncached = Math.max(0, request.promptTokens() - cached / CHARACTERS_PER_TOKEN);
-    EndpointRecord.Run entry = entry(request, adapter, running.size() >= bound());
+    EndpointRecord.Run entry = entry(request, adapter);
     EngineRun run = new EngineRun(entry, request, uncached / PREFILL_TOKENS_PER_STEP);
     enqueue(run);
     return run;
@@ -315,10 +315,15 @@
     lock.notifyAll();
   }
 
-  private EndpointRecord.Run entry(EngineRequest request, String adapter, boolean waited) {
+  private EndpointRecord.Run entry(EngineRequest request, String adapter) {
     return record.start(
         new EndpointRecord.Run(
-            request.attempt(), request.model(), adapter, request.nonce(), "", waited));
+            request.attempt(),
+            request.model(),
+            adapter,
+            request.nonce(),
+            "",
+            request.promptTokens()));
   }
 
   private void attempt(String rest, WireServer.Request request, WireServer.Response response)
--- a/testkit/src/main/java/org/comfreygap/testkit/FakePlainService.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakePlainService.java
@@ -75,7 +75,7 @@
                 options.service,
                 nonce(text),
                 request.header("idempotency-key"),
-                false));
+                0));
     record.step(running);
     if (text.contains(CRASH_MARK)) {
       record.finish(run, "crashed", 0);
--- a/testkit/src/main/java/org/comfreygap/testkit/FakesMain.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakesMain.java
@@ -27,9 +27,9 @@
  * }</pre>
  *
  * <p>{@code POST /fault} on the control port takes {@code {"target": name or "*", "fault", "count",
- * "millis", "text"}}; {@code POST /platform} takes {@code {"address", "state"}}. {@code GET
- * /record} returns the records of all endpoints. Thread safety: all methods may be called from any
- * thread.
+ * "millis", "text"}}; {@code POST /platform} takes {@code {"address", "state"}}; {@code POST
+ * /store} takes the fields of {@code store}. {@code GET /record} returns the records of all
+ * endpoints. Thread safety: all methods may be called from any thread.
  *
  * @since 0.1
  */
@@ -40,6 +40,7 @@
 
   private final Map<String, FakeEndpoint> endpoints = new LinkedHashMap<>();
   private final List<AutoCloseable> others = new ArrayList<>();
+  private WeightStore store;
   private FakePlatformList platform;
   private WireServer control;
 
@@ -66,7 +67,7 @@
     JsonNode root = YAML.readTree(yaml);
     FakesMain fakes = new FakesMain();
     JsonNode limits = root.path("store");
-    WeightStore store =
+    fakes.store =
         limits.isMissingNode()
             ? WeightStore.unlimited()
             : new WeightStore(
@@ -74,7 +75,7 @@
                 limits.path("fullSpeedLoads").asInt(),
                 limits.path("maxInFlight").asInt());
     for (JsonNode engine : root.path("engines")) {
-      fakes.add(engine(engine, store));
+      fakes.add(engine(engine, fakes.store));
     }
     for (JsonNode service : root.path("services")) {
       fakes.add(service(service));
@@ -132,6 +133,14 @@
         platform.set(body.path("address").asText(), body.path("state").asText());
         response.send(200, headers, "{}".getBytes(StandardCharsets.US_ASCII));
       }
+      case "POST /store" -> {
+        JsonNode body = JSON.readTree(request.body());
+        store.limits(
+            body.path("loadsPerSecond").asDouble(),
+            body.path("fullSpeedLoads").asInt(),
+            body.path("maxInFlight").asInt());
+        response.send(200, headers, "{}".getBytes(StandardCharsets.US_ASCII));
+      }
       case "GET /record" -> response.send(200, headers, records());
       default ->
           response.send(
--- a/testkit/src/main/java/org/comfreygap/testkit/WeightStore.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/WeightStore.java
@@ -12,9 +12,9 @@
  */
 public final class WeightStore {
 
-  private final double loadsPerSecond;
-  private final int fullSpeedLoads;
-  private final int maxInFlight;
+  private double loadsPerSecond;
+  private int fullSpeedLoads;
+  private int maxInFlight;
   private double tokens;
   private long refilledNanos = System.nanoTime();
   private int inFlight;
@@ -37,14 +37,15 @@
   public int load(long baseMillis) throws InterruptedException {
     int others;
     long waitNanos;
+    double stretch;
     synchronized (this) {
       inFlight++;
       others = inFlight;
+      stretch = Math.max(1.0, (double) others / maxInFlight);
       mostInFlight = Math.max(mostInFlight, inFlight);
       waitNanos = turn(System.nanoTime());
     }
     try {
-      double stretch = Math.max(1.0, (double) others / maxInFlight);
       Thread.sleep(waitNanos / 1_000_000 + (long) (baseMillis * stretch));
     } finally {
       synchronized (this) {
@@ -54,6 +55,14 @@
     return others;
   }
 
+  /** Changes the limits, for example to fill the slots quickly before a measurement. */
+  public synchronized void limits(double newRate, int newFullSpeedLoads, int newMaxInFlight) {
+    loadsPerSecond = newRate;
+    fullSpeedLoads = newFullSpeedLoads;
+    maxInFlight = newMaxInFlight;
+    tokens = Math.min(tokens, newFullSpeedLoads);
+  }
+
   /** Returns the most loads that were in flight at one time. */
   public synchronized int mostInFlight() {
     return mostInFlight;
