--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -7,6 +7,7 @@
 import io.dropwizard.core.setup.Environment;
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.logging.common.BootstrapLogging;
+import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
@@ -162,12 +163,22 @@
       factory.setAdminMinThreads(1);
       factory.setRegisterDefaultExceptionMappers(true);
       factory.setDetailedJsonProcessingExceptionMapper(false);
+      // Compression would hold back the parts of a streamed answer.
+      factory.getGzipFilterFactory().setEnabled(false);
+      factory.setRequestLogFactory(noRequestLog());
       factory.setShutdownGracePeriod(Duration.seconds(30));
       Configuration configuration = new Configuration();
       configuration.setServerFactory(factory);
       return configuration;
     }
 
+    /** A request log would write query strings, in which a caller may have put a key. */
+    private static LogbackAccessRequestLogFactory noRequestLog() {
+      LogbackAccessRequestLogFactory none = new LogbackAccessRequestLogFactory();
+      none.setAppenders(List.of());
+      return none;
+    }
+
     private HttpConnectorFactory connector(InetSocketAddress address) {
       HttpConnectorFactory connector = new HttpConnectorFactory();
       connector.setBindHost(address.getHostString());
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AnswerConsumer.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AnswerConsumer.java
@@ -44,6 +44,18 @@
     this.listener = listener;
   }
 
+  /** Returns a consumer that goes on where this one broke off. */
+  AnswerConsumer resumed(EngineClient.AnswerListener newListener) {
+    AnswerConsumer next = new AnswerConsumer(attemptId, checked, newListener);
+    next.end = end;
+    return next;
+  }
+
+  /** Returns the attempt id. */
+  String attemptId() {
+    return attemptId;
+  }
+
   /** Sets the exchange that {@link #abort} cancels. */
   void running(Future<Void> future) {
     boolean cancel;
@@ -117,7 +129,8 @@
       headers.putIfAbsent(header.getName().toLowerCase(Locale.ROOT), header.getValue());
     }
     String echoed = headers.get(REQUEST_ID_HEADER);
-    boolean crossed = checked ? !attemptId.equals(echoed) : echoed != null && !attemptId.equals(echoed);
+    boolean crossed =
+        checked ? !attemptId.equals(echoed) : echoed != null && !attemptId.equals(echoed);
     if (crossed) {
       EngineException failure =
           new EngineException(
@@ -127,7 +140,9 @@
       fail(failure);
       throw new IOException(failure);
     }
-    end = AnswerEnd.of(headers, checked);
+    if (end == null) {
+      end = AnswerEnd.of(headers, checked);
+    }
     String bootId = headers.getOrDefault(BOOT_ID_HEADER, "");
     listener.head(response.getCode(), headers, bootId);
     if (entity == null) {
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AnswerEnd.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AnswerEnd.java
@@ -9,7 +9,7 @@
  * looks complete, for example behind a proxy that closes the last chunk for a lost origin.
  *
  * <p>Server-sent events are whole when their last event is {@code [DONE]}, JSON when its outermost
- * object is closed, and any other body when its length was declared or it was sent in chunks.
+ * value is closed, and any other body when its length was declared or it was sent in chunks.
  *
  * <p>Thread safety: none; one answer at a time.
  */
@@ -19,6 +19,10 @@
   private static final int TAIL_BYTES = 512;
 
   private final Form form;
+
+  /** True for an engine; a service may answer any JSON value, or none. */
+  private final boolean objectExpected;
+
   private final byte[] tail = new byte[TAIL_BYTES];
   private long total;
   private int depth;
@@ -26,8 +30,9 @@
   private boolean escaped;
   private boolean closed;
 
-  private AnswerEnd(Form form) {
+  private AnswerEnd(Form form, boolean objectExpected) {
     this.form = form;
+    this.objectExpected = objectExpected;
   }
 
   private enum Form {
@@ -45,14 +50,14 @@
   static AnswerEnd of(Map<String, String> headers, boolean checked) {
     String type = headers.getOrDefault("content-type", "");
     if (checked && type.startsWith("text/event-stream")) {
-      return new AnswerEnd(Form.EVENTS);
+      return new AnswerEnd(Form.EVENTS, checked);
     }
-    if (checked && type.startsWith("application/json")) {
-      return new AnswerEnd(Form.JSON);
+    if (type.startsWith("application/json")) {
+      return new AnswerEnd(Form.JSON, checked);
     }
     boolean framed =
         headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
-    return new AnswerEnd(framed ? Form.FRAMED : Form.UNFRAMED);
+    return new AnswerEnd(framed ? Form.FRAMED : Form.UNFRAMED, checked);
   }
 
   /** Notes bytes of the body; the position of {@code bytes} is left alone. */
@@ -74,7 +79,7 @@
   boolean whole() {
     return switch (form) {
       case EVENTS -> endsWithDone();
-      case JSON -> closed;
+      case JSON -> depth == 0 && !inString && (closed || !objectExpected);
       case FRAMED -> true;
       case UNFRAMED -> total == 0;
     };
--- a/sidecar/src/main/java/org/comfreygap/sidecar/Attempt.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Attempt.java
@@ -20,15 +20,21 @@
   final long deadlineAtNanos;
   State state = State.QUEUED;
   Outcome outcome = Outcome.NOT_RUN;
+
   /** Boot under which the attempt was dispatched. */
   String bootId = "";
+
   /** True while the endpoint may still run the request. */
   boolean atEndpoint;
+
   /** True when the connection broke and a state read must decide what became of the request. */
   boolean broken;
+
   long brokenAtNanos;
+
   /** Number of the exchange with the endpoint; events of earlier exchanges are ignored. */
   int exchange;
+
   EngineClient.Answer answer;
   boolean waitedForLoad;
   long dispatchedAtNanos;
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptController.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptController.java
@@ -3,23 +3,16 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.Map;
 import java.util.Optional;
 import org.comfreygap.decisions.AttemptRegistry;
 import org.comfreygap.decisions.FairQueue;
 import org.comfreygap.protocol.generated.AttemptRequest;
 import org.comfreygap.protocol.generated.CancelReply;
-import org.comfreygap.protocol.generated.FrameEnd;
 import org.comfreygap.protocol.generated.FrameFailure;
-import org.comfreygap.protocol.generated.FrameHead;
 import org.comfreygap.protocol.generated.FrameRefusal;
 import org.comfreygap.protocol.generated.Outcome;
 import org.comfreygap.protocol.generated.RefusalReason;
-import org.comfreygap.runtime.EventLog;
-import org.comfreygap.runtime.Field;
 import org.comfreygap.settings.Priority;
 import org.comfreygap.sidecar.AttemptOutput.FrameSink;
 
@@ -39,36 +32,27 @@
 
   // A plain service cannot say whether it still works on a request whose connection was closed.
   private static final Duration SERVICE_SETTLE = Duration.ofSeconds(2);
-  private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration MIN_LOAD_PATIENCE = Duration.ofSeconds(2);
   private static final long RETRY_AFTER_MILLIS = 200;
-  private static final int OK = 200;
   private static final long MAX_QUEUED_BYTES = 12L * 1024 * 1024;
 
   private final EndpointCore core;
-  private final EngineClient engine;
   private final DispatchChecks checks;
-  private final EventLog events;
+  private final RunningAttempts running;
   private final SidecarMetrics metrics;
   private final BufferBudget budget = new BufferBudget();
-  private final Deque<Attempt> ended = new ArrayDeque<>();
   private final long startedAtNanos = System.nanoTime();
   private long queuedBytes;
-  private int isolatedRunning;
   private boolean stopping;
 
   @Inject
   AttemptController(
-      EndpointCore core,
-      EngineClient engine,
-      DispatchChecks checks,
-      EventLog events,
-      SidecarMetrics metrics) {
+      EndpointCore core, DispatchChecks checks, RunningAttempts running, SidecarMetrics metrics) {
     this.core = core;
-    this.engine = engine;
     this.checks = checks;
-    this.events = events;
+    this.running = running;
     this.metrics = metrics;
+    core.onPump(this::pumpLocked);
   }
 
   /** Takes in an attempt, or attaches {@code sink} to one already known. */
@@ -115,10 +99,7 @@
           for (Attempt attempt : new ArrayList<>(core.live.values())) {
             check(attempt, now);
           }
-          while (!ended.isEmpty()
-              && now - ended.peekFirst().endedAtNanos > GRACE.toNanos()) {
-            release(ended.pollFirst());
-          }
+          core.releaseEnded(now - GRACE.toNanos(), attempt -> budget.released());
           pumpLocked(now);
         });
   }
@@ -141,65 +122,8 @@
     return core.compute(
         now ->
             core.live.values().stream().allMatch(a -> a.state == Attempt.State.ENDED)
-                && ended.stream().allMatch(a -> a.output.delivered() || a.output.abandoned()));
-  }
-
-  /** Fails a running attempt; the unit and the pin stay until {@link #settled}. Under the lock. */
-  void failLocked(Attempt attempt, String message, boolean crashed, long now) {
-    if (attempt.state != Attempt.State.RUNNING) {
-      return;
-    }
-    attempt.outcome = Outcome.UNKNOWN;
-    FrameFailure failure =
-        new FrameFailure(Outcome.UNKNOWN, message)
-            .setEndpointCrashed(crashed)
-            .setReport(core.reportLocked(now));
-    endLocked(attempt, now);
-    metrics.failed(Outcome.UNKNOWN);
-    core.after(
-        () -> {
-          attempt.output.fail(failure);
-          events.record(
-              SidecarEvent.ATTEMPT_FAILED,
-              Field.of("request", attempt.request.getRequestId()),
-              Field.of("attempt", attempt.id()),
-              Field.of("crashed", crashed),
-              Field.of("cause", message));
-        });
-  }
-
-  /** Records that the endpoint no longer runs {@code attempt}. Under the lock. */
-  void settled(Attempt attempt) {
-    if (!attempt.atEndpoint) {
-      return;
-    }
-    attempt.atEndpoint = false;
-    attempt.broken = false;
-    core.residency.unpin(attempt.id());
-    core.ramp.finished();
-    core.queue.finished(attempt.request.getCustomer());
-    if (attempt.request.isIsolated()) {
-      isolatedRunning--;
-    }
-    if (attempt.state == Attempt.State.ENDED) {
-      core.live.remove(attempt.id());
-    }
-    core.wakeLoader();
-  }
-
-  /** Continues the answer of a broken attempt at the engine. Under the lock. */
-  void resumeLocked(Attempt attempt) {
-    attempt.broken = false;
-    int exchange = ++attempt.exchange;
-    core.after(
-        () -> {
-          long offset = attempt.output.received();
-          events.record(
-              SidecarEvent.ATTEMPT_RESUMED,
-              Field.of("request", attempt.request.getRequestId()),
-              Field.of("offset", offset));
-          follow(attempt, engine.resume(attempt.id(), offset, new Follower(this, attempt, exchange)));
-        });
+                && core.ended().stream()
+                    .allMatch(a -> a.output.delivered() || a.output.abandoned()));
   }
 
   /** Dispatches what may run now. Under the lock. */
@@ -222,11 +146,11 @@
               && (attempt.adapter.isEmpty()
                   || core.residency.tryPin(attempt.id(), attempt.adapter, now));
       if (pinned && core.ramp.tryStart(now)) {
-        dispatch(attempt, now);
+        running.dispatch(attempt, now);
       } else {
         core.residency.unpin(attempt.id());
         core.queue.finished(attempt.request.getCustomer());
-        endRefused(attempt, refusal.orElse(RefusalReason.LOAD_DELAYED), "", now);
+        running.endRefused(attempt, refusal.orElse(RefusalReason.LOAD_DELAYED), "", now);
       }
     }
     if (core.queue.size() > 0) {
@@ -260,15 +184,13 @@
     AttemptRegistry.Offer offer = core.registry.offer(id, attempt, now);
     switch (offer) {
       case DUPLICATE -> attach(core.registry.find(id).orElseThrow(), request, sink, now);
-      case TOMBSTONE ->
-          turnAway(request, sink, RefusalReason.CANCELLED, Outcome.NOT_RUN, now);
+      case TOMBSTONE -> turnAway(request, sink, RefusalReason.CANCELLED, Outcome.NOT_RUN, now);
       case FULL -> turnAway(request, sink, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN, now);
       default -> accept(attempt, fault, sink, now);
     }
   }
 
-  private void accept(
-      Attempt attempt, String fault, FrameSink sink, long now) {
+  private void accept(Attempt attempt, String fault, FrameSink sink, long now) {
     budget.opened();
     core.live.put(attempt.id(), attempt);
     attempt.output.attach(sink, 0);
@@ -281,10 +203,10 @@
     if (!fault.isEmpty()) {
       failUnsent(attempt, fault, now);
     } else if (refusal.isPresent()) {
-      endRefused(attempt, refusal.get(), "", now);
+      running.endRefused(attempt, refusal.get(), "", now);
     } else if (queuedBytes + attempt.engineRequest.body().length > MAX_QUEUED_BYTES
         && core.queue.size() > 0) {
-      endRefused(attempt, RefusalReason.QUEUE_FULL, "", now);
+      running.endRefused(attempt, RefusalReason.QUEUE_FULL, "", now);
     } else {
       enqueue(attempt, now);
     }
@@ -308,18 +230,17 @@
     FairQueue.Offer<Attempt> offer = core.queue.offer(item, now);
     for (FairQueue.Item<Attempt> shed : offer.shed()) {
       queuedBytes -= shed.payload().engineRequest.body().length;
-      endRefused(shed.payload(), RefusalReason.SHED, "", now);
+      running.endRefused(shed.payload(), RefusalReason.SHED, "", now);
     }
     if (!offer.accepted()) {
-      endRefused(attempt, RefusalReason.QUEUE_FULL, "", now);
+      running.endRefused(attempt, RefusalReason.QUEUE_FULL, "", now);
       return;
     }
     queuedBytes += attempt.engineRequest.body().length;
     pumpLocked(now);
   }
 
-  private void attach(
-      Attempt attempt, AttemptRequest request, FrameSink sink, long now) {
+  private void attach(Attempt attempt, AttemptRequest request, FrameSink sink, long now) {
     AttemptOutput.Attachment result = attempt.output.attach(sink, request.getResumeOffset());
     if (!result.attached()) {
       turnAway(request, sink, RefusalReason.UNKNOWN_ATTEMPT, Outcome.UNKNOWN, now);
@@ -331,11 +252,7 @@
   }
 
   private void turnAway(
-      AttemptRequest request,
-      FrameSink sink,
-      RefusalReason reason,
-      Outcome outcome,
-      long now) {
+      AttemptRequest request, FrameSink sink, RefusalReason reason, Outcome outcome, long now) {
     AttemptOutput output = new AttemptOutput(budget, now);
     output.attach(sink, 0);
     sink.reads(output);
@@ -355,38 +272,7 @@
   }
 
   private boolean admissible(Attempt attempt) {
-    return !attempt.request.isIsolated() || isolatedRunning == 0;
-  }
-
-  private void dispatch(Attempt attempt, long now) {
-    attempt.state = Attempt.State.RUNNING;
-    attempt.outcome = Outcome.UNKNOWN;
-    attempt.atEndpoint = true;
-    attempt.bootId = core.ramp.bootId();
-    attempt.dispatchedAtNanos = now;
-    if (attempt.request.isIsolated()) {
-      isolatedRunning++;
-    }
-    metrics.waited(now - attempt.receivedAtNanos, attempt.waitedForLoad);
-    int exchange = ++attempt.exchange;
-    core.after(
-        () ->
-            follow(
-                attempt,
-                engine.start(attempt.engineRequest, new Follower(this, attempt, exchange))));
-  }
-
-  private void follow(Attempt attempt, EngineClient.Answer answer) {
-    attempt.output.feed(answer);
-    boolean abort =
-        core.compute(
-            now -> {
-              attempt.answer = answer;
-              return attempt.state == Attempt.State.ENDED && attempt.atEndpoint;
-            });
-    if (abort) {
-      answer.abort();
-    }
+    return !attempt.request.isIsolated() || running.isolationFree();
   }
 
   private void check(Attempt attempt, long now) {
@@ -394,15 +280,15 @@
       case QUEUED -> checkQueued(attempt, now);
       case RUNNING -> {
         if (attempt.past(now)) {
-          abandonLocked(attempt, "the deadline passed", now);
+          running.abandonLocked(attempt, "the deadline passed", now);
         } else if (attempt.output.abandonedSince(now - GRACE.toNanos())) {
-          abandonLocked(attempt, "no gateway attached in time", now);
+          running.abandonLocked(attempt, "no gateway attached in time", now);
         }
       }
       default -> {
         boolean service = attempt.adapter.isEmpty();
         if (service && now - attempt.endedAtNanos > SERVICE_SETTLE.toNanos()) {
-          settled(attempt);
+          running.settled(attempt);
         }
       }
     }
@@ -429,35 +315,14 @@
   void refuseLocked(Attempt attempt, RefusalReason reason, String message, long now) {
     if (attempt.state == Attempt.State.QUEUED && core.queue.remove(attempt.id()).isPresent()) {
       queuedBytes -= attempt.engineRequest.body().length;
-      endRefused(attempt, reason, message, now);
+      running.endRefused(attempt, reason, message, now);
     }
   }
 
-  private void endRefused(Attempt attempt, RefusalReason reason, String message, long now) {
-    attempt.outcome = Outcome.NOT_RUN;
-    FrameRefusal frame =
-        new FrameRefusal(reason, Outcome.NOT_RUN)
-            .setRetryAfterMillis(RETRY_AFTER_MILLIS)
-            .setReport(core.reportLocked(now));
-    if (!message.isEmpty()) {
-      frame.setMessage(message);
-    }
-    endLocked(attempt, now);
-    metrics.refused(reason);
-    core.after(
-        () -> {
-          attempt.output.refuse(frame);
-          events.record(
-              SidecarEvent.ATTEMPT_REFUSED,
-              Field.of("request", attempt.request.getRequestId()),
-              Field.of("reason", reason));
-        });
-  }
-
   private void failUnsent(Attempt attempt, String message, long now) {
     FrameFailure frame =
         new FrameFailure(Outcome.NOT_RUN, message).setReport(core.reportLocked(now));
-    endLocked(attempt, now);
+    core.end(attempt, now);
     metrics.failed(Outcome.NOT_RUN);
     core.after(() -> attempt.output.fail(frame));
   }
@@ -466,176 +331,8 @@
     if (attempt.state == Attempt.State.QUEUED) {
       refuseLocked(attempt, RefusalReason.CANCELLED, reason, now);
     } else if (attempt.state == Attempt.State.RUNNING) {
-      abandonLocked(attempt, reason, now);
+      running.abandonLocked(attempt, reason, now);
     }
     return attempt.outcome;
   }
-
-  /** Ends a running attempt and asks the endpoint to stop working on it. Under the lock. */
-  private void abandonLocked(Attempt attempt, String reason, long now) {
-    failLocked(attempt, reason, false, now);
-    core.after(
-        () ->
-            events.record(
-                SidecarEvent.ATTEMPT_ABANDONED,
-                Field.of("request", attempt.request.getRequestId()),
-                Field.of("cause", reason)));
-    abandonAtEndpoint(attempt);
-  }
-
-  private void cancelAtEngine(Attempt attempt) {
-    engine
-        .cancel(attempt.id(), CANCEL_TIMEOUT)
-        .whenComplete(
-            (confirmed, failure) -> {
-              if (failure == null && confirmed) {
-                core.locked(
-                    now -> {
-                      settled(attempt);
-                      pumpLocked(now);
-                    });
-              } else {
-                core.wakeMonitor();
-              }
-            });
-  }
-
-  private void endLocked(Attempt attempt, long now) {
-    attempt.state = Attempt.State.ENDED;
-    attempt.endedAtNanos = now;
-    core.registry.ended(attempt.id(), now);
-    ended.addLast(attempt);
-    if (!attempt.atEndpoint) {
-      core.live.remove(attempt.id());
-    }
-  }
-
-  private void release(Attempt attempt) {
-    core.registry.release(attempt.id());
-    budget.released();
-  }
-
-  /**
-   * Takes the head of an answer. Returns false when the answer must not be passed on: it comes from
-   * another boot than the one whose residency was checked, or it says that nothing was run.
-   */
-  boolean onHead(
-      Attempt attempt, int exchange, int status, Map<String, String> headers, String bootId) {
-    boolean usable =
-        core.compute(now -> headUsable(attempt, exchange, status, bootId, now));
-    if (usable && exchange == 1) {
-      long waited =
-          Duration.ofNanos(attempt.dispatchedAtNanos - attempt.receivedAtNanos).toMillis();
-      attempt.output.head(
-          new FrameHead(status, bootId)
-              .setHeaders(EngineHeaders.toGateway(headers))
-              .setQueueWaitMillis(waited)
-              .setLoadWaitMillis(attempt.waitedForLoad ? waited : 0));
-    }
-    return usable;
-  }
-
-  /** Takes the end of a whole answer. */
-  void onEnded(Attempt attempt, int exchange, long totalTokens) {
-    core.locked(
-        now -> {
-          if (attempt.exchange != exchange) {
-            return;
-          }
-          if (attempt.state == Attempt.State.RUNNING) {
-            attempt.outcome = Outcome.RAN;
-            long tokens = totalTokens >= 0 ? totalTokens : attempt.request.getReservedTokens();
-            endLocked(attempt, now);
-            settled(attempt);
-            FrameEnd frame =
-                new FrameEnd(attempt.output.received(), tokens).setReport(core.reportLocked(now));
-            metrics.finished();
-            core.after(() -> attempt.output.finish(frame));
-          } else {
-            settled(attempt);
-          }
-          pumpLocked(now);
-        });
-  }
-
-  /** Takes the failure of an exchange. */
-  void onFailed(Attempt attempt, int exchange, EngineException failure) {
-    core.locked(
-        now -> {
-          if (attempt.exchange != exchange) {
-            return;
-          }
-          boolean unsent = failure.kind() == EngineException.Kind.NOT_SENT && exchange == 1;
-          if (attempt.state == Attempt.State.ENDED) {
-            if (unsent) {
-              settled(attempt);
-            }
-          } else if (unsent) {
-            endRefused(attempt, RefusalReason.ENDPOINT_UNREACHABLE, "", now);
-            settled(attempt);
-          } else if (failure.kind() == EngineException.Kind.MISMATCHED) {
-            recordRejected(attempt, failure);
-            abandonLocked(attempt, "the endpoint sent another request's answer", now);
-          } else {
-            recordRejected(attempt, failure);
-            attempt.broken = true;
-            attempt.brokenAtNanos = now;
-          }
-          core.ramp.doubt(now);
-          core.wakeMonitor();
-          pumpLocked(now);
-        });
-  }
-
-  private boolean headUsable(
-      Attempt attempt, int exchange, int status, String bootId, long now) {
-    if (attempt.exchange != exchange || attempt.state != Attempt.State.RUNNING) {
-      return false;
-    }
-    boolean crossedBoot =
-        !bootId.isEmpty() && !attempt.bootId.isEmpty() && !bootId.equals(attempt.bootId);
-    core.replied(bootId, attempt.dispatchedAtNanos, now);
-    if (crossedBoot) {
-      failLocked(attempt, "the endpoint restarted before it ran the request", true, now);
-      abandonAtEndpoint(attempt);
-      return false;
-    }
-    boolean refused = !attempt.adapter.isEmpty() && refusedByEngine(status);
-    if (refused || (exchange > 1 && status != OK)) {
-      core.residency.readRequired();
-      core.wakeMonitor();
-      failLocked(attempt, "the engine answered " + status, false, now);
-      abandonAtEndpoint(attempt);
-      return false;
-    }
-    return true;
-  }
-
-  private static boolean refusedByEngine(int status) {
-    return status == 404 || status == 409 || status == 429 || status >= 500;
-  }
-
-  private void recordRejected(Attempt attempt, EngineException failure) {
-    core.after(
-        () ->
-            events.record(
-                SidecarEvent.ANSWER_REJECTED,
-                Field.of("request", attempt.request.getRequestId()),
-                Field.of("attempt", attempt.id()),
-                Field.of("kind", failure.kind()),
-                Field.of("cause", failure.getMessage())));
-  }
-
-  private void abandonAtEndpoint(Attempt attempt) {
-    core.after(
-        () -> {
-          EngineClient.Answer answer = attempt.answer;
-          if (answer != null) {
-            answer.abort();
-          }
-          if (!attempt.adapter.isEmpty()) {
-            cancelAtEngine(attempt);
-          }
-        });
-  }
 }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptOutput.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptOutput.java
@@ -44,6 +44,8 @@
   private long detachedAtNanos;
   private EngineClient.Answer answer;
   private int undemanded;
+  private long lastReceivedAtNanos;
+  private boolean receivedAny;
 
   AttemptOutput(BufferBudget budget, long nowNanos) {
     this.budget = budget;
@@ -129,6 +131,8 @@
       bytes.get(chunk);
       chunks.addLast(chunk);
       end += chunk.length;
+      lastReceivedAtNanos = System.nanoTime();
+      receivedAny = true;
       reader = sink;
     }
     tell(reader);
@@ -149,6 +153,16 @@
     return end(FrameBody.failure(frame), false);
   }
 
+  /** Returns when the endpoint last sent bytes, or {@code otherwise} when it sent none. */
+  synchronized long lastReceivedAtNanos(long otherwise) {
+    return receivedAny ? lastReceivedAtNanos : otherwise;
+  }
+
+  /** Returns true when the endpoint waits until the sink has read more. */
+  synchronized boolean full() {
+    return end - position >= EngineClient.INITIAL_DEMAND - DEMAND_STEP;
+  }
+
   /** Returns the number of bytes received from the endpoint. */
   synchronized long received() {
     return end;
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptServlet.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptServlet.java
@@ -16,8 +16,8 @@
 import org.comfreygap.runtime.SharedKey;
 
 /**
- * {@code POST /attempts}: takes one attempt and streams its frames. It is a servlet and not a Jersey
- * resource because Jersey would hold a thread for each open stream.
+ * {@code POST /attempts}: takes one attempt and streams its frames. It is a servlet and not a
+ * Jersey resource because Jersey would hold a thread for each open stream.
  *
  * <p>Invariant: no attempt without a valid signature is looked at. Thread safety: stateless but for
  * thread-safe collaborators.
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptStream.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptStream.java
@@ -18,11 +18,12 @@
 
 /**
  * Writes the frames of one attempt to one connection without blocking: whoever adds to the output
- * writes as long as the connection takes bytes, and the container goes on when it takes bytes again.
+ * writes as long as the connection takes bytes, and the container goes on when it takes bytes
+ * again.
  *
- * <p>Invariant: frames are taken from the output only while the connection is writable, so a gateway
- * that reads slowly slows down the endpoint. Thread safety: all methods may be called from any
- * thread.
+ * <p>Invariant: frames are taken from the output only while the connection is writable, so a
+ * gateway that reads slowly slows down the endpoint. Thread safety: all methods may be called from
+ * any thread.
  */
 final class AttemptStream implements FrameSink, WriteListener, AsyncListener {
 
@@ -39,8 +40,7 @@
   private boolean unflushed;
   private long lastFrameAtNanos = System.nanoTime();
 
-  AttemptStream(String attemptId, AsyncContext context, AttemptStreams streams)
-      throws IOException {
+  AttemptStream(String attemptId, AsyncContext context, AttemptStreams streams) throws IOException {
     this.attemptId = attemptId;
     this.context = context;
     this.out = context.getResponse().getOutputStream();
--- a/sidecar/src/main/java/org/comfreygap/sidecar/CancelResource.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/CancelResource.java
@@ -36,8 +36,8 @@
 
   /** Cancels the attempt named in the Thrift body. */
   @POST
-  public Response cancel(
-      @HeaderParam(SharedKey.SIGNATURE_HEADER) String signature, byte[] body) throws TException {
+  public Response cancel(@HeaderParam(SharedKey.SIGNATURE_HEADER) String signature, byte[] body)
+      throws TException {
     if (!key.verifyHttp(signature, PATH, body)) {
       return Response.status(Response.Status.UNAUTHORIZED).build();
     }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
@@ -3,7 +3,10 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,6 +16,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
 import org.comfreygap.decisions.AdapterResidency;
@@ -53,6 +57,7 @@
   final AttemptRegistry<Attempt> registry = new AttemptRegistry<>(MAX_IDS, ID_RETENTION);
   final AdapterResidency residency = new AdapterResidency(SLOTS_BEFORE_SETTINGS);
   final ColdStartRamp ramp = new ColdStartRamp(1, 1, Duration.ofSeconds(60));
+
   /** Attempts that are queued, running or possibly still running at the endpoint. */
   final Map<String, Attempt> live = new LinkedHashMap<>();
 
@@ -64,8 +69,11 @@
   private Set<String> usable = Set.of();
   private List<String> usableNames = List.of();
   private long reports;
+  private final Deque<Attempt> ended = new ArrayDeque<>();
+  private LongConsumer pump = now -> {};
   private BootListener bootListener = (boot, now) -> {};
   private volatile boolean reachable;
+  private volatile boolean configured;
 
   @Inject
   EndpointCore(SidecarSettings settings) {
@@ -112,9 +120,15 @@
               coldStart.initialConcurrency(),
               Duration.ofNanos((long) (coldStart.rampSeconds() * 1e9)));
           residency.slots(settings.slots());
+          configured = true;
         });
   }
 
+  /** Returns true once the settings of the endpoint are known. */
+  boolean configured() {
+    return configured;
+  }
+
   /** Sets what is told, under the lock, that a boot ended. */
   void onBootEnded(BootListener listener) {
     bootListener = listener;
@@ -137,6 +151,41 @@
     }
   }
 
+  /** Sets what dispatches work. */
+  void onPump(LongConsumer action) {
+    pump = action;
+  }
+
+  /** Dispatches what may run now. Under the lock. */
+  void pump(long now) {
+    pump.accept(now);
+  }
+
+  /** Ends an attempt as the gateway sees it. Under the lock. */
+  void end(Attempt attempt, long now) {
+    attempt.state = Attempt.State.ENDED;
+    attempt.endedAtNanos = now;
+    registry.ended(attempt.id(), now);
+    ended.addLast(attempt);
+    if (!attempt.atEndpoint) {
+      live.remove(attempt.id());
+    }
+  }
+
+  /** Returns the ended attempts whose output is still held, oldest first. Under the lock. */
+  Collection<Attempt> ended() {
+    return ended;
+  }
+
+  /** Drops the output of attempts that ended before {@code beforeNanos}. Under the lock. */
+  void releaseEnded(long beforeNanos, Consumer<Attempt> released) {
+    while (!ended.isEmpty() && ended.peekFirst().endedAtNanos - beforeNanos < 0) {
+      Attempt attempt = ended.pollFirst();
+      registry.release(attempt.id());
+      released.accept(attempt);
+    }
+  }
+
   /** Brings the queue in line with residency; to be called under the lock after any change. */
   void syncReady(long nowNanos) {
     Set<String> current = residency.usableAdapters(nowNanos);
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
@@ -30,26 +30,34 @@
 
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration BROKEN_PATIENCE = Duration.ofSeconds(2);
+  private static final Duration SILENCE_BOUND = Duration.ofSeconds(2);
+  // Longest time between sending a request and its appearance in the engine's state.
+  private static final Duration LATE_ARRIVAL = Duration.ofMillis(500);
   private static final int MAX_EXCHANGES = 4;
+  private static final int FAILURES_UNTIL_UNREACHABLE = 2;
 
   private final EndpointCore core;
   private final EngineClient engine;
   private final AttemptController attempts;
+  private final RunningAttempts running;
   private final ControlReports reports;
   private final EventLog events;
   private final SidecarMetrics metrics;
+  private int failures;
 
   @Inject
   EndpointWatch(
       EndpointCore core,
       EngineClient engine,
       AttemptController attempts,
+      RunningAttempts running,
       ControlReports reports,
       EventLog events,
       SidecarMetrics metrics) {
     this.core = core;
     this.engine = engine;
     this.attempts = attempts;
+    this.running = running;
     this.reports = reports;
     this.events = events;
     this.metrics = metrics;
@@ -64,7 +72,7 @@
 
   /** Reads the state now, unless the ramp has no unit for it. */
   void readState() throws InterruptedException {
-    Long token = core.compute(this::beginRead);
+    Long token = core.configured() ? core.compute(this::beginRead) : null;
     if (token == null) {
       return;
     }
@@ -101,12 +109,13 @@
       core.after(
           () -> events.record(SidecarEvent.ENDPOINT_BOOT_SEEN, Field.of("boot", state.bootId())));
     }
+    failures = 0;
     if (core.reachable(true)) {
       core.after(() -> events.record(SidecarEvent.ENDPOINT_REACHABLE));
     }
-    Set<String> running = new HashSet<>(state.running());
+    Set<String> atEngine = new HashSet<>(state.running());
     int foreign = 0;
-    for (String id : running) {
+    for (String id : atEngine) {
       if (!core.live.containsKey(id) && !core.registry.known(id)) {
         foreign++;
       }
@@ -115,36 +124,74 @@
     core.residency.stateRead(token, state.resident(), foreign > 0, now);
     core.syncReady(now);
     for (Attempt attempt : new ArrayList<>(core.live.values())) {
-      settle(attempt, running, state, now);
+      settle(attempt, atEngine, state, now);
     }
     attempts.pumpLocked(now);
   }
 
-  private void settle(Attempt attempt, Set<String> running, EngineState state, long now) {
+  private void settle(Attempt attempt, Set<String> atEngine, EngineState state, long now) {
     if (!attempt.atEndpoint) {
       return;
     }
     boolean service = attempt.adapter.isEmpty();
-    boolean stillRuns = running.contains(attempt.id());
-    if (attempt.broken && state.sentAtNanos() - attempt.brokenAtNanos > 0) {
-      boolean resumable = stillRuns && attempt.exchange < MAX_EXCHANGES;
-      if (attempt.state == Attempt.State.RUNNING && resumable) {
-        attempts.resumeLocked(attempt);
-        return;
+    boolean stillRuns = atEngine.contains(attempt.id());
+    if (attempt.state == Attempt.State.ENDED) {
+      boolean reportCounts =
+          state.sentAtNanos() - attempt.endedAtNanos > LATE_ARRIVAL.toNanos() && !service;
+      if (reportCounts && !stillRuns) {
+        running.settled(attempt);
       }
-      attempt.broken = false;
-      attempts.failLocked(attempt, "the connection to the endpoint broke", false, now);
+    } else if (attempt.broken) {
+      settleBroken(attempt, state, now);
+    } else if (!service && silent(attempt, stillRuns, now)) {
+      EngineClient.Answer answer = attempt.answer;
+      running.resumeLocked(attempt);
+      core.after(() -> abort(answer));
+    }
+  }
+
+  private void settleBroken(Attempt attempt, EngineState state, long now) {
+    if (state.sentAtNanos() - attempt.brokenAtNanos <= 0) {
+      return;
     }
-    boolean over = attempt.state == Attempt.State.ENDED;
-    if (over && !service && !stillRuns && state.sentAtNanos() - attempt.endedAtNanos > 0) {
-      attempts.settled(attempt);
+    boolean resumable =
+        !attempt.adapter.isEmpty() && attempt.answer != null && attempt.exchange < MAX_EXCHANGES;
+    if (resumable) {
+      running.resumeLocked(attempt);
+    } else {
+      attempt.broken = false;
+      running.failLocked(attempt, "the connection to the endpoint broke", false, now);
     }
   }
 
+  /**
+   * Returns true when the connection of an attempt seems to have gone silent: the engine no longer
+   * runs it and yet its end has not arrived, or a stream has brought nothing for the silence bound.
+   */
+  private static boolean silent(Attempt attempt, boolean stillRuns, long now) {
+    // One exchange is kept for a break that is certain.
+    if (attempt.answer == null || attempt.exchange >= MAX_EXCHANGES - 1) {
+      return false;
+    }
+    long idle = now - attempt.output.lastReceivedAtNanos(attempt.dispatchedAtNanos);
+    boolean lostEnd = !stillRuns && idle > LATE_ARRIVAL.toNanos() && !attempt.output.full();
+    boolean lostStream =
+        stillRuns
+            && attempt.request.isStream()
+            && idle > SILENCE_BOUND.toNanos()
+            && !attempt.output.full();
+    return lostEnd || lostStream;
+  }
+
   private void readFailed(Throwable failure, long now) {
     core.ramp.doubt(now);
     boolean down =
         failure instanceof EngineException e && e.kind() == EngineException.Kind.NOT_SENT;
+    failures++;
+    if (!down && failures < FAILURES_UNTIL_UNREACHABLE) {
+      core.wakeMonitor();
+      return;
+    }
     if (core.reachable(false)) {
       core.after(
           () ->
@@ -156,7 +203,7 @@
       boolean tooLong = now - attempt.brokenAtNanos > BROKEN_PATIENCE.toNanos();
       if (!down && attempt.broken && tooLong) {
         attempt.broken = false;
-        attempts.failLocked(attempt, "the endpoint does not answer", false, now);
+        running.failLocked(attempt, "the endpoint does not answer", false, now);
       }
     }
     if (down && core.live.values().stream().anyMatch(a -> a.atEndpoint)) {
@@ -173,8 +220,8 @@
     for (Attempt attempt : new ArrayList<>(core.live.values())) {
       if (attempt.atEndpoint) {
         suspects.add(attempt.request.getFingerprint());
-        attempts.failLocked(attempt, "the endpoint restarted", true, now);
-        attempts.settled(attempt);
+        running.failLocked(attempt, "the endpoint restarted", true, now);
+        running.settled(attempt);
         EngineClient.Answer answer = attempt.answer;
         core.after(() -> abort(answer));
       }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EngineClient.java
@@ -39,8 +39,13 @@
   /** Asks the engine to end a request; true when the engine confirms that it no longer runs. */
   CompletableFuture<Boolean> cancel(String attemptId, Duration timeout);
 
-  /** Continues the answer of a running request at a byte offset. */
-  Answer resume(String attemptId, long offset, AnswerListener listener);
+  /**
+   * Continues an answer whose connection broke.
+   *
+   * @param broken the answer so far, from {@link #start} or {@link #resume}
+   * @param offset bytes of the body received so far
+   */
+  Answer resume(Answer broken, long offset, AnswerListener listener);
 
   /** Exports the KV cache of a running request. */
   CompletableFuture<byte[]> exportCache(String attemptId, Duration timeout);
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EngineRequests.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EngineRequests.java
@@ -18,7 +18,8 @@
 
 /**
  * Makes the request for the endpoint from an attempt: {@code model} is the immutable adapter name,
- * and {@code cache_salt} keeps the prefix caches of customers apart.
+ * {@code cache_salt} keeps the prefix caches of customers apart, and {@code priority} is lower for
+ * more urgent work.
  *
  * <p>Thread safety: stateless.
  */
@@ -51,13 +52,7 @@
     if (service) {
       byte[] body = request.isSetBody() ? request.getBody() : new byte[0];
       return new EngineRequest(
-          request.getAttemptId(),
-          method(request),
-          path(request),
-          headers,
-          body,
-          false,
-          timeout);
+          request.getAttemptId(), method(request), path(request), headers, body, false, timeout);
     }
     headers.put("content-type", "application/json");
     String path =
@@ -88,6 +83,7 @@
       }
       object.put("model", adapter(request));
       object.put("cache_salt", cacheSalt(request.getCustomer()));
+      object.put("priority", request.getPriority().getValue());
       return MAPPER.writeValueAsBytes(object);
     } catch (IOException e) {
       throw new InvalidAttempt("given a malformed body, expected a JSON object");
--- a/sidecar/src/main/java/org/comfreygap/sidecar/Follower.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Follower.java
@@ -10,20 +10,20 @@
  */
 final class Follower implements EngineClient.AnswerListener {
 
-  private final AttemptController controller;
+  private final RunningAttempts running;
   private final Attempt attempt;
   private final int exchange;
   private boolean usable;
 
-  Follower(AttemptController controller, Attempt attempt, int exchange) {
-    this.controller = controller;
+  Follower(RunningAttempts running, Attempt attempt, int exchange) {
+    this.running = running;
     this.attempt = attempt;
     this.exchange = exchange;
   }
 
   @Override
   public void head(int status, Map<String, String> headers, String bootId) {
-    usable = controller.onHead(attempt, exchange, status, headers, bootId);
+    usable = running.onHead(attempt, exchange, status, headers, bootId);
   }
 
   @Override
@@ -35,11 +35,11 @@
 
   @Override
   public void ended(long totalTokens) {
-    controller.onEnded(attempt, exchange, totalTokens);
+    running.onEnded(attempt, exchange, totalTokens);
   }
 
   @Override
   public void failed(EngineException failure) {
-    controller.onFailed(attempt, exchange, failure);
+    running.onFailed(attempt, exchange, failure);
   }
 }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -37,12 +37,13 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.comfreygap.settings.Documents.EndpointKind;
 
 /**
  * Talks to an endpoint with the HTTP protocol of the design page, section 6.
  *
  * <pre>{@code
- * EngineClient engine = HttpEngineClient.engine(URI.create("http://127.0.0.1:9000"), 64);
+ * EngineClient engine = new HttpEngineClient(URI.create("http://127.0.0.1:9000"));
  * }</pre>
  *
  * <p>Invariant: no request is sent twice, no redirect is followed, no cookie is kept, and a
@@ -58,32 +59,29 @@
   // An idle connection that the endpoint closes at the moment of use makes an outcome unknown, so
   // idle connections are dropped well before common keep-alive limits.
   private static final TimeValue MAX_IDLE = TimeValue.ofSeconds(2);
-  private static final int SPARE_CONNECTIONS = 16;
+  private static final Duration RESUME_SILENCE = Duration.ofSeconds(30);
+  // The ramp bounds the connections in use; this only stops the pool from being the bound.
+  private static final int MAX_CONNECTIONS = 16_384;
 
-  private final boolean service;
   private final URI base;
   private final CloseableHttpAsyncClient client;
+  private volatile EndpointKind kind = EndpointKind.ENGINE;
 
-  private HttpEngineClient(boolean service, URI base, int maxConcurrency) {
-    this.service = service;
+  /** Creates the client of the endpoint at {@code base}, an engine until told otherwise. */
+  public HttpEngineClient(URI base) {
     this.base = base;
-    this.client = client(maxConcurrency);
+    this.client = client();
     client.start();
   }
 
-  /** Returns the client of a language-model engine. */
-  public static HttpEngineClient engine(URI base, int maxConcurrency) {
-    return new HttpEngineClient(false, base, maxConcurrency);
-  }
-
-  /** Returns the client of a plain service. */
-  public static HttpEngineClient service(URI base, int maxConcurrency) {
-    return new HttpEngineClient(true, base, maxConcurrency);
+  /** Sets what the endpoint runs; it decides which state call is used. */
+  public void kind(EndpointKind newKind) {
+    kind = newKind;
   }
 
   @Override
   public CompletableFuture<EngineState> state(Duration timeout) {
-    String path = service ? "/health" : "/engine/state";
+    String path = kind == EndpointKind.SERVICE ? "/health" : "/engine/state";
     long sentAt = System.nanoTime();
     return call(SimpleRequestBuilder.get(uri(path)).build(), timeout)
         .thenCompose(reply -> parseState(reply, sentAt));
@@ -116,8 +114,8 @@
       String type = request.headers().getOrDefault("content-type", "application/octet-stream");
       builder.setBody(request.body(), ContentType.parseLenient(type));
     }
-    return stream(
-        builder.build(), request.attemptId(), request.checked(), request.timeout(), listener);
+    AnswerConsumer consumer = new AnswerConsumer(request.attemptId(), request.checked(), listener);
+    return stream(builder.build(), consumer, request.timeout());
   }
 
   @Override
@@ -128,11 +126,14 @@
   }
 
   @Override
-  public Answer resume(String attemptId, long offset, AnswerListener listener) {
-    String path = "/engine/requests/" + encode(attemptId) + "?offset=" + offset;
+  public Answer resume(Answer broken, long offset, AnswerListener listener) {
+    AnswerConsumer earlier = (AnswerConsumer) broken;
+    String id = earlier.attemptId();
     SimpleHttpRequest request =
-        SimpleRequestBuilder.get(uri(path)).setHeader("x-request-id", attemptId).build();
-    return stream(request, attemptId, true, Duration.ofSeconds(30), listener);
+        SimpleRequestBuilder.get(uri("/engine/requests/" + encode(id) + "?offset=" + offset))
+            .setHeader("x-request-id", id)
+            .build();
+    return stream(request, earlier.resumed(listener), RESUME_SILENCE);
   }
 
   @Override
@@ -148,8 +149,7 @@
   }
 
   @Override
-  public CompletableFuture<Boolean> importCache(
-      String attemptId, byte[] cache, Duration timeout) {
+  public CompletableFuture<Boolean> importCache(String attemptId, byte[] cache, Duration timeout) {
     SimpleHttpRequest request =
         SimpleRequestBuilder.put(uri("/engine/kv/" + encode(attemptId)))
             .setBody(cache, ContentType.APPLICATION_OCTET_STREAM)
@@ -177,14 +177,8 @@
     return new EngineException(kind, failure.toString(), failure);
   }
 
-  private Answer stream(
-      SimpleHttpRequest request,
-      String attemptId,
-      boolean checked,
-      Duration silence,
-      AnswerListener listener) {
+  private Answer stream(SimpleHttpRequest request, AnswerConsumer consumer, Duration silence) {
     request.setConfig(config(silence));
-    AnswerConsumer consumer = new AnswerConsumer(attemptId, checked, listener);
     consumer.running(
         client.execute(SimpleRequestProducer.create(request), consumer, consumer.callback()));
     return consumer;
@@ -282,12 +276,11 @@
         .build();
   }
 
-  private static CloseableHttpAsyncClient client(int maxConcurrency) {
-    int connections = maxConcurrency + SPARE_CONNECTIONS;
+  private static CloseableHttpAsyncClient client() {
     PoolingAsyncClientConnectionManager connectionManager =
         PoolingAsyncClientConnectionManagerBuilder.create()
-            .setMaxConnTotal(connections)
-            .setMaxConnPerRoute(connections)
+            .setMaxConnTotal(MAX_CONNECTIONS)
+            .setMaxConnPerRoute(MAX_CONNECTIONS)
             .setDefaultConnectionConfig(
                 ConnectionConfig.custom()
                     .setConnectTimeout(CONNECT_TIMEOUT)
--- a/sidecar/src/main/java/org/comfreygap/sidecar/ResidencyController.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/ResidencyController.java
@@ -88,9 +88,7 @@
           Result certain = otherBoot ? Result.UNKNOWN : result;
           core.residency.ended(certain, now);
           if (certain == Result.DONE && command.kind() == Kind.LOAD) {
-            core.queue
-                .wanted()
-                .stream()
+            core.queue.wanted().stream()
                 .filter(item -> item.adapter().equals(command.adapter()))
                 .findFirst()
                 .ifPresent(item -> core.queue.loadedFor(item.customer()));
--- /dev/null
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
@@ -0,0 +1,314 @@
+package org.comfreygap.sidecar;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.Map;
+import org.comfreygap.protocol.generated.FrameEnd;
+import org.comfreygap.protocol.generated.FrameFailure;
+import org.comfreygap.protocol.generated.FrameHead;
+import org.comfreygap.protocol.generated.FrameRefusal;
+import org.comfreygap.protocol.generated.Outcome;
+import org.comfreygap.protocol.generated.RefusalReason;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * Follows attempts from dispatch until the endpoint is known not to run them any more.
+ *
+ * <p>Invariant: the unit of the ramp and the pin of an attempt are given back exactly once, and not
+ * before the endpoint answered whole, confirmed a cancellation, reported that it does not run the
+ * request, or restarted. Thread safety: methods named "Under the lock" are called inside the core's
+ * lock; the others may be called from any thread.
+ */
+@Singleton
+final class RunningAttempts {
+
+  private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
+  private static final long RETRY_AFTER_MILLIS = 200;
+  private static final int OK = 200;
+
+  private final EndpointCore core;
+  private final EngineClient engine;
+  private final EventLog events;
+  private final SidecarMetrics metrics;
+  private int isolated;
+
+  @Inject
+  RunningAttempts(EndpointCore core, EngineClient engine, EventLog events, SidecarMetrics metrics) {
+    this.core = core;
+    this.engine = engine;
+    this.events = events;
+    this.metrics = metrics;
+  }
+
+  /** Returns true when an isolated attempt may be dispatched. Under the lock. */
+  boolean isolationFree() {
+    return isolated == 0;
+  }
+
+  /** Fails a running attempt; the unit and the pin stay until {@link #settled}. Under the lock. */
+  void failLocked(Attempt attempt, String message, boolean crashed, long now) {
+    if (attempt.state != Attempt.State.RUNNING) {
+      return;
+    }
+    attempt.outcome = Outcome.UNKNOWN;
+    FrameFailure failure =
+        new FrameFailure(Outcome.UNKNOWN, message)
+            .setEndpointCrashed(crashed)
+            .setReport(core.reportLocked(now));
+    core.end(attempt, now);
+    metrics.failed(Outcome.UNKNOWN);
+    core.after(
+        () -> {
+          attempt.output.fail(failure);
+          events.record(
+              SidecarEvent.ATTEMPT_FAILED,
+              Field.of("request", attempt.request.getRequestId()),
+              Field.of("attempt", attempt.id()),
+              Field.of("crashed", crashed),
+              Field.of("cause", message));
+        });
+  }
+
+  /** Records that the endpoint no longer runs {@code attempt}. Under the lock. */
+  void settled(Attempt attempt) {
+    if (!attempt.atEndpoint) {
+      return;
+    }
+    attempt.atEndpoint = false;
+    attempt.broken = false;
+    core.residency.unpin(attempt.id());
+    core.ramp.finished();
+    core.queue.finished(attempt.request.getCustomer());
+    if (attempt.request.isIsolated()) {
+      isolated--;
+    }
+    if (attempt.state == Attempt.State.ENDED) {
+      core.live.remove(attempt.id());
+    }
+    core.wakeLoader();
+  }
+
+  /** Continues the answer of a broken attempt at the engine. Under the lock. */
+  void resumeLocked(Attempt attempt) {
+    attempt.broken = false;
+    int exchange = ++attempt.exchange;
+    core.after(
+        () -> {
+          long offset = attempt.output.received();
+          events.record(
+              SidecarEvent.ATTEMPT_RESUMED,
+              Field.of("request", attempt.request.getRequestId()),
+              Field.of("offset", offset));
+          follow(
+              attempt,
+              engine.resume(attempt.answer, offset, new Follower(this, attempt, exchange)));
+        });
+  }
+
+  /** Ends an attempt that was not sent to the endpoint. Under the lock. */
+  void endRefused(Attempt attempt, RefusalReason reason, String message, long now) {
+    attempt.outcome = Outcome.NOT_RUN;
+    FrameRefusal frame =
+        new FrameRefusal(reason, Outcome.NOT_RUN)
+            .setRetryAfterMillis(RETRY_AFTER_MILLIS)
+            .setReport(core.reportLocked(now));
+    if (!message.isEmpty()) {
+      frame.setMessage(message);
+    }
+    core.end(attempt, now);
+    metrics.refused(reason);
+    core.after(
+        () -> {
+          attempt.output.refuse(frame);
+          events.record(
+              SidecarEvent.ATTEMPT_REFUSED,
+              Field.of("request", attempt.request.getRequestId()),
+              Field.of("reason", reason));
+        });
+  }
+
+  /** Ends a running attempt and asks the endpoint to stop working on it. Under the lock. */
+  void abandonLocked(Attempt attempt, String reason, long now) {
+    failLocked(attempt, reason, false, now);
+    core.after(
+        () ->
+            events.record(
+                SidecarEvent.ATTEMPT_ABANDONED,
+                Field.of("request", attempt.request.getRequestId()),
+                Field.of("cause", reason)));
+    abandonAtEndpoint(attempt);
+  }
+
+  /**
+   * Takes the head of an answer. Returns false when the answer must not be passed on: it comes from
+   * another boot than the one whose residency was checked, or it says that nothing was run.
+   */
+  boolean onHead(
+      Attempt attempt, int exchange, int status, Map<String, String> headers, String bootId) {
+    boolean usable = core.compute(now -> headUsable(attempt, exchange, status, bootId, now));
+    if (usable && exchange == 1) {
+      long waited =
+          Duration.ofNanos(attempt.dispatchedAtNanos - attempt.receivedAtNanos).toMillis();
+      attempt.output.head(
+          new FrameHead(status, bootId)
+              .setHeaders(EngineHeaders.toGateway(headers))
+              .setQueueWaitMillis(waited)
+              .setLoadWaitMillis(attempt.waitedForLoad ? waited : 0));
+    }
+    return usable;
+  }
+
+  /** Takes the end of a whole answer. */
+  void onEnded(Attempt attempt, int exchange, long totalTokens) {
+    core.locked(
+        now -> {
+          if (attempt.exchange != exchange) {
+            return;
+          }
+          if (attempt.state == Attempt.State.RUNNING) {
+            attempt.outcome = Outcome.RAN;
+            long tokens = totalTokens >= 0 ? totalTokens : attempt.request.getReservedTokens();
+            core.end(attempt, now);
+            settled(attempt);
+            FrameEnd frame =
+                new FrameEnd(attempt.output.received(), tokens).setReport(core.reportLocked(now));
+            metrics.finished();
+            core.after(() -> attempt.output.finish(frame));
+          } else {
+            settled(attempt);
+          }
+          core.pump(now);
+        });
+  }
+
+  /** Takes the failure of an exchange. */
+  void onFailed(Attempt attempt, int exchange, EngineException failure) {
+    core.locked(
+        now -> {
+          if (attempt.exchange != exchange) {
+            return;
+          }
+          boolean unsent = failure.kind() == EngineException.Kind.NOT_SENT && exchange == 1;
+          if (attempt.state == Attempt.State.ENDED) {
+            if (unsent) {
+              settled(attempt);
+            }
+          } else if (unsent) {
+            endRefused(attempt, RefusalReason.ENDPOINT_UNREACHABLE, "", now);
+            settled(attempt);
+          } else if (failure.kind() == EngineException.Kind.MISMATCHED) {
+            recordRejected(attempt, failure);
+            abandonLocked(attempt, "the endpoint sent another request's answer", now);
+          } else {
+            recordRejected(attempt, failure);
+            attempt.broken = true;
+            attempt.brokenAtNanos = now;
+          }
+          core.ramp.doubt(now);
+          core.wakeMonitor();
+          core.pump(now);
+        });
+  }
+
+  /** Sends an attempt whose unit and pin are taken. Under the lock. */
+  void dispatch(Attempt attempt, long now) {
+    attempt.state = Attempt.State.RUNNING;
+    attempt.outcome = Outcome.UNKNOWN;
+    attempt.atEndpoint = true;
+    attempt.bootId = core.ramp.bootId();
+    attempt.dispatchedAtNanos = now;
+    if (attempt.request.isIsolated()) {
+      isolated++;
+    }
+    metrics.waited(now - attempt.receivedAtNanos, attempt.waitedForLoad);
+    int exchange = ++attempt.exchange;
+    core.after(
+        () ->
+            follow(
+                attempt,
+                engine.start(attempt.engineRequest, new Follower(this, attempt, exchange))));
+  }
+
+  private void follow(Attempt attempt, EngineClient.Answer answer) {
+    attempt.output.feed(answer);
+    boolean abort =
+        core.compute(
+            now -> {
+              attempt.answer = answer;
+              return attempt.state == Attempt.State.ENDED && attempt.atEndpoint;
+            });
+    if (abort) {
+      answer.abort();
+    }
+  }
+
+  private void cancelAtEngine(Attempt attempt) {
+    engine
+        .cancel(attempt.id(), CANCEL_TIMEOUT)
+        .whenComplete(
+            (confirmed, failure) -> {
+              if (failure == null && confirmed) {
+                core.locked(
+                    now -> {
+                      settled(attempt);
+                      core.pump(now);
+                    });
+              } else {
+                core.wakeMonitor();
+              }
+            });
+  }
+
+  private boolean headUsable(Attempt attempt, int exchange, int status, String bootId, long now) {
+    if (attempt.exchange != exchange || attempt.state != Attempt.State.RUNNING) {
+      return false;
+    }
+    boolean crossedBoot =
+        !bootId.isEmpty() && !attempt.bootId.isEmpty() && !bootId.equals(attempt.bootId);
+    core.replied(bootId, attempt.dispatchedAtNanos, now);
+    if (crossedBoot) {
+      failLocked(attempt, "the endpoint restarted before it ran the request", true, now);
+      abandonAtEndpoint(attempt);
+      return false;
+    }
+    boolean refused = !attempt.adapter.isEmpty() && refusedByEngine(status);
+    if (refused || (exchange > 1 && status != OK)) {
+      core.residency.readRequired();
+      core.wakeMonitor();
+      failLocked(attempt, "the engine answered " + status, false, now);
+      abandonAtEndpoint(attempt);
+      return false;
+    }
+    return true;
+  }
+
+  private static boolean refusedByEngine(int status) {
+    return status == 404 || status == 409 || status == 429 || status >= 500;
+  }
+
+  private void recordRejected(Attempt attempt, EngineException failure) {
+    core.after(
+        () ->
+            events.record(
+                SidecarEvent.ANSWER_REJECTED,
+                Field.of("request", attempt.request.getRequestId()),
+                Field.of("attempt", attempt.id()),
+                Field.of("kind", failure.kind()),
+                Field.of("cause", failure.getMessage())));
+  }
+
+  private void abandonAtEndpoint(Attempt attempt) {
+    core.after(
+        () -> {
+          EngineClient.Answer answer = attempt.answer;
+          if (answer != null) {
+            answer.abort();
+          }
+          if (!attempt.adapter.isEmpty()) {
+            cancelAtEngine(attempt);
+          }
+        });
+  }
+}
--- a/sidecar/src/main/java/org/comfreygap/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/SidecarMetrics.java
@@ -32,7 +32,8 @@
   @Inject
   SidecarMetrics(MeterRegistry registry, EndpointCore core) {
     for (RefusalReason reason : RefusalReason.values()) {
-      refusals.put(reason, registry.counter("comfreygap.sidecar.refusals", "reason", reason.name()));
+      refusals.put(
+          reason, registry.counter("comfreygap.sidecar.refusals", "reason", reason.name()));
     }
     for (Outcome outcome : Outcome.values()) {
       failures.put(
--- /dev/null
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/StubControl.java
@@ -0,0 +1,171 @@
+package org.comfreygap.sidecar;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.comfreygap.protocol.generated.BeginReply;
+import org.comfreygap.protocol.generated.BeginRequest;
+import org.comfreygap.protocol.generated.Change;
+import org.comfreygap.protocol.generated.ChangeKind;
+import org.comfreygap.protocol.generated.ControlService;
+import org.comfreygap.protocol.generated.CrashReply;
+import org.comfreygap.protocol.generated.CrashReport;
+import org.comfreygap.protocol.generated.CreditExchange;
+import org.comfreygap.protocol.generated.CreditReply;
+import org.comfreygap.protocol.generated.EndpointLeaseReply;
+import org.comfreygap.protocol.generated.EndpointLeaseRequest;
+import org.comfreygap.protocol.generated.FinishRequest;
+import org.comfreygap.protocol.generated.HeartbeatReply;
+import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.comfreygap.protocol.generated.PermitReply;
+import org.comfreygap.protocol.generated.PermitRequest;
+import org.comfreygap.protocol.generated.WatchReply;
+import org.comfreygap.protocol.generated.WatchRequest;
+import org.comfreygap.runtime.Addresses;
+import org.comfreygap.runtime.PeerSecurity;
+import org.comfreygap.runtime.ThriftServer;
+
+/** A control instance for tests of the sidecar: settings, endpoint lease, permits and crashes. */
+final class StubControl implements ControlService.Iface, AutoCloseable {
+
+  final List<CrashReport> crashes = new CopyOnWriteArrayList<>();
+  final List<PermitRequest> granted = new CopyOnWriteArrayList<>();
+  final Set<String> openPermits = ConcurrentHashMap.newKeySet();
+  volatile boolean cutOff;
+  volatile boolean permits = true;
+  volatile long leaseMillis = 6_000;
+  volatile long leaseMillisAtControl = 8_000;
+  private final ThriftServer server;
+  private final Map<String, Change> tree = new HashMap<>();
+  private Map<String, Long> quarantined = Map.of();
+  private long revision;
+  private String holder = "";
+  private long holderEndNanos;
+  private long fencing;
+
+  StubControl(PeerSecurity security) throws IOException {
+    server =
+        ThriftServer.start(
+            "stub-control",
+            new InetSocketAddress("127.0.0.1", 0),
+            security,
+            new ControlService.Processor<>(this));
+  }
+
+  String address() {
+    return Addresses.text(server.address());
+  }
+
+  synchronized void put(String path, String document) {
+    revision++;
+    tree.put(path, new Change(path, ChangeKind.PUT, revision).setDocument(document));
+    notifyAll();
+  }
+
+  synchronized void quarantine(String fingerprint, long millis) {
+    quarantined = Map.of(fingerprint, millis);
+    revision++;
+    notifyAll();
+  }
+
+  synchronized long revision() {
+    return revision;
+  }
+
+  @Override
+  public HeartbeatReply heartbeat(HeartbeatRequest request) throws NotLeader {
+    check();
+    return new HeartbeatReply(revision(), 1, 1, List.of(), false, List.of(address()));
+  }
+
+  @Override
+  public synchronized WatchReply watch(WatchRequest request) {
+    long until = System.nanoTime() + request.getWaitMillis() * 1_000_000L;
+    while ((cutOff || revision <= request.getAfterRevision()) && until - System.nanoTime() > 0) {
+      try {
+        wait(Math.max(1, Math.min(20, (until - System.nanoTime()) / 1_000_000)));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+    }
+    if (cutOff) {
+      return new WatchReply(request.getAfterRevision(), false, List.of());
+    }
+    return new WatchReply(revision, true, new ArrayList<>(tree.values()))
+        .setQuarantined(quarantined);
+  }
+
+  @Override
+  public CreditReply exchangeCredit(CreditExchange request) {
+    return new CreditReply(request.getSequence(), List.of());
+  }
+
+  @Override
+  public PermitReply acquireLoadPermit(PermitRequest request) throws NotLeader {
+    check();
+    if (!permits) {
+      return new PermitReply(false, 0, 20);
+    }
+    granted.add(request);
+    openPermits.add(request.getPermitId());
+    return new PermitReply(true, 10_000, 0);
+  }
+
+  @Override
+  public void releaseLoadPermit(String permitId) {
+    openPermits.remove(permitId);
+  }
+
+  @Override
+  public synchronized EndpointLeaseReply acquireEndpoint(EndpointLeaseRequest request)
+      throws NotLeader {
+    check();
+    long now = System.nanoTime();
+    boolean free = holder.isEmpty() || holderEndNanos - now <= 0;
+    if (!free && !holder.equals(request.getStartId())) {
+      long left = (holderEndNanos - now) / 1_000_000 + 1;
+      return new EndpointLeaseReply(false, 0, 0, left);
+    }
+    if (!holder.equals(request.getStartId())) {
+      holder = request.getStartId();
+      fencing++;
+    }
+    holderEndNanos = now + leaseMillisAtControl * 1_000_000L;
+    return new EndpointLeaseReply(true, fencing, leaseMillis, 0);
+  }
+
+  @Override
+  public BeginReply beginRequest(BeginRequest request) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void finishRequest(FinishRequest request) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CrashReply reportCrash(CrashReport report) {
+    crashes.add(report);
+    return new CrashReply(List.of());
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+
+  private void check() throws NotLeader {
+    if (cutOff) {
+      throw new NotLeader();
+    }
+  }
+}
