--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -173,6 +173,8 @@
       factory.setAdminMinThreads(1);
       factory.setRegisterDefaultExceptionMappers(true);
       factory.setDetailedJsonProcessingExceptionMapper(false);
+      // Compression would hold back the parts of a streamed answer.
+      factory.getGzipFilterFactory().setEnabled(false);
       factory.setShutdownGracePeriod(Duration.seconds(30));
       // The timeline records requests; an access log would write a line for each of them.
       LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
