--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -184,6 +184,8 @@
       logging.setLevel(logLevel);
       // Thrift logs each connection that a peer closes as an error.
       logging.setLoggers(Map.of("org.apache.thrift", TextNode.valueOf("OFF")));
+      // Compression buffers, which would delay the events of a stream.
+      factory.getGzipFilterFactory().setEnabled(false);
       Configuration configuration = new Configuration();
       configuration.setServerFactory(factory);
       configuration.setLoggingFactory(logging);
