--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/AnswerCheck.java
@@ -0,0 +1,97 @@
+package org.comfreygap.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import org.comfreygap.bench.CallResult.Verdict;
+
+/**
+ * Verifies that an answer is the complete answer to the caller's own request, from the marks that
+ * the fakes put into every token.
+ *
+ * <p>Thread safety: one instance belongs to one request.
+ *
+ * @since 0.1
+ */
+final class AnswerCheck {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String DATA = "data:";
+
+  private final Planned planned;
+  private final String adapter;
+  private final StringBuilder content = new StringBuilder();
+  private boolean done;
+  private boolean reportedFailure;
+  private boolean unreadable;
+
+  AnswerCheck(Planned planned, String team) {
+    this.planned = planned;
+    this.adapter = team + "/" + planned.model();
+  }
+
+  /** Takes one line of a stream of server-sent events. */
+  void line(String line) {
+    if (!line.startsWith(DATA)) {
+      reportedFailure |= line.startsWith("event: error");
+      return;
+    }
+    String data = line.substring(DATA.length()).trim();
+    if (data.equals("[DONE]")) {
+      done = true;
+      return;
+    }
+    try {
+      JsonNode event = JSON.readTree(data);
+      reportedFailure |= event.has("error");
+      JsonNode choice = event.path("choices").path(0);
+      content.append(choice.path("delta").path("content").asText(choice.path("text").asText("")));
+    } catch (IOException e) {
+      unreadable = true;
+    }
+  }
+
+  /** Judges the stream after its last line. */
+  Verdict streamVerdict() {
+    if (reportedFailure) {
+      return Verdict.BROKEN;
+    }
+    Verdict verdict = tokens(content.toString());
+    return verdict == Verdict.COMPLETE && (!done || unreadable) ? Verdict.CUT : verdict;
+  }
+
+  /** Judges a body that was not streamed. */
+  Verdict bodyVerdict(String body) {
+    JsonNode json;
+    try {
+      json = JSON.readTree(body);
+    } catch (IOException e) {
+      return Verdict.CUT;
+    }
+    if (planned.call()) {
+      if (!json.path("end").asBoolean()) {
+        return Verdict.CUT;
+      }
+      boolean own = json.path("nonce").asText().equals(planned.nonce());
+      return own ? Verdict.COMPLETE : Verdict.MIXED;
+    }
+    return tokens(json.path("choices").path(0).path("message").path("content").asText());
+  }
+
+  private Verdict tokens(String text) {
+    String[] parts = text.isEmpty() ? new String[0] : text.split(";");
+    for (int i = 0; i < parts.length; i++) {
+      String[] fields = parts[i].split(" ");
+      if (fields.length < 2 && i == parts.length - 1) {
+        return Verdict.CUT;
+      }
+      if (!fields[0].equals(adapter) || !fields[1].equals(planned.nonce())) {
+        return Verdict.MIXED;
+      }
+      if (fields.length != 4 || !fields[3].equals((i + 1) + "/" + planned.tokens())) {
+        return Verdict.CUT;
+      }
+    }
+    return parts.length == planned.tokens() ? Verdict.COMPLETE : Verdict.CUT;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/Driver.java
@@ -0,0 +1,117 @@
+package org.comfreygap.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Sends a load plan at its planned times, whatever happens to earlier requests, to one or more
+ * systems at once.
+ *
+ * <p>Thread safety: one thread calls {@link #run}; {@link Target} methods may be called from any
+ * thread.
+ *
+ * @since 0.1
+ */
+final class Driver implements AutoCloseable {
+
+  private final ExecutorService threads =
+      Executors.newCachedThreadPool(
+          task -> {
+            Thread thread = new Thread(null, task, "caller", 256 * 1_024);
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  /** Sends the plan from {@code startMicros} on and returns when the last request is sent. */
+  void run(List<Planned> plan, long startMicros, List<Target> targets) throws InterruptedException {
+    for (Planned planned : plan) {
+      long wait = startMicros + planned.atMicros() - Clock.micros();
+      if (wait > 0) {
+        TimeUnit.MICROSECONDS.sleep(wait);
+      }
+      for (Target target : targets) {
+        target.open.incrementAndGet();
+        threads.execute(() -> target.send(planned));
+      }
+    }
+  }
+
+  /** Waits until no request is open or the time is over. */
+  void drain(List<Target> targets, long timeoutMillis) throws InterruptedException {
+    long deadline = System.nanoTime() + timeoutMillis * 1_000_000;
+    while (targets.stream().anyMatch(target -> target.open.get() > 0)
+        && System.nanoTime() < deadline) {
+      Thread.sleep(20);
+    }
+  }
+
+  @Override
+  public void close() {
+    threads.shutdownNow();
+  }
+
+  /** A system under load, with what its callers saw. */
+  static final class Target {
+
+    private final Caller caller;
+    private final Gateways gateways;
+    private final Keys keys;
+    private final AtomicInteger open = new AtomicInteger();
+    private final ConcurrentLinkedQueue<CallResult> results = new ConcurrentLinkedQueue<>();
+
+    Target(Caller caller, Gateways gateways, Keys keys) {
+      this.caller = caller;
+      this.gateways = gateways;
+      this.keys = keys;
+    }
+
+    int open() {
+      return open.get();
+    }
+
+    List<CallResult> results() {
+      return new ArrayList<>(results);
+    }
+
+    void forget() {
+      results.clear();
+    }
+
+    /** Sends a request that is not part of the plan and keeps its result apart. */
+    void sendAside(Planned planned) {
+      Thread thread =
+          new Thread(
+              () -> caller.send(planned, gateways.urls(), gateways.next(), keys.of(planned)));
+      thread.setDaemon(true);
+      thread.start();
+    }
+
+    private void send(Planned planned) {
+      try {
+        int gateway = gateways.next();
+        results.add(caller.send(planned, gateways.urls(), gateway, keys.of(planned)));
+      } finally {
+        open.decrementAndGet();
+      }
+    }
+  }
+
+  /** Chooses the gateway of each request, as the platform's load balancer does. */
+  interface Gateways {
+
+    List<String> urls();
+
+    int next();
+  }
+
+  /** Returns the key of each request. */
+  interface Keys {
+
+    String of(Planned planned);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/Figures.java
@@ -0,0 +1,272 @@
+package org.comfreygap.bench;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.comfreygap.bench.CallResult.Verdict;
+
+/**
+ * The performance figures of one system, computed from its evidence.
+ *
+ * <p>Thread safety: none.
+ *
+ * @since 0.1
+ */
+final class Figures {
+
+  private static final long ZONE_SETTLE_MICROS = 5_000_000;
+
+  private final Evidence evidence;
+  private final Map<String, FleetRecord.Placed> runs = new HashMap<>();
+  private final Map<String, Double> stalls = new HashMap<>();
+  private final Set<CallResult> withinRate = new HashSet<>();
+  private final Map<String, Double> values = new LinkedHashMap<>();
+
+  private Figures(Evidence evidence) {
+    this.evidence = evidence;
+    evidence
+        .record()
+        .runs()
+        .filter(placed -> evidence.measured(placed.run()))
+        .forEach(placed -> runs.putIfAbsent(placed.run().nonce(), placed));
+  }
+
+  /** Returns the figures by name, in the order in which they are printed. */
+  static Map<String, Double> of(Evidence evidence) {
+    Figures figures = new Figures(evidence);
+    figures.markWithinRate();
+    figures.service();
+    figures.loadStalls();
+    figures.batch();
+    figures.customers();
+    figures.zone();
+    figures.hop();
+    return figures.values;
+  }
+
+  private void service() {
+    List<CallResult> due = evidence.results().stream().filter(this::due).toList();
+    values.put("requests_sent", (double) evidence.results().size());
+    values.put("requests_complete", count(evidence.results(), CallResult::complete));
+    values.put("served_share_within_rate", share(due, CallResult::complete));
+    values.put("refused_within_rate_share", share(due, r -> r.verdict() == Verdict.REFUSED));
+    values.put("broken_within_rate_share", share(due, r -> r.verdict() == Verdict.BROKEN));
+    List<CallResult> complete = completions(CallResult::complete);
+    values.put("latency_p50_ms", percentile(latencies(complete), 0.50));
+    values.put("latency_p99_ms", percentile(latencies(complete), 0.99));
+    double[] first =
+        complete.stream()
+            .filter(r -> r.planned().stream() && r.firstMicros() > 0)
+            .mapToDouble(r -> (r.firstMicros() - r.sentMicros()) / 1_000.0)
+            .toArray();
+    values.put("first_token_p50_ms", percentile(first, 0.50));
+    values.put("first_token_p95_ms", percentile(first, 0.95));
+  }
+
+  private void loadStalls() {
+    Map<String, List<FleetRecord.Load>> loads = new HashMap<>();
+    for (FleetRecord.Endpoint endpoint : evidence.record().endpoints()) {
+      for (FleetRecord.Load load : endpoint.loads()) {
+        if (load.load() && load.done()) {
+          loads
+              .computeIfAbsent(endpoint.endpoint() + " " + load.adapter(), k -> new ArrayList<>())
+              .add(load);
+        }
+      }
+    }
+    for (CallResult result : evidence.results()) {
+      FleetRecord.Placed placed = runs.get(result.planned().nonce());
+      if (placed == null || result.planned().call()) {
+        continue;
+      }
+      String key = placed.endpoint().endpoint() + " " + placed.run().adapter();
+      for (FleetRecord.Load load : loads.getOrDefault(key, List.of())) {
+        long end = load.endMillis() * 1_000;
+        if (end >= result.sentMicros() && end <= placed.run().startMicros()) {
+          double wait = (placed.run().startMicros() - result.sentMicros()) / 1_000.0;
+          stalls.put(result.planned().nonce(), wait);
+        }
+      }
+    }
+    double started =
+        count(
+            evidence.results(), r -> !r.planned().call() && runs.containsKey(r.planned().nonce()));
+    double[] waits = stalls.values().stream().mapToDouble(Double::doubleValue).toArray();
+    values.put("load_stall_share", started == 0 ? Double.NaN : stalls.size() / started);
+    values.put("load_stall_p95_ms", percentile(waits, 0.95));
+    values.put("load_stall_p99_ms", percentile(waits, 0.99));
+    values.put("load_stall_total_ms", Arrays.stream(waits).sum());
+    double done =
+        evidence.record().endpoints().stream()
+            .flatMap(endpoint -> endpoint.loads().stream())
+            .filter(load -> load.load() && load.startMillis() >= evidence.marks().start / 1_000)
+            .count();
+    values.put("loads", done);
+  }
+
+  private void batch() {
+    double mean = evidence.record().meanBatchSince(evidence.earlier());
+    values.put("mean_batch", mean);
+    values.put("batch_efficiency", mean / evidence.maxBatch());
+  }
+
+  private void customers() {
+    List<Double> shares = new ArrayList<>();
+    List<Double> slowest = new ArrayList<>();
+    for (int customer = 0; customer < evidence.limits().size(); customer++) {
+      int index = customer;
+      List<CallResult> own = completions(r -> r.planned().customer() == index);
+      double served = tokens(own, CallResult::complete);
+      double entitled = tokens(own, r -> withinRate.contains(r));
+      shares.add(entitled == 0 ? 1 : Math.min(1, served / entitled));
+      slowest.add(percentile(latencies(own.stream().filter(CallResult::complete).toList()), 0.99));
+    }
+    values.put("worst_served_share", shares.stream().min(Double::compare).orElse(Double.NaN));
+    values.put("worst_served_customer", shares.indexOf(min(shares)) + 1.0);
+    double median = percentile(toArray(slowest), 0.5);
+    values.put("worst_p99_over_median", max(slowest) / median);
+    Marks marks = evidence.marks();
+    if (marks.floodFrom > 0) {
+      values.put("flood_others_p99_ratio", othersPercentile(true) / othersPercentile(false));
+    }
+  }
+
+  private double othersPercentile(boolean inFlood) {
+    Marks marks = evidence.marks();
+    long from = inFlood ? marks.floodFrom : marks.start;
+    long to = inFlood ? marks.floodTo : marks.floodFrom;
+    List<CallResult> others =
+        completions(
+            r ->
+                r.complete()
+                    && r.planned().customer() != Profile.FLOODING_CUSTOMER
+                    && r.sentMicros() >= from
+                    && r.sentMicros() < to);
+    return percentile(latencies(others), 0.99);
+  }
+
+  private void zone() {
+    Marks marks = evidence.marks();
+    if (marks.zoneOut == 0) {
+      return;
+    }
+    long until = marks.zoneIn == 0 ? marks.end : marks.zoneIn + ZONE_SETTLE_MICROS;
+    List<CallResult> during =
+        evidence.results().stream()
+            .filter(r -> r.sentMicros() >= marks.zoneOut && r.sentMicros() < until)
+            .filter(this::due)
+            .toList();
+    values.put(
+        "zone_urgent_refused",
+        count(during, r -> r.planned().priority().equals("urgent") && !r.complete()));
+    List<CallResult> settled =
+        during.stream()
+            .filter(r -> !r.planned().priority().equals("urgent"))
+            .filter(r -> r.sentMicros() >= marks.zoneOut + ZONE_SETTLE_MICROS)
+            .toList();
+    values.put("zone_ordinary_served_share", share(settled, CallResult::complete));
+  }
+
+  private void hop() {
+    long until = evidence.marks().floodFrom > 0 ? evidence.marks().floodFrom : evidence.marks().end;
+    double[] added =
+        evidence.results().stream()
+            .filter(CallResult::complete)
+            .filter(r -> r.sentMicros() < until && !stalls.containsKey(r.planned().nonce()))
+            .filter(r -> runs.containsKey(r.planned().nonce()))
+            .mapToDouble(this::added)
+            .toArray();
+    values.put("hop_added_p50_ms", percentile(added, 0.50));
+    values.put("hop_added_p99_ms", percentile(added, 0.99));
+  }
+
+  private double added(CallResult result) {
+    FleetRecord.Run run = runs.get(result.planned().nonce()).run();
+    long in = run.startMicros() - result.sentMicros();
+    long out = result.endMicros() - run.endMicros();
+    return (in + out) / 1_000.0;
+  }
+
+  /** Marks the requests that a token bucket with the customer's limits admits when sent. */
+  private void markWithinRate() {
+    for (int customer = 0; customer < evidence.limits().size(); customer++) {
+      Evidence.Limit limit = evidence.limits().get(customer);
+      int index = customer;
+      double level = limit.burstTokens();
+      long last = evidence.marks().start;
+      List<CallResult> own =
+          evidence.results().stream()
+              .filter(r -> r.planned().customer() == index)
+              .sorted(Comparator.comparingLong(CallResult::sentMicros))
+              .toList();
+      for (CallResult result : own) {
+        double refill = (result.sentMicros() - last) / 1e6 * limit.tokensPerSecond();
+        level = Math.min(limit.burstTokens(), level + refill);
+        last = result.sentMicros();
+        long needed = result.planned().neededTokens();
+        if (needed <= level) {
+          level -= needed;
+          withinRate.add(result);
+        }
+      }
+    }
+  }
+
+  private boolean due(CallResult result) {
+    return withinRate.contains(result) && result.verdict() != Verdict.REJECTED;
+  }
+
+  private List<CallResult> completions(Predicate<CallResult> wanted) {
+    return evidence.results().stream().filter(r -> !r.planned().call()).filter(wanted).toList();
+  }
+
+  private static double tokens(List<CallResult> results, Predicate<CallResult> wanted) {
+    return results.stream()
+        .filter(r -> r.verdict() != Verdict.REJECTED)
+        .filter(wanted)
+        .mapToLong(r -> r.planned().neededTokens())
+        .sum();
+  }
+
+  private static double[] latencies(List<CallResult> results) {
+    return results.stream().mapToDouble(CallResult::latencyMillis).toArray();
+  }
+
+  private static double count(List<CallResult> results, Predicate<CallResult> wanted) {
+    return results.stream().filter(wanted).count();
+  }
+
+  private static double share(List<CallResult> results, Predicate<CallResult> wanted) {
+    return results.isEmpty() ? Double.NaN : count(results, wanted) / results.size();
+  }
+
+  /** Returns the value below which the given share lies; NaN without values. */
+  static double percentile(double[] values, double share) {
+    if (values.length == 0) {
+      return Double.NaN;
+    }
+    double[] sorted = values.clone();
+    Arrays.sort(sorted);
+    int at = (int) Math.ceil(share * sorted.length) - 1;
+    return sorted[Math.max(0, Math.min(sorted.length - 1, at))];
+  }
+
+  private static double[] toArray(List<Double> values) {
+    return values.stream().mapToDouble(Double::doubleValue).toArray();
+  }
+
+  private static double min(List<Double> values) {
+    return values.stream().min(Double::compare).orElse(Double.NaN);
+  }
+
+  private static double max(List<Double> values) {
+    return values.stream().max(Double::compare).orElse(Double.NaN);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/MeasureMain.java
@@ -0,0 +1,290 @@
+package org.comfreygap.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.comfreygap.bench.Scenario.Systems;
+
+/**
+ * Runs the real programs and the naive policy against identical fakes under the same load, prints
+ * one {@code name value} in each line, and exits with 0 only when every violation reads 0.
+ *
+ * <p>Exit codes: 0 without violations, 1 with some, 2 for wrong usage, 3 when the run could not be
+ * made. Thread safety: one run in a process.
+ *
+ * @since 0.1
+ */
+public final class MeasureMain {
+
+  private static final Duration READY_LIMIT = Duration.ofSeconds(30);
+  private static final Profile.Store FAST_STORE = new Profile.Store(100, 16, 64);
+
+  private final Options options;
+  private final Path root;
+  private final Path folder;
+  private final List<FakesProcess> fakes = new ArrayList<>();
+  private final Marks marks = new Marks();
+  private final Report report = new Report();
+  private final Driver driver = new Driver();
+  private Layout ourLayout;
+  private Layout naiveLayout;
+  private Optional<ProductFleet> product = Optional.empty();
+  private NaiveProxy naive;
+
+  private MeasureMain(Options options) throws IOException {
+    this.options = options;
+    this.root = Path.of(System.getProperty("comfreygap.root", ".")).toAbsolutePath();
+    this.folder = Files.createTempDirectory("comfreygap-measure-");
+  }
+
+  /** Runs the measurement described by the arguments. */
+  public static void main(String[] args) {
+    try {
+      MeasureMain measure = new MeasureMain(Options.parse(args));
+      long violations = measure.run();
+      System.exit(violations == 0 ? 0 : 1);
+    } catch (IllegalArgumentException e) {
+      System.err.println("measure: " + e.getMessage());
+      System.exit(2);
+    } catch (IOException | InterruptedException e) {
+      System.err.println("measure: the run could not be made: " + e);
+      e.printStackTrace();
+      System.exit(3);
+    }
+  }
+
+  private long run() throws IOException, InterruptedException {
+    Progress.say("profile " + options.profile() + ", seed " + options.seed() + ", " + folder);
+    Thread stop = new Thread(this::stopAll, "stop-all");
+    Runtime.getRuntime().addShutdownHook(stop);
+    start();
+    Map<String, String> keys =
+        product.isPresent() ? product.get().createKeys() : new LinkedHashMap<>();
+    for (String key : keys.values()) {
+      fakes.get(0).fault("*", "watch-key", 1, 0, key);
+    }
+    if (product.isPresent()) {
+      product.get().awaitReady();
+      Progress.say("programs ready");
+    }
+    List<Driver.Target> targets = targets(keys);
+    warmUp(targets);
+    measure(targets);
+    return report.violations();
+  }
+
+  private void start() throws IOException, InterruptedException {
+    Random random = new Random();
+    ourLayout = new Layout(options.profile(), random);
+    naiveLayout = new Layout(options.profile(), random);
+    if (!options.naiveOnly()) {
+      fakes.add(FakesProcess.start(root, "fakes", folder, ourLayout));
+    }
+    fakes.add(FakesProcess.start(root, "fakes-naive", folder, naiveLayout));
+    if (!options.naiveOnly()) {
+      product = Optional.of(new ProductFleet(ourLayout, root, folder));
+      product.get().start();
+    }
+    for (FakesProcess process : fakes) {
+      process.awaitReady(READY_LIMIT);
+      process.store(FAST_STORE);
+    }
+    Progress.say("fakes ready");
+    if (product.isPresent()) {
+      product.get().createSettings(FAST_STORE);
+      Progress.say("settings written");
+    }
+    naive = naiveProxy();
+  }
+
+  private NaiveProxy naiveProxy() throws IOException {
+    Profile profile = options.profile();
+    List<NaiveEndpoint> engines = new ArrayList<>();
+    List<NaiveEndpoint> services = new ArrayList<>();
+    for (Layout.Runner runner : naiveLayout.runners) {
+      int bound = runner.engine() ? profile.fleet().maxBatch() : Layout.Cold.SERVICE_CONCURRENCY;
+      String url = "http://127.0.0.1:" + runner.endpointPort();
+      (runner.engine() ? engines : services)
+          .add(new NaiveEndpoint(url, runner.zone(), bound, profile.fleet().slots()));
+    }
+    List<Map<String, NaiveProxy.Bucket>> buckets = new ArrayList<>();
+    for (int gateway = 0; gateway < Layout.INSTANCES; gateway++) {
+      Map<String, NaiveProxy.Bucket> own = new LinkedHashMap<>();
+      for (int i = 0; i < Profile.CUSTOMER_SHARES.size(); i++) {
+        double share = 1.0 / Layout.INSTANCES;
+        own.put(
+            ProductFleet.customer(i),
+            new NaiveProxy.Bucket(
+                profile.tokensPerSecond(i) * share, profile.burstTokens(i) * share));
+      }
+      buckets.add(own);
+    }
+    return new NaiveProxy(Layout.TEAM, engines, services, buckets, options.seed());
+  }
+
+  private List<Driver.Target> targets(Map<String, String> keys) {
+    Duration timeout = Duration.ofMillis(options.callerTimeoutMillis());
+    String service = options.profile().fleet().service();
+    List<Driver.Target> targets = new ArrayList<>();
+    if (product.isPresent()) {
+      ProductFleet fleet = product.get();
+      LoadBalancer balancer =
+          new LoadBalancer(fleet.gatewayUrls(), fleet::gatewayReady, options.seed());
+      targets.add(
+          new Driver.Target(
+              new Caller(Layout.TEAM, service, timeout),
+              balancer,
+              planned ->
+                  planned.temporaryKey()
+                      ? keys.get("temporary")
+                      : keys.get(ProductFleet.customer(planned.customer()))));
+    }
+    targets.add(
+        new Driver.Target(
+            new Caller(Layout.TEAM, service, timeout),
+            new LoadBalancer(naive.urls(), gateway -> true, options.seed()),
+            planned -> ProductFleet.customer(planned.customer())));
+    return targets;
+  }
+
+  /** Fills the slots with the load that follows, while the store has no practical limit. */
+  private void warmUp(List<Driver.Target> targets) throws IOException, InterruptedException {
+    Profile profile = options.profile();
+    driver.run(
+        Workload.base(profile, options.seed() + 1, "w", options.warmUpMicros()),
+        Clock.micros(),
+        targets);
+    driver.drain(targets, options.callerTimeoutMillis() / 2);
+    for (FakesProcess process : fakes) {
+      process.store(profile.store());
+    }
+    if (product.isPresent()) {
+      String document = FakesProcess.storeDocument(profile.store());
+      product.get().admin().put("/platform/store", document, READY_LIMIT);
+    }
+    targets.forEach(Driver.Target::forget);
+    Progress.say("warm-up done");
+  }
+
+  private void measure(List<Driver.Target> targets) throws IOException, InterruptedException {
+    List<FleetRecord> earlier = new ArrayList<>();
+    for (FakesProcess process : fakes) {
+      earlier.add(process.record());
+    }
+    long micros = options.loadMicros();
+    List<Planned> plan =
+        options.fault().isPresent()
+            ? Workload.base(options.profile(), options.seed(), "m", micros)
+            : Workload.withFlood(
+                options.profile(),
+                options.seed(),
+                micros,
+                (long) (Scenario.FLOOD_FROM * micros),
+                (long) (Scenario.FLOOD_TO * micros));
+    marks.start = Clock.micros() + 100_000;
+    marks.end = marks.start + micros;
+    double cpuBefore = product.map(ProductFleet::cpuSeconds).orElse(0.0);
+    Optional<SettingsProbe> probe = product.map(fleet -> new SettingsProbe(fleet.admin()));
+    Thread events = events(new Systems(ourLayout, product, naive, fakes, targets));
+    driver.run(plan, marks.start, targets);
+    driver.drain(targets, options.callerTimeoutMillis());
+    events.join();
+    double cpu = product.map(ProductFleet::cpuSeconds).orElse(0.0) - cpuBefore;
+    Progress.say("load done, " + plan.size() + " requests planned");
+    judge(targets, earlier, probe, cpu);
+  }
+
+  private Thread events(Systems systems) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                new Scenario(options, systems, marks).run();
+              } catch (IOException e) {
+                Progress.say("an event failed: " + e);
+                report.add("events_failed", 1);
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            },
+            "events");
+    thread.start();
+    return thread;
+  }
+
+  private void judge(
+      List<Driver.Target> targets,
+      List<FleetRecord> earlier,
+      Optional<SettingsProbe> probe,
+      double cpuSeconds)
+      throws IOException, InterruptedException {
+    Map<String, Evidence> systems = new LinkedHashMap<>();
+    int last = targets.size() - 1;
+    if (product.isPresent()) {
+      systems.put("ours", evidence(targets.get(0), 0, earlier, probe));
+    }
+    systems.put("naive", evidence(targets.get(last), last, earlier, Optional.empty()));
+    if (product.isPresent()) {
+      Evidence ours = systems.get("ours");
+      report.violations(ours);
+      report.addAll("", Figures.of(ours));
+      report.add("requests_per_second_per_core", ours.results().size() / cpuSeconds);
+      report.add("crashes", ours.record().events("CRASH", 0));
+      report.add("settings_changes_failed", probe.get().failedChanges());
+      for (String kind : List.of("control", "gateway", "sidecar")) {
+        report.add(kind + "_resident_mb", product.get().residentBytes(kind) / 1e6);
+      }
+    }
+    report.add("naive_crashes", systems.get("naive").record().events("CRASH", 0));
+    report.addAll("naive_", Figures.of(systems.get("naive")));
+    report.print(System.out);
+    if (options.json().isPresent()) {
+      report.writeJson(options.json().get());
+    }
+    if (options.plot().isPresent()) {
+      Plot.writeAll(options.plot().get(), systems);
+    }
+    Refusals.say(systems);
+    Progress.say("done");
+  }
+
+  private Evidence evidence(
+      Driver.Target target, int index, List<FleetRecord> earlier, Optional<SettingsProbe> probe)
+      throws IOException, InterruptedException {
+    Profile profile = options.profile();
+    List<Evidence.Limit> limits = new ArrayList<>();
+    for (int i = 0; i < Profile.CUSTOMER_SHARES.size(); i++) {
+      limits.add(new Evidence.Limit(profile.tokensPerSecond(i), profile.burstTokens(i)));
+    }
+    return new Evidence(
+        fakes.get(index).record(),
+        earlier.get(index),
+        target.results(),
+        marks,
+        ourLayout.zones(),
+        limits,
+        probe.map(SettingsProbe::readings).orElse(List.of()),
+        profile.fleet().maxBatch());
+  }
+
+  private void stopAll() {
+    try {
+      driver.close();
+      if (product.isPresent()) {
+        product.get().stop();
+      }
+      for (FakesProcess process : fakes) {
+        process.program().kill();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/NaiveEndpoint.java
@@ -0,0 +1,107 @@
+package org.comfreygap.bench;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Semaphore;
+
+/**
+ * What the naive policy knows of one endpoint: a bound on requests at once, first come first
+ * served, and the resident adapters in order of last use.
+ *
+ * <p>Thread safety: all methods are synchronized; {@code turns} is thread-safe.
+ *
+ * @since 0.1
+ */
+final class NaiveEndpoint {
+
+  final String url;
+  final String zone;
+  final Semaphore turns;
+
+  private final int slots;
+  private final Map<String, Use> resident = new LinkedHashMap<>(16, 0.75f, true);
+
+  NaiveEndpoint(String url, String zone, int maxBatch, int slots) {
+    this.url = url;
+    this.zone = zone;
+    this.slots = slots;
+    this.turns = new Semaphore(maxBatch, true);
+  }
+
+  /** Takes a use of the adapter; the caller loads it when the use says so. */
+  synchronized Use use(String adapter) throws InterruptedException {
+    while (true) {
+      Use use = resident.get(adapter);
+      if (use != null && use.state == State.READY) {
+        use.users++;
+        return use;
+      }
+      if (use == null && (resident.size() < slots || evictable().isPresent())) {
+        Use added = new Use(adapter);
+        if (resident.size() >= slots) {
+          added.victim = evictable().get();
+          resident.remove(added.victim);
+        }
+        added.users++;
+        resident.put(adapter, added);
+        return added;
+      }
+      wait();
+    }
+  }
+
+  synchronized void loaded(Use use, boolean done) {
+    use.state = done ? State.READY : State.FAILED;
+    if (!done) {
+      resident.remove(use.adapter, use);
+    }
+    notifyAll();
+  }
+
+  synchronized void release(Use use) {
+    use.users--;
+    notifyAll();
+  }
+
+  /** Forgets all adapters, when the endpoint says that it has lost one. */
+  synchronized void lost() {
+    resident.values().removeIf(use -> use.state == State.READY);
+    notifyAll();
+  }
+
+  private Optional<String> evictable() {
+    return resident.values().stream()
+        .filter(use -> use.users == 0 && use.state == State.READY)
+        .map(use -> use.adapter)
+        .findFirst();
+  }
+
+  /** Progress of an adapter at an endpoint. */
+  enum State {
+    LOADING,
+    READY,
+    FAILED
+  }
+
+  /** An adapter at an endpoint and the requests on it. Guarded by the endpoint. */
+  static final class Use {
+
+    final String adapter;
+    private State state = State.LOADING;
+    private String victim = "";
+    private int users;
+
+    Use(String adapter) {
+      this.adapter = adapter;
+    }
+
+    boolean mustLoad() {
+      return state == State.LOADING;
+    }
+
+    String victim() {
+      return victim;
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/NaiveProxy.java
@@ -0,0 +1,262 @@
+package org.comfreygap.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.hc.client5.http.classic.methods.HttpDelete;
+import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.util.Timeout;
+import org.comfreygap.testkit.WireServer;
+
+/**
+ * The naive policy that comfreygap is compared with: a random endpoint, adapters loaded on demand
+ * with least-recently-used eviction, and each customer's rate divided evenly over the gateways.
+ *
+ * <p>It respects the endpoint's batch bound (first come, first served) and the zones that are in,
+ * and never evicts an adapter in use, so that the comparison is between policies and not between a
+ * working and a broken program. Thread safety: all methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+final class NaiveProxy implements AutoCloseable {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int BUFFER_BYTES = 8_192;
+
+  private final List<WireServer> servers = new ArrayList<>();
+  private final List<NaiveEndpoint> engines;
+  private final List<NaiveEndpoint> services;
+  private final Set<String> zonesOut = ConcurrentHashMap.newKeySet();
+  private final String team;
+  private final Random random;
+  private final CloseableHttpClient client;
+
+  NaiveProxy(
+      String team,
+      List<NaiveEndpoint> engines,
+      List<NaiveEndpoint> services,
+      List<Map<String, Bucket>> bucketsOfGateways,
+      long seed)
+      throws IOException {
+    this.team = team;
+    this.engines = engines;
+    this.services = services;
+    this.random = new Random(seed);
+    this.client =
+        HttpClients.custom()
+            .disableAutomaticRetries()
+            .setConnectionManager(
+                PoolingHttpClientConnectionManagerBuilder.create()
+                    .setMaxConnTotal(4_000)
+                    .setMaxConnPerRoute(1_000)
+                    .build())
+            .setDefaultRequestConfig(
+                RequestConfig.custom().setResponseTimeout(Timeout.ofSeconds(60)).build())
+            .build();
+    for (Map<String, Bucket> buckets : bucketsOfGateways) {
+      servers.add(
+          new WireServer(
+              new InetSocketAddress("127.0.0.1", 0),
+              (request, response) -> handle(buckets, request, response)));
+    }
+  }
+
+  List<String> urls() {
+    return servers.stream().map(server -> "http://127.0.0.1:" + server.port()).toList();
+  }
+
+  void zone(String zone, boolean in) {
+    if (in) {
+      zonesOut.remove(zone);
+    } else {
+      zonesOut.add(zone);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (WireServer server : servers) {
+      server.close();
+    }
+    client.close();
+  }
+
+  private void handle(
+      Map<String, Bucket> buckets, WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    if (request.path().startsWith("/services/")) {
+      call(request, response);
+      return;
+    }
+    JsonNode body = JSON.readTree(request.body());
+    String customer = request.header("authorization").replace("Bearer ", "");
+    long tokens = Workload.PROMPT_TOKENS + body.path("max_tokens").asLong();
+    if (!buckets.get(customer).take(tokens, System.nanoTime())) {
+      refuse(response, 429);
+      return;
+    }
+    NaiveEndpoint engine = pick(engines);
+    engine.turns.acquire();
+    try {
+      complete(engine, team + "/" + body.path("model").asText(), body, response);
+    } finally {
+      engine.turns.release();
+    }
+  }
+
+  private void complete(
+      NaiveEndpoint engine, String adapter, JsonNode body, WireServer.Response response)
+      throws IOException, InterruptedException {
+    NaiveEndpoint.Use use = engine.use(adapter);
+    try {
+      if (use.mustLoad()) {
+        boolean done = load(engine, use);
+        engine.loaded(use, done);
+        if (!done) {
+          refuse(response, 502);
+          return;
+        }
+      }
+      ((com.fasterxml.jackson.databind.node.ObjectNode) body).put("model", adapter);
+      HttpPost post = new HttpPost(engine.url + "/v1/chat/completions");
+      post.setHeader("X-Request-Id", UUID.randomUUID().toString());
+      post.setEntity(new StringEntity(JSON.writeValueAsString(body), ContentType.APPLICATION_JSON));
+      forward(engine, post, response);
+    } finally {
+      engine.release(use);
+    }
+  }
+
+  private void call(WireServer.Request request, WireServer.Response response)
+      throws IOException, InterruptedException {
+    NaiveEndpoint service = pick(services);
+    service.turns.acquire();
+    try {
+      HttpPost post = new HttpPost(service.url + request.path());
+      post.setHeader("Idempotency-Key", request.header("idempotency-key"));
+      post.setEntity(
+          new StringEntity(
+              new String(request.body(), StandardCharsets.UTF_8), ContentType.APPLICATION_JSON));
+      forward(service, post, response);
+    } finally {
+      service.turns.release();
+    }
+  }
+
+  private boolean load(NaiveEndpoint engine, NaiveEndpoint.Use use) {
+    try {
+      if (!use.victim().isEmpty()) {
+        String name = URLEncoder.encode(use.victim(), StandardCharsets.UTF_8);
+        client.execute(
+            new HttpDelete(engine.url + "/engine/adapters/" + name + "?fencing=0"),
+            answer -> answer.getCode());
+      }
+      HttpPost post = new HttpPost(engine.url + "/engine/adapters");
+      String command = "{\"name\":\"" + use.adapter + "\",\"source\":\"store\",\"fencing\":0}";
+      post.setEntity(new StringEntity(command, ContentType.APPLICATION_JSON));
+      return client.execute(post, answer -> answer.getCode()) == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private void forward(NaiveEndpoint endpoint, HttpPost post, WireServer.Response response)
+      throws IOException {
+    boolean[] begun = new boolean[1];
+    try {
+      client.execute(
+          post,
+          answer -> {
+            if (answer.getCode() != 200) {
+              refusedByEndpoint(endpoint, answer);
+              refuse(response, 502);
+              return null;
+            }
+            String type = answer.getEntity().getContentType();
+            response.begin(200, Map.of("content-type", type));
+            begun[0] = true;
+            copy(answer.getEntity().getContent(), response);
+            return null;
+          });
+    } catch (IOException e) {
+      if (begun[0]) {
+        throw e;
+      }
+      endpoint.lost();
+      refuse(response, 502);
+    }
+  }
+
+  private static void refusedByEndpoint(NaiveEndpoint endpoint, ClassicHttpResponse answer) {
+    if (answer.getCode() == 404) {
+      endpoint.lost();
+    }
+    EntityUtils.consumeQuietly(answer.getEntity());
+  }
+
+  private static void copy(InputStream in, WireServer.Response response) throws IOException {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    int count = in.read(buffer);
+    while (count >= 0) {
+      response.chunk(java.util.Arrays.copyOf(buffer, count));
+      count = in.read(buffer);
+    }
+    response.end();
+  }
+
+  private NaiveEndpoint pick(List<NaiveEndpoint> endpoints) {
+    List<NaiveEndpoint> in =
+        endpoints.stream().filter(endpoint -> !zonesOut.contains(endpoint.zone)).toList();
+    synchronized (random) {
+      return in.get(random.nextInt(in.size()));
+    }
+  }
+
+  private static void refuse(WireServer.Response response, int status) throws IOException {
+    response.send(status, Map.of("content-type", "application/json"), new byte[] {'{', '}'});
+  }
+
+  /** A customer's token bucket at one gateway. */
+  static final class Bucket {
+
+    private final double perSecond;
+    private final double burst;
+    private double level;
+    private long filledNanos = System.nanoTime();
+
+    Bucket(double perSecond, double burst) {
+      this.perSecond = perSecond;
+      this.burst = burst;
+      this.level = burst;
+    }
+
+    synchronized boolean take(long tokens, long nowNanos) {
+      level = Math.min(burst, level + (nowNanos - filledNanos) / 1e9 * perSecond);
+      filledNanos = nowNanos;
+      if (level < tokens) {
+        return false;
+      }
+      level -= tokens;
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/Options.java
@@ -0,0 +1,104 @@
+package org.comfreygap.bench;
+
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * The command line of {@code bin/measure}.
+ *
+ * @param profile load and fleet
+ * @param fault the one fault of the run; empty for the profile's own events
+ * @param quick under 45 s in all
+ * @param seed seed of the load
+ * @param json file for the figures
+ * @param plot folder for plots
+ * @param naiveOnly runs only the naive policy, to examine the measure itself
+ * @since 0.1
+ */
+record Options(
+    Profile profile,
+    Optional<FaultRun> fault,
+    boolean quick,
+    long seed,
+    Optional<Path> json,
+    Optional<Path> plot,
+    boolean naiveOnly) {
+
+  static final String USAGE =
+      "usage: bin/measure [--profile lianhua|glasnik] [--fault NAME] [--quick] [--seed N]"
+          + " [--json FILE] [--plot DIR] [--naive-only]\n  faults: "
+          + String.join(" ", FaultRun.names());
+
+  private static final long DEFAULT_SEED = 20_260_101;
+
+  /** Parses the arguments; throws with what was given and what was expected. */
+  static Options parse(String[] args) {
+    Profile profile = Profile.LIANHUA;
+    Optional<FaultRun> fault = Optional.empty();
+    boolean quick = false;
+    boolean naiveOnly = false;
+    long seed = DEFAULT_SEED;
+    Optional<Path> json = Optional.empty();
+    Optional<Path> plot = Optional.empty();
+    for (int i = 0; i < args.length; i++) {
+      switch (args[i]) {
+        case "--quick" -> quick = true;
+        case "--naive-only" -> naiveOnly = true;
+        case "--profile" -> profile = Profile.parse(value(args, ++i));
+        case "--fault" -> fault = Optional.of(FaultRun.parse(value(args, ++i)));
+        case "--seed" -> seed = Long.parseLong(value(args, ++i));
+        case "--json" -> json = Optional.of(Path.of(value(args, ++i)));
+        case "--plot" -> plot = Optional.of(Path.of(value(args, ++i)));
+        default -> throw new IllegalArgumentException("given " + args[i] + "\n" + USAGE);
+      }
+    }
+    return new Options(profile, fault, quick, seed, json, plot, naiveOnly);
+  }
+
+  /** Returns how long the measured load lasts. */
+  long loadMicros() {
+    return (quick ? 18 : 90) * 1_000_000L;
+  }
+
+  /** Returns how long the load lasts that fills the slots before the measurement. */
+  long warmUpMicros() {
+    return (quick ? 4 : 15) * 1_000_000L;
+  }
+
+  /** Returns how long callers wait for an answer. */
+  long callerTimeoutMillis() {
+    return quick ? 8_000 : 20_000;
+  }
+
+  private static String value(String[] args, int at) {
+    if (at >= args.length) {
+      throw new IllegalArgumentException("a value is missing after " + args[at - 1]);
+    }
+    return args[at];
+  }
+
+  /** The faults that can be chosen with {@code --fault}. */
+  enum FaultRun {
+    ENGINE_RESTART,
+    ZONE_OUT,
+    LEADER_KILL,
+    SILENT_CONNECTION,
+    CRASH_REQUEST,
+    SIDECAR_KILL,
+    GATEWAY_KILL,
+    PARTITION;
+
+    static FaultRun parse(String name) {
+      return valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+    }
+
+    static List<String> names() {
+      return Arrays.stream(values())
+          .map(fault -> fault.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+          .toList();
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/Refusals.java
@@ -0,0 +1,40 @@
+package org.comfreygap.bench;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Prints on standard error how the requests of each system ended, as help in finding a cause.
+ *
+ * <p>Thread safety: stateless.
+ *
+ * @since 0.1
+ */
+final class Refusals {
+
+  private static final int DETAIL_CHARACTERS = 110;
+
+  private Refusals() {}
+
+  static void say(Map<String, Evidence> systems) {
+    systems.forEach(
+        (name, evidence) -> {
+          Map<String, Integer> counts = new TreeMap<>();
+          for (CallResult result : evidence.results()) {
+            counts.merge(kind(result), 1, Integer::sum);
+          }
+          counts.forEach((kind, count) -> Progress.say(name + " " + count + " x " + kind));
+        });
+  }
+
+  private static String kind(CallResult result) {
+    String detail = result.detail().replaceAll("[0-9a-f-]{20,}", "ID").replace('\n', ' ');
+    return result.verdict()
+        + " "
+        + result.status()
+        + " "
+        + result.outcome()
+        + (result.planned().call() ? " call " : " completion ")
+        + detail.substring(0, Math.min(detail.length(), DETAIL_CHARACTERS));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/RunningProgram.java
@@ -0,0 +1,94 @@
+package org.comfreygap.bench;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A program that the measurement started as a process of its own.
+ *
+ * <p>Thread safety: all methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+final class RunningProgram {
+
+  private static final long STOP_SECONDS = 40;
+
+  private final String id;
+  private final Process process;
+
+  private RunningProgram(String id, Process process) {
+    this.id = id;
+    this.process = process;
+  }
+
+  /** Starts {@code bin/name settings} with its output in {@code folder/id.log}. */
+  static RunningProgram start(
+      Path root, String name, String id, Path folder, String settings, String javaOptions)
+      throws IOException {
+    Path file = folder.resolve(id + ".yaml");
+    Files.writeString(file, settings);
+    File log = folder.resolve(id + ".log").toFile();
+    ProcessBuilder builder =
+        new ProcessBuilder(List.of(root.resolve("bin/" + name).toString(), file.toString()))
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    builder.environment().put("COMFREYGAP_JAVA_OPTS", javaOptions);
+    return new RunningProgram(id, builder.start());
+  }
+
+  String id() {
+    return id;
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+
+  /** Returns the processor time used so far in seconds; 0 when the process has ended. */
+  double cpuSeconds() {
+    return process
+        .toHandle()
+        .info()
+        .totalCpuDuration()
+        .map(used -> used.toMillis() / 1_000.0)
+        .orElse(0.0);
+  }
+
+  /** Returns the resident memory in bytes; 0 when the process has ended. */
+  long residentBytes() {
+    try {
+      for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+        if (line.startsWith("VmRSS:")) {
+          return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024;
+        }
+      }
+    } catch (IOException ignored) {
+      // The process has ended.
+    }
+    return 0;
+  }
+
+  /** Tells the program to stop and does not wait. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Ends the process at once. */
+  void kill() {
+    process.destroyForcibly();
+  }
+
+  /** Waits for the end; ends the process by force after 40 s. Returns false in that case. */
+  boolean awaitEnd() throws InterruptedException {
+    if (process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+      return true;
+    }
+    process.destroyForcibly();
+    return false;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/Scenario.java
@@ -0,0 +1,218 @@
+package org.comfreygap.bench;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.comfreygap.testkit.FakeEndpoint;
+
+/**
+ * The events of a run, in both systems at the same time.
+ *
+ * <p>Without a fault: one customer floods, a key is withdrawn, an engine restarts, a zone leaves
+ * and returns, and a gateway stops as planned. With a fault: the base load and that fault alone.
+ * Thread safety: one thread runs it.
+ *
+ * @since 0.1
+ */
+final class Scenario {
+
+  static final double FLOOD_FROM = 0.2;
+  static final double FLOOD_TO = 0.4;
+
+  private static final double KEY_WITHDRAWN = 0.42;
+  private static final double ENGINE_RESTART = 0.44;
+  private static final double ZONE_OUT = 0.48;
+  private static final double ZONE_IN = 0.84;
+  private static final double GATEWAY_STOP = 0.92;
+  private static final double FAULT = 0.3;
+  private static final double FAULT_ZONE_IN = 0.7;
+  private static final long PARTITION_MILLIS = 4_000;
+  private static final long RESTART_DELAY_MILLIS = 1_000;
+  private static final int CRASH_SENDS = 4;
+  private static final Duration LIMIT = Duration.ofSeconds(10);
+  private static final String ZONE = "zone-b";
+  private static final String RESTARTED_ENGINE = "engine-1";
+  private static final List<String> CUT_OFF_ENGINES = List.of("engine-1", "engine-4");
+
+  private final Options options;
+  private final Systems systems;
+  private final Marks marks;
+
+  Scenario(Options options, Systems systems, Marks marks) {
+    this.options = options;
+    this.systems = systems;
+    this.marks = marks;
+  }
+
+  /** Runs the events from {@code marks.start} on; returns after the last one. */
+  void run() throws IOException, InterruptedException {
+    if (options.fault().isPresent()) {
+      at(FAULT);
+      marks.fault = Clock.micros();
+      fault(options.fault().get());
+      return;
+    }
+    marks.floodFrom = time(FLOOD_FROM);
+    marks.floodTo = time(FLOOD_TO);
+    at(KEY_WITHDRAWN);
+    withdrawKey();
+    at(ENGINE_RESTART);
+    faultBoth(RESTARTED_ENGINE, "restart", 0);
+    at(ZONE_OUT);
+    zone(false);
+    at(ZONE_IN);
+    zone(true);
+    at(GATEWAY_STOP);
+    stopGateway(Layout.INSTANCES - 1);
+  }
+
+  private void fault(Options.FaultRun fault) throws IOException, InterruptedException {
+    switch (fault) {
+      case ENGINE_RESTART -> faultBoth(RESTARTED_ENGINE, "restart", 0);
+      case ZONE_OUT -> {
+        zone(false);
+        at(FAULT_ZONE_IN);
+        zone(true);
+      }
+      case LEADER_KILL -> killLeader();
+      case SILENT_CONNECTION -> faultBoth("*", "silence", 0);
+      case CRASH_REQUEST -> crashRequest();
+      case SIDECAR_KILL -> killSidecar();
+      case GATEWAY_KILL -> killGateway();
+      case PARTITION -> {
+        for (String engine : CUT_OFF_ENGINES) {
+          faultBoth(engine, "refuse", PARTITION_MILLIS);
+        }
+      }
+      default -> throw new IllegalArgumentException("no action for " + fault);
+    }
+  }
+
+  private void withdrawKey() throws IOException, InterruptedException {
+    if (systems.product.isPresent()) {
+      String customer = Layout.TEAM + "/" + ProductFleet.customer(1);
+      systems.product.get().admin().withdrawKey(customer, "temporary", LIMIT);
+    }
+    marks.keyWithdrawn = Clock.micros();
+    Progress.say("key withdrawn");
+  }
+
+  private void zone(boolean in) throws IOException, InterruptedException {
+    systems.naive.zone(ZONE, in);
+    if (systems.product.isPresent()) {
+      systems.product.get().admin().zone(ZONE, in, LIMIT);
+    }
+    marks.zone = ZONE;
+    if (in) {
+      marks.zoneIn = Clock.micros();
+    } else {
+      marks.zoneOut = Clock.micros();
+    }
+    Progress.say(ZONE + (in ? " in" : " out"));
+  }
+
+  private void stopGateway(int index) throws InterruptedException {
+    if (systems.product.isEmpty()) {
+      return;
+    }
+    RunningProgram gateway = systems.product.get().program("gateway-" + (index + 1));
+    long from = Clock.micros();
+    gateway.terminate();
+    Progress.say("gateway " + (index + 1) + " told to stop");
+    marks.stops.add(new Marks.PlannedStop(index, from, Long.MAX_VALUE));
+  }
+
+  private void killLeader() throws IOException, InterruptedException {
+    if (systems.product.isEmpty()) {
+      return;
+    }
+    String leader = systems.product.get().leader();
+    Optional.ofNullable(systems.product.get().program(leader))
+        .orElseThrow(() -> new IOException("leader " + leader + " is not one of our processes"))
+        .kill();
+    Progress.say("killed " + leader);
+  }
+
+  private void killSidecar() throws IOException, InterruptedException {
+    if (systems.product.isEmpty()) {
+      return;
+    }
+    Layout.Runner runner = systems.layout.runners.get(0);
+    systems.product.get().program("sidecar-" + runner.name()).kill();
+    Progress.say("killed the sidecar of " + runner.name());
+    Thread.sleep(RESTART_DELAY_MILLIS);
+    systems.product.get().startSidecar(runner);
+  }
+
+  private void killGateway() throws IOException, InterruptedException {
+    if (systems.product.isEmpty()) {
+      return;
+    }
+    systems.product.get().program("gateway-1").kill();
+    Progress.say("killed gateway-1");
+    Thread.sleep(RESTART_DELAY_MILLIS);
+    systems.product.get().startGateway(0);
+  }
+
+  private void crashRequest() {
+    Planned crash =
+        new Planned(
+            "crash-" + FakeEndpoint.CRASH_MARK,
+            0,
+            0,
+            Workload.adapter(0, 0) + "@v1",
+            40,
+            "normal",
+            true,
+            "",
+            false,
+            false);
+    for (int i = 0; i < CRASH_SENDS; i++) {
+      systems.targets.forEach(target -> target.sendAside(crash));
+    }
+    Progress.say("crash request sent " + CRASH_SENDS + " times");
+  }
+
+  private void faultBoth(String target, String fault, long millis)
+      throws IOException, InterruptedException {
+    for (FakesProcess fakes : systems.fakes) {
+      fakes.fault(target, fault, 1, millis, "");
+    }
+    Progress.say(target + " " + fault);
+  }
+
+  private long time(double share) {
+    return marks.start + (long) (share * options.loadMicros());
+  }
+
+  private void at(double share) throws InterruptedException {
+    long wait = time(share) - Clock.micros();
+    if (wait > 0) {
+      Thread.sleep(wait / 1_000);
+    }
+  }
+
+  /** The systems that the events happen to. */
+  static final class Systems {
+
+    final Layout layout;
+    final Optional<ProductFleet> product;
+    final NaiveProxy naive;
+    final List<FakesProcess> fakes;
+    final List<Driver.Target> targets;
+
+    Systems(
+        Layout layout,
+        Optional<ProductFleet> product,
+        NaiveProxy naive,
+        List<FakesProcess> fakes,
+        List<Driver.Target> targets) {
+      this.layout = layout;
+      this.product = product;
+      this.naive = naive;
+      this.fakes = fakes;
+      this.targets = targets;
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/SettingsProbe.java
@@ -0,0 +1,98 @@
+package org.comfreygap.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.comfreygap.bench.Evidence.SettingsReading;
+
+/**
+ * Changes one document once a second and reads it, and the revisions in force, from every control
+ * instance and process, so that a setting that reverts is seen.
+ *
+ * <p>Thread safety: all methods may be called from any thread.
+ *
+ * @since 0.1
+ */
+final class SettingsProbe implements AutoCloseable {
+
+  private static final long INTERVAL_MILLIS = 500;
+  private static final Duration CHANGE_LIMIT = Duration.ofSeconds(5);
+  private static final String PATH = "/teams/" + Layout.TEAM;
+
+  private final AdminClient admin;
+  private final ConcurrentLinkedQueue<SettingsReading> readings = new ConcurrentLinkedQueue<>();
+  private final Thread thread = new Thread(this::loop, "settings-probe");
+  private volatile long failedChanges;
+
+  SettingsProbe(AdminClient admin) {
+    this.admin = admin;
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  List<SettingsReading> readings() {
+    return List.copyOf(readings);
+  }
+
+  /** Returns how many changes were not accepted within 5 s. */
+  long failedChanges() {
+    return failedChanges;
+  }
+
+  @Override
+  public void close() {
+    thread.interrupt();
+  }
+
+  private void loop() {
+    long value = 0;
+    try {
+      while (true) {
+        value++;
+        change(value);
+        read();
+        Thread.sleep(INTERVAL_MILLIS);
+        read();
+        Thread.sleep(INTERVAL_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void change(long value) throws InterruptedException {
+    try {
+      admin.put(PATH, "{\"displayName\":\"" + value + "\"}", CHANGE_LIMIT);
+      see("document", value);
+    } catch (IOException e) {
+      failedChanges++;
+    }
+  }
+
+  private void read() throws InterruptedException {
+    for (int i = 0; i < Layout.INSTANCES; i++) {
+      try {
+        JsonNode entry = admin.readFrom(i, "/settings" + PATH);
+        if (entry.has("document")) {
+          long value = entry.path("document").path("displayName").asLong();
+          see("document", value);
+        }
+        JsonNode status = admin.readFrom(i, "/status");
+        for (JsonNode process : status.path("processes")) {
+          long revision = process.path("revisionInForce").asLong();
+          if (revision > 0) {
+            see(process.path("processId").asText() + "-seen-by-" + i, revision);
+          }
+        }
+      } catch (IOException ignored) {
+        // The instance is down; its next answer is compared with its last one.
+      }
+    }
+  }
+
+  private void see(String source, long revision) {
+    readings.add(new SettingsReading(source, Clock.micros(), revision));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/Violation.java
@@ -0,0 +1,249 @@
+package org.comfreygap.bench;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.comfreygap.bench.CallResult.Verdict;
+import org.comfreygap.bench.Evidence.SettingsReading;
+
+/**
+ * The violations of the invariants, counted from the fakes' record and from the callers' checks,
+ * never from what the product says about itself. All must read 0.
+ *
+ * <p>Thread safety: stateless.
+ *
+ * @since 0.1
+ */
+public enum Violation {
+  /** I1: a run on another adapter than the request named. */
+  WRONG_ADAPTER {
+    @Override
+    long count(Evidence evidence) {
+      Map<String, Planned> planned = evidence.plannedByNonce();
+      return evidence
+          .record()
+          .runs()
+          .filter(
+              placed ->
+                  !placed.run().adapter().equals(placed.run().named())
+                      || namesOther(planned.get(placed.run().nonce()), placed.run().adapter()))
+          .count();
+    }
+  },
+  /** I2: an adapter unloaded while requests ran on it. */
+  EVICTED_IN_USE {
+    @Override
+    long count(Evidence evidence) {
+      return evidence.record().events(name(), 0);
+    }
+  },
+  /** I4: a caller's key among the bytes that an endpoint received. */
+  KEY_SEEN {
+    @Override
+    long count(Evidence evidence) {
+      return evidence.record().events(name(), 0);
+    }
+  },
+  /** I5: a run for a withdrawn key more than 5 s after the withdrawal was accepted. */
+  LATE_KEY_ACCEPTS {
+    @Override
+    long count(Evidence evidence) {
+      long withdrawn = evidence.marks().keyWithdrawn;
+      Map<String, Planned> planned = evidence.plannedByNonce();
+      return withdrawn == 0
+          ? 0
+          : evidence
+              .record()
+              .runs()
+              .filter(placed -> placed.run().startMicros() > withdrawn + BOUND_MICROS)
+              .map(placed -> planned.get(placed.run().nonce()))
+              .filter(request -> request != null && request.temporaryKey())
+              .count();
+    }
+  },
+  /** I6: tokens that a customer certainly used beyond burst and rate in some interval. */
+  OVER_RATE_TOKENS {
+    @Override
+    long count(Evidence evidence) {
+      long over = 0;
+      for (int customer = 0; customer < evidence.limits().size(); customer++) {
+        over += overRate(evidence, customer);
+      }
+      return over;
+    }
+  },
+  /** I7: requests beyond what an endpoint carries after its start. */
+  COLD_OVERLOADS {
+    @Override
+    long count(Evidence evidence) {
+      return evidence.record().events("COLD_OVERLOAD", 0);
+    }
+  },
+  /** I8: runs that started in a zone more than 5 s after it was taken out. */
+  ZONE_OUT_DISPATCHES {
+    @Override
+    long count(Evidence evidence) {
+      Marks marks = evidence.marks();
+      long until = marks.zoneIn == 0 ? Long.MAX_VALUE : marks.zoneIn;
+      return marks.zoneOut == 0
+          ? 0
+          : evidence
+              .record()
+              .runs()
+              .filter(placed -> marks.zone.equals(evidence.zones().get(endpointOf(placed))))
+              .mapToLong(placed -> placed.run().startMicros())
+              .filter(start -> start > marks.zoneOut + BOUND_MICROS && start < until)
+              .count();
+    }
+  },
+  /** I9: answers that belong to another request or look complete and are not. */
+  MIXED_OR_CUT_ANSWERS {
+    @Override
+    long count(Evidence evidence) {
+      return evidence.results().stream()
+          .filter(r -> r.verdict() == Verdict.CUT || r.verdict() == Verdict.MIXED)
+          .count();
+    }
+  },
+  /** I10: requests that ran although every answer to them said that they did not. */
+  FALSE_NOT_RUN {
+    @Override
+    long count(Evidence evidence) {
+      Set<String> ran = new HashSet<>();
+      evidence.record().runs().forEach(placed -> ran.add(placed.run().nonce()));
+      Map<String, Boolean> refused = new HashMap<>();
+      for (CallResult result : evidence.results()) {
+        boolean notRun = result.outcome().equals("not-run");
+        refused.merge(result.planned().nonce(), notRun, Boolean::logicalAnd);
+      }
+      return refused.entrySet().stream()
+          .filter(entry -> entry.getValue() && ran.contains(entry.getKey()))
+          .count();
+    }
+  },
+  /** I11: runs of a request that must not run twice beyond the first. */
+  DOUBLE_RUNS {
+    @Override
+    long count(Evidence evidence) {
+      Map<String, Integer> runs = new HashMap<>();
+      evidence
+          .record()
+          .runs()
+          .filter(placed -> !placed.run().idempotencyKey().isEmpty())
+          .forEach(placed -> runs.merge(placed.run().idempotencyKey(), 1, Integer::sum));
+      return runs.values().stream().mapToLong(count -> count - 1).sum();
+    }
+  },
+  /** I13: requests interrupted by a planned stop of a gateway or by a zone taken out. */
+  CUT_BY_PLANNED_STOP {
+    @Override
+    long count(Evidence evidence) {
+      Set<String> inZone = interruptedInZone(evidence);
+      return evidence.results().stream()
+          .filter(r -> r.verdict() == Verdict.BROKEN || r.verdict() == Verdict.CUT)
+          .filter(r -> stopped(evidence, r) || inZone.contains(r.planned().nonce()))
+          .count();
+    }
+  },
+  /** I14: revisions lower than one that was seen earlier in the same place. */
+  REVERTED_SETTINGS {
+    @Override
+    long count(Evidence evidence) {
+      Map<String, Long> newest = new HashMap<>();
+      long reverted = 0;
+      List<SettingsReading> readings = new ArrayList<>(evidence.readings());
+      readings.sort(Comparator.comparingLong(SettingsReading::atMicros));
+      for (SettingsReading reading : readings) {
+        long before = newest.getOrDefault(reading.source(), 0L);
+        reverted += reading.revision() < before ? 1 : 0;
+        newest.merge(reading.source(), reading.revision(), Math::max);
+      }
+      return reverted;
+    }
+  };
+
+  /** The design's bound for withdrawn keys and zones taken out. */
+  private static final long BOUND_MICROS = 5_000_000;
+
+  abstract long count(Evidence evidence);
+
+  /** Returns the name under which the count is printed. */
+  public String printedName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  private static boolean namesOther(Planned planned, String adapter) {
+    return planned != null && !planned.call() && !adapter.endsWith("/" + planned.model());
+  }
+
+  private static String endpointOf(FleetRecord.Placed placed) {
+    return placed.endpoint().endpoint();
+  }
+
+  private static boolean stopped(Evidence evidence, CallResult result) {
+    return evidence.marks().stops.stream()
+        .anyMatch(
+            stop ->
+                stop.gateway() == result.gateway()
+                    && result.endMicros() >= stop.fromMicros()
+                    && result.sentMicros() <= stop.toMicros());
+  }
+
+  private static Set<String> interruptedInZone(Evidence evidence) {
+    Marks marks = evidence.marks();
+    Set<String> nonces = new HashSet<>();
+    if (marks.zoneOut == 0) {
+      return nonces;
+    }
+    evidence
+        .record()
+        .runs()
+        .filter(placed -> marks.zone.equals(evidence.zones().get(endpointOf(placed))))
+        .map(FleetRecord.Placed::run)
+        .filter(run -> run.startMicros() < marks.zoneOut + BOUND_MICROS)
+        .filter(run -> run.endMicros() == 0 || run.endMicros() > marks.zoneOut)
+        .forEach(run -> nonces.add(run.nonce()));
+    return nonces;
+  }
+
+  /**
+   * Returns the largest excess over all intervals. A request counts for an interval only when it
+   * was both sent and started inside, because its tokens were reserved between these times.
+   */
+  private static long overRate(Evidence evidence, int customer) {
+    Evidence.Limit limit = evidence.limits().get(customer);
+    Map<String, Long> sent = new HashMap<>();
+    for (CallResult result : evidence.results()) {
+      if (result.planned().customer() == customer && !result.planned().call()) {
+        sent.put(result.planned().nonce(), result.sentMicros());
+      }
+    }
+    List<FleetRecord.Run> runs =
+        evidence
+            .record()
+            .runs()
+            .map(FleetRecord.Placed::run)
+            .filter(run -> sent.containsKey(run.nonce()))
+            .sorted(Comparator.comparingLong(FleetRecord.Run::startMicros))
+            .toList();
+    long worst = 0;
+    for (long from : sent.values().stream().filter(Objects::nonNull).sorted().toList()) {
+      long used = 0;
+      for (FleetRecord.Run run : runs) {
+        if (sent.get(run.nonce()) >= from) {
+          used += run.promptTokens() + run.tokens();
+          double seconds = (run.startMicros() - from) / 1e6;
+          double allowed = limit.burstTokens() + limit.tokensPerSecond() * seconds;
+          worst = Math.max(worst, (long) Math.ceil(used - allowed));
+        }
+      }
+    }
+    return worst;
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/comfreygap/bench/ViolationTest.java
@@ -0,0 +1,220 @@
+package org.comfreygap.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.comfreygap.bench.CallResult.Verdict;
+import org.comfreygap.bench.Evidence.SettingsReading;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against a violation counter that cannot move: each reads 0 on a clean run, and moves, and
+ * no other does, on the same run with one violation.
+ */
+class ViolationTest {
+
+  private static final long SECOND = 1_000_000;
+  private static final long START = 1_000 * SECOND;
+
+  private static final Map<Violation, Consumer<Run>> VIOLATIONS = violations();
+
+  @Test
+  void cleanRunReadsZero() {
+    Evidence clean = new Run().evidence();
+    for (Violation violation : Violation.values()) {
+      assertThat(violation.count(clean)).as(violation.printedName()).isZero();
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Violation.class)
+  void violationMovesItsOwnCounterOnly(Violation violation) {
+    Run run = new Run();
+    VIOLATIONS.get(violation).accept(run);
+    Evidence evidence = run.evidence();
+    assertThat(violation.count(evidence)).isPositive();
+    for (Violation other : Violation.values()) {
+      if (other != violation) {
+        assertThat(other.count(evidence)).as(other.printedName()).isZero();
+      }
+    }
+  }
+
+  private static Map<Violation, Consumer<Run>> violations() {
+    Map<Violation, Consumer<Run>> table = new EnumMap<>(Violation.class);
+    table.put(Violation.WRONG_ADAPTER, run -> run.serve("x", "shop/other@v1", 2, 1));
+    table.put(Violation.EVICTED_IN_USE, run -> run.event("EVICTED_IN_USE"));
+    table.put(Violation.KEY_SEEN, run -> run.event("KEY_SEEN"));
+    table.put(
+        Violation.LATE_KEY_ACCEPTS,
+        run -> run.add(planned("x", true, ""), "shop/a@v1", "engine-1", 15.1, 15.2, 10, "ran"));
+    table.put(Violation.OVER_RATE_TOKENS, run -> run.serve("x", "shop/a@v1", 2, 10_000));
+    table.put(Violation.COLD_OVERLOADS, run -> run.event("COLD_OVERLOAD"));
+    table.put(
+        Violation.ZONE_OUT_DISPATCHES,
+        run -> run.add(planned("x", false, ""), "shop/a@v1", "engine-2", 25.1, 25.2, 10, "ran"));
+    table.put(Violation.MIXED_OR_CUT_ANSWERS, run -> run.result("x", 2, Verdict.CUT, "ran", 0));
+    table.put(
+        Violation.FALSE_NOT_RUN,
+        run -> {
+          run.run("x", "", "shop/a@v1", "engine-1", 2, 10);
+          run.result("x", 2, Verdict.REFUSED, "not-run", 0);
+        });
+    table.put(
+        Violation.DOUBLE_RUNS,
+        run -> {
+          run.run("call", "order-1", "orders", "orders-1", 2, 1);
+          run.run("call", "order-1", "orders", "orders-2", 2, 1);
+        });
+    table.put(Violation.CUT_BY_PLANNED_STOP, run -> run.result("x", 40, Verdict.BROKEN, "", 2));
+    table.put(
+        Violation.REVERTED_SETTINGS,
+        run -> {
+          run.readings.add(new SettingsReading("control-1", START + 1, 7));
+          run.readings.add(new SettingsReading("control-1", START + 2, 6));
+        });
+    return table;
+  }
+
+  private static Planned planned(String nonce, boolean temporaryKey, String idempotencyKey) {
+    return new Planned(
+        nonce, 0, 0, "a@v1", 10, "normal", true, idempotencyKey, temporaryKey, false);
+  }
+
+  /** A run in which all went well, to which a violation can be added. */
+  private static final class Run {
+
+    private final List<FleetRecord.Endpoint> endpoints = new ArrayList<>();
+    private final List<CallResult> results = new ArrayList<>();
+    private final List<SettingsReading> readings = new ArrayList<>();
+
+    Run() {
+      for (String name : List.of("engine-1", "engine-2", "orders-1", "orders-2")) {
+        endpoints.add(
+            new FleetRecord.Endpoint(
+                name,
+                name.startsWith("engine") ? "engine" : "service",
+                new ArrayList<>(),
+                new ArrayList<>(),
+                new ArrayList<>(),
+                0,
+                0));
+      }
+      for (int i = 0; i < 20; i++) {
+        serve("clean-" + i, "shop/a@v1", i, 10);
+      }
+      run("call", "order-0", "orders", "orders-1", 3, 1);
+      result("refused", 4, Verdict.REFUSED, "not-run", 0);
+      result("killed", 5, Verdict.BROKEN, "", 0);
+      add(planned("key", true, ""), "shop/a@v1", "engine-1", 14.9, 15, 10, "ran");
+      add(planned("out", false, ""), "shop/a@v1", "engine-2", 24.9, 26, 10, "ran");
+      add(planned("back", false, ""), "shop/a@v1", "engine-2", 30.1, 31, 10, "ran");
+      readings.add(new SettingsReading("control-1", START, 5));
+      readings.add(new SettingsReading("control-2", START + 1, 4));
+    }
+
+    void serve(String nonce, String adapter, double second, int tokens) {
+      add(planned(nonce, false, ""), adapter, "engine-1", second, second + 0.5, tokens, "ran");
+    }
+
+    void add(
+        Planned planned,
+        String adapter,
+        String endpoint,
+        double from,
+        double to,
+        int tokens,
+        String outcome) {
+      long start = START + (long) (from * SECOND);
+      long end = START + (long) (to * SECOND);
+      endpoint(endpoint)
+          .runs()
+          .add(
+              new FleetRecord.Run(
+                  "attempt-" + planned.nonce(),
+                  "shop/a@v1",
+                  adapter,
+                  planned.nonce(),
+                  "",
+                  10,
+                  start,
+                  end,
+                  tokens,
+                  "finished"));
+      results.add(
+          new CallResult(
+              planned, 0, start - 100, start, end + 100, 200, outcome, Verdict.COMPLETE, ""));
+    }
+
+    void run(String nonce, String key, String adapter, String endpoint, double second, int tokens) {
+      long start = START + (long) (second * SECOND);
+      endpoint(endpoint)
+          .runs()
+          .add(
+              new FleetRecord.Run(
+                  "attempt-" + nonce,
+                  adapter,
+                  adapter,
+                  nonce,
+                  key,
+                  10,
+                  start,
+                  start + SECOND,
+                  tokens,
+                  "finished"));
+    }
+
+    void result(String nonce, double second, Verdict verdict, String outcome, int gateway) {
+      long sent = START + (long) (second * SECOND);
+      results.add(
+          new CallResult(
+              planned(nonce, false, ""),
+              gateway,
+              sent,
+              0,
+              sent + SECOND,
+              503,
+              outcome,
+              verdict,
+              ""));
+    }
+
+    void event(String kind) {
+      endpoints.get(0).events().add(new FleetRecord.Event(kind, START / 1_000, ""));
+    }
+
+    Evidence evidence() {
+      Marks marks = new Marks();
+      marks.start = START;
+      marks.end = START + 60 * SECOND;
+      marks.keyWithdrawn = START + 10 * SECOND;
+      marks.zone = "zone-b";
+      marks.zoneOut = START + 20 * SECOND;
+      marks.zoneIn = START + 30 * SECOND;
+      marks.stops.add(new Marks.PlannedStop(2, START + 39 * SECOND, START + 45 * SECOND));
+      FleetRecord record = new FleetRecord(endpoints);
+      Map<String, String> zones =
+          Map.of(
+              "engine-1",
+              "zone-a",
+              "engine-2",
+              "zone-b",
+              "orders-1",
+              "zone-a",
+              "orders-2",
+              "zone-c");
+      List<Evidence.Limit> limits = List.of(new Evidence.Limit(100, 200));
+      return new Evidence(record, record, results, marks, zones, limits, readings, 8);
+    }
+
+    private FleetRecord.Endpoint endpoint(String name) {
+      return endpoints.stream().filter(e -> e.endpoint().equals(name)).findFirst().orElseThrow();
+    }
+  }
+}
