--- a/bench/src/main/java/org/comfreygap/bench/MeasureMain.java
+++ b/bench/src/main/java/org/comfreygap/bench/MeasureMain.java
@@ -98,6 +98,8 @@
     }
     Progress.say("fakes ready");
     if (product.isPresent()) {
+      product.get().awaitLeader();
+      Progress.say("control has a leader");
       product.get().createSettings(FAST_STORE);
       Progress.say("settings written");
     }
--- a/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
+++ b/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
@@ -31,6 +31,7 @@
   private static final String OPERATOR_TOKEN = "measure-operator-token";
   private static final String SHARED_KEY = "measure-shared-key-0123456789abcdef";
   private static final Duration READY_LIMIT = Duration.ofSeconds(60);
+  private static final Duration STATUS_LIMIT = Duration.ofMillis(500);
   private static final String CONTROL_OPTIONS = "-Xmx128m -Xss512k -XX:+UseSerialGC";
   private static final String GATEWAY_OPTIONS = "-Xmx512m -Xss512k -XX:+UseSerialGC";
 
@@ -85,6 +86,23 @@
     launch("comfreygap-sidecar", "sidecar-" + runner.name(), sidecarYaml(runner), SIDECAR_OPTIONS);
   }
 
+  /** Waits until control has a leader; fails when a program has ended. */
+  void awaitLeader() throws IOException, InterruptedException {
+    long deadline = System.nanoTime() + READY_LIMIT.toNanos();
+    String leader = "";
+    while (leader.isEmpty() || leader.equals("null")) {
+      checkAlive();
+      if (System.nanoTime() > deadline) {
+        throw new IOException("control has no leader after " + READY_LIMIT);
+      }
+      try {
+        leader = admin.status(STATUS_LIMIT).path("leader").asText();
+      } catch (IOException ignored) {
+        // No instance of control answers yet.
+      }
+    }
+  }
+
   /** Writes the settings of the profile through the administration API. */
   void createSettings(Profile.Store store) throws IOException, InterruptedException {
     Profile profile = layout.profile;
@@ -133,6 +151,7 @@
     long deadline = System.nanoTime() + READY_LIMIT.toNanos();
     for (int port : ports) {
       while (!ready(port)) {
+        checkAlive();
         if (System.nanoTime() > deadline) {
           throw new IOException("port " + port + " is not ready after " + READY_LIMIT);
         }
@@ -191,6 +210,14 @@
     programs.put(id, RunningProgram.start(root, name, id, folder, settings, options));
   }
 
+  private void checkAlive() throws IOException {
+    for (RunningProgram program : programs.values()) {
+      if (!program.alive()) {
+        throw new IOException(program.id() + " has ended; see " + folder + "/*.log");
+      }
+    }
+  }
+
   private boolean ready(int adminPort) throws InterruptedException {
     try {
       HttpRequest get =
@@ -228,7 +255,7 @@
     yaml.append("control:\n");
     layout.controls.forEach(c -> yaml.append("  - 127.0.0.1:").append(c.rpc()).append('\n'));
     yaml.append("security: {sharedKeyFile: ").append(folder.resolve("shared-key")).append("}\n");
-    yaml.append("logLevel: WARN\n");
+    yaml.append("logLevel: warn\n");
     return yaml.toString();
   }
 
