--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -1,5 +1,6 @@
 package org.comfreygap.runtime;
 
+import com.codahale.metrics.health.HealthCheck;
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.Configuration;
@@ -248,6 +249,7 @@
           .admin()
           .addServlet("timeline", new AdminServlets.TimelineEvents(builder.events.timeline()))
           .addMapping("/timeline");
+      environment.healthChecks().register("ready", new ReadyCheck(builder.ready));
       builder.resources.forEach(step -> step.accept(environment));
     }
 
@@ -256,4 +258,18 @@
       BootstrapLogging.bootstrap(ch.qos.logback.classic.Level.WARN);
     }
   }
+
+  private static final class ReadyCheck extends HealthCheck {
+
+    private final BooleanSupplier ready;
+
+    ReadyCheck(BooleanSupplier ready) {
+      this.ready = ready;
+    }
+
+    @Override
+    protected Result check() {
+      return ready.getAsBoolean() ? Result.healthy() : Result.unhealthy("takes no new work");
+    }
+  }
 }
--- a/runtime/src/test/java/org/comfreygap/runtime/ServiceShellTest.java
+++ b/runtime/src/test/java/org/comfreygap/runtime/ServiceShellTest.java
@@ -38,10 +38,11 @@
       events.record(RuntimeEvent.PROCESS_STARTED, Field.of("request", "r1"));
 
       assertThat(get(admin, "/metrics").body()).contains("comfreygap_test_total 1.0");
-      assertThat(get(admin, "/healthcheck").statusCode()).isIn(200, 501);
+      assertThat(get(admin, "/healthcheck").statusCode()).isEqualTo(200);
       assertThat(get(admin, "/ready").statusCode()).isEqualTo(200);
       ready.set(false);
       assertThat(get(admin, "/ready").statusCode()).isEqualTo(503);
+      assertThat(get(admin, "/healthcheck").statusCode()).isEqualTo(500);
       assertThat(get(admin, "/timeline?since=x").statusCode()).isEqualTo(400);
       assertThat(timeline(admin, "r1")).contains("PROCESS_STARTED");
       assertThat(get(admin, "/timeline?request=r2").body()).isEqualTo("[]");
