--- a/control/src/main/java/org/comfreygap/control/ControlEvent.java
+++ b/control/src/main/java/org/comfreygap/control/ControlEvent.java
@@ -8,7 +8,7 @@
  *
  * <p>Thread safety: immutable.
  */
-enum ControlEvent implements Event {
+public enum ControlEvent implements Event {
   LEADERSHIP_BEGAN(2001, Level.INFO, "This instance leads and has built the leader's state."),
   LEADERSHIP_HANDED_OVER(2002, Level.INFO, "The leader handed over before a planned stop."),
   HAND_OVER_FAILED(2003, Level.WARN, "No other instance took over before the planned stop."),
--- a/runtime/src/main/java/org/comfreygap/runtime/RuntimeEvent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/RuntimeEvent.java
@@ -18,9 +18,7 @@
   SETTINGS_LEASE_REGAINED(1012, Level.INFO, "The settings lease is valid again."),
   SETTINGS_REVISION_REJECTED(1013, Level.WARN, "A watch answer had a lower revision."),
   CONTROL_LEADER_CHANGED(1014, Level.INFO, "The process follows another control leader."),
-  CONTROL_UNREACHABLE(1015, Level.WARN, "No control instance answered as leader."),
-  PEER_REJECTED(1020, Level.WARN, "A peer failed to authenticate."),
-  TLS_RELOADED(1021, Level.INFO, "The TLS keys were read again after a change on disk.");
+  CONTROL_UNREACHABLE(1015, Level.WARN, "No control instance answered as leader.");
 
   private final int number;
   private final Level level;
