Treat a replica as established only once its log has an entry

A crash inside the very first write could leave a synced hard state without the first entry; the replica then counted as established with an empty log and never created the log. Records now get the offset of their batch when they are written, so that it is right also after a change of segment.

--- a/consensus/src/main/java/org/comfreygap/consensus/LogRecord.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogRecord.java
@@ -48,27 +48,27 @@
     return new LogRecord(Type.SEGMENT, 0, lastIndex, lastTerm, sequence, EMPTY);
   }
 
-  static LogRecord hardState(long syncedOffset, HardState state) {
+  static LogRecord hardState(HardState state) {
     byte[] vote = state.votedFor().getBytes(StandardCharsets.UTF_8);
-    return new LogRecord(Type.HARD_STATE, syncedOffset, 0, state.term(), 0, vote);
+    return new LogRecord(Type.HARD_STATE, 0, 0, state.term(), 0, vote);
   }
 
-  static LogRecord entry(long syncedOffset, LogEntry entry) {
+  static LogRecord entry(LogEntry entry) {
     return new LogRecord(
         Type.ENTRY,
-        syncedOffset,
+        0,
         entry.getIndex(),
         entry.getTerm(),
         entry.getKind().getValue(),
         entry.getPayload());
   }
 
-  static LogRecord reset(long syncedOffset, long lastIndex, long lastTerm) {
-    return new LogRecord(Type.RESET, syncedOffset, lastIndex, lastTerm, 0, EMPTY);
+  static LogRecord reset(long lastIndex, long lastTerm) {
+    return new LogRecord(Type.RESET, 0, lastIndex, lastTerm, 0, EMPTY);
   }
 
-  static LogRecord syncMark(long syncedOffset) {
-    return new LogRecord(Type.SYNC_MARK, syncedOffset, 0, 0, 0, EMPTY);
+  static LogRecord syncMark() {
+    return new LogRecord(Type.SYNC_MARK, 0, 0, 0, 0, EMPTY);
   }
 
   /** Returns the record at {@code offset}, or empty when there is no intact one. */
@@ -106,11 +106,11 @@
     return HEADER_BYTES + FIXED_BODY_BYTES + content.length;
   }
 
-  /** Appends the record to {@code out}. */
-  void write(ByteArrayOutputStream out) {
+  /** Appends the record to {@code out} as part of a batch that begins at {@code batchOffset}. */
+  void write(ByteArrayOutputStream out, long batchOffset) {
     ByteBuffer body = ByteBuffer.allocate(FIXED_BODY_BYTES + content.length);
     body.put((byte) type.ordinal());
-    body.putLong(syncedOffset).putLong(index).putLong(term).putLong(detail);
+    body.putLong(batchOffset).putLong(index).putLong(term).putLong(detail);
     body.put(content).flip();
     try (DataOutputStream data = new DataOutputStream(out)) {
       data.writeInt(body.limit());
--- a/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -25,14 +25,15 @@
   static final int SEGMENT_BYTES = 8 * 1024 * 1024;
 
   private static final String PREFIX = "log-";
-  private static final int INITIAL_BATCH_BYTES = 64 * 1024;
 
   private final Disk disk;
   private final Deque<Segment> segments = new ArrayDeque<>();
-  private ByteArrayOutputStream batch = new ByteArrayOutputStream(INITIAL_BATCH_BYTES);
+  private final List<LogRecord> batch = new ArrayList<>();
   private Disk.DiskFile file;
   private long syncedSize;
+  private long writtenSize;
   private HardState hardState = HardState.NONE;
+  private HardState syncedState = HardState.NONE;
   private long lastIndex;
   private long lastTerm;
   private long syncedIndex;
@@ -50,7 +51,6 @@
     private HardState hardState = HardState.NONE;
     private long baseIndex;
     private long baseTerm;
-    private boolean present;
     private String tornSegment = "";
     private long tornBytes;
 
@@ -72,11 +72,6 @@
       return baseTerm;
     }
 
-    /** Returns false when the folder had no log, as at the very first start. */
-    boolean present() {
-      return present;
-    }
-
     /** Returns how many bytes of an unfinished write were cut off. */
     long tornBytes() {
       return tornBytes;
@@ -87,7 +82,7 @@
       return tornSegment;
     }
 
-    private long lastIndex() {
+    long lastIndex() {
       return baseIndex + entries.size();
     }
 
@@ -144,6 +139,7 @@
       store.readSegment(names.get(i), i == 0, i == names.size() - 1, contents);
     }
     store.hardState = contents.hardState;
+    store.syncedState = contents.hardState;
     store.lastIndex = contents.lastIndex();
     store.lastTerm =
         contents.entries.isEmpty()
@@ -161,14 +157,14 @@
   /** Adds a hard state to the batch. */
   void add(HardState state) {
     hardState = state;
-    LogRecord.hardState(syncedSize, state).write(batch);
+    batch.add(LogRecord.hardState(state));
   }
 
   /** Adds an entry to the batch. */
   void add(LogEntry entry) {
     lastIndex = entry.getIndex();
     lastTerm = entry.getTerm();
-    LogRecord.entry(syncedSize, entry).write(batch);
+    batch.add(LogRecord.entry(entry));
     if (!segments.isEmpty()) {
       Segment last = segments.getLast();
       last.maxIndex = Math.max(last.maxIndex, lastIndex);
@@ -179,7 +175,7 @@
   void reset(long index, long term) {
     lastIndex = index;
     lastTerm = term;
-    LogRecord.reset(syncedSize, index, term).write(batch);
+    batch.add(LogRecord.reset(index, term));
   }
 
   /**
@@ -195,8 +191,11 @@
     if (partlyWritten) {
       file.truncate(syncedSize);
     }
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    batch.forEach(record -> record.write(bytes, syncedSize));
     partlyWritten = true;
-    file.write(ByteBuffer.wrap(batch.toByteArray()));
+    file.write(ByteBuffer.wrap(bytes.toByteArray()));
+    writtenSize = syncedSize + bytes.size();
     partlyWritten = false;
   }
 
@@ -207,10 +206,11 @@
    */
   void sync() throws IOException {
     file.sync();
-    syncedSize += batch.size();
+    syncedSize = writtenSize;
+    syncedState = hardState;
     syncedIndex = lastIndex;
     syncedTerm = lastTerm;
-    batch = new ByteArrayOutputStream(INITIAL_BATCH_BYTES);
+    batch.clear();
     if (syncedSize >= SEGMENT_BYTES) {
       Disk.DiskFile full = file;
       file = null;
@@ -234,7 +234,7 @@
   @Override
   public void close() throws IOException {
     if (file != null) {
-      LogRecord.syncMark(syncedSize).write(batch);
+      batch.add(LogRecord.syncMark());
       write();
       sync();
     }
@@ -253,8 +253,8 @@
     long sequence = segments.isEmpty() ? 1 : segments.getLast().sequence + 1;
     String name = PREFIX + "%016d".formatted(sequence);
     ByteArrayOutputStream head = new ByteArrayOutputStream();
-    LogRecord.segment(sequence, syncedIndex, syncedTerm).write(head);
-    LogRecord.hardState(0, hardState).write(head);
+    LogRecord.segment(sequence, syncedIndex, syncedTerm).write(head, 0);
+    LogRecord.hardState(syncedState).write(head, 0);
     Disk.DiskFile next = disk.append(name);
     try {
       next.truncate(0);
@@ -307,7 +307,6 @@
       disk.syncFolder();
       return;
     }
-    contents.present = true;
     segments.add(segment);
   }
 
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -90,7 +90,7 @@
     }
     snapshots.load(options.stateMachine()::readSnapshot);
     this.handedIndex = snapshot.index();
-    boolean established = contents.present() || snapshot.index() > 0;
+    boolean established = contents.lastIndex() > 0 || snapshot.index() > 0;
     this.core =
         new RaftCore(
             options.replicaId(),
@@ -125,7 +125,7 @@
     try {
       RaftLog log = new RaftLog(options, disk);
       log.ring.start();
-      log.transport.serve(new PeerCalls(log::submit));
+      log.serve();
       log.events.record(
           ConsensusEvent.REPLICA_OPENED,
           Field.of("replica", options.replicaId()),
@@ -213,6 +213,15 @@
     stop(false);
   }
 
+  private void serve() throws IOException {
+    try {
+      transport.serve(new PeerCalls(this::submit));
+    } catch (IOException e) {
+      kill();
+      throw e;
+    }
+  }
+
   private void handOver() {
     try {
       transferLeadership().get(HAND_OVER_BOUND.toMillis(), TimeUnit.MILLISECONDS);
--- a/consensus/src/test/java/org/comfreygap/consensus/LogStoreTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/LogStoreTest.java
@@ -43,7 +43,7 @@
   void damageToSyncedDataStopsTheReplicaWhereverItIs() throws Exception {
     MemoryDisk whole = new MemoryDisk();
     writeBatches(whole, 2, true);
-    int marked = whole.size(SEGMENT) - LogRecord.syncMark(0).size();
+    int marked = whole.size(SEGMENT) - LogRecord.syncMark().size();
     for (int offset = 0; offset < marked; offset++) {
       MemoryDisk damaged = copy(whole);
       damaged.damage(SEGMENT, offset);
