--- a/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
@@ -95,6 +95,7 @@
     }
     boolean heartbeat = request.getEntriesSize() == 0;
     peer.ended(heartbeat);
+    peer.probed |= !heartbeat;
     peer.answered = Math.max(peer.answered, reply.getRound());
     if (reply.isSuccess()) {
       peer.match = Math.max(peer.match, reply.getMatchIndex());
@@ -108,6 +109,7 @@
     Progress peer = peers.get(to);
     if (peer != null) {
       peer.ended(heartbeat);
+      peer.probed &= heartbeat;
       peer.retryAt = now + RETRY_PAUSE_NANOS;
     }
   }
@@ -122,6 +124,7 @@
       peer.match = Math.max(peer.match, index);
       onProgress(now, peer);
     } else {
+      peer.probed = false;
       peer.retryAt = now + RETRY_PAUSE_NANOS;
     }
   }
@@ -226,7 +229,12 @@
     if (peer.busy || peer.withoutDisk || now - peer.retryAt < 0) {
       return;
     }
-    if (peer.next <= log.baseIndex()) {
+    if (peer.next <= log.baseIndex() && !peer.probed) {
+      // The peer may have restarted without its disk: what it answers to an entry shows that.
+      peer.busy = true;
+      long last = log.lastIndex();
+      send(now, peer, last - 1, log.slice(last, last, 1, 1));
+    } else if (peer.next <= log.baseIndex()) {
       peer.busy = true;
       ReplicaMember member = peer.member;
       SnapshotMeta meta = log.snapshot();
@@ -283,6 +291,7 @@
     private boolean busy;
     private boolean heartbeatBusy;
     private boolean withoutDisk;
+    private boolean probed;
 
     Progress(long now) {
       // No answer yet: outside the lease and outside check-quorum.
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
@@ -254,18 +254,21 @@
   /** The leader sends a part of a snapshot. */
   void onSnapshotChunk(long now, SnapshotChunk chunk, Consumer<SnapshotReply> replyTo) {
     if (chunk.getTerm() < term) {
-      SnapshotReply refusal = new SnapshotReply(term, false, 0, chunk.getRound());
-      durability.afterState(() -> replyTo.accept(refusal));
+      replyTo.accept(new SnapshotReply(term, false, 0, chunk.getRound()));
       return;
     }
     followLeader(now, chunk.getTerm(), chunk.getLeader());
-    if (chunk.getLastIndex() <= commitIndex) {
+    if (!established && Memberships.isVoter(Memberships.decode(chunk.getMembership()), self)) {
+      // This replica was a voter and has lost its disk: see Leadership#onMismatch.
+      output.event(ConsensusEvent.REPLICA_WITHOUT_DISK, self);
+      replyTo.accept(new SnapshotReply(term, false, 0, chunk.getRound()));
+    } else if (chunk.getLastIndex() <= commitIndex) {
       long next = chunk.getOffset() + chunk.getBytes().length;
       SnapshotReply known = new SnapshotReply(term, true, next, chunk.getRound());
       durability.afterEntries(() -> replyTo.accept(known));
-      return;
+    } else {
+      output.storeChunk(chunk, replyTo);
     }
-    output.storeChunk(chunk, replyTo);
   }
 
   /** A part of a snapshot was stored; {@code complete} carries the whole when it was the last. */
@@ -368,9 +371,7 @@
   }
 
   private boolean isOnlyVoter() {
-    return isVoter()
-        && Memberships.quorum(log.members()) == 1
-        && log.members().stream().filter(ReplicaMember::isVoter).count() == 1;
+    return isVoter() && Memberships.quorum(log.members()) == 1;
   }
 
   private void resetElectionDeadline(long now) {
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftOptions.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftOptions.java
@@ -98,6 +98,10 @@
     return values.nanoClock;
   }
 
+  int segmentBytes() {
+    return values.segmentBytes;
+  }
+
   long seed() {
     return values.seed;
   }
@@ -132,6 +136,7 @@
     private int trailingEntries = TRAILING_ENTRIES;
     private Consumer<Exception> failureHandler = END_PROCESS;
     private LongSupplier nanoClock = System::nanoTime;
+    private int segmentBytes = LogStore.SEGMENT_BYTES;
     private long seed = System.nanoTime();
     private Disk disk;
     private Transport transport;
@@ -218,6 +223,14 @@
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(security, "security");
       }
+      if (trailingEntries < 1 || snapshotEntries < 1) {
+        throw new IllegalArgumentException(
+            "given "
+                + trailingEntries
+                + " trailing and "
+                + snapshotEntries
+                + " snapshot entries, expected at least 1");
+      }
       return new RaftOptions(this);
     }
 
@@ -226,6 +239,11 @@
       return this;
     }
 
+    Builder segmentBytes(int value) {
+      segmentBytes = value;
+      return this;
+    }
+
     Builder seed(long value) {
       seed = value;
       return this;
--- a/consensus/src/test/java/org/comfreygap/consensus/RaftCoreTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/RaftCoreTest.java
@@ -237,6 +237,39 @@
     assertThat(sent.to("b")).isEmpty();
   }
 
+  @Test
+  void voterThatLostItsDiskTakesNoSnapshot() {
+    RaftCore core = open(THREE, HardState.NONE, false, List.of());
+    SnapshotChunk chunk = new SnapshotChunk(3, "b", 9, 3, null, 0, null, true, now);
+    chunk.setMembership(Memberships.encode(THREE)).setBytes(new byte[1]);
+    core.onSnapshotChunk(now, chunk, reply -> assertThat(reply.isAccepted()).isFalse());
+    assertThat(sent.events).contains(ConsensusEvent.REPLICA_WITHOUT_DISK);
+    chunk.setMembership(Memberships.encode(List.of(learner("a"), voter("b"))));
+    core.onSnapshotChunk(now, chunk, reply -> {});
+    assertThat(sent.chunks).hasSize(1);
+  }
+
+  @Test
+  void leaderAsksForAnEntryBeforeItSendsASnapshot() {
+    RaftCore core = core(THREE, new HardState(3, ""), entry(1, 3), entry(2, 3), entry(3, 3));
+    lead(core);
+    long last = core.log().lastIndex();
+    AppendRequest first = append(core.term(), "a", 2, 3, 0, entry(3, 3));
+    core.onSendFailed(now, "b", first);
+    core.onSnapshotTaken(new SnapshotMeta(last, core.term(), THREE), 1);
+    sent.messages.clear();
+    now += ELECTION_MIN;
+    core.replicate(now);
+    core.releaseMessages();
+    assertThat(sent.to("b")).hasOnlyElementsOfType(AppendRequest.class).hasSize(1);
+    AppendRequest probe = (AppendRequest) sent.to("b").get(0);
+    core.onAppendReply(now, "b", probe, new AppendReply(core.term(), false, 1, now, "b"));
+    sent.messages.clear();
+    core.replicate(now);
+    core.releaseMessages();
+    assertThat(sent.to("b")).hasOnlyElementsOfType(SnapshotChunk.class).hasSize(1);
+  }
+
   @Test
   void creatorThatLostItsDiskDoesNotCreateASecondLog() {
     RaftCore core = open(THREE, HardState.NONE, false, List.of());
@@ -321,6 +354,7 @@
     private final List<TBase<?, ?>> messages = new ArrayList<>();
     private final List<String> receivers = new ArrayList<>();
     private final List<ConsensusEvent> events = new ArrayList<>();
+    private final List<SnapshotChunk> chunks = new ArrayList<>();
 
     <T> List<T> of(Class<T> type) {
       return messages.stream().filter(type::isInstance).map(type::cast).toList();
@@ -357,7 +391,9 @@
     }
 
     @Override
-    public void storeChunk(SnapshotChunk chunk, Consumer<SnapshotReply> replyTo) {}
+    public void storeChunk(SnapshotChunk chunk, Consumer<SnapshotReply> replyTo) {
+      chunks.add(chunk);
+    }
 
     @Override
     public void install(SnapshotMeta meta) {}
