--- /dev/null
+++ b/control/src/test/java/org/comfreygap/control/SettingsStateTest.java
@@ -0,0 +1,294 @@
+package org.comfreygap.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.comfreygap.control.Command.Author;
+import org.comfreygap.control.Command.DocumentChange;
+import org.comfreygap.control.Command.Expectation;
+import org.comfreygap.control.SettingsAnswer.Code;
+import org.comfreygap.protocol.generated.Change;
+import org.comfreygap.protocol.generated.ChangeKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The settings part of the state machine, by its commands (I14). */
+class SettingsStateTest {
+
+  private static final String KEY = "a".repeat(64);
+
+  /**
+   * Guards against any difference from a plain map of documents: lost or partial changes, revisions
+   * that do not rise, deltas or rollbacks that miss a change, and state lost in a snapshot.
+   */
+  @Property(tries = 100)
+  void matchesAPlainMap(@ForAll long seed) throws Exception {
+    Random random = new Random(seed);
+    ControlState state = new ControlState();
+    TreeMap<String, String> naive = new TreeMap<>();
+    List<TreeMap<String, String>> versions = new ArrayList<>(List.of(new TreeMap<>()));
+    Map<String, Long> revisions = new HashMap<>();
+    Map<String, String> reader = new TreeMap<>();
+    long readerRevision = 0;
+    for (int step = 0; step < 80; step++) {
+      String path = "/teams/t" + random.nextInt(2) + "/customers/c" + random.nextInt(3);
+      long before = state.revision();
+      String touched = path;
+      Author author = new Author("op" + step, "root", 1);
+      TreeMap<String, String> next = new TreeMap<>(naive);
+      SettingsAnswer answer;
+      if (random.nextInt(10) == 0) {
+        long target = random.nextInt((int) before + 1);
+        touched = "";
+        answer = apply(state, new Command.Rollback(0, author, "/teams/t0", target));
+        next.keySet().removeIf(p -> p.startsWith("/teams/t0"));
+        for (Map.Entry<String, String> old : versions.get((int) target).entrySet()) {
+          if (old.getKey().startsWith("/teams/t0")) {
+            next.put(old.getKey(), old.getValue());
+          }
+        }
+      } else {
+        boolean delete = random.nextInt(3) == 0;
+        long expected = revisions.getOrDefault(path, 0L) + (random.nextInt(5) == 0 ? 1 : 0);
+        String document = delete ? null : "{\"defaultPriority\":\"" + priority(random) + "\"}";
+        answer =
+            apply(
+                state,
+                new Command.ChangeSettings(
+                    0,
+                    author,
+                    List.of(new Expectation(path, expected)),
+                    List.of(new DocumentChange(path, document))));
+        boolean matches = expected == revisions.getOrDefault(path, 0L);
+        assertThat(answer.code() == Code.CONFLICT).isEqualTo(!matches);
+        if (answer.code() == Code.OK) {
+          next.remove(path);
+          if (!delete) {
+            next.put(path, document);
+          }
+        }
+      }
+      if (state.revision() > before) {
+        assertThat(state.revision()).isEqualTo(before + 1);
+        note(revisions, state.revision(), changed(naive, next, touched), next);
+        versions.add(next);
+      }
+      naive = next;
+      state = random.nextInt(8) == 0 ? MemoryCluster.copy(state) : state;
+      assertThat(documents(state)).isEqualTo(naive);
+      if (random.nextInt(4) == 0) {
+        readerRevision = follow(state, reader, readerRevision);
+        assertThat(reader).isEqualTo(naive);
+      }
+    }
+  }
+
+  /** Guards against a reference to nothing, and against faults after the first that go unnamed. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "/teams/t/adapters/none/versions/1 | {'source':'s'} | an existing adapter",
+        "/teams/t/customers/none/limits | {'tokensPerSecond':1,'burstTokens':1} | customer",
+        "/teams/t/customers/none/keys/k | {'sha256':'b','state':'active'} | an existing customer",
+        "/platform/endpoints/e9 | {'zone':'none','kind':'engine'} | an existing zone",
+        "/platform/endpoints/e9 | {'zone':'z','service':'t/none'} | an existing service",
+        "/teams/t/adapters/a/versions/1 | {'source':'other'} | immutable",
+        "/teams/u/services/chat | {'open':true} | is open as chat",
+        "/teams/t/customers/c/keys/k2 | {'sha256':'KEY','state':'active'} | a new key",
+        "/teams/t/adapters/a | DELETE | /teams/t/adapters/a/versions/1 to be deleted as well",
+        "/teams/t/customers/c | DELETE | /teams/t/customers/c/keys/k1 to be deleted as well",
+        "/platform/zones/z | DELETE | no reference from /platform/endpoints/e1:zone",
+        "/teams/t/services/chat | DELETE | no reference from /platform/endpoints/e1:service",
+        "/nothing/here | {} | a path of the settings tree"
+      })
+  void brokenReferencesAreNamed(String path, String document, String expected) {
+    ControlState state = fullTree();
+    long before = state.revision();
+    SettingsAnswer answer =
+        change(
+            state,
+            "broken",
+            path,
+            document.equals("DELETE") ? null : document.replace('\'', '"').replace("KEY", KEY),
+            "/teams/t/adapters/gone/versions/1",
+            "{}");
+    assertThat(answer.code()).isEqualTo(Code.INVALID);
+    assertThat(answer.faults()).hasSizeGreaterThanOrEqualTo(2);
+    assertThat(answer.faults()).anyMatch(fault -> fault.message().contains(expected));
+    assertThat(state.revision()).isEqualTo(before);
+  }
+
+  /** Guards against other weights under the name of a version that engines may still hold (I1). */
+  @Test
+  void aDeletedVersionKeepsItsSourceAlsoAfterARestart() throws Exception {
+    ControlState state = fullTree();
+    assertThat(change(state, "1", "/teams/t/adapters/a/versions/1", null).code())
+        .isEqualTo(Code.OK);
+    state = MemoryCluster.copy(state);
+    String path = "/teams/t/adapters/a/versions/1";
+    assertThat(change(state, "2", path, "{\"source\":\"other\"}").code()).isEqualTo(Code.INVALID);
+    assertThat(change(state, "3", path, "{\"source\":\"s\"}").code()).isEqualTo(Code.OK);
+  }
+
+  /** Guards against a whole subtree that cannot be deleted, since its parts refer to each other. */
+  @Test
+  void aSubtreeIsDeletedWithItsInnerReferences() {
+    ControlState state = fullTree();
+    change(state, "e", "/platform/endpoints/e1", null);
+    Author author = new Author("d", "root", 1);
+    SettingsAnswer answer =
+        apply(state, new Command.DeletePrefix(0, author, List.of(), "/teams/t"));
+    assertThat(answer.code()).isEqualTo(Code.OK);
+    assertThat(documents(state).keySet()).noneMatch(p -> p.startsWith("/teams/t/"));
+  }
+
+  /** Guards against a resend that changes the tree again, before and after a restart. */
+  @Test
+  void aResendGetsItsFirstAnswerBeforeAndAfterASnapshot() throws Exception {
+    ControlState state = new ControlState();
+    SettingsAnswer won = change(state, "w", "/teams/t/customers/c", "{}");
+    SettingsAnswer lost = conflicting(state);
+    change(state, "d", "/teams/t/customers/c", null);
+    assertThat(change(state, "w", "/teams/t/customers/c", "{}")).isEqualTo(won);
+    assertThat(conflicting(state)).isEqualTo(lost);
+    state = MemoryCluster.copy(state);
+    long before = state.revision();
+    assertThat(change(state, "w", "/teams/t/customers/c", "{}")).isEqualTo(won);
+    assertThat(conflicting(state)).isEqualTo(lost);
+    assertThat(state.revision()).isEqualTo(before);
+    assertThat(documents(state)).isEmpty();
+  }
+
+  /** Guards against answers and history that grow without bound, and a reader that misses them. */
+  @Test
+  void answersAndHistoryAreBounded() throws Exception {
+    ControlState state = new ControlState();
+    int changes = ChangeHistory.MAX_CHANGES + 500;
+    for (int i = 0; i < changes; i++) {
+      change(state, "op" + i, "/teams/t/customers/c", "{}");
+    }
+    state.readSettings(
+        store -> {
+          assertThat(store.history().all()).hasSize(ChangeHistory.MAX_CHANGES);
+          assertThat(store.history().floor()).isEqualTo(500);
+          assertThat(store.history().after(499)).isEmpty();
+          assertThat(store.operations().all()).hasSize(OperationAnswers.MAX_OPERATIONS);
+          return null;
+        });
+    ControlState copy = MemoryCluster.copy(state);
+    copy.readSettings(
+        store -> {
+          assertThat(store.history().floor()).isEqualTo(500);
+          assertThat(store.history().after(500).orElseThrow()).hasSize(ChangeHistory.MAX_CHANGES);
+          return null;
+        });
+    Author author = new Author("r", "root", 1);
+    assertThat(apply(state, new Command.Rollback(0, author, "/", 10)).code())
+        .isEqualTo(Code.HISTORY_GONE);
+  }
+
+  static SettingsAnswer change(ControlState state, String operation, String... pathsAndDocuments) {
+    List<DocumentChange> changes = new ArrayList<>();
+    for (int i = 0; i < pathsAndDocuments.length; i += 2) {
+      changes.add(new DocumentChange(pathsAndDocuments[i], pathsAndDocuments[i + 1]));
+    }
+    Author author = new Author(operation, "root", 1);
+    return apply(state, new Command.ChangeSettings(0, author, List.of(), changes));
+  }
+
+  static SettingsAnswer apply(ControlState state, Command command) {
+    return Codec.decodeAnswer(state.apply(1, Codec.encode(command)), SettingsAnswer.class);
+  }
+
+  static Map<String, String> documents(ControlState state) {
+    return state.readSettings(
+        store -> {
+          Map<String, String> documents = new TreeMap<>();
+          store.tree().subtree("/").forEach((path, e) -> documents.put(path, e.document()));
+          return documents;
+        });
+  }
+
+  private static SettingsAnswer conflicting(ControlState state) {
+    return apply(
+        state,
+        new Command.ChangeSettings(
+            0,
+            new Author("lost", "root", 1),
+            List.of(new Expectation("/teams/t/customers/c", 77)),
+            List.of(new DocumentChange("/teams/t/customers/c", "{}"))));
+  }
+
+  private static ControlState fullTree() {
+    ControlState state = new ControlState();
+    SettingsAnswer answer =
+        change(
+            state,
+            "tree",
+            "/teams/t/customers/c",
+            "{}",
+            "/teams/t/customers/c/keys/k1",
+            "{\"sha256\":\"" + KEY + "\",\"state\":\"active\"}",
+            "/teams/t/adapters/a",
+            "{\"baseModel\":\"m\",\"customers\":[\"*\"]}",
+            "/teams/t/adapters/a/versions/1",
+            "{\"source\":\"s\"}",
+            "/teams/t/services/chat",
+            "{\"open\":true}",
+            "/platform/zones/z",
+            "{\"state\":\"in\"}",
+            "/platform/endpoints/e1",
+            "{\"zone\":\"z\",\"kind\":\"service\",\"service\":\"t/chat\"}");
+    assertThat(answer.code()).isEqualTo(Code.OK);
+    return state;
+  }
+
+  private static long follow(ControlState state, Map<String, String> reader, long revision) {
+    WatchController.Update update = new WatchController(state, null, null).update(revision);
+    if (update.snapshot()) {
+      reader.clear();
+    }
+    for (Change change : update.changes()) {
+      if (change.getKind() == ChangeKind.DELETE) {
+        reader.remove(change.getPath());
+      } else {
+        reader.put(change.getPath(), change.getDocument());
+      }
+    }
+    assertThat(update.revision()).isGreaterThanOrEqualTo(revision);
+    return update.revision();
+  }
+
+  private static void note(
+      Map<String, Long> revisions, long revision, List<String> changed, Map<String, String> tree) {
+    for (String path : changed) {
+      if (tree.containsKey(path)) {
+        revisions.put(path, revision);
+      } else {
+        revisions.remove(path);
+      }
+    }
+  }
+
+  private static List<String> changed(
+      Map<String, String> before, Map<String, String> after, String touched) {
+    List<String> paths = new ArrayList<>(after.keySet());
+    before.keySet().stream().filter(p -> !after.containsKey(p)).forEach(paths::add);
+    paths.removeIf(
+        p -> !p.equals(touched) && java.util.Objects.equals(before.get(p), after.get(p)));
+    return paths;
+  }
+
+  private static String priority(Random random) {
+    return List.of("urgent", "normal", "deferrable").get(random.nextInt(3));
+  }
+}
