--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
@@ -21,6 +21,8 @@
   private static final long WAITER_VALID_NANOS = NANOS_PER_SECOND;
   // Below a quarter of a second's tokens a part of what is wanted rarely covers a request.
   private static final int SMALLEST_PART_OF_RATE = 4;
+  // Turns are short, so that a gateway does not wait for another's whole burst.
+  private static final int TURNS = 4;
   private static final int STEP_PART_OF_BURST = 10;
 
   private final Map<TokenBudget.Holder, Holding> holdings = new HashMap<>();
@@ -134,7 +136,7 @@
     Contention contention = contention(holder, holding, now);
     long free = Math.min(Math.max(0, level()), ceiling - granted) - contention.reservedBefore;
     long amount = Math.min(wanted, free);
-    long smallest = Math.min(wanted, Math.max(1, rate / SMALLEST_PART_OF_RATE));
+    long smallest = Math.min(wanted, smallestPart());
     if (amount < Math.min(smallest, Math.max(1, contention.share))) {
       holding.wanted = wanted;
       return 0;
@@ -149,14 +151,16 @@
     return amount;
   }
 
-  /** Returns the nanoseconds after which asking again for {@code unmet} tokens is useful. */
-  long retryAfterNanos(long unmet, long now) {
-    long reserved = 0;
-    for (Holding other : holdings.values()) {
-      reserved += other.waiting(now) ? Math.min(other.wanted, burst) : 0;
-    }
-    long missing = Math.min(burst, Math.max(unmet, reserved)) - level();
-    long millis = missing <= 0 ? 0 : Math.min(60_000, missing * 1_000 / Math.max(1, rate));
+  /**
+   * Returns the nanoseconds after which asking again is useful: when the smallest part that would
+   * be granted has come in, beyond what is kept for those who go first. A gateway refuses requests
+   * that cannot wait as long, so the time must not be that until all of {@code unmet} is there.
+   */
+  long retryAfterNanos(TokenBudget.Holder holder, long unmet, long now) {
+    Contention contention = contention(holder, holdings.get(holder), now);
+    long useful = contention.reservedBefore + Math.min(unmet, smallestPart());
+    long missing = Math.min(burst, useful) - level();
+    long millis = missing <= 0 ? 0 : Math.min(60_000, (missing * 1_000 + rate - 1) / rate);
     return Math.max(TokenBudget.SHORTEST_RETRY.toNanos(), millis * 1_000_000);
   }
 
@@ -202,6 +206,10 @@
     }
   }
 
+  private long smallestPart() {
+    return Math.max(1, rate / SMALLEST_PART_OF_RATE);
+  }
+
   private long step() {
     return Math.max(1, Math.min(burst / STEP_PART_OF_BURST, Math.max(1, rate / 2)));
   }
@@ -215,7 +223,7 @@
     for (Map.Entry<TokenBudget.Holder, Holding> other : holdings.entrySet()) {
       waiters += other.getValue() != own && other.getValue().waiting(now) ? 1 : 0;
     }
-    long share = Math.max(1, burst / waiters);
+    long share = Math.max(1, Math.min(burst, Math.max(2 * rate, burst / TURNS)) / waiters);
     long reserved = 0;
     for (Map.Entry<TokenBudget.Holder, Holding> entry : holdings.entrySet()) {
       Holding other = entry.getValue();
--- a/decisions/src/main/java/org/comfreygap/decisions/TokenBudget.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/TokenBudget.java
@@ -84,7 +84,12 @@
   public record Granted(
       String customer, long tokens, long retryAfterNanos, long rate, long burst) {}
 
-  /** Answer to an exchange; the lifetime of a repeated answer is the rest of the first one's. */
+  /**
+   * Answer to an exchange.
+   *
+   * @param lifetimeNanos lifetime of the grants from the moment the exchange was first sent, also
+   *     when the answer is that to a repeat
+   */
   public record Answer(List<Granted> grants, long lifetimeNanos) {}
 
   /**
@@ -179,7 +184,7 @@
   public Optional<Answer> exchange(Holder holder, long sequence, List<Item> items, long now) {
     Session session = sessions.get(holder);
     if (session != null && sequence <= session.sequence) {
-      return sequence == session.sequence ? Optional.of(session.repeat(now)) : Optional.empty();
+      return sequence == session.sequence ? Optional.of(session.answer) : Optional.empty();
     }
     if (session == null && sessions.size() >= MAX_HOLDERS) {
       return Optional.empty();
@@ -188,8 +193,9 @@
     for (Item item : items) {
       grants.add(exchangeOne(holder, item, now));
     }
-    sessions.put(holder, new Session(sequence, List.copyOf(grants), now));
-    return Optional.of(new Answer(List.copyOf(grants), GATEWAY_LIFETIME.toNanos()));
+    Answer answer = new Answer(List.copyOf(grants), GATEWAY_LIFETIME.toNanos());
+    sessions.put(holder, new Session(sequence, answer, now));
+    return Optional.of(answer);
   }
 
   /** Drops what is kept about gateways that have been silent for a minute. */
@@ -220,7 +226,7 @@
     bucket.report(holder, item.used(), item.returned(), item.refunded(), now);
     long tokens = bucket.grant(holder, item.wanted(), item.priority(), now);
     long unmet = item.wanted() - tokens;
-    long retryAfter = unmet > 0 ? bucket.retryAfterNanos(unmet, now) : 0;
+    long retryAfter = unmet > 0 ? bucket.retryAfterNanos(holder, unmet, now) : 0;
     return new Granted(item.customer(), tokens, retryAfter, bucket.rate(), bucket.burst());
   }
 
@@ -230,10 +236,5 @@
     }
   }
 
-  private record Session(long sequence, List<Granted> grants, long atNanos) {
-
-    Answer repeat(long now) {
-      return new Answer(grants, Math.max(0, GATEWAY_LIFETIME.toNanos() - (now - atNanos)));
-    }
-  }
+  private record Session(long sequence, Answer answer, long atNanos) {}
 }
