--- /dev/null
+++ b/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
@@ -0,0 +1,363 @@
+package org.comfreygap.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.comfreygap.protocol.generated.BeginReply;
+import org.comfreygap.protocol.generated.BeginRequest;
+import org.comfreygap.protocol.generated.CrashReport;
+import org.comfreygap.protocol.generated.CreditExchange;
+import org.comfreygap.protocol.generated.CreditItem;
+import org.comfreygap.protocol.generated.CreditReply;
+import org.comfreygap.protocol.generated.EndpointLeaseReply;
+import org.comfreygap.protocol.generated.EndpointLeaseRequest;
+import org.comfreygap.protocol.generated.FinishRequest;
+import org.comfreygap.protocol.generated.HeartbeatReply;
+import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.InvalidCall;
+import org.comfreygap.protocol.generated.LedgerState;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.comfreygap.protocol.generated.Outcome;
+import org.comfreygap.protocol.generated.PermitReply;
+import org.comfreygap.protocol.generated.PermitRequest;
+import org.comfreygap.protocol.generated.Priority;
+import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.protocol.generated.StoredAnswer;
+import org.comfreygap.protocol.generated.WatchReply;
+import org.comfreygap.protocol.generated.WatchRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The Thrift service across two instances: leader changes, lost answers, lagging replicas. */
+class LeaderChangeTest {
+
+  private static final String CUSTOMER = "blue/press";
+
+  private final MemoryCluster cluster = new MemoryCluster();
+  private Node first;
+  private Node second;
+
+  @BeforeEach
+  void start() throws Exception {
+    first = new Node(cluster, "c1");
+    second = new Node(cluster, "c2");
+    cluster.lead(first.log);
+    first.term();
+    first.put(
+        "setup",
+        "/teams/blue/customers/press",
+        "{}",
+        "/teams/blue/customers/press/limits",
+        "{\"tokensPerSecond\":1,\"burstTokens\":1000}",
+        "/platform/store",
+        "{\"loadsPerSecond\":50,\"fullSpeedLoads\":2,\"maxInFlight\":4}");
+  }
+
+  @AfterEach
+  void stop() {
+    first.close();
+    second.close();
+  }
+
+  /** Guards against a follower or a replica without lease that answers as a leader (I6, I12). */
+  @Test
+  void onlyTheLeaderAnswersAndOthersNameIt() {
+    List<Call> calls =
+        List.of(
+            node -> node.handler.heartbeat(heartbeat("g", "s1", 0)),
+            node -> node.handler.exchangeCredit(credit("g", 1, 0, 10)),
+            node -> node.handler.acquireLoadPermit(permit("p", "v", 0)),
+            node -> node.handler.releaseLoadPermit("p"),
+            node -> node.handler.acquireEndpoint(lease("s1", 0)),
+            node -> node.handler.beginRequest(begin("g", "r1")),
+            node -> node.handler.finishRequest(finish("r1", Outcome.NOT_RUN)),
+            node -> node.handler.reportCrash(crash("b1")));
+    for (Call call : calls) {
+      assertThatThrownBy(() -> call.on(second))
+          .isInstanceOfSatisfying(
+              NotLeader.class, e -> assertThat(e.getLeaderAddress()).isEqualTo("127.0.0.1:21"));
+    }
+    cluster.noLeader();
+    for (Call call : calls) {
+      assertThatThrownBy(() -> call.on(first)).isInstanceOf(NotLeader.class);
+    }
+  }
+
+  /** Guards against a new leader that grants what its predecessor granted already (I6). */
+  @Test
+  void creditOutstandingAtAChangeOfLeaderCountsAsSpent() throws Exception {
+    assertThat(granted(first, credit("g", 1, 0, 700))).isEqualTo(700);
+    cluster.lead(second.log);
+    long again = granted(second, credit("h", 1, 0, 1_000));
+    again += granted(second, credit("h", 2, 0, 300));
+    assertThat(again).isLessThanOrEqualTo(310);
+    cluster.lead(first.log);
+    assertThat(granted(first, credit("i", 1, 0, 1_000))).isLessThanOrEqualTo(20);
+  }
+
+  /** Guards against a return that a new leader credits for a second time (I6). */
+  @Test
+  void aReturnSentAgainToANewLeaderIsNotCreditedTwice() throws Exception {
+    granted(first, credit("g", 1, 0, 1_000));
+    CreditExchange giveBack = credit("g", 2, 400, 0);
+    first.handler.exchangeCredit(giveBack);
+    assertThat(granted(first, credit("h", 1, 0, 400))).isEqualTo(400);
+    cluster.lead(second.log);
+    second.handler.exchangeCredit(giveBack);
+    assertThat(granted(second, credit("h", 2, 0, 1_000))).isLessThanOrEqualTo(10);
+  }
+
+  /** Guards against a lowered limit that the leader notices only later (I6). */
+  @Test
+  void aLoweredLimitHoldsFromTheNextExchange() throws Exception {
+    first.put(
+        "lower",
+        "/teams/blue/customers/press/limits",
+        "{\"tokensPerSecond\":1,\"burstTokens\":50}");
+    assertThat(granted(first, credit("g", 1, 0, 1_000))).isLessThanOrEqualTo(50);
+    first.put("none", "/teams/blue/customers/press/limits", null);
+    assertThat(granted(first, credit("h", 1, 0, 10))).isZero();
+  }
+
+  /** Guards against exchanges that grow the state or give tokens for nonsense. */
+  @Test
+  void malformedExchangesAreRefused() {
+    CreditExchange negative = credit("g", 1, -5, 10);
+    CreditExchange twice = credit("g", 1, 0, 10);
+    twice.addToItems(twice.getItems().get(0));
+    for (CreditExchange bad : List.of(negative, twice)) {
+      assertThatThrownBy(() -> first.handler.exchangeCredit(bad)).isInstanceOf(InvalidCall.class);
+    }
+  }
+
+  /** Guards against a ledger entry lost with the leader or in compaction (I11). */
+  @Test
+  void ledgerEntriesSurviveLeaderChangeAndSnapshot() throws Exception {
+    assertThat(first.handler.beginRequest(begin("g", "r1")).getState())
+        .isEqualTo(LedgerState.STARTED);
+    cluster.lead(second.log);
+    assertThat(second.handler.beginRequest(begin("g", "r1")).getState())
+        .isEqualTo(LedgerState.STARTED);
+    assertThat(second.handler.beginRequest(begin("h", "r2")).getState())
+        .isEqualTo(LedgerState.IN_PROGRESS);
+    second.handler.finishRequest(finish("r1", Outcome.RAN));
+    ControlState copy = MemoryCluster.copy(second.state);
+    assertThat(copy.ledgerSize()).isEqualTo(1);
+    BeginReply repeat = second.handler.beginRequest(begin("h", "r2"));
+    assertThat(repeat.getState()).isEqualTo(LedgerState.DONE);
+    assertThat(repeat.getAnswer().getBody()).isEqualTo(new byte[] {7});
+    BeginRequest other = begin("h", "r3");
+    other.setFingerprint("another");
+    assertThat(second.handler.beginRequest(other).getState()).isEqualTo(LedgerState.KEY_REUSED);
+  }
+
+  /** Guards against two resends at once through two gateways that both start (I11). */
+  @Test
+  void ofManyResendsAtOnceOneStarts() throws Exception {
+    ExecutorService pool = Executors.newFixedThreadPool(8);
+    List<Future<BeginReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      BeginRequest request = begin("g" + i, "r" + i);
+      replies.add(pool.submit(() -> first.handler.beginRequest(request)));
+    }
+    int started = 0;
+    for (Future<BeginReply> reply : replies) {
+      started += reply.get().getState() == LedgerState.STARTED ? 1 : 0;
+    }
+    pool.shutdown();
+    assertThat(started).isEqualTo(1);
+  }
+
+  /** Guards against STARTED without a committed entry, and a resend that then runs again (I11). */
+  @Test
+  void anUnknownOutcomeOfBeginIsNotStarted() throws Exception {
+    cluster.loseAnswers(1);
+    assertThatThrownBy(() -> first.handler.beginRequest(begin("g", "r1")))
+        .isInstanceOf(NotLeader.class);
+    assertThat(first.handler.beginRequest(begin("h", "r2")).getState())
+        .isEqualTo(LedgerState.IN_PROGRESS);
+    assertThat(first.handler.beginRequest(begin("g", "r1")).getState())
+        .isEqualTo(LedgerState.STARTED);
+  }
+
+  /** Guards against entries of a gateway that is gone which stay in progress for ever (I11). */
+  @Test
+  void entriesOfARestartedGatewayBecomeUnknown() throws Exception {
+    first.handler.heartbeat(heartbeat("g", "s1", 0));
+    first.handler.beginRequest(begin("g", "r1"));
+    first.term().ownersHeard().clear();
+    first.get(LedgerController.class).maintain(first.term());
+    assertThat(first.handler.beginRequest(begin("h", "r2")).getState())
+        .isEqualTo(LedgerState.IN_PROGRESS);
+    first.handler.heartbeat(heartbeat("g", "s2", 0));
+    first.get(LedgerController.class).maintain(first.term());
+    assertThat(first.handler.beginRequest(begin("h", "r2")).getState())
+        .isEqualTo(LedgerState.UNKNOWN);
+  }
+
+  /** Guards against fencing numbers that fall or repeat, and a second holder (fencing). */
+  @Test
+  void fencingNumbersAreCommittedAndAnotherHolderWaits() throws Exception {
+    EndpointLeaseReply held = first.handler.acquireEndpoint(lease("s1", 0));
+    assertThat(held.isGranted()).isTrue();
+    assertThat(held.getFencing()).isEqualTo(1);
+    assertThat(first.handler.acquireEndpoint(lease("s2", 0)).isGranted()).isFalse();
+    cluster.lead(second.log);
+    EndpointLeaseReply refused = second.handler.acquireEndpoint(lease("s2", 0));
+    assertThat(refused.isGranted()).isFalse();
+    assertThat(refused.getRetryAfterMillis()).isBetween(6_000L, 8_000L);
+    EndpointLeaseReply renewed = second.handler.acquireEndpoint(lease("s1", 1));
+    assertThat(renewed.isGranted()).isTrue();
+    assertThat(renewed.getFencing()).isEqualTo(1);
+    assertThat(MemoryCluster.copy(second.state).endpointGrant("e1").orElseThrow().fencing())
+        .isEqualTo(1);
+  }
+
+  /** Guards against a quarantine held at one instance only, or counted twice for one crash. */
+  @Test
+  void theSecondCrashQuarantinesFleetWide() throws Exception {
+    first.handler.reportCrash(crash("b1"));
+    assertThat(first.handler.reportCrash(crash("b1")).getQuarantined()).isEmpty();
+    cluster.lead(second.log);
+    WatchReply before = second.handler.watch(new WatchRequest("g", 1, 0));
+    assertThat(before.getQuarantined()).isEmpty();
+    ExecutorService pool = Executors.newSingleThreadExecutor();
+    Future<WatchReply> watch =
+        pool.submit(() -> first.handler.watch(new WatchRequest("g", 1, 30_000)));
+    assertThat(second.handler.reportCrash(crash("b2")).getQuarantined()).containsExactly("bad");
+    WatchReply reply = watch.get();
+    pool.shutdown();
+    assertThat(reply.getRevision()).isEqualTo(1);
+    assertThat(reply.getQuarantined().get("bad")).isBetween(800_000L, 900_000L);
+    assertThat(MemoryCluster.copy(first.state).quarantined()).containsKey("bad");
+  }
+
+  /**
+   * Guards against a reader that is led back to an older revision, or kept at a cut-off replica.
+   */
+  @Test
+  void aLaggingReplicaSendsItsReadersAway() throws Exception {
+    assertThat(second.handler.watch(new WatchRequest("g", 0, 0)).isSnapshot()).isTrue();
+    second.log.disconnect();
+    first.put("later", "/teams/blue", "{}");
+    WatchReply newer = first.handler.watch(new WatchRequest("g", 1, 0));
+    assertThat(newer.getRevision()).isEqualTo(2);
+    assertThat(newer.getChanges()).hasSize(1);
+    assertThatThrownBy(() -> second.handler.watch(new WatchRequest("g", 2, 0)))
+        .isInstanceOf(InvalidCall.class);
+    assertThatThrownBy(() -> second.handler.watch(new WatchRequest("g", 1, 0)))
+        .isInstanceOf(InvalidCall.class);
+  }
+
+  /** Guards against a resend after a lost answer that changes the tree twice (I14). */
+  @Test
+  void aResendAfterALostAnswerGetsTheFirstAnswer() {
+    cluster.loseAnswers(1);
+    assertThatThrownBy(() -> first.put("op", "/teams/blue", "{}")).isInstanceOf(ApiException.class);
+    cluster.lead(second.log);
+    assertThat(second.put("op", "/teams/blue", "{}").revision()).isEqualTo(2);
+    assertThat(second.state.revision()).isEqualTo(2);
+  }
+
+  /**
+   * Guards against heartbeat answers that repeat every member, or forget them after an election.
+   */
+  @Test
+  void heartbeatAnswersCarryChangesOnly() throws Exception {
+    HeartbeatReply joined = first.handler.heartbeat(heartbeat("a", "s1", 0));
+    first.handler.heartbeat(heartbeat("b", "s1", 0));
+    assertThat(joined.isFull()).isFalse();
+    long deadline = System.nanoTime() + 30_000_000_000L;
+    HeartbeatReply full = first.handler.heartbeat(heartbeat("a", "s1", 0));
+    while (!full.isFull() && System.nanoTime() < deadline) {
+      Thread.sleep(50);
+      full = first.handler.heartbeat(heartbeat("a", "s1", 0));
+    }
+    assertThat(full.getMembers()).hasSize(2);
+    assertThat(full.getCommittedRevision()).isEqualTo(1);
+    long version = full.getMembershipVersion();
+    HeartbeatReply delta = first.handler.heartbeat(heartbeat("a", "s1", version));
+    assertThat(delta.isFull()).isFalse();
+    assertThat(delta.getMembers()).isEmpty();
+    cluster.lead(second.log);
+    HeartbeatReply after = second.handler.heartbeat(heartbeat("a", "s1", version));
+    assertThat(after.isFull()).isFalse();
+    assertThat(after.getMembershipVersion()).isEqualTo(version);
+  }
+
+  /** Guards against permits beyond one for a version, and waiting calls that are never woken. */
+  @Test
+  void aWaitingPermitIsGrantedOnRelease() throws Exception {
+    ExecutorService pool = Executors.newSingleThreadExecutor();
+    PermitReply held = untilGranted("p1", "v");
+    assertThat(held.isGranted()).isTrue();
+    PermitReply refused = first.handler.acquireLoadPermit(permit("p2", "v", 0));
+    assertThat(refused.isGranted()).isFalse();
+    assertThat(refused.getLoadingAt()).isEqualTo("e1");
+    Future<PermitReply> waiting =
+        pool.submit(() -> first.handler.acquireLoadPermit(permit("p3", "v", 500)));
+    first.handler.releaseLoadPermit("p1");
+    boolean granted = waiting.get().isGranted() || untilGranted("p3", "v").isGranted();
+    assertThat(granted).isTrue();
+    pool.shutdown();
+  }
+
+  private PermitReply untilGranted(String id, String version) throws Exception {
+    long deadline = System.nanoTime() + 30_000_000_000L;
+    PermitReply reply = first.handler.acquireLoadPermit(permit(id, version, 100));
+    while (!reply.isGranted() && System.nanoTime() < deadline) {
+      reply = first.handler.acquireLoadPermit(permit(id, version, 100));
+    }
+    return reply;
+  }
+
+  private static long granted(Node node, CreditExchange exchange) throws Exception {
+    CreditReply reply = node.handler.exchangeCredit(exchange);
+    return reply.getGrants().get(0).getGranted();
+  }
+
+  private static CreditExchange credit(String gateway, long sequence, long returned, long wanted) {
+    CreditItem item = new CreditItem(CUSTOMER, 0, returned, 0, wanted, Priority.NORMAL);
+    return new CreditExchange(gateway, "s1", sequence, new ArrayList<>(List.of(item)));
+  }
+
+  private static PermitRequest permit(String id, String version, int waitMillis) {
+    return new PermitRequest(id, "e1", version, CUSTOMER, Priority.URGENT, waitMillis);
+  }
+
+  private static EndpointLeaseRequest lease(String startId, long fencing) {
+    return new EndpointLeaseRequest("e1", "sidecar", startId, fencing);
+  }
+
+  private static BeginRequest begin(String gateway, String requestId) {
+    return new BeginRequest(CUSTOMER, "key", "print", gateway, "s1", requestId);
+  }
+
+  private static FinishRequest finish(String requestId, Outcome outcome) {
+    FinishRequest request = new FinishRequest(CUSTOMER, "key", requestId, outcome);
+    request.setAnswer(new StoredAnswer(200, Map.of(), ByteBuffer.wrap(new byte[] {7})));
+    return request;
+  }
+
+  private static CrashReport crash(String boot) {
+    return new CrashReport("e1", boot, List.of("bad"), "sidecar");
+  }
+
+  private static HeartbeatRequest heartbeat(String id, String startId, long version) {
+    return new HeartbeatRequest(
+        ControlFixture.process(id, ProcessKind.GATEWAY, startId), 0, false, version);
+  }
+
+  /** A call on a node. */
+  private interface Call {
+    void on(Node node) throws Exception;
+  }
+}
