--- a/control/src/main/java/org/comfreygap/control/ControlMain.java
+++ b/control/src/main/java/org/comfreygap/control/ControlMain.java
@@ -26,8 +26,8 @@
 public final class ControlMain {
 
   // Entries stay in memory until the next snapshot; at about 500 bytes each this is 3 MB.
-  private static final int SNAPSHOT_ENTRIES = 5_000;
-  private static final int TRAILING_ENTRIES = 1_000;
+  static final int SNAPSHOT_ENTRIES = 5_000;
+  static final int TRAILING_ENTRIES = 1_000;
 
   private ControlMain() {}
 
