--- a/decisions/src/main/java/org/comfreygap/decisions/AdapterResidency.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/AdapterResidency.java
@@ -150,11 +150,9 @@
 
   /** Returns true when {@code adapter} may be dispatched to. */
   public boolean usable(String adapter, long nowNanos) {
+    expireUnsafe(nowNanos);
     Resident known = residents.get(adapter);
-    return known != null
-        && !draining(adapter)
-        && !beingUnloaded(adapter)
-        && safe(adapter, nowNanos);
+    return known != null && !draining(adapter) && !beingUnloaded(adapter) && safe(adapter);
   }
 
   /** Pins {@code adapter} for an attempt if it is usable. */
@@ -259,12 +257,9 @@
 
   /** Returns the adapters that may be dispatched to, in order of name. */
   public Set<String> usableAdapters(long nowNanos) {
-    Set<String> names = new TreeSet<>();
-    for (String adapter : residents.keySet()) {
-      if (usable(adapter, nowNanos)) {
-        names.add(adapter);
-      }
-    }
+    expireUnsafe(nowNanos);
+    Set<String> names = new TreeSet<>(residents.keySet());
+    names.removeIf(adapter -> !usable(adapter, nowNanos));
     return names;
   }
 
@@ -274,10 +269,11 @@
   }
 
   private boolean loadable(String wanted, long nowNanos) {
+    expireUnsafe(nowNanos);
     return stateKnown
         && inProgress.isEmpty()
         && !residents.containsKey(wanted)
-        && safe(wanted, nowNanos)
+        && safe(wanted)
         && slots > 0;
   }
 
@@ -291,12 +287,29 @@
         && inProgress.get().adapter.equals(adapter);
   }
 
-  private boolean safe(String adapter, long nowNanos) {
+  private boolean safe(String adapter) {
+    return unsafeUntil.isEmpty() || !unsafeUntil.containsKey(adapter);
+  }
+
+  /** Ends the wait for unloads that can no longer land; whether one did must be read. */
+  private void expireUnsafe(long nowNanos) {
     if (unsafeUntil.isEmpty()) {
-      return true;
+      return;
+    }
+    boolean expired =
+        unsafeUntil
+            .entrySet()
+            .removeIf(
+                entry -> {
+                  boolean over = entry.getValue() - nowNanos <= 0;
+                  if (over) {
+                    residents.remove(entry.getKey());
+                  }
+                  return over;
+                });
+    if (expired) {
+      readRequired();
     }
-    unsafeUntil.values().removeIf(until -> until - nowNanos <= 0);
-    return !unsafeUntil.containsKey(adapter);
   }
 
   private Optional<String> victim(Predicate<String> queued, long nowNanos) {
@@ -306,8 +319,7 @@
     if (draining.isPresent() && !pinned(draining.get())) {
       return draining;
     }
-    Optional<String> idle = least(a -> !pinned(a) && !queued.test(a), nowNanos);
-    return idle.isPresent() ? idle : Optional.empty();
+    return least(adapter -> !pinned(adapter) && !queued.test(adapter), nowNanos);
   }
 
   private Optional<String> least(Predicate<String> candidate, long nowNanos) {
--- a/decisions/src/main/java/org/comfreygap/decisions/FairQueue.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/FairQueue.java
@@ -8,7 +8,6 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,9 +22,9 @@
  * <p>Work is grouped by adapter. Only groups marked ready (adapter resident) are served; the others
  * wait for their load, which {@link #wanted} orders: urgent first, then customers in turn. Every
  * eighth turn goes to a class whose oldest item waits longer than the ageing time, so that no class
- * starves. While several customers are active, the last eighth of the running bound is closed to a
- * customer that already runs its equal share; a flood by one customer therefore does not make the
- * others wait for a request to end.
+ * starves. While several customers are active, one that wants more than the equal share of the
+ * bound leaves room for what the others usually run and for its variation; a flood by one customer
+ * therefore does not make the others wait for its requests to end.
  *
  * <p>When full, deferrable work is shed first, and within a class the newest work of the customer
  * with the most queued tokens.
@@ -46,9 +45,17 @@
   /** Tokens a customer may spend in one turn of the round robin. */
   public static final long QUANTUM_TOKENS = 1_024;
 
-  /** One turn in this many goes to aged work; it also divides the reserved part of the bound. */
+  /** One turn in this many goes to aged work; */
   static final int SHARE = 8;
 
+  // The number of requests that customers within their share run at once varies about its mean
+  // like a Poisson count, whose standard deviation is the square root of the mean.
+  private static final double RESERVE_DEVIATIONS = 2;
+  // A short burst of a customer within its share stays below this multiple of the equal share.
+  private static final double FLOOD_FACTOR = 2;
+  private static final int MIN_SHARED_LIMIT = 4;
+  private static final Duration SHARE_LIFETIME = Duration.ofMillis(5);
+  private static final Duration MEAN_TIME = Duration.ofSeconds(5);
   private static final Duration ACTIVE_TIME = Duration.ofSeconds(10);
 
   private final int maxItems;
@@ -56,12 +63,13 @@
   private final long ageingNanos;
   private final Map<Priority, ClassQueue<T>> classes = new EnumMap<>(Priority.class);
   private final Map<String, Item<T>> items = new HashMap<>();
-  private final Map<String, Customer> customers = new LinkedHashMap<>(16, 0.75f, true);
+  private final Map<String, Customer> customers = new HashMap<>();
   private final Set<String> ready = new HashSet<>();
   private final Map<String, Integer> queuedByAdapter = new HashMap<>();
   private long tokens;
   private long polls;
   private long loads;
+  private Share share;
 
   /**
    * Creates an empty queue.
@@ -90,7 +98,7 @@
   /** Queues {@code item}, or refuses it when everything queued goes before it. */
   public Offer<T> offer(Item<T> item, long nowNanos) {
     item.enqueuedAtNanos = nowNanos;
-    touch(item.customer, nowNanos);
+    Customer customer = touch(item.customer, nowNanos);
     List<Item<T>> shed = List.of();
     while (full(item)) {
       Optional<Item<T>> victim = victim(item);
@@ -102,25 +110,25 @@
       shed.add(victim.get());
     }
     insert(item);
+    customer.queued++;
     return new Offer<>(true, shed);
   }
 
   /**
    * Removes and returns the next item to run.
    *
-   * @param free units free at the endpoint; at least 1
    * @param limit running bound in force
    * @param admissible last check on the item in turn; a rejected item blocks its group only
    */
-  public Optional<Item<T>> poll(long nowNanos, int free, int limit, Predicate<T> admissible) {
+  public Optional<Item<T>> poll(long nowNanos, int limit, Predicate<T> admissible) {
     if (items.isEmpty()) {
       return Optional.empty();
     }
-    Share share = share(nowNanos, free, limit);
-    Item<T> next = ++polls % SHARE == 0 ? pollAged(nowNanos, share, admissible) : null;
+    Predicate<String> permitted = permitted(nowNanos, limit);
+    Item<T> next = ++polls % SHARE == 0 ? pollAged(nowNanos, permitted, admissible) : null;
     for (Priority priority : Priority.values()) {
       if (next == null) {
-        next = classes.get(priority).poll(share, admissible);
+        next = classes.get(priority).poll(permitted, admissible);
       }
     }
     if (next == null) {
@@ -128,14 +136,16 @@
       return Optional.empty();
     }
     forget(next);
-    touch(next.customer, nowNanos).running++;
+    Customer customer = touch(next.customer, nowNanos);
+    customer.running++;
     return Optional.of(next);
   }
 
   /** Records that polled work of {@code customer} no longer runs. */
-  public void finished(String customer) {
+  public void finished(String customer, long nowNanos) {
     Customer known = customers.get(customer);
     if (known != null && known.running > 0) {
+      known.advance(nowNanos);
       known.running--;
     }
   }
@@ -239,16 +249,17 @@
 
   private void forget(Item<T> item) {
     items.remove(item.id);
+    customers.get(item.customer).queued--;
     tokens -= item.tokens;
     queuedByAdapter.computeIfPresent(item.adapter, (a, count) -> count == 1 ? null : count - 1);
   }
 
-  private Item<T> pollAged(long nowNanos, Share share, Predicate<T> admissible) {
+  private Item<T> pollAged(long nowNanos, Predicate<String> permitted, Predicate<T> admissible) {
     for (int i = Priority.values().length - 1; i > 0; i--) {
       ClassQueue<T> queue = classes.get(Priority.values()[i]);
       long oldest = queue.oldestReady(nowNanos);
       if (nowNanos - oldest > ageingNanos) {
-        Item<T> item = queue.poll(share, admissible);
+        Item<T> item = queue.poll(permitted, admissible);
         if (item != null) {
           return item;
         }
@@ -257,30 +268,61 @@
     return null;
   }
 
-  private Share share(long nowNanos, int free, int limit) {
-    var oldest = customers.entrySet().iterator();
-    while (oldest.hasNext()) {
-      Customer customer = oldest.next().getValue();
-      if (nowNanos - customer.seenAtNanos <= ACTIVE_TIME.toNanos()) {
-        break;
-      }
-      if (customer.running == 0) {
-        oldest.remove();
+  private Share share(long nowNanos, int limit) {
+    boolean fresh = share != null && share.limit == limit;
+    if (fresh && nowNanos - share.atNanos < SHARE_LIFETIME.toNanos()) {
+      return share;
+    }
+    customers
+        .values()
+        .removeIf(
+            customer ->
+                customer.running + customer.queued == 0
+                    && nowNanos - customer.seenAtNanos > ACTIVE_TIME.toNanos());
+    share = newShare(nowNanos, limit);
+    return share;
+  }
+
+  private Share newShare(long nowNanos, int limit) {
+    int active = customers.size();
+    if (active <= 1 || limit < MIN_SHARED_LIMIT) {
+      return new Share(nowNanos, limit, Double.MAX_VALUE, Integer.MAX_VALUE);
+    }
+    double each = (double) limit / active;
+    double within = 0;
+    for (Customer customer : customers.values()) {
+      customer.advance(nowNanos);
+      if (!customer.floods(each)) {
+        within += Math.min(each, Math.max(customer.demand, customer.running));
       }
     }
-    int active = Math.max(1, customers.size());
-    int reserve = active > 1 && limit >= SHARE / 2 ? Math.max(1, limit / SHARE) : 0;
-    return new Share(customers, free <= reserve, Math.max(1, limit / active));
+    double room = limit - within - RESERVE_DEVIATIONS * Math.sqrt(within);
+    return new Share(nowNanos, limit, each, (int) Math.max(Math.floor(each), room));
+  }
+
+  private Predicate<String> permitted(long nowNanos, int limit) {
+    Share now = share(nowNanos, limit);
+    return name -> permits(now, name);
+  }
+
+  private boolean permits(Share now, String name) {
+    Customer customer = customers.get(name);
+    return customer == null || !customer.floods(now.each) || customer.running < now.cap;
   }
 
   private Customer touch(String name, long nowNanos) {
-    Customer customer = customers.computeIfAbsent(name, n -> new Customer());
+    Customer customer = customers.get(name);
+    if (customer == null) {
+      customer = new Customer();
+      customer.demandAtNanos = nowNanos;
+      customers.put(name, customer);
+    }
     customer.seenAtNanos = nowNanos;
+    customer.advance(nowNanos);
     return customer;
   }
 
   private long lastLoad(String customer) {
-    // Access order is left alone: only arrivals and polls count as activity.
     Customer known = customers.get(customer);
     return known == null ? 0 : known.lastLoad;
   }
@@ -355,24 +397,40 @@
     }
   }
 
+  /** What is known of a customer whose work was queued or ran lately. */
   private static final class Customer {
 
     private int running;
     private long seenAtNanos;
     private long lastLoad;
-  }
+    private int queued;
 
-  private record Share(Map<String, Customer> customers, boolean scarce, int each) {
+    /** Mean number of requests queued or running over the last seconds. */
+    private double demand;
 
-    boolean permits(String customer) {
-      if (!scarce) {
-        return true;
-      }
-      Customer known = customers.get(customer);
-      return known == null || known.running < each;
+    private long demandAtNanos;
+
+    boolean floods(double each) {
+      return demand > FLOOD_FACTOR * each;
+    }
+
+    /** Brings the mean up to date; to be called before the numbers change. */
+    void advance(long nowNanos) {
+      double share = 1 - Math.exp(-(double) (nowNanos - demandAtNanos) / MEAN_TIME.toNanos());
+      demand += (running + queued - demand) * share;
+      demandAtNanos = nowNanos;
     }
   }
 
+  /**
+   * How many requests a customer may run at once.
+   *
+   * @param each equal share of the running bound
+   * @param cap most for a customer whose demand is far above the equal share: the room that the
+   *     others leave when they run more than usual, but at least the equal share
+   */
+  private record Share(long atNanos, int limit, double each, int cap) {}
+
   /** The customers of one priority class, in round-robin order. */
   private static final class ClassQueue<T> {
 
@@ -398,11 +456,12 @@
       }
     }
 
-    Item<T> poll(Share share, Predicate<T> admissible) {
+    Item<T> poll(Predicate<String> permitted, Predicate<T> admissible) {
       long fewestRounds = Long.MAX_VALUE;
+      boolean firstInTurn = !ring.isEmpty() && ring.peekFirst().inTurn;
       for (int i = ring.size(); i > 0; i--) {
         CustomerQueue<T> queue = ring.peekFirst();
-        queue.candidate = share.permits(queue.name) ? queue.head(admissible) : null;
+        queue.candidate = permitted.test(queue.name) ? queue.head(admissible) : null;
         if (queue.candidate != null) {
           if (!queue.inTurn) {
             queue.inTurn = true;
@@ -417,6 +476,10 @@
         ring.addLast(ring.pollFirst());
       }
       if (fewestRounds == Long.MAX_VALUE) {
+        // Nothing can be served, so the turn stays where it was.
+        if (!ring.isEmpty()) {
+          ring.peekFirst().inTurn = firstInTurn;
+        }
         return null;
       }
       // Every candidate costs more than its deficit: the rounds that serve none are added at once.
@@ -425,7 +488,7 @@
           queue.deficit += (fewestRounds - 1) * QUANTUM_TOKENS;
         }
       }
-      return poll(share, admissible);
+      return poll(permitted, admissible);
     }
 
     void ready(String adapter, boolean isReady) {
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptController.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptController.java
@@ -129,12 +129,11 @@
   /** Dispatches what may run now. Under the lock. */
   void pumpLocked(long now) {
     while (core.queue.size() > 0) {
-      int free = core.ramp.free(now);
-      if (free == 0) {
+      if (core.ramp.free(now) == 0) {
         break;
       }
       Optional<FairQueue.Item<Attempt>> next =
-          core.queue.poll(now, free, core.ramp.limit(now), this::admissible);
+          core.queue.poll(now, core.ramp.limit(now), this::admissible);
       if (next.isEmpty()) {
         break;
       }
@@ -149,7 +148,7 @@
         running.dispatch(attempt, now);
       } else {
         core.residency.unpin(attempt.id());
-        core.queue.finished(attempt.request.getCustomer());
+        core.queue.finished(attempt.request.getCustomer(), now);
         running.endRefused(attempt, refusal.orElse(RefusalReason.LOAD_DELAYED), "", now);
       }
     }
@@ -288,7 +287,7 @@
       default -> {
         boolean service = attempt.adapter.isEmpty();
         if (service && now - attempt.endedAtNanos > SERVICE_SETTLE.toNanos()) {
-          running.settled(attempt);
+          running.settled(attempt, now);
         }
       }
     }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
@@ -139,7 +139,7 @@
       boolean reportCounts =
           state.sentAtNanos() - attempt.endedAtNanos > LATE_ARRIVAL.toNanos() && !service;
       if (reportCounts && !stillRuns) {
-        running.settled(attempt);
+        running.settled(attempt, now);
       }
     } else if (attempt.broken) {
       settleBroken(attempt, state, now);
@@ -221,7 +221,7 @@
       if (attempt.atEndpoint) {
         suspects.add(attempt.request.getFingerprint());
         running.failLocked(attempt, "the endpoint restarted", true, now);
-        running.settled(attempt);
+        running.settled(attempt, now);
         EngineClient.Answer answer = attempt.answer;
         core.after(() -> abort(answer));
       }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -300,7 +300,6 @@
         .disableRedirectHandling()
         .disableCookieManagement()
         .disableAuthCaching()
-        .evictExpiredConnections()
         .build();
   }
 }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
@@ -72,7 +72,7 @@
   }
 
   /** Records that the endpoint no longer runs {@code attempt}. Under the lock. */
-  void settled(Attempt attempt) {
+  void settled(Attempt attempt, long now) {
     if (!attempt.atEndpoint) {
       return;
     }
@@ -80,7 +80,7 @@
     attempt.broken = false;
     core.residency.unpin(attempt.id());
     core.ramp.finished();
-    core.queue.finished(attempt.request.getCustomer());
+    core.queue.finished(attempt.request.getCustomer(), now);
     if (attempt.request.isIsolated()) {
       isolated--;
     }
@@ -171,13 +171,13 @@
             attempt.outcome = Outcome.RAN;
             long tokens = totalTokens >= 0 ? totalTokens : attempt.request.getReservedTokens();
             core.end(attempt, now);
-            settled(attempt);
+            settled(attempt, now);
             FrameEnd frame =
                 new FrameEnd(attempt.output.received(), tokens).setReport(core.reportLocked(now));
             metrics.finished();
             core.after(() -> attempt.output.finish(frame));
           } else {
-            settled(attempt);
+            settled(attempt, now);
           }
           core.pump(now);
         });
@@ -193,11 +193,11 @@
           boolean unsent = failure.kind() == EngineException.Kind.NOT_SENT && exchange == 1;
           if (attempt.state == Attempt.State.ENDED) {
             if (unsent) {
-              settled(attempt);
+              settled(attempt, now);
             }
           } else if (unsent) {
             endRefused(attempt, RefusalReason.ENDPOINT_UNREACHABLE, "", now);
-            settled(attempt);
+            settled(attempt, now);
           } else if (failure.kind() == EngineException.Kind.MISMATCHED) {
             recordRejected(attempt, failure);
             abandonLocked(attempt, "the endpoint sent another request's answer", now);
@@ -252,7 +252,7 @@
               if (failure == null && confirmed) {
                 core.locked(
                     now -> {
-                      settled(attempt);
+                      settled(attempt, now);
                       core.pump(now);
                     });
               } else {
--- a/sidecar/src/test/java/org/comfreygap/sidecar/TestGateway.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/TestGateway.java
@@ -155,6 +155,8 @@
     connection.setRequestMethod("POST");
     connection.setDoOutput(true);
     connection.setRequestProperty("Content-Type", "application/octet-stream");
+    // Kept connections would hold up the stop of the sidecar at the end of each test.
+    connection.setRequestProperty("Connection", "close");
     connection.setReadTimeout(PATIENCE_SECONDS * 1_000);
     return connection;
   }
