--- a/bench/src/main/java/org/comfreygap/bench/CallResult.java
+++ b/bench/src/main/java/org/comfreygap/bench/CallResult.java
@@ -35,6 +35,8 @@
     REJECTED,
     /** No answer, a broken connection, or an answer that reports its own failure. */
     BROKEN,
+    /** The caller gave up waiting. */
+    TIMED_OUT,
     /** An answer that ends as if complete although parts are missing. */
     CUT,
     /** An answer to another request, or from another adapter. */
--- a/bench/src/main/java/org/comfreygap/bench/Caller.java
+++ b/bench/src/main/java/org/comfreygap/bench/Caller.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -71,6 +72,8 @@
     try {
       return client.execute(
           request(planned, gateways.get(gateway), key), response -> read(exchange, response));
+    } catch (SocketTimeoutException e) {
+      return exchange.result(Verdict.TIMED_OUT, "");
     } catch (IOException e) {
       return exchange.result(Verdict.BROKEN, e.getClass().getSimpleName());
     }
@@ -125,6 +128,8 @@
       String text = bodyText(response);
       exchange.firstMicros = Clock.micros();
       return exchange.result(check.bodyVerdict(text), "");
+    } catch (SocketTimeoutException e) {
+      return exchange.result(Verdict.TIMED_OUT, "");
     } catch (IOException | org.apache.hc.core5.http.ParseException e) {
       return exchange.result(Verdict.BROKEN, e.toString());
     }
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/Dump.java
@@ -0,0 +1,33 @@
+package org.comfreygap.bench;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * Writes the evidence of a run to the folder of its settings files, for the search for causes.
+ *
+ * <p>Thread safety: stateless.
+ *
+ * @since 0.1
+ */
+final class Dump {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private Dump() {}
+
+  static void write(Path folder, String system, Evidence evidence) throws IOException {
+    StringBuilder lines = new StringBuilder();
+    for (CallResult result : evidence.results()) {
+      lines.append(JSON.writeValueAsString(result)).append('\n');
+    }
+    Files.writeString(folder.resolve("results-" + system + ".jsonl"), lines);
+    lines.setLength(0);
+    for (FleetRecord.Endpoint endpoint : evidence.record().endpoints()) {
+      lines.append(JSON.writeValueAsString(endpoint)).append('\n');
+    }
+    Files.writeString(folder.resolve("record-" + system + ".jsonl"), lines);
+  }
+}
--- a/bench/src/main/java/org/comfreygap/bench/Workload.java
+++ b/bench/src/main/java/org/comfreygap/bench/Workload.java
@@ -24,6 +24,8 @@
   private static final int TEMPORARY_KEY_CUSTOMER = 1;
   private static final double FLOOD_FACTOR = 10;
   private static final int FLOOD_TOKENS = 40;
+  private static final double WARM_UP_FACTOR = 6;
+  private static final int WARM_UP_TOKENS = 4;
 
   private final Profile profile;
   private final Random random;
@@ -50,6 +52,18 @@
     return "c" + (customer + 1) + "-adapter-" + rank;
   }
 
+  /** Plans many short requests with the popularity of the load, to fill the slots. */
+  static List<Planned> warmUp(Profile profile, long seed, long micros) {
+    Workload workload = new Workload(profile, seed, "w");
+    double perSecond = WARM_UP_FACTOR * profile.traffic().requestsPerSecond();
+    workload.arrivals(
+        0,
+        micros,
+        perSecond,
+        at -> workload.shortCompletion(workload.customer(), at, WARM_UP_TOKENS));
+    return workload.sorted();
+  }
+
   /** Plans the base load of {@code micros} with nonces that start with {@code prefix}. */
   static List<Planned> base(Profile profile, long seed, String prefix, long micros) {
     Workload workload = new Workload(profile, seed, prefix);
@@ -129,10 +143,13 @@
   }
 
   private void flood(long at) {
-    int customer = Profile.FLOODING_CUSTOMER;
+    shortCompletion(Profile.FLOODING_CUSTOMER, at, FLOOD_TOKENS);
+  }
+
+  private void shortCompletion(int customer, long at, int tokens) {
+    boolean flood = tokens == FLOOD_TOKENS;
     String model = model(customer);
-    plan.add(
-        new Planned(nonce(), at, customer, model, FLOOD_TOKENS, "normal", true, "", false, true));
+    plan.add(new Planned(nonce(), at, customer, model, tokens, "normal", true, "", false, flood));
   }
 
   private int customer() {
