--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -1,5 +1,6 @@
 package org.comfreygap.runtime;
 
+import com.codahale.metrics.health.HealthCheck;
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.Configuration;
@@ -173,6 +174,8 @@
       factory.setAdminMinThreads(1);
       factory.setRegisterDefaultExceptionMappers(true);
       factory.setDetailedJsonProcessingExceptionMapper(false);
+      // Compression would hold back the parts of a streamed answer.
+      factory.getGzipFilterFactory().setEnabled(false);
       factory.setShutdownGracePeriod(Duration.seconds(30));
       // The timeline records requests; an access log would write a line for each of them.
       LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
@@ -182,6 +185,8 @@
       logging.setLevel(logLevel);
       // Thrift logs each connection that a peer closes as an error.
       logging.setLoggers(Map.of("org.apache.thrift", TextNode.valueOf("OFF")));
+      // Compression buffers, which would delay the events of a stream.
+      factory.getGzipFilterFactory().setEnabled(false);
       Configuration configuration = new Configuration();
       configuration.setServerFactory(factory);
       configuration.setLoggingFactory(logging);
@@ -244,6 +249,7 @@
           .admin()
           .addServlet("timeline", new AdminServlets.TimelineEvents(builder.events.timeline()))
           .addMapping("/timeline");
+      environment.healthChecks().register("ready", new ReadyCheck(builder.ready));
       builder.resources.forEach(step -> step.accept(environment));
     }
 
@@ -252,4 +258,18 @@
       BootstrapLogging.bootstrap(ch.qos.logback.classic.Level.WARN);
     }
   }
+
+  private static final class ReadyCheck extends HealthCheck {
+
+    private final BooleanSupplier ready;
+
+    ReadyCheck(BooleanSupplier ready) {
+      this.ready = ready;
+    }
+
+    @Override
+    protected Result check() {
+      return ready.getAsBoolean() ? Result.healthy() : Result.unhealthy("takes no new work");
+    }
+  }
 }
