--- a/bench/src/test/java/org/comfreygap/bench/ViolationTest.java
+++ b/bench/src/test/java/org/comfreygap/bench/ViolationTest.java
@@ -46,6 +46,14 @@
     }
   }
 
+  @Test
+  void attemptThatTheEndpointRanTwiceIsADoubleRun() {
+    Run run = new Run();
+    run.run("x", "", "shop/a@v1", "engine-1", 2, 10);
+    run.run("x", "", "shop/a@v1", "engine-1", 2, 10);
+    assertThat(Violation.DOUBLE_RUNS.count(run.evidence())).isEqualTo(1);
+  }
+
   private static Map<Violation, Consumer<Run>> violations() {
     Map<Violation, Consumer<Run>> table = new EnumMap<>(Violation.class);
     table.put(Violation.WRONG_ADAPTER, run -> run.serve("x", "shop/other@v1", 2, 1));
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
@@ -96,8 +96,9 @@
     lock.lock();
     try {
       result = action.apply(System.nanoTime());
-      due = effects;
-      effects = due.isEmpty() ? due : new ArrayList<>();
+      // An empty list stays in use under the lock, so it must not be run outside of it.
+      due = effects.isEmpty() ? List.of() : effects;
+      effects = effects.isEmpty() ? effects : new ArrayList<>();
     } finally {
       lock.unlock();
     }
