Fill log segments with zeros before use

Change: a segment is written with zeros and synced when it is begun; the log ends where only zeros follow. A torn tail is overwritten with zeros.

--- a/consensus/src/main/java/org/comfreygap/consensus/Disk.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/Disk.java
@@ -20,8 +20,8 @@
   /** Opens a file for reading from its start. */
   InputStream read(String name) throws IOException;
 
-  /** Opens a file for appending; creates it when it is absent. */
-  DiskFile append(String name) throws IOException;
+  /** Opens a file for writing; creates it when it is absent. */
+  DiskFile write(String name) throws IOException;
 
   /** Renames a file, replacing the target. */
   void rename(String from, String to) throws IOException;
@@ -39,14 +39,14 @@
   @Override
   void close() throws IOException;
 
-  /** A file open for appending. Thread safety: one thread at a time. */
+  /** A file open for writing. Thread safety: one thread at a time. */
   interface DiskFile extends AutoCloseable {
 
     /** Returns the size in bytes. */
     long size() throws IOException;
 
-    /** Appends the remaining bytes; after a failure the size is unknown. */
-    void write(ByteBuffer bytes) throws IOException;
+    /** Writes all remaining bytes at {@code position}; after a failure some may be written. */
+    void write(long position, ByteBuffer bytes) throws IOException;
 
     /** Cuts the file to {@code size} bytes. */
     void truncate(long size) throws IOException;
--- a/consensus/src/main/java/org/comfreygap/consensus/FileDisk.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/FileDisk.java
@@ -69,10 +69,9 @@
   }
 
   @Override
-  public DiskFile append(String name) throws IOException {
+  public DiskFile write(String name) throws IOException {
     FileChannel channel =
         FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-    channel.position(channel.size());
     return new ChannelFile(name, channel);
   }
 
@@ -133,16 +132,16 @@
     }
 
     @Override
-    public void write(ByteBuffer bytes) throws IOException {
+    public void write(long position, ByteBuffer bytes) throws IOException {
+      long next = position;
       while (bytes.hasRemaining()) {
-        channel.write(bytes);
+        next += channel.write(bytes, next);
       }
     }
 
     @Override
     public void truncate(long size) throws IOException {
       channel.truncate(size);
-      channel.position(size);
     }
 
     @Override
--- a/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -14,6 +14,9 @@
 /**
  * The log on disk: segment files of checksummed records, only ever appended to.
  *
+ * <p>A segment is filled with zeros when it is begun, so that a sync of records need not wait for
+ * the file system's journal to record a new file size. The log ends where only zeros follow.
+ *
  * <p>An entry record replaces the entry of the same index and all later ones, so a conflicting
  * suffix is never cut from a file. The newest hard state is repeated at the start of each segment.
  *
@@ -25,10 +28,12 @@
   static final int SEGMENT_BYTES = 8 * 1024 * 1024;
 
   private static final String PREFIX = "log-";
+  private static final int ZERO_BLOCK_BYTES = 1024 * 1024;
 
   private final Disk disk;
   private final Deque<Segment> segments = new ArrayDeque<>();
   private final List<LogRecord> batch = new ArrayList<>();
+  private final int segmentBytes;
   private Disk.DiskFile file;
   private long syncedSize;
   private long writtenSize;
@@ -38,10 +43,10 @@
   private long lastTerm;
   private long syncedIndex;
   private long syncedTerm;
-  private boolean partlyWritten;
 
-  private LogStore(Disk disk) {
+  private LogStore(Disk disk, int segmentBytes) {
     this.disk = disk;
+    this.segmentBytes = segmentBytes;
   }
 
   /** Content of the log on disk. Thread safety: not thread-safe. */
@@ -131,8 +136,8 @@
    *
    * @throws LogCorruptException when synced data is damaged or missing
    */
-  static Opened open(Disk disk) throws IOException {
-    LogStore store = new LogStore(disk);
+  static Opened open(Disk disk, int segmentBytes) throws IOException {
+    LogStore store = new LogStore(disk, segmentBytes);
     Contents contents = new Contents();
     List<String> names = disk.list().stream().filter(name -> name.startsWith(PREFIX)).toList();
     for (int i = 0; i < names.size(); i++) {
@@ -148,8 +153,8 @@
     store.syncedIndex = store.lastIndex;
     store.syncedTerm = store.lastTerm;
     if (!store.segments.isEmpty()) {
-      store.file = disk.append(store.segments.getLast().name);
-      store.syncedSize = store.file.size();
+      store.file = disk.write(store.segments.getLast().name);
+      store.syncedSize = store.segments.getLast().end;
     }
     return new Opened(store, contents);
   }
@@ -188,15 +193,10 @@
     if (file == null) {
       beginSegment();
     }
-    if (partlyWritten) {
-      file.truncate(syncedSize);
-    }
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     batch.forEach(record -> record.write(bytes, syncedSize));
-    partlyWritten = true;
-    file.write(ByteBuffer.wrap(bytes.toByteArray()));
+    file.write(syncedSize, ByteBuffer.wrap(bytes.toByteArray()));
     writtenSize = syncedSize + bytes.size();
-    partlyWritten = false;
   }
 
   /**
@@ -211,13 +211,18 @@
     syncedIndex = lastIndex;
     syncedTerm = lastTerm;
     batch.clear();
-    if (syncedSize >= SEGMENT_BYTES) {
+    if (syncedSize >= segmentBytes) {
       Disk.DiskFile full = file;
       file = null;
       full.close();
     }
   }
 
+  /** Returns the size of the newest segment up to its last synced record, in bytes. */
+  long syncedSize() {
+    return syncedSize;
+  }
+
   /** Deletes segments that hold only entries before {@code index}. */
   void compact(long index) throws IOException {
     boolean deleted = false;
@@ -255,10 +260,11 @@
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     LogRecord.segment(sequence, syncedIndex, syncedTerm).write(head, 0);
     LogRecord.hardState(syncedState).write(head, 0);
-    Disk.DiskFile next = disk.append(name);
+    Disk.DiskFile next = disk.write(name);
     try {
       next.truncate(0);
-      next.write(ByteBuffer.wrap(head.toByteArray()));
+      next.write(0, ByteBuffer.wrap(head.toByteArray()));
+      fillWithZeros(next, head.size(), segmentBytes);
     } catch (IOException e) {
       next.close();
       throw e;
@@ -307,6 +313,7 @@
       disk.syncFolder();
       return;
     }
+    segment.end = offset;
     segments.add(segment);
   }
 
@@ -321,14 +328,35 @@
               + offset
               + ", which had been synced; replace this replica under a new id");
     }
+    if (isZero(bytes, offset)) {
+      return;
+    }
     contents.tornSegment = name;
     contents.tornBytes = bytes.limit() - offset;
-    try (Disk.DiskFile torn = disk.append(name)) {
-      torn.truncate(offset);
+    try (Disk.DiskFile torn = disk.write(name)) {
+      fillWithZeros(torn, offset, bytes.limit());
       torn.sync();
     }
   }
 
+  private static boolean isZero(ByteBuffer bytes, int offset) {
+    for (int i = offset; i < bytes.limit(); i++) {
+      if (bytes.get(i) != 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static void fillWithZeros(Disk.DiskFile file, long from, long to) throws IOException {
+    long position = from;
+    while (position < to) {
+      int length = (int) Math.min(ZERO_BLOCK_BYTES, to - position);
+      file.write(position, ByteBuffer.allocate(length));
+      position += length;
+    }
+  }
+
   /** Returns true when an intact record after {@code offset} proves that it had been synced. */
   private static boolean syncedBeyond(ByteBuffer bytes, int offset) {
     int syncedOffsetAt = LogRecord.HEADER_BYTES + 1;
@@ -346,6 +374,7 @@
     private final long sequence;
     private final String name;
     private long maxIndex;
+    private long end;
 
     Segment(long sequence, String name) {
       this.sequence = sequence;
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -274,7 +274,7 @@
 
   private LogStore.Opened openStore() throws IOException {
     try {
-      LogStore.Opened opened = LogStore.open(disk);
+      LogStore.Opened opened = LogStore.open(disk, options.segmentBytes());
       if (!opened.contents().tornSegment().isEmpty()) {
         events.record(
             ConsensusEvent.TORN_TAIL_CUT,
--- a/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
@@ -87,7 +87,7 @@
   /** Writes and syncs a snapshot and deletes older ones. */
   void write(SnapshotMeta meta, Body body) throws IOException {
     disk.delete(OWN);
-    try (Disk.DiskFile file = disk.append(OWN)) {
+    try (Disk.DiskFile file = disk.write(OWN)) {
       CheckedOutputStream checked =
           new CheckedOutputStream(
               new BufferedOutputStream(new FileOutput(file), BUFFER_BYTES), new CRC32C());
@@ -117,7 +117,7 @@
     if (offset == 0) {
       closeReceiving();
       disk.delete(RECEIVED);
-      receiving = disk.append(RECEIVED);
+      receiving = disk.write(RECEIVED);
       receivingIndex = index;
     }
     if (receivingIndex != index || receiving == null) {
@@ -125,7 +125,7 @@
     }
     long size = receiving.size();
     if (offset == size) {
-      receiving.write(ByteBuffer.wrap(bytes));
+      receiving.write(size, ByteBuffer.wrap(bytes));
     }
     return receiving.size();
   }
@@ -210,6 +210,7 @@
   private static final class FileOutput extends OutputStream {
 
     private final Disk.DiskFile file;
+    private long position;
 
     FileOutput(Disk.DiskFile file) {
       this.file = file;
@@ -222,7 +223,8 @@
 
     @Override
     public void write(byte[] bytes, int offset, int length) throws IOException {
-      file.write(ByteBuffer.wrap(bytes, offset, length));
+      file.write(position, ByteBuffer.wrap(bytes, offset, length));
+      position += length;
     }
   }
 
--- a/consensus/src/test/java/org/comfreygap/consensus/TestCluster.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/TestCluster.java
@@ -232,6 +232,7 @@
                   .events(events)
                   .stateMachine(fresh)
                   .timing(TIMING)
+                  .segmentBytes(16 * 1024)
                   .snapshotEntries(200)
                   .trailingEntries(20)
                   .failureHandler(onFailure)
