--- a/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
@@ -21,7 +21,8 @@
  */
 final class ApplyDuty implements AutoCloseable {
 
-  private static final int RING_SIZE = 1_024;
+  private static final int RING_SIZE = 64;
+  private static final long SNAPSHOT_BYTES = 8 * 1024 * 1024;
   private static final Duration IDLE = Duration.ofMillis(250);
 
   private final RaftOptions options;
@@ -32,6 +33,7 @@
   private final DutyRing<Work> ring;
   private List<ReplicaMember> members;
   private long nextSnapshot;
+  private long bytesSinceSnapshot;
   private volatile long applied;
 
   ApplyDuty(
@@ -106,11 +108,13 @@
       } else if (entry.getKind() == EntryKind.MEMBERSHIP) {
         members = Memberships.decode(entry.getPayload());
       }
+      bytesSinceSnapshot += entry.bufferForPayload().remaining();
       applied = entry.getIndex();
       answer(entry, answer);
     }
     LogEntry last = committed.get(committed.size() - 1);
-    if (last.getIndex() >= nextSnapshot) {
+    if (last.getIndex() >= nextSnapshot || bytesSinceSnapshot >= SNAPSHOT_BYTES) {
+      bytesSinceSnapshot = 0;
       nextSnapshot = last.getIndex() + options.snapshotEntries();
       takeSnapshot(new SnapshotMeta(last.getIndex(), last.getTerm(), members));
     }
--- a/consensus/src/main/java/org/comfreygap/consensus/CoreLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/CoreLog.java
@@ -15,10 +15,13 @@
  */
 final class CoreLog {
 
+  private static final long MAX_TRAILING_BYTES = 2 * 1024 * 1024;
+
   private final List<LogEntry> entries = new ArrayList<>();
   private final TreeMap<Long, List<ReplicaMember>> memberships = new TreeMap<>();
   private long baseIndex;
   private long baseTerm;
+  private long bytes;
   private SnapshotMeta snapshot;
   private boolean entriesDiscarded;
 
@@ -55,6 +58,11 @@
     return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).getTerm();
   }
 
+  /** Returns the size of all payloads held. */
+  long bytes() {
+    return bytes;
+  }
+
   /** Returns the newest index whose entry is no longer held. */
   long baseIndex() {
     return baseIndex;
@@ -112,6 +120,7 @@
 
   void append(LogEntry entry) {
     entries.add(entry);
+    bytes += size(entry);
     if (entry.getKind() == EntryKind.MEMBERSHIP) {
       memberships.put(entry.getIndex(), Memberships.decode(entry.getPayload()));
     }
@@ -119,7 +128,7 @@
 
   /** Removes the entries from {@code index} on. */
   void truncateFrom(long index) {
-    entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+    drop((int) (index - baseIndex - 1), entries.size());
     memberships.tailMap(index, true).clear();
   }
 
@@ -139,13 +148,18 @@
     return entry == null ? List.of() : entry.getValue();
   }
 
-  /** Notes a new snapshot and drops entries more than {@code trailing} before it. */
+  /** Notes a new snapshot and keeps at most {@code trailing} entries before it, within a size. */
   void compact(SnapshotMeta newer, int trailing) {
     snapshot = newer;
-    long newBase = Math.max(baseIndex, newer.index() - trailing);
+    long newBase = newer.index() - 1;
+    long kept = 0;
+    while (newBase > baseIndex && newer.index() - newBase < trailing && kept < MAX_TRAILING_BYTES) {
+      kept += size(get(newBase));
+      newBase--;
+    }
     if (newBase > baseIndex) {
       baseTerm = term(newBase);
-      entries.subList(0, (int) (newBase - baseIndex)).clear();
+      drop(0, (int) (newBase - baseIndex));
       baseIndex = newBase;
     }
     memberships.headMap(newer.index(), true).clear();
@@ -154,11 +168,23 @@
 
   /** Drops all entries and continues after a snapshot from the leader. */
   void install(SnapshotMeta newer) {
-    entries.clear();
+    drop(0, entries.size());
     snapshot = newer;
     baseIndex = newer.index();
     baseTerm = newer.term();
     memberships.clear();
     memberships.put(newer.index(), newer.members());
   }
+
+  private void drop(int from, int to) {
+    List<LogEntry> dropped = entries.subList(from, to);
+    for (LogEntry entry : dropped) {
+      bytes -= size(entry);
+    }
+    dropped.clear();
+  }
+
+  private static int size(LogEntry entry) {
+    return entry.bufferForPayload().remaining();
+  }
 }
--- a/consensus/src/main/java/org/comfreygap/consensus/Durability.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/Durability.java
@@ -16,6 +16,10 @@
  */
 final class Durability {
 
+  // Bounds on memory while the disk accepts nothing, for example because it is full.
+  private static final int MAX_HELD_MESSAGES = 1_000;
+  private static final int MAX_UNSYNCED_ENTRIES = 10_000;
+
   private final Deque<Held> held = new ArrayDeque<>();
   private final Deque<PendingAppend> pendingAppends = new ArrayDeque<>();
   private List<LogEntry> unsaved = new ArrayList<>();
@@ -36,6 +40,11 @@
     return durableIndex;
   }
 
+  /** Returns true when so much waits for the disk that no more should be taken. */
+  boolean isOverloaded(long lastIndex) {
+    return held.size() > MAX_HELD_MESSAGES || lastIndex - durableIndex > MAX_UNSYNCED_ENTRIES;
+  }
+
   void changed(HardState state) {
     unsavedState = Optional.of(state);
     stateSequence = nextSequence;
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
@@ -30,6 +30,8 @@
 final class RaftCore {
 
   private static final long MAX_UNCOMMITTED_ENTRIES = 10_000;
+  // Reached only when snapshots fail or fall behind; commands are refused before memory runs out.
+  private static final long MAX_LOG_BYTES = 64 * 1024 * 1024;
 
   private final String self;
   private final RaftTiming timing;
@@ -81,7 +83,7 @@
     // A voter that has just started may have acknowledged a lease before: it waits the lease out.
     this.lastContact = now;
     resetElectionDeadline(now);
-    if (!established || isOnlyVoter()) {
+    if (!established || (isVoter() && Memberships.quorum(log.members()) == 1)) {
       electionDeadline = now;
     }
   }
@@ -133,6 +135,7 @@
   OptionalLong propose(long now, byte[] command) {
     if (role != Role.LEADER
         || leadership.transferring()
+        || log.bytes() >= MAX_LOG_BYTES
         || log.lastIndex() - commitIndex >= MAX_UNCOMMITTED_ENTRIES) {
       return OptionalLong.empty();
     }
@@ -208,6 +211,9 @@
       return;
     }
     followLeader(now, request.getTerm(), request.getLeader());
+    if (request.getEntriesSize() > 0 && durability.isOverloaded(log.lastIndex())) {
+      return;
+    }
     long previous = request.getPreviousIndex();
     long last = previous + request.getEntriesSize();
     if (previous > log.baseIndex() && !log.contains(previous, request.getPreviousTerm())) {
@@ -329,8 +335,6 @@
     durability.releaseMessages();
   }
 
-  // Used by Leadership.
-
   String self() {
     return self;
   }
@@ -370,10 +374,6 @@
     return Memberships.isVoter(log.members(), self);
   }
 
-  private boolean isOnlyVoter() {
-    return isVoter() && Memberships.quorum(log.members()) == 1;
-  }
-
   private void resetElectionDeadline(long now) {
     long min = timing.electionMin().toNanos();
     long max = timing.electionMax().toNanos();
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -47,6 +47,8 @@
   private static final Duration TICK = Duration.ofMillis(15);
   // More batches at the disk would not be written sooner; what waits joins the next batch.
   private static final long MAX_BATCHES_AT_DISK = 2;
+  private static final int MAX_COMMAND_BYTES = 4 * 1024 * 1024;
+  private static final long MAX_UNAPPLIED_ENTRIES = 10_000;
   private static final int MAX_APPLY_ENTRIES = 1_024;
   private static final int MAX_APPLY_BYTES = 4 * 1024 * 1024;
   private static final Duration HAND_OVER_BOUND = Duration.ofMillis(1_500);
@@ -139,6 +141,14 @@
 
   @Override
   public CompletableFuture<Applied> propose(byte[] command) {
+    if (command.length > MAX_COMMAND_BYTES) {
+      return CompletableFuture.failedFuture(
+          new IllegalArgumentException(
+              "given a command of "
+                  + command.length
+                  + " bytes, expected at most "
+                  + MAX_COMMAND_BYTES));
+    }
     return ask((raft, now, future) -> onPropose(raft, now, command, future));
   }
 
@@ -298,7 +308,8 @@
 
   private void onPropose(
       RaftCore raft, long now, byte[] command, CompletableFuture<Applied> future) {
-    OptionalLong index = raft.propose(now, command);
+    boolean applyIsBehind = raft.commitIndex() - handedIndex > MAX_UNAPPLIED_ENTRIES;
+    OptionalLong index = applyIsBehind ? OptionalLong.empty() : raft.propose(now, command);
     if (index.isPresent()) {
       apply.expect(index.getAsLong(), new ApplyDuty.Proposal(raft.term(), future));
     } else {
--- a/consensus/src/main/java/org/comfreygap/consensus/ReplicatedLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ReplicatedLog.java
@@ -48,8 +48,8 @@
    * Proposes a command.
    *
    * @return a future that fails with {@link NotLeaderException} when this replica is not the leader
-   *     and the command was certainly not appended, and with {@link OutcomeUnknownException} when
-   *     leadership was lost before the outcome was known
+   *     or takes no more commands now, and the command was certainly not appended, and with {@link
+   *     OutcomeUnknownException} when leadership was lost before the outcome was known
    */
   CompletableFuture<Applied> propose(byte[] command);
 
