--- a/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
@@ -82,11 +82,17 @@
     return ring.tryPublish(() -> load(meta));
   }
 
-  /** Fails the proposers of entries after {@code commitIndex}, whose outcome is unknown here. */
-  void leadershipLost(long commitIndex) {
+  /**
+   * Fails the proposers of entries after {@code commitIndex}, whose outcome is unknown here.
+   *
+   * @param leadingTerm term that this replica leads, whose proposers go on waiting, or 0
+   */
+  void leadershipLost(long commitIndex, long leadingTerm) {
     for (Map.Entry<Long, Proposal> entry : proposals.entrySet()) {
-      if (entry.getKey() > commitIndex && proposals.remove(entry.getKey(), entry.getValue())) {
-        fail(entry.getValue());
+      Proposal proposal = entry.getValue();
+      boolean lost = entry.getKey() > commitIndex && proposal.term() != leadingTerm;
+      if (lost && proposals.remove(entry.getKey(), proposal)) {
+        fail(proposal);
       }
     }
   }
@@ -94,7 +100,7 @@
   @Override
   public void close() {
     ring.close();
-    leadershipLost(0);
+    leadershipLost(0, 0);
   }
 
   private void apply(List<LogEntry> committed) throws IOException {
@@ -154,7 +160,7 @@
     applied = loaded.index();
     nextSnapshot = applied + options.snapshotEntries();
     events.record(ConsensusEvent.SNAPSHOT_INSTALLED, Field.of("index", applied));
-    leadershipLost(0);
+    leadershipLost(0, 0);
   }
 
   private static void fail(Proposal proposal) {
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -83,6 +83,14 @@
     SnapshotMeta snapshot = snapshots.open();
     LogStore.Opened opened = openStore();
     LogStore.Contents contents = opened.contents();
+    if (contents.baseIndex() > snapshot.index()) {
+      throw new LogCorruptException(
+          "given a log that begins after entry "
+              + contents.baseIndex()
+              + " and a snapshot up to entry "
+              + snapshot.index()
+              + ", expected no gap; replace this replica under a new id");
+    }
     CoreLog log =
         new CoreLog(snapshot, contents.baseIndex(), contents.baseTerm(), contents.entries());
     if (log.entriesDiscarded()) {
@@ -156,7 +164,8 @@
   public Optional<LeaderLease> lease(long nowNanos) {
     View current = view;
     boolean valid =
-        current.leaseEnd.isPresent()
+        !ring.stopped()
+            && current.leaseEnd.isPresent()
             && nowNanos - current.leaseEnd.getAsLong() < 0
             && apply.applied() >= current.termStartIndex;
     return valid
@@ -252,7 +261,6 @@
       events.record(ConsensusEvent.REPLICA_CLOSED, Field.of("error", e.getMessage()));
     }
     ring.close();
-    view = view.withoutLease();
     lanes.values().forEach(PeerLanes::close);
     if (clean) {
       storage.close();
@@ -277,7 +285,6 @@
             : ConsensusEvent.REPLICA_FAILED;
     events.record(event, Field.of("error", failure));
     ring.stop();
-    view = view.withoutLease();
     failWaiting();
     options.failureHandler().accept(failure);
   }
@@ -402,9 +409,8 @@
     View before = view;
     View after = View.of(core, now);
     view = after;
-    boolean led = before.role == Role.LEADER;
-    if (led && (after.role != Role.LEADER || after.term != before.term)) {
-      apply.leadershipLost(core.commitIndex());
+    if (after.role != Role.LEADER || after.term != before.term) {
+      apply.leadershipLost(core.commitIndex(), after.role == Role.LEADER ? after.term : 0);
     }
     if (before.role != after.role
         || before.term != after.term
@@ -473,10 +479,6 @@
           core.leaseEnd(now),
           core.termStartIndex());
     }
-
-    View withoutLease() {
-      return new View(role, term, leader, members, OptionalLong.empty(), termStartIndex);
-    }
   }
 
   private final class Deciding implements DutyRing.Handler<PeerLanes.CoreTask> {
--- a/consensus/src/test/java/org/comfreygap/consensus/ClusterTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/ClusterTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.consensus.ReplicatedLog.Role;
 import org.comfreygap.runtime.Timeline;
@@ -110,6 +112,24 @@
     }
   }
 
+  @Test
+  void failedSyncEndsTheReplicaAndIsNotRepeated() throws Exception {
+    try (TestCluster cluster = new TestCluster(3, SEED)) {
+      TestCluster.Replica leader = cluster.awaitLeader();
+      leader.disk.syncFails(true);
+      CompletableFuture<ReplicatedLog.Applied> future = leader.log.propose(bytes("x"));
+      cluster.await("the failure handler", () -> leader.failed);
+      leader.disk.syncFails(false);
+      cluster.await("the proposer's answer", future::isDone);
+      assertThat(leader.hasLease()).isFalse();
+      assertThat(recorded(cluster, ConsensusEvent.SYNC_FAILED)).isTrue();
+      assertThat(leader.log.propose(bytes("y")))
+          .failsWithin(Duration.ofSeconds(30))
+          .withThrowableThat()
+          .withCauseInstanceOf(NotLeaderException.class);
+    }
+  }
+
   @Test
   void electionEndsWellInsideTheSettingsLease() throws Exception {
     try (TestCluster cluster = new TestCluster(3, SEED)) {
--- a/consensus/src/test/java/org/comfreygap/consensus/ConsensusBenchmark.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/ConsensusBenchmark.java
@@ -1,8 +1,11 @@
 package org.comfreygap.consensus;
 
+import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.lang.management.ManagementFactory;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -111,9 +114,16 @@
     }
   }
 
-  private RaftLog open(int number) throws IOException {
+  private RaftLog open(int number) throws Exception {
     ReplicaMember self = own.get(number);
-    return open(self.getReplicaId(), self.getAddress(), members, 20_000);
+    while (true) {
+      try {
+        return open(self.getReplicaId(), self.getAddress(), members, 20_000);
+      } catch (BindException e) {
+        // An outgoing connection holds the port for the moment.
+        Thread.sleep(1);
+      }
+    }
   }
 
   private RaftLog open(String id, String address, List<ReplicaMember> initial, int snapshot)
@@ -173,10 +183,13 @@
 
   private void measureIdle() throws Exception {
     Thread.sleep(500);
+    OperatingSystemMXBean system = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+    long cpuBefore = system.getProcessCpuTime();
     long before = bytes.get();
     Thread.sleep(IDLE.toMillis());
-    long rate = (bytes.get() - before) / IDLE.toSeconds();
-    print("idle_bytes_per_second_all_replicas", rate);
+    print("idle_bytes_per_second_all_replicas", (bytes.get() - before) / IDLE.toSeconds());
+    double cpu = 100.0 * (system.getProcessCpuTime() - cpuBefore) / IDLE.toNanos();
+    print("idle_cpu_percent_of_a_core_all_replicas", cpu);
   }
 
   private void measureLeaderChanges() throws Exception {
@@ -207,7 +220,7 @@
   }
 
   private void measureRestart(String name, int snapshotEntries) throws Exception {
-    String address = "127.0.0.1:" + freePort();
+    String address = "127.0.0.1:0";
     List<ReplicaMember> alone = List.of(new ReplicaMember(name, address, true));
     logs.clear();
     logs.add(open(name, address, alone, snapshotEntries));
--- a/consensus/src/test/java/org/comfreygap/consensus/LogStoreTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/LogStoreTest.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -166,6 +167,23 @@
     }
   }
 
+  @Test
+  void missingSnapshotStopsTheReplica() throws Exception {
+    try (TestCluster cluster = new TestCluster(1, 1)) {
+      TestCluster.Replica replica = cluster.awaitLeader();
+      for (int i = 0; i < 1_000; i++) {
+        replica.log.propose(new byte[100]).get(30, TimeUnit.SECONDS);
+      }
+      replica.kill();
+      for (String name : replica.disk.list()) {
+        if (name.startsWith("snapshot")) {
+          replica.disk.delete(name);
+        }
+      }
+      assertThatThrownBy(replica::start).isInstanceOf(LogCorruptException.class);
+    }
+  }
+
   @Test
   void repeatedAndReorderedChunksGiveTheSameSnapshot() throws Exception {
     MemoryDisk source = new MemoryDisk();
