--- a/control/src/test/java/org/comfreygap/control/ControlFixture.java
+++ b/control/src/test/java/org/comfreygap/control/ControlFixture.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -10,6 +11,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.comfreygap.consensus.ReplicatedLog;
 import org.comfreygap.protocol.generated.ProcessIdentity;
 import org.comfreygap.protocol.generated.ProcessKind;
@@ -29,6 +31,11 @@
   static final PeerSecurity SECURITY =
       PeerSecurity.of(SharedKey.of("0123456789abcdef".getBytes(StandardCharsets.UTF_8)));
 
+  private static final int FIRST_PORT = 12_000;
+  private static final int PORTS = 18_000;
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() % 300) * 60);
+
   final ControlSettings settings;
   final ControlState state;
   final ControlServer server;
@@ -140,10 +147,19 @@
     return ControlSettings.parse(yaml);
   }
 
+  /**
+   * Returns an address that is free now. Ports are taken from below the range from which the kernel
+   * serves outgoing connections; one from that range can be lost before the server binds it.
+   */
   static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket()) {
-      socket.bind(new InetSocketAddress("127.0.0.1", 0));
-      return "127.0.0.1:" + socket.getLocalPort();
+    while (true) {
+      int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress("127.0.0.1", port));
+        return "127.0.0.1:" + port;
+      } catch (BindException ignored) {
+        // Another process has it: the next one is tried.
+      }
     }
   }
 }
