Share credit in smaller parts and shorter turns

A waiting gateway kept up to a quarter of a second's tokens from the others until its own part was complete, so requests within rate were refused.

--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
@@ -19,10 +19,12 @@
   private static final long MICROS = 1_000_000L;
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final long WAITER_VALID_NANOS = NANOS_PER_SECOND;
-  // Below a quarter of a second's tokens a part of what is wanted rarely covers a request.
-  private static final int SMALLEST_PART_OF_RATE = 4;
-  // Turns are short, so that a gateway does not wait for another's whole burst.
-  private static final int TURNS = 4;
+  // Parts below 10 ms of the rate are not worth an exchange; larger ones kept back a quarter of a
+  // second's tokens from everybody while the first gateway waited for them.
+  private static final int SMALLEST_PART_OF_RATE = 100;
+  // In one round of all waiting gateways a quarter of a second's tokens are shared out, so that
+  // requests which wait at most a second are reached in time.
+  private static final int ROUND_PART_OF_RATE = 4;
   private static final int STEP_PART_OF_BURST = 10;
 
   private final Map<TokenBudget.Holder, Holding> holdings = new HashMap<>();
@@ -223,14 +225,15 @@
     for (Map.Entry<TokenBudget.Holder, Holding> other : holdings.entrySet()) {
       waiters += other.getValue() != own && other.getValue().waiting(now) ? 1 : 0;
     }
-    long share = Math.max(1, Math.min(burst, Math.max(2 * rate, burst / TURNS)) / waiters);
+    long share = Math.max(1, Math.min(burst, rate / ROUND_PART_OF_RATE) / waiters);
     long reserved = 0;
     for (Map.Entry<TokenBudget.Holder, Holding> entry : holdings.entrySet()) {
       Holding other = entry.getValue();
       if (other != own
           && other.waiting(now)
           && other.before(own, entry.getKey().compareTo(holder))) {
-        reserved += Math.min(other.wanted, share);
+        boolean moreUrgent = other.priority.before(own.priority);
+        reserved += Math.min(other.wanted, moreUrgent ? burst : share);
       }
     }
     return new Contention(share, reserved);
