--- a/control/src/test/java/org/comfreygap/control/AdministrationApiTest.java
+++ b/control/src/test/java/org/comfreygap/control/AdministrationApiTest.java
@@ -137,6 +137,9 @@
         "PUT | /settings/teams/blue/nothing/c | {} | 422",
         "PUT | /settings/teams/blue/customers/c/limits | {\"tokensPerSecond\": -1} | 422",
         "PUT | /settings/teams/b%20d | {} | 400",
+        "PUT | /settings/platform/endpoints/e | {\"zone\": \"z\", \"kind\": \"engine\", "
+            + "\"sidecar\": \"127.0.0.1:1\", \"maxBatch\": 1, \"coldStart\": "
+            + "{\"initialConcurrency\": 1, \"rampSeconds\": 1}} | 422",
         "POST | /rollback | {} | 400",
         "POST | /rollback | {\"toRevision\": 99999} | 410",
         "POST | /transactions | {\"changes\": []} | 422",
--- /dev/null
+++ b/control/src/test/java/org/comfreygap/control/InstanceTest.java
@@ -0,0 +1,127 @@
+package org.comfreygap.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Predicate;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.protocol.generated.HeartbeatReply;
+import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.protocol.generated.WatchReply;
+import org.comfreygap.protocol.generated.WatchRequest;
+import org.comfreygap.runtime.SettingsInvalid;
+import org.junit.jupiter.api.Test;
+
+/** One instance with its servers, as operators, the platform and other processes meet it. */
+class InstanceTest {
+
+  private static final long LIMIT_NANOS = 60_000_000_000L;
+
+  /** Guards against a planned stop after which nobody leads until an election (I13). */
+  @Test
+  void aPlannedStopHandsTheLeadershipOver() throws Exception {
+    MemoryCluster cluster = new MemoryCluster();
+    ControlState state = new ControlState();
+    MemoryCluster.Replica first = cluster.add("c1", state);
+    MemoryCluster.Replica second = cluster.add("c2", new ControlState());
+    cluster.lead(first);
+    ControlFixture control = new ControlFixture("c1", state, first, "");
+    assertThat(control.put("/teams/a", "{}").status()).isEqualTo(200);
+    control.close();
+    assertThat(second.role()).isEqualTo(ReplicatedLog.Role.LEADER);
+  }
+
+  /** Guards against an instance that answers operators without a leader lease. */
+  @Test
+  void withoutALeaderOperatorsAreToldToRetry() throws Exception {
+    MemoryCluster cluster = new MemoryCluster();
+    ControlState state = new ControlState();
+    try (ControlFixture control = new ControlFixture("c1", state, cluster.add("c1", state), "")) {
+      for (String path : new String[] {"/settings/teams/a", "/status", "/members", "/history"}) {
+        ControlFixture.Answer answer = control.call("GET", path, null);
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.raw().headers().firstValue("Retry-After")).isPresent();
+      }
+    }
+  }
+
+  /** Guards against a withdrawn key that a heartbeat or a watch still reports as valid (I5). */
+  @Test
+  void anAcceptedWithdrawalIsInTheNextHeartbeatAndWatch() throws Exception {
+    try (ControlFixture control = ControlFixture.leader()) {
+      control.put("/teams/a/customers/c", "{}");
+      control.call("POST", "/keys", "{\"customer\": \"a/c\", \"keyId\": \"k\"}");
+      JsonNode withdrawn = control.call("DELETE", "/keys/a/c/k", null).json();
+      long revision = withdrawn.path("revision").asLong();
+      ProcessIdentity gateway = ControlFixture.process("g", ProcessKind.GATEWAY, "s");
+      HeartbeatReply heartbeat =
+          control.handler().heartbeat(new HeartbeatRequest(gateway, 0, false, 0));
+      assertThat(heartbeat.getCommittedRevision()).isGreaterThanOrEqualTo(revision);
+      WatchReply watch = control.handler().watch(new WatchRequest("g", revision - 1, 0));
+      assertThat(watch.getChanges()).hasSize(1);
+      assertThat(watch.getChanges().get(0).getDocument()).contains("withdrawn");
+    }
+  }
+
+  /** Guards against a leaving instance that keeps its state because the list is not read (I12). */
+  @Test
+  void thePlatformsListIsPolled() throws Exception {
+    HttpServer platform = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    String list = "{\"instances\": [{\"address\": \"127.0.0.1:9\", \"state\": \"leaving\"}]}";
+    platform.createContext(
+        "/list",
+        exchange -> {
+          byte[] body = list.getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(200, body.length);
+          exchange.getResponseBody().write(body);
+          exchange.close();
+        });
+    platform.start();
+    String url = "http://127.0.0.1:" + platform.getAddress().getPort() + "/list";
+    try (ControlFixture control =
+        ControlFixture.leader("platformList: {url: \"" + url + "\", pollMillis: 100}")) {
+      ProcessIdentity gateway = ControlFixture.process("g", ProcessKind.GATEWAY, "s");
+      control.handler().heartbeat(new HeartbeatRequest(gateway, 0, false, 0));
+      await(control, p -> p.path("state").asText().equals("leaving"));
+    } finally {
+      platform.stop(0);
+    }
+  }
+
+  /** Guards against the instance itself missing in the status, so that nobody knows its address. */
+  @Test
+  void theInstanceAppearsAsAProcess() throws Exception {
+    try (ControlFixture control = ControlFixture.leader()) {
+      await(control, p -> p.path("kind").asText().equals("control"));
+    }
+  }
+
+  /** Guards against a settings file of which only the first fault is named. */
+  @Test
+  void everyFaultOfTheSettingsFileIsNamed() {
+    try {
+      ControlSettings.parse("processId: \"a b\"\nzone: z\noperators: [{name: x}]\n");
+      throw new AssertionError("the file was accepted");
+    } catch (SettingsInvalid e) {
+      assertThat(e.faults().size()).isGreaterThanOrEqualTo(10);
+    }
+  }
+
+  private static void await(ControlFixture control, Predicate<JsonNode> wanted) throws Exception {
+    long end = System.nanoTime() + LIMIT_NANOS;
+    while (end - System.nanoTime() > 0) {
+      for (JsonNode process : control.call("GET", "/status", null).json().path("processes")) {
+        if (wanted.test(process)) {
+          return;
+        }
+      }
+      Thread.sleep(50);
+    }
+    throw new AssertionError("the status never showed the process as wanted");
+  }
+}
