--- a/sidecar/src/main/java/org/comfreygap/sidecar/Attempt.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Attempt.java
@@ -38,6 +38,10 @@
   EngineClient.Answer answer;
   boolean waitedForLoad;
   long dispatchedAtNanos;
+
+  /** Start of the present exchange. */
+  long exchangeAtNanos;
+
   long endedAtNanos;
 
   Attempt(
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
@@ -145,7 +145,7 @@
       settleBroken(attempt, state, now);
     } else if (!service && silent(attempt, stillRuns, now)) {
       EngineClient.Answer answer = attempt.answer;
-      running.resumeLocked(attempt);
+      running.resumeLocked(attempt, now);
       core.after(() -> abort(answer));
     }
   }
@@ -157,7 +157,7 @@
     boolean resumable =
         !attempt.adapter.isEmpty() && attempt.answer != null && attempt.exchange < MAX_EXCHANGES;
     if (resumable) {
-      running.resumeLocked(attempt);
+      running.resumeLocked(attempt, now);
     } else {
       attempt.broken = false;
       running.failLocked(attempt, "the connection to the endpoint broke", false, now);
@@ -173,7 +173,8 @@
     if (attempt.answer == null || attempt.exchange >= MAX_EXCHANGES - 1) {
       return false;
     }
-    long idle = now - attempt.output.lastReceivedAtNanos(attempt.dispatchedAtNanos);
+    long received = attempt.output.lastReceivedAtNanos(attempt.exchangeAtNanos);
+    long idle = Math.min(now - received, now - attempt.exchangeAtNanos);
     boolean lostEnd = !stillRuns && idle > LATE_ARRIVAL.toNanos() && !attempt.output.full();
     boolean lostStream =
         stillRuns
--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -64,13 +64,14 @@
   private static final int MAX_CONNECTIONS = 16_384;
 
   private final URI base;
+  private final PoolingAsyncClientConnectionManager connections = connections();
   private final CloseableHttpAsyncClient client;
   private volatile EndpointKind kind = EndpointKind.ENGINE;
 
   /** Creates the client of the endpoint at {@code base}, an engine until told otherwise. */
   public HttpEngineClient(URI base) {
     this.base = base;
-    this.client = client();
+    this.client = client(connections);
     client.start();
   }
 
@@ -128,6 +129,8 @@
   @Override
   public Answer resume(Answer broken, long offset, AnswerListener listener) {
     AnswerConsumer earlier = (AnswerConsumer) broken;
+    // Connections that were idle beside a broken one are probably as dead as it is.
+    connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
     String id = earlier.attemptId();
     SimpleHttpRequest request =
         SimpleRequestBuilder.get(uri("/engine/requests/" + encode(id) + "?offset=" + offset))
@@ -198,6 +201,7 @@
 
           @Override
           public void failed(Exception failure) {
+            connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
             future.completeExceptionally(translate(failure));
           }
 
@@ -276,22 +280,24 @@
         .build();
   }
 
-  private static CloseableHttpAsyncClient client() {
-    PoolingAsyncClientConnectionManager connectionManager =
-        PoolingAsyncClientConnectionManagerBuilder.create()
-            .setMaxConnTotal(MAX_CONNECTIONS)
-            .setMaxConnPerRoute(MAX_CONNECTIONS)
-            .setDefaultConnectionConfig(
-                ConnectionConfig.custom()
-                    .setConnectTimeout(CONNECT_TIMEOUT)
-                    .setValidateAfterInactivity(TimeValue.ofMilliseconds(100))
-                    .setTimeToLive(TimeValue.ofMinutes(5))
-                    .build())
-            .setDefaultTlsConfig(
-                TlsConfig.custom().setVersionPolicy(HttpVersionPolicy.FORCE_HTTP_1).build())
-            .build();
+  private static PoolingAsyncClientConnectionManager connections() {
+    return PoolingAsyncClientConnectionManagerBuilder.create()
+        .setMaxConnTotal(MAX_CONNECTIONS)
+        .setMaxConnPerRoute(MAX_CONNECTIONS)
+        .setDefaultConnectionConfig(
+            ConnectionConfig.custom()
+                .setConnectTimeout(CONNECT_TIMEOUT)
+                .setValidateAfterInactivity(TimeValue.ofMilliseconds(100))
+                .setTimeToLive(TimeValue.ofMinutes(5))
+                .build())
+        .setDefaultTlsConfig(
+            TlsConfig.custom().setVersionPolicy(HttpVersionPolicy.FORCE_HTTP_1).build())
+        .build();
+  }
+
+  private static CloseableHttpAsyncClient client(PoolingAsyncClientConnectionManager manager) {
     return HttpAsyncClients.custom()
-        .setConnectionManager(connectionManager)
+        .setConnectionManager(manager)
         .setHttp1Config(Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).build())
         .setIOReactorConfig(
             IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
--- a/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
@@ -91,8 +91,9 @@
   }
 
   /** Continues the answer of a broken attempt at the engine. Under the lock. */
-  void resumeLocked(Attempt attempt) {
+  void resumeLocked(Attempt attempt, long now) {
     attempt.broken = false;
+    attempt.exchangeAtNanos = now;
     int exchange = ++attempt.exchange;
     core.after(
         () -> {
@@ -219,6 +220,7 @@
     attempt.atEndpoint = true;
     attempt.bootId = core.ramp.bootId();
     attempt.dispatchedAtNanos = now;
+    attempt.exchangeAtNanos = now;
     if (attempt.request.isIsolated()) {
       isolated++;
     }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Sidecar.java
@@ -138,6 +138,11 @@
     return agent.admits() && lease.valid(System.nanoTime()) && core.reachable();
   }
 
+  /** Returns the number of queued attempts. */
+  int queued() {
+    return core.compute(now -> core.queue.size());
+  }
+
   /** Ends at once, as a crash would, without waiting for attempts. */
   void kill() {
     closer.close();
--- /dev/null
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/EngineFaultTest.java
@@ -0,0 +1,323 @@
+package org.comfreygap.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.protocol.generated.Outcome;
+import org.comfreygap.protocol.generated.RefusalReason;
+import org.comfreygap.testkit.ColdStart;
+import org.comfreygap.testkit.EndpointFault;
+import org.comfreygap.testkit.EndpointRecord;
+import org.comfreygap.testkit.EndpointRecord.EventKind;
+import org.comfreygap.testkit.FakeEndpoint;
+import org.comfreygap.testkit.FakeEngine;
+import org.comfreygap.testkit.FakePlainService;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The sidecar's share of the fault cases in section 9 of the design page. */
+class EngineFaultTest {
+
+  /** Guards against an answer that is truncated, late, crossed or lost and passed on as whole. */
+  @ParameterizedTest
+  @EnumSource(names = {"TRUNCATE", "TRUNCATE_CLEAN", "CROSSED", "LATE", "LOST_RUN_ACK", "SILENCE"})
+  void anAnswerIsPassedOnWholeOrNotAsWhole(EndpointFault fault) throws Exception {
+    for (boolean stream : List.of(true, false)) {
+      try (FakeEngine engine = FakeEngine.builder("engine-1").loadMillis(1).start();
+          SidecarFixture fixture = SidecarFixture.engine(engine, 2, 4)) {
+        assertThat(fixture.gateway.run(TestGateway.attempt("a", 1)).finished()).isTrue();
+        AttemptRequest request = TestGateway.attempt("a", 60).setStream(stream);
+        if (!stream) {
+          request.setBody("{\"prompt\":\"p\",\"max_tokens\":60}".getBytes("UTF-8"));
+        }
+        if (fault != EndpointFault.SILENCE) {
+          engine.fault(fault, 1, 200, "");
+        }
+        TestGateway.Reply reply = fixture.gateway.post(request);
+        if (fault == EndpointFault.SILENCE) {
+          SidecarFixture.await("it runs", () -> engine.record().runs().size() == 2);
+          engine.fault(fault, 1);
+        }
+        reply.await();
+        if (fault == EndpointFault.CROSSED) {
+          assertThat(reply.last.getFailure().getOutcome()).isEqualTo(Outcome.UNKNOWN);
+          assertThat(reply.text()).isEmpty();
+        } else {
+          // The engine keeps the answer, so that a break is mended by resuming it.
+          assertThat(reply.finished()).as("%s %s", fault, reply.last).isTrue();
+          assertThat(reply.text()).contains("60/60");
+        }
+        assertThat(engine.record().runs()).hasSize(2);
+      }
+    }
+  }
+
+  /** Guards against a cut answer of a plain service passed on as whole, or run again. */
+  @ParameterizedTest
+  @EnumSource(names = {"TRUNCATE", "TRUNCATE_CLEAN", "LOST_RUN_ACK"})
+  void aCutServiceAnswerIsUnknown(EndpointFault fault) throws Exception {
+    try (FakePlainService service = FakePlainService.builder("service-1").start();
+        SidecarFixture fixture = SidecarFixture.service(service, 4, "4,\"rampSeconds\":0")) {
+      assertThat(fixture.gateway.run(TestGateway.call("GET", "/x")).finished()).isTrue();
+      service.fault(fault, 1);
+      TestGateway.Reply reply = fixture.gateway.run(TestGateway.call("POST", "/orders?n=1"));
+      assertThat(reply.last.isSetFailure()).as("%s", reply.last).isTrue();
+      assertThat(reply.last.getFailure().getOutcome()).isEqualTo(Outcome.UNKNOWN);
+      assertThat(service.record().runs()).hasSize(2);
+    }
+  }
+
+  /** Guards against a crash that goes unnoticed, and against naming innocent requests. */
+  @Test
+  void aCrashEndsWhatIsInFlightAndNamesTheSuspects() throws Exception {
+    try (FakeEngine engine = FakeEngine.builder("engine-1").loadMillis(1).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 2, 4)) {
+      assertThat(fixture.gateway.run(TestGateway.attempt("b", 1)).finished()).isTrue();
+      String boot = engine.bootId();
+      TestGateway.Reply neighbour = fixture.gateway.post(TestGateway.attempt("b", 5_000));
+      neighbour.awaitData();
+      AttemptRequest request = TestGateway.attempt("b", 5).setFingerprint("fp-crash");
+      request.setBody(("{\"prompt\":\"" + FakeEndpoint.CRASH_MARK + "\"}").getBytes("UTF-8"));
+      for (TestGateway.Reply reply : List.of(fixture.gateway.run(request), neighbour.await())) {
+        assertThat(reply.last.getFailure().getOutcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(reply.last.getFailure().isEndpointCrashed()).isTrue();
+      }
+      SidecarFixture.await("control is told", () -> !fixture.control.crashes.isEmpty());
+      assertThat(fixture.control.crashes).hasSize(1);
+      assertThat(fixture.control.crashes.get(0).getEndedBootId()).isEqualTo(boot);
+      assertThat(fixture.control.crashes.get(0).getFingerprints())
+          .containsExactlyInAnyOrder("fp-b", "fp-crash");
+      SidecarFixture.await("the endpoint is back", fixture.sidecar::ready);
+      assertThat(fixture.gateway.run(TestGateway.attempt("b", 5)).finished()).isTrue();
+    }
+  }
+
+  /** Guards against two crash suspects at once on one endpoint. */
+  @Test
+  void isolatedAttemptsRunOneAtATime() throws Exception {
+    try (FakeEngine engine = FakeEngine.builder("engine-1").loadMillis(1).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 2, 8)) {
+      List<TestGateway.Reply> replies = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        replies.add(fixture.gateway.post(TestGateway.attempt("a", 20).setIsolated(true)));
+      }
+      TestGateway.Reply neighbour = fixture.gateway.run(TestGateway.attempt("a", 5));
+      assertThat(neighbour.finished()).isTrue();
+      for (TestGateway.Reply reply : replies) {
+        assertThat(reply.await().finished()).isTrue();
+      }
+      List<EndpointRecord.Run> runs = engine.record().runs();
+      List<String> isolated = replies.stream().map(r -> r.frames.get(0).getAttemptId()).toList();
+      List<Long> starts =
+          runs.stream()
+              .filter(run -> isolated.contains(run.attempt()))
+              .map(EndpointRecord.Run::startMillis)
+              .toList();
+      assertThat(starts).hasSize(3);
+      for (int i = 1; i < starts.size(); i++) {
+        // A run of 20 steps of at least 5 ms each lasts 100 ms.
+        assertThat(starts.get(i) - starts.get(i - 1)).isGreaterThanOrEqualTo(99);
+      }
+    }
+  }
+
+  /** Guards against residency believed after the engine restarted empty, during a load or not. */
+  @ParameterizedTest
+  @CsvSource({"true,true", "true,false", "false,true", "false,false"})
+  void anEngineThatRestartsEmptyNeverRunsAnotherAdapter(boolean duringLoad, boolean fallback)
+      throws Exception {
+    try (FakeEngine engine = FakeEngine.builder("engine-1").loadMillis(200).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 2, 8)) {
+      assertThat(fixture.gateway.run(TestGateway.attempt("a", 1)).finished()).isTrue();
+      if (fallback) {
+        engine.fault(EndpointFault.BASE_FALLBACK, 1_000);
+      }
+      TestGateway.Reply loading = fixture.gateway.post(TestGateway.attempt("b", 3));
+      if (duringLoad) {
+        SidecarFixture.await("the load begins", () -> fixture.control.granted.size() == 2);
+        Thread.sleep(50);
+      }
+      engine.restart(50);
+      int finished = 0;
+      for (int i = 0; i < 40; i++) {
+        TestGateway.Reply reply = fixture.gateway.run(TestGateway.attempt("a", 1));
+        assertThat(reply.text()).doesNotContain("base ");
+        finished += reply.finished() ? 1 : 0;
+        Thread.sleep(10);
+      }
+      assertThat(loading.await().text()).doesNotContain("base ");
+      TestGateway.Reply last = fixture.gateway.run(TestGateway.attempt("a", 1));
+      assertThat(last.finished()).as("after %d: %s", finished, last.last).isTrue();
+      SidecarFixture.await("the permits are back", () -> fixture.control.openPermits.isEmpty());
+    }
+  }
+
+  /** Guards against a stuck loader, a kept permit and a wrong outcome when a load fails. */
+  @ParameterizedTest
+  @CsvSource({"FAIL_LOADS,false", "LOST_LOAD_ACK,true"})
+  void aLoadThatFailsIsSentBackAndOneWithoutAnswerIsLookedUp(EndpointFault fault, boolean finishes)
+      throws Exception {
+    try (FakeEngine engine = FakeEngine.builder("engine-1").loadMillis(20).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 1, 4)) {
+      engine.fault(fault, 1);
+      TestGateway.Reply reply = fixture.gateway.run(TestGateway.attempt("a", 2));
+      if (finishes) {
+        assertThat(reply.finished() || reply.refusal() == RefusalReason.LOAD_FAILED).isTrue();
+      } else {
+        assertThat(reply.refusal()).isEqualTo(RefusalReason.LOAD_FAILED);
+        assertThat(reply.last.getRefusal().getOutcome()).isEqualTo(Outcome.NOT_RUN);
+      }
+      SidecarFixture.await("the permits are back", () -> fixture.control.openPermits.isEmpty());
+      assertThat(fixture.gateway.run(TestGateway.attempt("a", 2)).finished()).isTrue();
+      assertThat(fixture.gateway.run(TestGateway.attempt("b", 2)).finished()).isTrue();
+    }
+  }
+
+  /** Guards against eviction in use while more adapters are wanted than there are slots. */
+  @Test
+  void manyAdaptersInFewSlotsNeverEvictOneInUse() throws Exception {
+    try (FakeEngine engine = FakeEngine.builder("engine-1").slots(2).loadMillis(5).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 2, 8)) {
+      List<TestGateway.Reply> replies = new ArrayList<>();
+      for (int i = 0; i < 80; i++) {
+        replies.add(fixture.gateway.post(TestGateway.attempt("" + (char) ('a' + i % 8), 5)));
+      }
+      for (TestGateway.Reply reply : replies) {
+        assertThat(reply.await().finished()).as("%s", reply.last).isTrue();
+      }
+      assertThat(engine.record().events(EventKind.EVICTED_IN_USE)).isEmpty();
+      assertThat(engine.record().events(EventKind.NOT_RESIDENT)).isEmpty();
+      assertThat(engine.record().runs())
+          .allMatch(run -> run.named().equals(run.adapter()), "ran on the adapter it names");
+    }
+  }
+
+  /** Guards against eviction of what an earlier sidecar process left running. */
+  @Test
+  void aRestartedSidecarTreatsResidentAdaptersAsInUse() throws Exception {
+    try (FakeEngine engine = FakeEngine.builder("engine-1").slots(1).loadMillis(5).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 1, 4)) {
+      TestGateway.Reply left = fixture.gateway.post(TestGateway.attempt("a", 600));
+      left.awaitData();
+      fixture.control.leaseMillisAtControl = 100;
+      SidecarFixture.await("control has shortened the lease", fixture.control::shortened);
+      fixture.sidecar.kill();
+      fixture.start();
+      TestGateway.Reply reply = fixture.gateway.run(TestGateway.attempt("b", 2));
+      assertThat(reply.finished()).as("%s", reply.last).isTrue();
+      assertThat(engine.record().events(EventKind.EVICTED_IN_USE)).isEmpty();
+      assertThat(engine.record().runs().get(0).state()).isEqualTo("finished");
+    }
+  }
+
+  /**
+   * Guards against two sidecars that command one engine which ignores fencing numbers: the old one
+   * stops itself at lease expiry, the new one waits that out.
+   */
+  @Test
+  void onlyOneOfTwoSidecarsUsesTheEndpoint() throws Exception {
+    try (FakeEngine engine =
+            FakeEngine.builder("engine-1").slots(1).loadMillis(5).checksFencing(false).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 1, 4)) {
+      fixture.control.leaseMillis = 1_500;
+      fixture.control.leaseMillisAtControl = 2_000;
+      TestGateway old = fixture.gateway;
+      Sidecar first = fixture.sidecar;
+      try (TestGateway oldGateway = old) {
+        TestGateway.Reply running = oldGateway.post(TestGateway.attempt("a", 900));
+        running.awaitData();
+        fixture.startUnready();
+        assertThat(fixture.gateway.run(TestGateway.attempt("b", 2)).refusal())
+            .isIn(RefusalReason.NO_LEASE, RefusalReason.STALE_SETTINGS);
+        fixture.control.cutOffProcess = "sidecar-1";
+        SidecarFixture.await("the second serves", fixture.sidecar::ready);
+        assertThat(oldGateway.run(TestGateway.attempt("c", 2)).refusal())
+            .as("the first after its lease")
+            .isIn(RefusalReason.NO_LEASE, RefusalReason.STALE_SETTINGS);
+        assertThat(fixture.gateway.run(TestGateway.attempt("b", 2)).finished()).isTrue();
+        assertThat(running.await().finished()).as("%s", running.last).isTrue();
+        assertThat(engine.record().events(EventKind.EVICTED_IN_USE)).isEmpty();
+        assertThat(engine.record().events(EventKind.STALE_FENCING)).isEmpty();
+      } finally {
+        first.kill();
+      }
+    }
+  }
+
+  /** Guards against full load on an endpoint that turned cold without warning. */
+  @Test
+  void anEngineThatTurnsColdUnderAFullQueueIsNotOverloaded() throws Exception {
+    try (FakeEngine engine =
+            FakeEngine.builder("engine-1")
+                .maxBatch(16)
+                .loadMillis(5)
+                .coldStart(new ColdStart(2, 2_000))
+                .start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 4, 16, "2,\"rampSeconds\":2")) {
+      List<TestGateway.Reply> replies = new ArrayList<>();
+      for (int wave = 0; wave < 3; wave++) {
+        for (int i = 0; i < 60; i++) {
+          replies.add(fixture.gateway.post(TestGateway.attempt("a", 10)));
+        }
+        Thread.sleep(150);
+        engine.restart(100);
+        SidecarFixture.await("the endpoint is back", fixture.sidecar::ready);
+      }
+      for (TestGateway.Reply reply : replies) {
+        reply.await();
+      }
+      assertThat(fixture.gateway.run(TestGateway.attempt("a", 2)).finished()).isTrue();
+      assertThat(engine.record().events(EventKind.COLD_OVERLOAD)).isEmpty();
+      assertThat(engine.record().events(EventKind.OVER_BOUND)).isEmpty();
+    }
+  }
+
+  /** Guards against the retry wave on a plain service that has just started. */
+  @Test
+  void aColdServiceIsRampedUp() throws Exception {
+    try (FakePlainService service =
+            FakePlainService.builder("service-1")
+                .maxConcurrent(16)
+                .serviceMillis(20)
+                .coldStart(new ColdStart(2, 1_500))
+                .warm(false)
+                .start();
+        SidecarFixture fixture = SidecarFixture.service(service, 16, "2,\"rampSeconds\":1.5")) {
+      List<TestGateway.Reply> replies = new ArrayList<>();
+      for (int i = 0; i < 120; i++) {
+        replies.add(fixture.gateway.post(TestGateway.call("GET", "/x")));
+      }
+      for (TestGateway.Reply reply : replies) {
+        assertThat(reply.await().finished()).as("%s", reply.last).isTrue();
+      }
+      assertThat(service.record().events(EventKind.COLD_OVERLOAD)).isEmpty();
+      assertThat(service.record().events(EventKind.OVER_BOUND)).isEmpty();
+    }
+  }
+
+  /** Guards against an engine that still runs what the sidecar gave up, in a pair of faults. */
+  @Test
+  void aFrozenEngineKeepsUnitAndPinOfAnAbandonedAttempt() throws Exception {
+    try (FakeEngine engine =
+            FakeEngine.builder("engine-1").slots(1).maxBatch(2).loadMillis(5).start();
+        SidecarFixture fixture = SidecarFixture.engine(engine, 1, 2)) {
+      TestGateway.Reply running =
+          fixture.gateway.post(TestGateway.attempt("a", 400).setDeadlineMillis(1_000));
+      running.awaitData();
+      engine.fault(EndpointFault.FREEZE, 1, 2_500, "");
+      assertThat(running.await().last.getFailure().getOutcome()).isEqualTo(Outcome.UNKNOWN);
+      SidecarFixture.await("the endpoint answers", fixture.sidecar::ready);
+      TestGateway.Reply reply = fixture.gateway.run(TestGateway.attempt("b", 2));
+      assertThat(List.of(reply.finished(), reply.refusal() != null)).contains(true);
+      assertThat(engine.record().events(EventKind.EVICTED_IN_USE)).isEmpty();
+      String states =
+          engine.record().runs().stream().map(r -> r.state()).collect(Collectors.joining(","));
+      assertThat(states).startsWith("cancelled");
+    }
+  }
+}
--- a/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
@@ -118,8 +118,9 @@
   @Override
   public void close() throws Exception {
     gateway.close();
-    sidecar.kill();
+    // Closed first, so that no call of the sidecar waits for an answer.
     control.close();
+    sidecar.kill();
     endpoint.close();
   }
 
--- a/sidecar/src/test/java/org/comfreygap/sidecar/StubControl.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/StubControl.java
@@ -39,6 +39,7 @@
   final List<PermitRequest> granted = new CopyOnWriteArrayList<>();
   final Set<String> openPermits = ConcurrentHashMap.newKeySet();
   volatile boolean cutOff;
+  volatile String cutOffProcess = "";
   volatile boolean permits = true;
   volatile long leaseMillis = 6_000;
   volatile long leaseMillisAtControl = 8_000;
@@ -82,6 +83,7 @@
   @Override
   public HeartbeatReply heartbeat(HeartbeatRequest request) throws NotLeader {
     check();
+    checkProcess(request.getIdentity().getProcessId());
     return new HeartbeatReply(revision(), 1, 1, List.of(), false, List.of(address()));
   }
 
@@ -128,6 +130,7 @@
   public synchronized EndpointLeaseReply acquireEndpoint(EndpointLeaseRequest request)
       throws NotLeader {
     check();
+    checkProcess(request.getProcessId());
     long now = System.nanoTime();
     boolean free = holder.isEmpty() || holderEndNanos - now <= 0;
     if (!free && !holder.equals(request.getStartId())) {
@@ -163,6 +166,17 @@
     server.close();
   }
 
+  /** Returns true when the lease at control has run out or will within 100 ms. */
+  synchronized boolean shortened() {
+    return holderEndNanos - System.nanoTime() < 100_000_000L;
+  }
+
+  private void checkProcess(String processId) throws NotLeader {
+    if (processId.equals(cutOffProcess)) {
+      throw new NotLeader();
+    }
+  }
+
   private void check() throws NotLeader {
     if (cutOff) {
       throw new NotLeader();
