Run after-effects once, probe a busy endpoint, reopen drained adapters

A list of after-effects that was empty stayed shared between two holders of the lock, so that a dispatch could be sent twice. A probe was held back as long as one request ran on an endpoint with an initial concurrency of one. An adapter that was drained for another one stayed closed when the other was no longer wanted.

--- a/decisions/src/main/java/org/comfreygap/decisions/AdapterResidency.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/AdapterResidency.java
@@ -222,7 +222,20 @@
     if (draining.isPresent() || restartPins || !stateKnown || residents.size() < slots) {
       return;
     }
-    draining = least(adapter -> true, nowNanos);
+    draining = least(adapter -> !pinned(adapter), nowNanos);
+    if (draining.isEmpty()) {
+      draining = least(adapter -> true, nowNanos);
+    }
+  }
+
+  /** Opens a drained adapter again; to be called when no other adapter wants its slot any more. */
+  public void stopDraining() {
+    draining = Optional.empty();
+  }
+
+  /** Returns true when {@code adapter} takes a slot, also when it may not be dispatched to. */
+  public boolean holds(String adapter) {
+    return residents.containsKey(adapter);
   }
 
   /** Ends the command in progress. */
--- a/decisions/src/main/java/org/comfreygap/decisions/ColdStartRamp.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/ColdStartRamp.java
@@ -32,6 +32,9 @@
    */
   public static final Duration PROOF_LIFETIME = Duration.ofMillis(50);
 
+  // A probe held back for this long shares the unit of running work; without it a silent endpoint
+  // would never be noticed.
+  private static final Duration PROBE_PATIENCE = Duration.ofSeconds(1);
   private static final int REMEMBERED_BOOTS = 16;
 
   private final Deque<String> endedBoots = new ArrayDeque<>();
@@ -188,13 +191,17 @@
   }
 
   /**
-   * Takes the unit for a probe; at most one runs at a time.
+   * Takes the unit for a probe; at most one runs at a time. The bound here is the one that holds if
+   * the boot is still the same: if it is not, the work in flight ended with the earlier boot and
+   * the probe is all that the new one carries.
    *
    * @param required true when work is held up that only a reply can settle; the probe then shares
    *     the unit of that work
    */
   public boolean tryProbe(long nowNanos, boolean required) {
-    if (probing || (!required && running + foreign >= limit(nowNanos) && running > 0)) {
+    boolean starved = nowNanos - lastReplyAtNanos > PROBE_PATIENCE.toNanos();
+    boolean room = running == 0 || running + foreign < expectedLimit(nowNanos);
+    if (probing || !(required || starved || room)) {
       return false;
     }
     probing = true;
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
@@ -96,8 +96,10 @@
     lock.lock();
     try {
       result = action.apply(System.nanoTime());
-      due = effects;
-      effects = due.isEmpty() ? due : new ArrayList<>();
+      // The list that is run here must be out of reach of the next holder of the lock, which would
+      // otherwise have its effects run twice.
+      due = effects.isEmpty() ? List.of() : effects;
+      effects = effects.isEmpty() ? effects : new ArrayList<>();
     } finally {
       lock.unlock();
     }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/ResidencyController.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/ResidencyController.java
@@ -45,15 +45,21 @@
           if (core.queue.size() == 0 || !lease.valid(now) || core.residency.stateUnknown()) {
             return Optional.empty();
           }
+          boolean slotWanted = false;
           for (FairQueue.Item<Attempt> head : core.queue.wanted()) {
             if (core.residency.roomFor(head.adapter(), this::queued, now)) {
               return Optional.of(plan(head.payload()));
             }
-            if (now - head.enqueuedAtNanos() > DRAIN_PATIENCE.toNanos()) {
+            slotWanted |= !core.residency.holds(head.adapter());
+            if (slotWanted && now - head.enqueuedAtNanos() > DRAIN_PATIENCE.toNanos()) {
               core.residency.drainOne(now);
-              core.syncReady(now);
             }
           }
+          if (!slotWanted) {
+            core.residency.stopDraining();
+          }
+          core.syncReady(now);
+          attempts.pumpLocked(now);
           return Optional.empty();
         });
   }
@@ -73,6 +79,10 @@
           }
           bootAtBegin = core.ramp.bootId();
           Optional<Command> command = core.residency.begin(adapter, this::queued, now);
+          if (command.isEmpty()) {
+            // The permit is there, so the adapter gets the next slot that can be freed.
+            core.residency.drainOne(now);
+          }
           core.syncReady(now);
           return command;
         });
