--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -52,6 +52,7 @@
   private long logMillis;
   private long appliedNanos;
   private long quarantineVersion;
+  private volatile long revision;
 
   /** Creates an empty state that uses the monotonic clock of the machine. */
   @Inject
@@ -100,6 +101,7 @@
     replicas = new LinkedHashMap<>();
     SnapshotFile.read(in, this::readLine);
     appliedNanos = nanoTime.getAsLong();
+    revision = settings.revision();
     quarantineVersion++;
     notifyAll();
   }
@@ -109,8 +111,9 @@
     return reader.apply(settings);
   }
 
-  synchronized long revision() {
-    return settings.revision();
+  /** Returns the newest revision; never waits, also while a snapshot is written. */
+  long revision() {
+    return revision;
   }
 
   synchronized long quarantineVersion() {
@@ -185,6 +188,7 @@
       long before = settings.revision();
       SettingsAnswer answer = settings.apply(change);
       if (settings.revision() != before) {
+        revision = settings.revision();
         notifyAll();
       }
       return answer;
--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.comfreygap.consensus.ReplicatedLog;
 import org.comfreygap.decisions.MembershipView;
 import org.comfreygap.protocol.generated.EndpointReport;
 import org.comfreygap.protocol.generated.HeartbeatReply;
@@ -35,12 +37,17 @@
   private final Leadership leadership;
   private final ControlState state;
   private final ControlSettings settings;
+  private final ReplicatedLog log;
+  private volatile List<String> controlAddresses;
 
   @Inject
-  MembershipController(Leadership leadership, ControlState state, ControlSettings settings) {
+  MembershipController(
+      Leadership leadership, ControlState state, ControlSettings settings, ReplicatedLog log) {
     this.leadership = leadership;
     this.state = state;
     this.settings = settings;
+    this.log = log;
+    this.controlAddresses = settings.controlAddresses();
   }
 
   HeartbeatReply heartbeat(HeartbeatRequest request) throws NotLeader, InvalidCall {
@@ -50,7 +57,6 @@
     LeaderTerm term = leadership.require();
     long now = System.nanoTime();
     MembershipView.Delta<ProcessIdentity> delta;
-    Set<String> addresses = new LinkedHashSet<>();
     synchronized (term.members()) {
       boolean known =
           term.members()
@@ -67,7 +73,6 @@
         throw new InvalidCall("given another process, expected no more processes");
       }
       delta = term.members().since(request.getMembershipVersion(), now);
-      controlAddresses(term.members().all(), addresses);
     }
     if (request.isSetReport()) {
       noteLoading(term, request.getReport(), now);
@@ -75,12 +80,7 @@
     List<Member> members = new ArrayList<>(delta.changed().size());
     delta.changed().forEach(status -> members.add(member(status)));
     return new HeartbeatReply(
-        state.revision(),
-        term.term(),
-        delta.version(),
-        members,
-        delta.full(),
-        List.copyOf(addresses));
+        state.revision(), term.term(), delta.version(), members, delta.full(), controlAddresses);
   }
 
   /** Takes note that a process has a revision in force, learned from its watch. */
@@ -100,6 +100,7 @@
     synchronized (term.members()) {
       term.members().advance(System.nanoTime());
     }
+    controlAddresses = List.copyOf(addresses(processes(term)));
   }
 
   void platformList(LeaderTerm term, Map<String, Boolean> leavingByAddress) {
@@ -150,10 +151,17 @@
         .toList();
   }
 
-  private void controlAddresses(
-      Collection<MembershipView.Status<ProcessIdentity>> processes, Set<String> addresses) {
-    addresses.addAll(settings.controlAddresses());
-    state.replicas().forEach(replica -> addresses.add(replica.rpcAddress()));
+  private Set<String> addresses(Collection<MembershipView.Status<ProcessIdentity>> processes) {
+    // Those of the settings file stay: a leader does not know yet where replicas serve that have
+    // neither led nor sent a heartbeat.
+    Set<String> addresses = new LinkedHashSet<>(settings.controlAddresses());
+    Set<String> members = new HashSet<>();
+    log.members().forEach(member -> members.add(member.getReplicaId()));
+    for (ControlState.ReplicaAddresses replica : state.replicas()) {
+      if (members.contains(replica.replicaId())) {
+        addresses.add(replica.rpcAddress());
+      }
+    }
     for (MembershipView.Status<ProcessIdentity> status : processes) {
       ProcessIdentity identity = status.identity().description();
       if (identity.getKind() == ProcessKind.CONTROL
@@ -161,6 +169,7 @@
         addresses.add(identity.getAddress());
       }
     }
+    return addresses;
   }
 
   private static void noteLoading(LeaderTerm term, EndpointReport report, long now) {
--- a/control/src/main/java/org/comfreygap/control/OperationsResource.java
+++ b/control/src/main/java/org/comfreygap/control/OperationsResource.java
@@ -149,6 +149,9 @@
     long revision = ApiCalls.number("after", after, 0);
     int wait = (int) Math.min(Integer.MAX_VALUE, ApiCalls.number("waitMillis", waitMillis, 0));
     watches.await(revision, state.quarantineVersion(), wait);
+    if (!watches.hasContact()) {
+      throw ApiException.noLeader();
+    }
     WatchController.Update update = watches.update(revision);
     if (update.revision() < revision) {
       throw ApiException.of(
@@ -171,7 +174,7 @@
     String prefix = Optional.ofNullable(given).filter(p -> !p.isBlank()).orElse(operator.subtree());
     String bare =
         prefix.length() > 1 && prefix.endsWith("/")
-            ? prefix.substring(0, prefix.length() - 1).toString()
+            ? prefix.substring(0, prefix.length() - 1)
             : prefix;
     calls.operators().require(operator, bare);
     return bare;
--- a/control/src/main/java/org/comfreygap/control/SettingsController.java
+++ b/control/src/main/java/org/comfreygap/control/SettingsController.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.LongFunction;
 import org.comfreygap.control.Command.Author;
 import org.comfreygap.control.Command.DocumentChange;
 import org.comfreygap.control.Command.Expectation;
@@ -55,7 +56,9 @@
     changes.forEach(c -> operators.require(operator, c.path()));
     check(changes);
     Author author = author(operator, operationId);
-    return submit(author, millis -> new Command.ChangeSettings(millis, author, expect, changes));
+    String path = changes.get(0).path();
+    return submit(
+        author, path, millis -> new Command.ChangeSettings(millis, author, expect, changes));
   }
 
   /** Deletes the subtree at {@code prefix}. */
@@ -63,14 +66,16 @@
       Operator operator, String operationId, List<Expectation> expect, String prefix) {
     operators.require(operator, prefix);
     Author author = author(operator, operationId);
-    return submit(author, millis -> new Command.DeletePrefix(millis, author, expect, prefix));
+    return submit(
+        author, prefix, millis -> new Command.DeletePrefix(millis, author, expect, prefix));
   }
 
   /** Restores the subtree at {@code prefix} to an earlier revision, as a new change. */
   SettingsAnswer rollback(Operator operator, String operationId, long toRevision, String prefix) {
     operators.require(operator, prefix);
     Author author = author(operator, operationId);
-    return submit(author, millis -> new Command.Rollback(millis, author, prefix, toRevision));
+    return submit(
+        author, prefix, millis -> new Command.Rollback(millis, author, prefix, toRevision));
   }
 
   /** Returns {@code given}, or a new operation id when none was given. */
@@ -90,7 +95,7 @@
     return given;
   }
 
-  private SettingsAnswer submit(Author author, java.util.function.LongFunction<Command> command) {
+  private SettingsAnswer submit(Author author, String path, LongFunction<Command> command) {
     LeaderTerm term = leadership.current().orElseThrow(ApiException::noLeader);
     SettingsAnswer answer;
     try {
@@ -105,6 +110,8 @@
         accepted ? ControlEvent.SETTINGS_CHANGED : ControlEvent.SETTINGS_REFUSED,
         Field.of("operator", author.operator()),
         Field.of("operation", author.operationId()),
+        Field.of("path", path),
+        Field.of("team", team(path)),
         Field.of("revision", answer.revision()),
         Field.of("code", answer.code()));
     if (!accepted) {
@@ -113,6 +120,11 @@
     return answer;
   }
 
+  private static String team(String path) {
+    String[] names = path.split("/", 4);
+    return names.length > 2 && names[1].equals("teams") ? names[2] : "";
+  }
+
   private static Author author(Operator operator, String operationId) {
     return new Author(operationId, operator.name(), System.currentTimeMillis());
   }
--- a/control/src/main/java/org/comfreygap/control/SettingsStore.java
+++ b/control/src/main/java/org/comfreygap/control/SettingsStore.java
@@ -152,16 +152,36 @@
     if (!faults.isEmpty()) {
       return SettingsAnswer.invalid(faults);
     }
-    long added = documents.values().stream().filter(Optional::isPresent).count();
-    if (added > 0 && tree.size() + added > SettingsTree.MAX_DOCUMENTS) {
+    if (tooLarge(documents)) {
       return SettingsAnswer.failed(
-          Code.FULL, "given more documents, expected at most " + SettingsTree.MAX_DOCUMENTS);
+          Code.FULL,
+          "given too much for the tree, expected at most "
+              + SettingsTree.MAX_DOCUMENTS
+              + " documents of "
+              + SettingsTree.MAX_CHARACTERS
+              + " characters together");
     }
     revision++;
     documents.forEach((path, document) -> write(author, path, document));
     return SettingsAnswer.ok(revision);
   }
 
+  private boolean tooLarge(Map<String, Optional<String>> documents) {
+    long count = 0;
+    long characters = 0;
+    for (Map.Entry<String, Optional<String>> document : documents.entrySet()) {
+      Optional<String> before = tree.document(document.getKey());
+      count += (document.getValue().isPresent() ? 1 : 0) - (before.isPresent() ? 1 : 0);
+      characters += document.getValue().map(String::length).orElse(0);
+      characters -= before.map(String::length).orElse(0);
+      characters += before.isEmpty() ? document.getKey().length() : 0;
+    }
+    boolean grows = count > 0 || characters > 0;
+    return grows
+        && (tree.size() + count > SettingsTree.MAX_DOCUMENTS
+            || tree.characters() + characters > SettingsTree.MAX_CHARACTERS);
+  }
+
   private void write(Author author, String path, Optional<String> document) {
     String operator = operatorNames.computeIfAbsent(author.operator(), name -> name);
     Optional<String> previous = tree.document(path);
--- a/control/src/main/java/org/comfreygap/control/SettingsTree.java
+++ b/control/src/main/java/org/comfreygap/control/SettingsTree.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -26,13 +25,20 @@
   /** Far above 12,000 adapters with a few versions each; keeps the heap bounded. */
   static final int MAX_DOCUMENTS = 100_000;
 
+  /** Bounds the heap where documents are large; the fleet of the design needs a quarter of it. */
+  static final long MAX_CHARACTERS = 12_000_000;
+
   /** Names of deleted versions that may not be used for other weights. */
   private static final int MAX_DELETED_VERSIONS = 20_000;
 
+  private static final long MAX_DELETED_CHARACTERS = 2_000_000;
+
   private final TreeMap<String, Entry> entries = new TreeMap<>();
   private final Map<String, String> openServices = new HashMap<>();
   private final Map<String, String> activeKeys = new HashMap<>();
   private final Map<String, String> deletedVersions = new LinkedHashMap<>();
+  private long characters;
+  private long deletedCharacters;
 
   /** A document with its last change. */
   record Entry(String document, long revision, String changedBy, long changedAtMillis) {}
@@ -57,6 +63,11 @@
     return entries.size();
   }
 
+  /** Returns the characters of all paths and documents. */
+  long characters() {
+    return characters;
+  }
+
   /** Returns the documents at and below {@code prefix}. */
   Map<String, Entry> subtree(String prefix) {
     if (prefix.equals("/")) {
@@ -70,13 +81,16 @@
 
   void put(String path, Entry entry) {
     unindex(path);
-    entries.put(path, entry);
+    Entry before = entries.put(path, entry);
+    characters += sizeOf(path, entry.document);
+    characters -= before == null ? 0 : sizeOf(path, before.document);
     index(path, entry.document);
   }
 
   void delete(String path) {
     unindex(path);
     Entry removed = entries.remove(path);
+    characters -= removed == null ? 0 : sizeOf(path, removed.document);
     if (removed != null && kind(path).filter(DocumentKind.ADAPTER_VERSION::equals).isPresent()) {
       restoreDeletedVersion(path, removed.document);
     }
@@ -87,18 +101,18 @@
   }
 
   void restoreDeletedVersion(String path, String document) {
-    deletedVersions.put(path, document);
-    if (deletedVersions.size() > MAX_DELETED_VERSIONS) {
-      Iterator<String> oldest = deletedVersions.keySet().iterator();
-      oldest.next();
+    String before = deletedVersions.put(path, document);
+    deletedCharacters += sizeOf(path, document);
+    deletedCharacters -= before == null ? 0 : sizeOf(path, before);
+    Iterator<Map.Entry<String, String>> oldest = deletedVersions.entrySet().iterator();
+    while (deletedVersions.size() > MAX_DELETED_VERSIONS
+        || deletedCharacters > MAX_DELETED_CHARACTERS) {
+      Map.Entry<String, String> dropped = oldest.next();
+      deletedCharacters -= sizeOf(dropped.getKey(), dropped.getValue());
       oldest.remove();
     }
   }
 
-  Collection<Entry> all() {
-    return entries.values();
-  }
-
   @Override
   public Optional<String> document(String path) {
     return find(path).map(Entry::document);
@@ -158,6 +172,10 @@
     };
   }
 
+  private static int sizeOf(String path, String document) {
+    return path.length() + document.length();
+  }
+
   private static Optional<DocumentKind> kind(String path) {
     return SettingsPath.parse(path).flatMap(DocumentKind::of);
   }
--- a/control/src/main/java/org/comfreygap/control/WatchController.java
+++ b/control/src/main/java/org/comfreygap/control/WatchController.java
@@ -59,7 +59,7 @@
     membership.revisionInForce(request.getProcessId(), request.getAfterRevision());
     long sent = sentQuarantine.getOrDefault(request.getProcessId(), 0L);
     await(request.getAfterRevision(), sent, request.getWaitMillis());
-    if (log.leader().isEmpty()) {
+    if (!hasContact()) {
       throw new InvalidCall("this instance has no contact with a leader; watch another one");
     }
     long quarantineVersion = state.quarantineVersion();
@@ -80,6 +80,11 @@
     return reply;
   }
 
+  /** Returns true while a leader is known here: an instance that is cut off lags for long. */
+  boolean hasContact() {
+    return log.leader().isPresent();
+  }
+
   /** Returns what changed after {@code revision}, or the whole tree when that is not known. */
   Update update(long revision) {
     return state.readSettings(
