--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -22,6 +22,8 @@
 import org.comfreygap.protocol.generated.NotLeader;
 import org.comfreygap.protocol.generated.ProcessIdentity;
 import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
 
 /**
  * Heartbeats and the membership view at the leader.
@@ -38,15 +40,22 @@
   private final ControlState state;
   private final ControlSettings settings;
   private final ReplicatedLog log;
+  private final EventLog events;
   private volatile List<String> controlAddresses;
+  private long recordedVersion;
 
   @Inject
   MembershipController(
-      Leadership leadership, ControlState state, ControlSettings settings, ReplicatedLog log) {
+      Leadership leadership,
+      ControlState state,
+      ControlSettings settings,
+      ReplicatedLog log,
+      EventLog events) {
     this.leadership = leadership;
     this.state = state;
     this.settings = settings;
     this.log = log;
+    this.events = events;
     this.controlAddresses = settings.controlAddresses();
   }
 
@@ -95,10 +104,21 @@
             });
   }
 
-  /** Applies the passage of time; called a few times a second. */
+  /** Applies the passage of time; called a few times a second by one thread. */
   void maintain(LeaderTerm term) {
+    MembershipView.Delta<ProcessIdentity> delta;
     synchronized (term.members()) {
-      term.members().advance(System.nanoTime());
+      long now = System.nanoTime();
+      term.members().advance(now);
+      delta = term.members().since(recordedVersion, now);
+    }
+    recordedVersion = delta.version();
+    for (MembershipView.Status<ProcessIdentity> status : delta.changed()) {
+      events.record(
+          ControlEvent.PROCESS_STATE_CHANGED,
+          Field.of("process", status.identity().processId()),
+          Field.of("zone", status.identity().description().getZone()),
+          Field.of("state", status.state()));
     }
     controlAddresses = List.copyOf(addresses(processes(term)));
   }
--- a/control/src/main/java/org/comfreygap/control/StatusResource.java
+++ b/control/src/main/java/org/comfreygap/control/StatusResource.java
@@ -133,6 +133,14 @@
               + address
               + ", expected a name and ip:port");
     }
+    boolean votesAlready =
+        log.members().stream()
+            .filter(ReplicaMember::isVoter)
+            .anyMatch(m -> m.getReplicaId().equals(replicaId) && m.getAddress().equals(address));
+    if (votesAlready) {
+      // The answer to an earlier call was lost, or the caller did not wait for it.
+      return new Members(replicas());
+    }
     ReplicaMember member = new ReplicaMember(replicaId, address, false);
     if (body.hasNonNull("adminAddress")) {
       member.setAdminAddress(body.path("adminAddress").asText());
