--- a/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
@@ -21,7 +21,8 @@
  */
 final class ApplyDuty implements AutoCloseable {
 
-  private static final int RING_SIZE = 1_024;
+  private static final int RING_SIZE = 64;
+  private static final long SNAPSHOT_BYTES = 8 * 1024 * 1024;
   private static final Duration IDLE = Duration.ofMillis(250);
 
   private final RaftOptions options;
@@ -32,6 +33,7 @@
   private final DutyRing<Work> ring;
   private List<ReplicaMember> members;
   private long nextSnapshot;
+  private long bytesSinceSnapshot;
   private volatile long applied;
 
   ApplyDuty(
@@ -80,11 +82,17 @@
     return ring.tryPublish(() -> load(meta));
   }
 
-  /** Fails the proposers of entries after {@code commitIndex}, whose outcome is unknown here. */
-  void leadershipLost(long commitIndex) {
+  /**
+   * Fails the proposers of entries after {@code commitIndex}, whose outcome is unknown here.
+   *
+   * @param leadingTerm term that this replica leads, whose proposers go on waiting, or 0
+   */
+  void leadershipLost(long commitIndex, long leadingTerm) {
     for (Map.Entry<Long, Proposal> entry : proposals.entrySet()) {
-      if (entry.getKey() > commitIndex && proposals.remove(entry.getKey(), entry.getValue())) {
-        fail(entry.getValue());
+      Proposal proposal = entry.getValue();
+      boolean lost = entry.getKey() > commitIndex && proposal.term() != leadingTerm;
+      if (lost && proposals.remove(entry.getKey(), proposal)) {
+        fail(proposal);
       }
     }
   }
@@ -92,7 +100,7 @@
   @Override
   public void close() {
     ring.close();
-    leadershipLost(0);
+    leadershipLost(0, 0);
   }
 
   private void apply(List<LogEntry> committed) throws IOException {
@@ -106,11 +114,13 @@
       } else if (entry.getKind() == EntryKind.MEMBERSHIP) {
         members = Memberships.decode(entry.getPayload());
       }
+      bytesSinceSnapshot += entry.bufferForPayload().remaining();
       applied = entry.getIndex();
       answer(entry, answer);
     }
     LogEntry last = committed.get(committed.size() - 1);
-    if (last.getIndex() >= nextSnapshot) {
+    if (last.getIndex() >= nextSnapshot || bytesSinceSnapshot >= SNAPSHOT_BYTES) {
+      bytesSinceSnapshot = 0;
       nextSnapshot = last.getIndex() + options.snapshotEntries();
       takeSnapshot(new SnapshotMeta(last.getIndex(), last.getTerm(), members));
     }
@@ -150,7 +160,7 @@
     applied = loaded.index();
     nextSnapshot = applied + options.snapshotEntries();
     events.record(ConsensusEvent.SNAPSHOT_INSTALLED, Field.of("index", applied));
-    leadershipLost(0);
+    leadershipLost(0, 0);
   }
 
   private static void fail(Proposal proposal) {
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -47,6 +47,8 @@
   private static final Duration TICK = Duration.ofMillis(15);
   // More batches at the disk would not be written sooner; what waits joins the next batch.
   private static final long MAX_BATCHES_AT_DISK = 2;
+  private static final int MAX_COMMAND_BYTES = 4 * 1024 * 1024;
+  private static final long MAX_UNAPPLIED_ENTRIES = 10_000;
   private static final int MAX_APPLY_ENTRIES = 1_024;
   private static final int MAX_APPLY_BYTES = 4 * 1024 * 1024;
   private static final Duration HAND_OVER_BOUND = Duration.ofMillis(1_500);
@@ -81,6 +83,14 @@
     SnapshotMeta snapshot = snapshots.open();
     LogStore.Opened opened = openStore();
     LogStore.Contents contents = opened.contents();
+    if (contents.baseIndex() > snapshot.index()) {
+      throw new LogCorruptException(
+          "given a log that begins after entry "
+              + contents.baseIndex()
+              + " and a snapshot up to entry "
+              + snapshot.index()
+              + ", expected no gap; replace this replica under a new id");
+    }
     CoreLog log =
         new CoreLog(snapshot, contents.baseIndex(), contents.baseTerm(), contents.entries());
     if (log.entriesDiscarded()) {
@@ -139,6 +149,14 @@
 
   @Override
   public CompletableFuture<Applied> propose(byte[] command) {
+    if (command.length > MAX_COMMAND_BYTES) {
+      return CompletableFuture.failedFuture(
+          new IllegalArgumentException(
+              "given a command of "
+                  + command.length
+                  + " bytes, expected at most "
+                  + MAX_COMMAND_BYTES));
+    }
     return ask((raft, now, future) -> onPropose(raft, now, command, future));
   }
 
@@ -146,7 +164,8 @@
   public Optional<LeaderLease> lease(long nowNanos) {
     View current = view;
     boolean valid =
-        current.leaseEnd.isPresent()
+        !ring.stopped()
+            && current.leaseEnd.isPresent()
             && nowNanos - current.leaseEnd.getAsLong() < 0
             && apply.applied() >= current.termStartIndex;
     return valid
@@ -242,7 +261,6 @@
       events.record(ConsensusEvent.REPLICA_CLOSED, Field.of("error", e.getMessage()));
     }
     ring.close();
-    view = view.withoutLease();
     lanes.values().forEach(PeerLanes::close);
     if (clean) {
       storage.close();
@@ -267,14 +285,13 @@
             : ConsensusEvent.REPLICA_FAILED;
     events.record(event, Field.of("error", failure));
     ring.stop();
-    view = view.withoutLease();
     failWaiting();
     options.failureHandler().accept(failure);
   }
 
   private LogStore.Opened openStore() throws IOException {
     try {
-      LogStore.Opened opened = LogStore.open(disk);
+      LogStore.Opened opened = LogStore.open(disk, options.segmentBytes());
       if (!opened.contents().tornSegment().isEmpty()) {
         events.record(
             ConsensusEvent.TORN_TAIL_CUT,
@@ -298,7 +315,8 @@
 
   private void onPropose(
       RaftCore raft, long now, byte[] command, CompletableFuture<Applied> future) {
-    OptionalLong index = raft.propose(now, command);
+    boolean applyIsBehind = raft.commitIndex() - handedIndex > MAX_UNAPPLIED_ENTRIES;
+    OptionalLong index = applyIsBehind ? OptionalLong.empty() : raft.propose(now, command);
     if (index.isPresent()) {
       apply.expect(index.getAsLong(), new ApplyDuty.Proposal(raft.term(), future));
     } else {
@@ -391,9 +409,8 @@
     View before = view;
     View after = View.of(core, now);
     view = after;
-    boolean led = before.role == Role.LEADER;
-    if (led && (after.role != Role.LEADER || after.term != before.term)) {
-      apply.leadershipLost(core.commitIndex());
+    if (after.role != Role.LEADER || after.term != before.term) {
+      apply.leadershipLost(core.commitIndex(), after.role == Role.LEADER ? after.term : 0);
     }
     if (before.role != after.role
         || before.term != after.term
@@ -462,10 +479,6 @@
           core.leaseEnd(now),
           core.termStartIndex());
     }
-
-    View withoutLease() {
-      return new View(role, term, leader, members, OptionalLong.empty(), termStartIndex);
-    }
   }
 
   private final class Deciding implements DutyRing.Handler<PeerLanes.CoreTask> {
