--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -29,6 +29,7 @@
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManager;
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -55,7 +56,8 @@
 public final class HttpEngineClient implements EngineClient {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(1);
+  // A process that is gone refuses at once; a longer wait only means that the instance is busy.
+  private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(3);
   // An idle connection that the endpoint closes at the moment of use makes an outcome unknown, so
   // idle connections are dropped well before common keep-alive limits.
   private static final TimeValue MAX_IDLE = TimeValue.ofSeconds(2);
@@ -173,6 +175,7 @@
     boolean notSent =
         failure instanceof ConnectException
             || failure instanceof ConnectTimeoutException
+            || failure instanceof ConnectionRequestTimeoutException
             || failure instanceof NoRouteToHostException
             || failure instanceof UnknownHostException;
     EngineException.Kind kind =
--- /dev/null
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/HopLatency.java
@@ -0,0 +1,203 @@
+package org.comfreygap.sidecar;
+
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TIOStreamTransport;
+import org.comfreygap.protocol.generated.AttemptFrame;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.runtime.PeerSecurity;
+import org.comfreygap.runtime.SharedKey;
+import org.comfreygap.testkit.WireServer;
+
+/**
+ * Measures what the sidecar adds on loopback: each event of an answer carries the time at which the
+ * engine sent it. Arguments: number of streams, events in each stream. Prints microseconds.
+ */
+public final class HopLatency {
+
+  private static final long EVENT_MILLIS = 65;
+
+  private HopLatency() {}
+
+  /** Runs the direct and the sidecar measurement. */
+  public static void main(String[] args) throws Exception {
+    int streams = args.length > 0 ? Integer.parseInt(args[0]) : 500;
+    int events = args.length > 1 ? Integer.parseInt(args[1]) : 100;
+    PeerSecurity security = PeerSecurity.of(SidecarFixture.KEY);
+    try (WireServer engine =
+            new WireServer(new InetSocketAddress("127.0.0.1", 0), (q, r) -> answer(q, r, events));
+        StubControl control = new StubControl(security)) {
+      settings(control, streams);
+      int port = SidecarFixture.freePort();
+      SidecarSettings settings =
+          new SidecarSettings(
+              "sidecar-1",
+              "z1",
+              "engine-1",
+              new InetSocketAddress("127.0.0.1", port),
+              new InetSocketAddress("127.0.0.1", SidecarFixture.freePort()),
+              URI.create("http://127.0.0.1:" + engine.port()),
+              List.of(control.address()));
+      Sidecar sidecar = Sidecar.start(settings, security);
+      SidecarFixture.await("the sidecar serves", sidecar::ready);
+      for (String round : List.of("warm-up", "measured")) {
+        long[] direct = run(streams, sent -> direct(engine.port(), sent));
+        System.gc();
+        long[] hop = run(streams, sent -> throughSidecar(port, sent));
+        print(round + " direct", direct);
+        print(round + " sidecar", hop);
+        System.out.printf(
+            "%s added_p50_us %d added_p99_us %d%n",
+            round, at(hop, 0.5) - at(direct, 0.5), at(hop, 0.99) - at(direct, 0.99));
+      }
+      System.exit(0);
+    }
+  }
+
+  /** Reads one stream and adds the latency of each event in nanoseconds. */
+  private interface Stream {
+
+    void read(ConcurrentLinkedQueue<Long> latencies) throws Exception;
+  }
+
+  private static long[] run(int streams, Stream stream) throws Exception {
+    ConcurrentLinkedQueue<Long> latencies = new ConcurrentLinkedQueue<>();
+    CountDownLatch done = new CountDownLatch(streams);
+    for (int i = 0; i < streams; i++) {
+      Thread thread =
+          new Thread(
+              () -> {
+                try {
+                  Thread.sleep(ThreadLocalRandom.current().nextInt(1_000));
+                  stream.read(latencies);
+                } catch (Exception e) {
+                  System.err.println("a stream failed: " + e);
+                } finally {
+                  done.countDown();
+                }
+              });
+      thread.setDaemon(true);
+      thread.start();
+    }
+    done.await();
+    return latencies.stream().mapToLong(Long::longValue).sorted().toArray();
+  }
+
+  private static void direct(int port, ConcurrentLinkedQueue<Long> latencies) throws Exception {
+    HttpURLConnection connection = connect(port, "/v1/completions");
+    connection.setRequestProperty("X-Request-Id", "direct");
+    connection.getOutputStream().write("{}".getBytes(StandardCharsets.UTF_8));
+    BufferedReader reader =
+        new BufferedReader(new InputStreamReader(connection.getInputStream(), "UTF-8"));
+    String line = reader.readLine();
+    while (line != null) {
+      note(line, latencies);
+      line = reader.readLine();
+    }
+  }
+
+  private static void throughSidecar(int port, ConcurrentLinkedQueue<Long> latencies)
+      throws Exception {
+    AttemptRequest request = TestGateway.attempt("a", 1);
+    byte[] body = new TSerializer(new TCompactProtocol.Factory()).serialize(request);
+    HttpURLConnection connection = connect(port, "/attempts");
+    connection.setRequestProperty(
+        SharedKey.SIGNATURE_HEADER, SidecarFixture.KEY.signHttp("/attempts", body));
+    connection.getOutputStream().write(body);
+    TCompactProtocol protocol =
+        new TCompactProtocol(new TIOStreamTransport(connection.getInputStream()));
+    boolean last = false;
+    while (!last) {
+      AttemptFrame frame = new AttemptFrame();
+      frame.read(protocol);
+      if (frame.getBody().isSetData()) {
+        String text = new String(frame.getBody().getData().getBytes(), StandardCharsets.UTF_8);
+        for (String line : text.split("\n")) {
+          note(line, latencies);
+        }
+      }
+      if (frame.getBody().isSetRefusal() || frame.getBody().isSetFailure()) {
+        throw new IllegalStateException(frame.getBody().toString());
+      }
+      last = frame.getBody().isSetFinish();
+    }
+  }
+
+  private static void note(String line, ConcurrentLinkedQueue<Long> latencies) {
+    if (line.startsWith("data: t")) {
+      latencies.add(System.nanoTime() - Long.parseLong(line.substring("data: t".length())));
+    }
+  }
+
+  private static HttpURLConnection connect(int port, String path) throws Exception {
+    HttpURLConnection connection =
+        (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+    connection.setRequestMethod("POST");
+    connection.setDoOutput(true);
+    connection.setRequestProperty("Content-Type", "application/octet-stream");
+    return connection;
+  }
+
+  private static void answer(WireServer.Request request, WireServer.Response response, int events)
+      throws java.io.IOException, InterruptedException {
+    if (request.path().startsWith("/engine")) {
+      String state =
+          "{\"bootId\":\"b1\",\"uptimeMillis\":600000,\"resident\":[\"blue/a@v1\"],\"running\":[]}";
+      response.send(
+          200,
+          Map.of("content-type", "application/json", "x-boot-id", "b1"),
+          state.getBytes(StandardCharsets.UTF_8));
+      return;
+    }
+    response.begin(
+        200,
+        Map.of(
+            "content-type", "text/event-stream",
+            "x-boot-id", "b1",
+            "x-request-id", request.header("x-request-id")));
+    for (int i = 0; i < events; i++) {
+      response.chunk(("data: t" + System.nanoTime() + "\n\n").getBytes(StandardCharsets.UTF_8));
+      Thread.sleep(EVENT_MILLIS);
+    }
+    response.chunk("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+    response.end();
+  }
+
+  private static void settings(StubControl control, int streams) {
+    control.put("/platform/zones/z1", "{\"state\":\"in\"}");
+    control.put("/teams/blue", "{}");
+    control.put("/teams/blue/customers/press", "{}");
+    control.put(
+        "/teams/blue/customers/press/keys/k1",
+        "{\"sha256\":\"" + "ab".repeat(32) + "\",\"state\":\"active\"}");
+    control.put("/teams/blue/adapters/a", "{\"baseModel\":\"base\",\"customers\":[\"*\"]}");
+    control.put(
+        "/platform/endpoints/engine-1",
+        SidecarFixture.document(
+            "engine", "\"baseModel\":\"base\"", 4, streams, "1,\"rampSeconds\":0", "in"));
+  }
+
+  private static void print(String name, long[] sorted) {
+    List<String> parts = new ArrayList<>(Arrays.asList(name, "events " + sorted.length));
+    parts.add("p50_us " + at(sorted, 0.5));
+    parts.add("p99_us " + at(sorted, 0.99));
+    System.out.println(String.join(" ", parts));
+  }
+
+  private static long at(long[] sorted, double share) {
+    return sorted[(int) Math.min(sorted.length - 1, sorted.length * share)] / 1_000;
+  }
+}
