--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -34,6 +34,9 @@
   /** Credit that stays unused for this time is given back, since another gateway may need it. */
   public static final Duration IDLE_RETURN = Duration.ofMillis(200);
 
+  /** Credit that expires this soon is given back, since an exchange may take that long. */
+  public static final Duration EXPIRY_MARGIN = Duration.ofMillis(400);
+
   /** Demand ahead for which credit is held, so that most requests do not wait for an exchange. */
   public static final Duration HORIZON = Duration.ofMillis(250);
 
@@ -179,8 +182,10 @@
     expire(nowNanos);
     long target = target(nowNanos);
     long returned = 0;
-    if (waitingCount == 0 && nowNanos - lastUseNanos >= IDLE_RETURN.toNanos()) {
-      returned = giveBack(Math.max(0, held - target));
+    if (waitingCount == 0) {
+      boolean idle = nowNanos - lastUseNanos >= IDLE_RETURN.toNanos();
+      long excess = idle ? Math.max(0, held - target) : 0;
+      returned = giveBack(Math.max(excess, expiringSoon(nowNanos)));
     }
     // Refilling in steps of half the target keeps the number of exchanges low.
     long refill = 2 * held < target ? target - held : 0;
@@ -303,6 +308,16 @@
     }
   }
 
+  private long expiringSoon(long nowNanos) {
+    long tokens = 0;
+    for (Grant grant : grants) {
+      if (grant.expiresAtNanos - nowNanos <= EXPIRY_MARGIN.toNanos()) {
+        tokens += grant.tokens;
+      }
+    }
+    return tokens;
+  }
+
   private void noteDemand(long tokens, long nowNanos) {
     demand = demandNow(nowNanos) + tokens / (DEMAND_DECAY_NANOS / 1e9);
     demandAtNanos = nowNanos;
--- /dev/null
+++ b/gateway/src/test/java/org/comfreygap/gateway/AdmissionFaultTest.java
@@ -0,0 +1,308 @@
+package org.comfreygap.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.comfreygap.protocol.generated.CreditItem;
+import org.comfreygap.protocol.generated.FinishRequest;
+import org.comfreygap.protocol.generated.MemberState;
+import org.comfreygap.protocol.generated.Outcome;
+import org.comfreygap.protocol.generated.RefusalReason;
+import org.comfreygap.testkit.FakeControl;
+import org.comfreygap.testkit.FakeSidecar;
+import org.comfreygap.testkit.FakeSidecar.Answer;
+import org.comfreygap.testkit.FakeSidecar.Fault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Faults of control, changes of settings under way, credit and the ledger (I5, I6, I8, I11). */
+class AdmissionFaultTest {
+
+  private GatewayFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = GatewayFixture.start(3, 1);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.control.fault(FakeControl.Fault.NONE);
+    fixture.close();
+  }
+
+  /** Guards against a withdrawn key that still works on an open connection (I5). */
+  @Test
+  void refusesAWithdrawnKeyOnAKeepAliveConnection() throws Exception {
+    assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+
+    fixture.key("press", "k1", GatewayFixture.KEY, "withdrawn");
+    fixture.awaitRevision(fixture.control.revision());
+
+    assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(401);
+  }
+
+  /** Guards against a retry for a key that was withdrawn during the first attempt (I5). */
+  @Test
+  void checksTheKeyAgainAtARetry() throws Exception {
+    fixture.sidecars.values().forEach(sidecar -> sidecar.plan(Fault.CRASH));
+    fixture.sidecars.values().forEach(sidecar -> sidecar.answers(request -> withdrawKey()));
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).isEqualTo(401);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("unknown");
+    assertThat(fixture.starts()).isEqualTo(1);
+  }
+
+  /** Guards against a gateway that admits work for good while it is cut off from control (I5). */
+  @ParameterizedTest
+  @ValueSource(strings = {"SILENT", "NOT_LEADER"})
+  void refusesNewWorkWithoutASettingsLease(FakeControl.Fault fault) throws Exception {
+    assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+    fixture.control.fault(fault);
+
+    GatewayFixture.await(() -> !fixture.gateway.ready());
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+    assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    assertThat(fixture.starts()).isEqualTo(1);
+
+    fixture.control.fault(FakeControl.Fault.NONE);
+    GatewayFixture.await(() -> fixture.gateway.ready());
+    assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+  }
+
+  /** Guards against new work in a zone that is out or at a leaving endpoint (I8, I12). */
+  @ParameterizedTest
+  @ValueSource(strings = {"zone", "endpoint", "member"})
+  void sendsNoNewWorkToWhatIsTakenOut(String kind) throws Exception {
+    fixture.chat(GatewayFixture.CHAT);
+    FakeSidecar home =
+        fixture.sidecars.values().stream().filter(s -> s.starts() == 1).findFirst().orElseThrow();
+    String name =
+        fixture.sidecars.entrySet().stream()
+            .filter(entry -> entry.getValue() == home)
+            .findFirst()
+            .orElseThrow()
+            .getKey();
+    String zone = String.valueOf((char) ('a' + Integer.parseInt(name.substring(7)) - 1));
+    switch (kind) {
+      case "zone" -> fixture.control.put("/platform/zones/" + zone, "{\"state\":\"out\"}");
+      case "endpoint" -> leave(name, zone, home);
+      default -> fixture.control.sidecar(name, zone, MemberState.LEAVING);
+    }
+    fixture.awaitRevision(fixture.control.revision());
+    // Membership has no revision: requests reach the endpoint until the gateway has heard of it.
+    GatewayFixture.await(() -> !reaches(home));
+    int before = home.starts();
+
+    for (int i = 0; i < 20; i++) {
+      assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+    }
+
+    assertThat(home.starts()).isEqualTo(before);
+    if (kind.equals("zone")) {
+      fixture.control.put("/platform/zones/" + zone, "{\"state\":\"in\"}");
+      fixture.awaitRevision(fixture.control.revision());
+      GatewayFixture.await(() -> reaches(home));
+    }
+  }
+
+  /** Guards against a request refused during a zone's move since its first endpoints refuse. */
+  @Test
+  void servesWhileTwoOfThreeZonesRefuse() throws Exception {
+    fixture.sidecar("engine-1").always(Fault.REFUSE, RefusalReason.ZONE_OUT);
+    fixture.sidecar("engine-2").always(Fault.REFUSE, RefusalReason.LEAVING);
+
+    for (int i = 0; i < 50; i++) {
+      assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+    }
+  }
+
+  /** Guards against a customer that exceeds its rate and burst (I6). */
+  @Test
+  void keepsACustomerWithinItsRate() throws Exception {
+    fixture.limits("press", 100, 60);
+    long began = System.nanoTime();
+    int ran = 0;
+    HttpResponse<String> refused = null;
+    for (int i = 0; i < 40; i++) {
+      HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+      ran += response.statusCode() == 200 ? 1 : 0;
+      refused = response.statusCode() == 429 ? response : refused;
+    }
+    double seconds = (System.nanoTime() - began) / 1e9;
+
+    // Each request uses 10 tokens.
+    assertThat(ran * 10.0).isLessThanOrEqualTo(60 + 100 * seconds);
+    assertThat(ran).isPositive();
+    if (refused != null) {
+      assertThat(GatewayFixture.outcome(refused)).isEqualTo("not-run");
+      assertThat(refused.headers().firstValue("Retry-After")).isPresent();
+    }
+  }
+
+  /** Guards against a late refusal when control says that credit will not come in time. */
+  @Test
+  void refusesWithRetryAfterWhenCreditWillNotCome() throws Exception {
+    fixture.limits("press", 1, 40);
+    assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+    fixture.chat(GatewayFixture.CHAT);
+    fixture.chat(GatewayFixture.CHAT);
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).isEqualTo(429);
+    int retryAfter = Integer.parseInt(response.headers().firstValue("Retry-After").orElseThrow());
+    assertThat(retryAfter).isGreaterThan(1);
+  }
+
+  /** Guards against idle credit that another gateway could use, and unused reservations. */
+  @Test
+  void returnsUnusedCredit() throws Exception {
+    fixture.limits("press", 1_000, 10_000);
+
+    fixture.chat(GatewayFixture.CHAT);
+
+    // 25 tokens are reserved and 10 used.
+    GatewayFixture.await(
+        () -> sum(CreditItem::getRefunded) == 15 && sum(CreditItem::getUsed) == 25);
+    fixture.chat(GatewayFixture.CHAT);
+    fixture.chat(GatewayFixture.CHAT);
+    GatewayFixture.await(() -> sum(CreditItem::getReturned) > 0);
+  }
+
+  /** Guards against a quarantine that only the gateway knows that saw the crash. */
+  @Test
+  void refusesQuarantinedRequests() throws Exception {
+    fixture.chat(GatewayFixture.CHAT);
+    String fingerprint =
+        fixture.sidecars.values().stream()
+            .flatMap(sidecar -> sidecar.received().stream())
+            .findFirst()
+            .orElseThrow()
+            .getFingerprint();
+    fixture.control.quarantine(fingerprint, Duration.ofMinutes(1));
+
+    GatewayFixture.await(() -> status(GatewayFixture.CHAT) == 422);
+    assertThat(status(GatewayFixture.CHAT.replace("hello", "other"))).isEqualTo(200);
+  }
+
+  /** Guards against a second run of a call that is sent again with its idempotency key (I11). */
+  @Test
+  void answersARepeatFromTheLedger() throws Exception {
+    HttpResponse<String> first = fixture.order("POST", "key-1", "order");
+    HttpResponse<String> repeat = fixture.order("POST", "key-1", "order");
+    HttpResponse<String> other = fixture.order("POST", "key-1", "another order");
+
+    assertThat(first.statusCode()).as(first.body()).isEqualTo(200);
+    assertThat(repeat.body()).isEqualTo(first.body());
+    assertThat(GatewayFixture.outcome(repeat)).isEqualTo("ran");
+    assertThat(other.statusCode()).isEqualTo(409);
+    assertThat(GatewayFixture.outcome(other)).isEqualTo("not-run");
+    assertThat(fixture.starts()).isEqualTo(1);
+  }
+
+  /** Guards against two resends at once that both run (I11). */
+  @Test
+  void refusesARepeatWhileTheFirstIsInProgress() throws Exception {
+    FakeSidecar orders = fixture.sidecar("orders-1");
+    orders.answers(
+        request -> {
+          GatewayFixture.await(() -> orders.running() < 0 || released);
+          return Answer.json(200, "{}");
+        });
+    CompletableFuture<Integer> first = CompletableFuture.supplyAsync(() -> orderStatus("key-2"));
+    GatewayFixture.await(() -> orders.starts() == 1);
+
+    assertThat(orderStatus("key-2")).isEqualTo(409);
+
+    released = true;
+    assertThat(first.join()).isEqualTo(200);
+    assertThat(orders.starts()).isEqualTo(1);
+  }
+
+  private volatile boolean released;
+
+  /** Guards against a ledger entry that is closed with another outcome than the call had. */
+  @ParameterizedTest(name = "{0}: {1} {2}")
+  @CsvSource({"REFUSE, 503, NOT_RUN", "LOSE_REQUEST, 502, UNKNOWN", "NONE, 200, RAN"})
+  void closesTheLedgerEntryWithTheOutcome(Fault fault, int status, Outcome outcome) {
+    fixture.sidecar("orders-1").always(fault, RefusalReason.QUEUE_FULL);
+
+    assertThat(orderStatus("key-3")).isEqualTo(status);
+
+    assertThat(fixture.control.finished()).hasSize(1);
+    FinishRequest finished = fixture.control.finished().get(0);
+    assertThat(finished.getOutcome()).isEqualTo(outcome);
+    assertThat(finished.isSetAnswer()).isEqualTo(outcome == Outcome.RAN);
+    if (fault == Fault.LOSE_REQUEST) {
+      assertThat(orderStatus("key-3")).isEqualTo(409);
+    }
+  }
+
+  /** Guards against a call that runs although the ledger did not record its beginning. */
+  @Test
+  void doesNotRunWithoutTheLedger() throws Exception {
+    fixture.control.fault(FakeControl.Fault.ONLY_HEARTBEATS);
+
+    HttpResponse<String> response = fixture.order("POST", "key-4", "order");
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+    assertThat(fixture.starts()).isZero();
+  }
+
+  private int orderStatus(String idempotencyKey) {
+    try {
+      return fixture.order("POST", idempotencyKey, "order").statusCode();
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int status(String body) {
+    try {
+      return fixture.chat(body).statusCode();
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private boolean reaches(FakeSidecar sidecar) {
+    int before = sidecar.starts();
+    status(GatewayFixture.CHAT);
+    return sidecar.starts() > before;
+  }
+
+  private long sum(java.util.function.ToLongFunction<CreditItem> part) {
+    return fixture.control.creditItems().stream().mapToLong(part).sum();
+  }
+
+  private Answer withdrawKey() {
+    fixture.key("press", "k1", GatewayFixture.KEY, "withdrawn");
+    fixture.awaitRevision(fixture.control.revision());
+    return Answer.json(200, "{}");
+  }
+
+  private void leave(String name, String zone, FakeSidecar sidecar) {
+    fixture.control.put(
+        "/platform/endpoints/" + name,
+        "{\"zone\":\""
+            + zone
+            + "\",\"kind\":\"engine\",\"baseModel\":\"base\""
+            + ",\"sidecar\":\"127.0.0.1:"
+            + sidecar.address().getPort()
+            + "\",\"maxBatch\":16,\"state\":\"leaving\","
+            + "\"coldStart\":{\"initialConcurrency\":2,\"rampSeconds\":1}}");
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/comfreygap/gateway/AttemptFaultTest.java
@@ -0,0 +1,273 @@
+package org.comfreygap.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.protocol.generated.RefusalReason;
+import org.comfreygap.testkit.FakeSidecar;
+import org.comfreygap.testkit.FakeSidecar.Answer;
+import org.comfreygap.testkit.FakeSidecar.Fault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Faults of sidecars and their connections, for each kind of request (I9, I10, I11). */
+class AttemptFaultTest {
+
+  private static final String JSON = "{\"text\":\"first half, second half\"}";
+  private static final List<String> EVENTS = List.of("one", "two", "three", "[DONE]");
+  private static final String STREAM = "data: one\n\ndata: two\n\ndata: three\n\ndata: [DONE]\n\n";
+  private static final String SEED = "\"seed\":7,";
+
+  private GatewayFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = GatewayFixture.start(3, 2);
+    fixture.sidecars.values().forEach(sidecar -> sidecar.answers(AttemptFaultTest::answer));
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  /** Guards against lost, cut or mixed answers when an idempotent request meets a fault. */
+  @ParameterizedTest(name = "{0}: {1} starts")
+  @CsvSource({
+    "REFUSE,             1",
+    "CRASH,              2",
+    "CLOSE_BEFORE_HEAD,  1",
+    "LOSE_REQUEST,       1",
+    "SILENT_BEFORE_HEAD, 1",
+    "SILENT_HALFWAY,     1",
+    "END_HALFWAY,        1",
+    "CUT_HALFWAY,        1",
+    "FORGET_HALFWAY,     2",
+    "WRONG_ATTEMPT,      1",
+    "WRONG_OFFSET,       1",
+    "WRONG_TOTAL,        1"
+  })
+  void completesIdempotentRequests(Fault fault, int starts) throws Exception {
+    FakeSidecar home = home();
+    home.plan(fault);
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+    assertThat(response.body()).isEqualTo(JSON);
+    assertThat(fixture.starts() - 1).isEqualTo(starts);
+    assertThat(fixture.chat(GatewayFixture.CHAT).body()).isEqualTo(JSON);
+  }
+
+  /** Guards against doubled or spliced streams, and streams that end without a sign of it. */
+  @ParameterizedTest(name = "{0}, seed {1}: {2}")
+  @CsvSource({
+    "REFUSE,             false, complete",
+    "CLOSE_BEFORE_HEAD,  false, complete",
+    "SILENT_HALFWAY,     false, complete",
+    "END_HALFWAY,        false, complete",
+    "CUT_HALFWAY,        false, complete",
+    "WRONG_ATTEMPT,      false, complete",
+    "WRONG_OFFSET,       false, complete",
+    "WRONG_TOTAL,        false, complete",
+    "CRASH,              false, error",
+    "FORGET_HALFWAY,     false, error",
+    "CRASH,              true,  complete",
+    "FORGET_HALFWAY,     true,  complete"
+  })
+  void completesOrVisiblyBreaksStreams(Fault fault, boolean seed, String expected)
+      throws Exception {
+    FakeSidecar home = home();
+    home.plan(fault);
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.stream(seed ? SEED : ""));
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    if (expected.equals("complete")) {
+      assertThat(response.body()).isEqualTo(STREAM);
+    } else {
+      assertThat(response.body()).startsWith("data: one\n\ndata: two\n\ndata: {\"error\"");
+      assertThat(response.body()).contains("\"outcome\":\"unknown\"").doesNotContain("[DONE]");
+      fixture.awaitEvent(GatewayEvent.ANSWER_BROKEN);
+    }
+  }
+
+  /** Guards against an answer spliced from two different ones although a seed was given. */
+  @Test
+  void breaksAStreamWhenTheSecondAnswerDiffers() throws Exception {
+    FakeSidecar home = home();
+    fixture.sidecars.values().stream()
+        .filter(sidecar -> sidecar != home)
+        .forEach(
+            sidecar ->
+                sidecar.answers(
+                    request -> Answer.events(List.of("one", "2", "three", "[DONE]"), 0)));
+    home.plan(Fault.FORGET_HALFWAY);
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.stream(SEED));
+
+    assertThat(response.body()).startsWith("data: one\n\ndata: two\n\ndata: {\"error\"");
+    assertThat(response.body()).doesNotContain("three");
+  }
+
+  /** Guards against a call that must not be repeated and runs twice or is misreported. */
+  @ParameterizedTest(name = "{0}: {1} {2}, {3} starts")
+  @CsvSource({
+    "REFUSE,             200, ran,     1",
+    "CLOSE_BEFORE_HEAD,  200, ran,     1",
+    "SILENT_BEFORE_HEAD, 200, ran,     1",
+    "CUT_HALFWAY,        200, ran,     1",
+    "END_HALFWAY,        200, ran,     1",
+    "LOSE_REQUEST,       502, unknown, 0",
+    "CRASH,              502, unknown, 1",
+    "FORGET_HALFWAY,     502, unknown, 1"
+  })
+  void neverRunsNonIdempotentCallsTwice(Fault fault, int status, String outcome, int starts)
+      throws Exception {
+    FakeSidecar first = fixture.sidecar("orders-1");
+    FakeSidecar second = fixture.sidecar("orders-2");
+    first.plan(fault);
+    second.plan(fault);
+
+    HttpResponse<String> response = fixture.order("POST", null, "order");
+
+    assertThat(response.statusCode()).as(response.body()).isEqualTo(status);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo(outcome);
+    assertThat(first.starts() + second.starts()).isEqualTo(starts);
+    long sent =
+        fixture.sidecars.values().stream()
+            .flatMap(sidecar -> sidecar.received().stream())
+            .filter(attempt -> !attempt.isAttachOnly())
+            .count();
+    assertThat(sent).isEqualTo(fault == Fault.REFUSE ? 3 : 1);
+  }
+
+  /** Guards against a planned move of an endpoint that shows in refusals (I8, I12, I13). */
+  @ParameterizedTest
+  @EnumSource(
+      value = RefusalReason.class,
+      names = {"ZONE_OUT", "LEAVING", "STOPPING", "NO_LEASE", "QUEUE_FULL", "COLD", "SHED"})
+  void movesRefusedRequestsToAnotherEndpoint(RefusalReason reason) throws Exception {
+    home().always(Fault.REFUSE, reason);
+
+    for (int i = 0; i < 5; i++) {
+      assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+    }
+  }
+
+  /** Guards against retries of requests that every endpoint would refuse. */
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvSource({"KEY_WITHDRAWN, 401", "QUARANTINED, 422", "DEADLINE, 504"})
+  void givesUpOnFinalRefusals(RefusalReason reason, int status) throws Exception {
+    home().planRefusal(reason);
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).isEqualTo(status);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+    assertThat(fixture.starts()).isEqualTo(1);
+  }
+
+  /** Guards against a refusal that comes late or without a hint when to try again. */
+  @Test
+  void answersAtOnceWithRetryAfterWhenEveryEndpointRefuses() throws Exception {
+    fixture.sidecars.values().forEach(s -> s.always(Fault.REFUSE, RefusalReason.QUEUE_FULL));
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+    assertThat(response.headers().firstValue("Retry-After")).hasValue("1");
+  }
+
+  /** Guards against requests lost with a sidecar whose process is gone, of either kind. */
+  @Test
+  void usesAnotherEndpointWhenASidecarIsGone() throws Exception {
+    home().close();
+    fixture.sidecar("orders-1").close();
+
+    for (int i = 0; i < 4; i++) {
+      assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+      assertThat(fixture.order("POST", null, "order").statusCode()).isEqualTo(200);
+    }
+
+    assertThat(fixture.sidecar("orders-2").starts()).isEqualTo(4);
+  }
+
+  /** Guards against a crash whose suspects harm their neighbours on the retry. */
+  @Test
+  void isolatesAndReportsCrashSuspects() throws Exception {
+    home().plan(Fault.CRASH);
+
+    fixture.chat(GatewayFixture.CHAT);
+    fixture.chat(GatewayFixture.CHAT);
+
+    List<AttemptRequest> attempts =
+        fixture.sidecars.values().stream()
+            .flatMap(sidecar -> sidecar.received().stream())
+            .filter(AttemptRequest::isIsolated)
+            .toList();
+    // The retry, and the same request sent again by its caller.
+    assertThat(attempts).hasSize(2);
+    GatewayFixture.await(() -> !fixture.control.crashes().isEmpty());
+    assertThat(fixture.control.crashes().get(0).getFingerprints())
+        .containsExactly(attempts.get(0).getFingerprint());
+    assertThat(fixture.control.crashes().get(0).getEndedBootId()).isEqualTo("boot-1");
+  }
+
+  /** Guards against two faults at once, on successive endpoints. */
+  @ParameterizedTest(name = "{0}, then {1}")
+  @CsvSource({
+    "REFUSE,         CLOSE_BEFORE_HEAD",
+    "CRASH,          REFUSE",
+    "LOSE_REQUEST,   CUT_HALFWAY",
+    "FORGET_HALFWAY, FORGET_HALFWAY",
+    "WRONG_OFFSET,   CRASH",
+    "LOSE_REQUEST,   SILENT_HALFWAY"
+  })
+  void completesUnderPairsOfFaults(Fault first, Fault second) throws Exception {
+    FakeSidecar home = home();
+    home.plan(first);
+    List<FakeSidecar> others =
+        fixture.sidecars.values().stream().filter(sidecar -> sidecar != home).toList();
+    others.forEach(sidecar -> sidecar.plan(second));
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    // Three engines with one fault each at most: the third attempt meets no more than one of them.
+    if (response.statusCode() != 200) {
+      assertThat(GatewayFixture.outcome(response)).isNotEqualTo("ran");
+      assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    } else {
+      assertThat(response.body()).isEqualTo(JSON);
+    }
+    assertThat(fixture.chat(GatewayFixture.CHAT).body()).isEqualTo(JSON);
+  }
+
+  /** Returns the engine that holds the adapter after one request. */
+  private FakeSidecar home() throws Exception {
+    assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+    return fixture.sidecars.values().stream()
+        .filter(sidecar -> sidecar.starts() == 1)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static Answer answer(AttemptRequest request) {
+    if (request.isStream()) {
+      return Answer.events(EVENTS, 0);
+    }
+    byte[] first = JSON.substring(0, 10).getBytes(StandardCharsets.UTF_8);
+    byte[] second = JSON.substring(10).getBytes(StandardCharsets.UTF_8);
+    return new Answer(
+        200, Map.of("Content-Type", "application/json"), List.of(first, second), 0, 10);
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
@@ -0,0 +1,290 @@
+package org.comfreygap.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
+import org.comfreygap.protocol.generated.CreditItem;
+import org.comfreygap.testkit.FakeSidecar;
+import org.comfreygap.testkit.FakeSidecar.Answer;
+import org.comfreygap.testkit.FakeSidecar.Fault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Callers that go away, are slow or are silent, and the planned stop (I13). */
+class CallerFaultTest {
+
+  private GatewayFixture fixture;
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  /** Guards against endpoints that keep working for a caller that went away before its answer. */
+  @Test
+  void cancelsWhenTheCallerLeavesBeforeTheAnswer() throws Exception {
+    fixture = GatewayFixture.start(1);
+    FakeSidecar engine = fixture.sidecar("engine-1");
+    engine.plan(Fault.BEATS_ONLY);
+    try (Socket caller = send(GatewayFixture.CHAT)) {
+      GatewayFixture.await(() -> engine.starts() == 1);
+    }
+
+    GatewayFixture.await(() -> engine.cancels().size() == 1);
+    assertThat(engine.cancels().get(0).getAttemptId())
+        .isEqualTo(engine.received().get(0).getAttemptId());
+    fixture.awaitEvent(GatewayEvent.CALLER_GONE);
+  }
+
+  /** Guards against endpoints that keep working for a caller that went away during a stream. */
+  @Test
+  void cancelsWhenTheCallerLeavesDuringAStream() throws Exception {
+    fixture = GatewayFixture.start(1);
+    FakeSidecar engine = fixture.sidecar("engine-1");
+    engine.answers(request -> Answer.events(Collections.nCopies(1_000, "event"), 100));
+    try (Socket caller = send(GatewayFixture.stream(""))) {
+      readUntil(caller.getInputStream(), "event");
+    }
+
+    GatewayFixture.await(() -> engine.cancels().size() == 1);
+  }
+
+  /** Guards against a second request on the connection that the check for the caller swallows. */
+  @Test
+  void keepsAPipelinedRequestWhileItWaits() throws Exception {
+    fixture = GatewayFixture.start(1);
+    fixture
+        .sidecar("engine-1")
+        .answers(
+            request ->
+                new Answer(200, Map.of("Content-Type", "text/plain"), parts("answer;"), 1_200, 1));
+    try (Socket caller = send(GatewayFixture.CHAT)) {
+      GatewayFixture.await(() -> fixture.starts() == 1);
+      caller.getOutputStream().write(http(GatewayFixture.CHAT));
+      String first = readUntil(caller.getInputStream(), "answer;");
+      String second = readUntil(caller.getInputStream(), "answer;");
+
+      assertThat(first).contains("200 OK");
+      assertThat(second).contains("200 OK");
+    }
+  }
+
+  /** Guards against a worker held by a caller that sends its body a byte at a time. */
+  @Test
+  void givesUpOnASlowBody() throws Exception {
+    fixture = start(Duration.ofMillis(500), Duration.ofSeconds(10));
+    try (Socket caller = new Socket("127.0.0.1", fixture.settings.httpAddress().getPort())) {
+      OutputStream out = caller.getOutputStream();
+      out.write(head(1_000));
+      for (int i = 0; i < 1_000 && caller.getInputStream().available() == 0; i++) {
+        out.write(' ');
+        out.flush();
+        Thread.sleep(20);
+      }
+      assertThat(readUntil(caller.getInputStream(), "\r\n")).contains("408");
+    }
+    GatewayFixture.await(() -> active() == 0);
+  }
+
+  /** Guards against a worker held by a caller that stops in the middle of its body. */
+  @Test
+  void givesUpOnASilentCaller() throws Exception {
+    fixture = start(Duration.ofSeconds(10), Duration.ofMillis(400));
+    try (Socket caller = new Socket("127.0.0.1", fixture.settings.httpAddress().getPort())) {
+      caller.getOutputStream().write(head(1_000));
+      GatewayFixture.await(() -> active() == 1);
+      GatewayFixture.await(() -> active() == 0);
+    }
+  }
+
+  /** Guards against a worker held by a caller that does not read its answer. */
+  @Test
+  void givesUpOnACallerThatDoesNotRead() throws Exception {
+    fixture = start(Duration.ofSeconds(10), Duration.ofMillis(400));
+    FakeSidecar engine = fixture.sidecar("engine-1");
+    byte[] part = new byte[256 * 1024];
+    Arrays.fill(part, (byte) 'x');
+    engine.answers(
+        request ->
+            new Answer(
+                200,
+                Map.of("Content-Type", "text/event-stream"),
+                Collections.nCopies(100, part),
+                0,
+                1));
+    try (Socket caller = send(GatewayFixture.stream(""))) {
+      GatewayFixture.await(() -> engine.starts() == 1);
+      GatewayFixture.await(() -> active() == 0);
+    }
+    GatewayFixture.await(() -> engine.cancels().size() == 1);
+  }
+
+  /** Guards against an idle time for connections that also ends requests which wait. */
+  @Test
+  void letsARequestWaitLongerThanTheIdleTime() throws Exception {
+    fixture = start(Duration.ofSeconds(10), Duration.ofMillis(400));
+    fixture
+        .sidecar("engine-1")
+        .answers(
+            request ->
+                new Answer(200, Map.of("Content-Type", "text/plain"), parts("answer"), 1_500, 1));
+
+    assertThat(fixture.chat(GatewayFixture.CHAT).statusCode()).isEqualTo(200);
+  }
+
+  /** Guards against requests beyond the workers that wait for one instead of an answer. */
+  @Test
+  void refusesAtOnceWhenAllWorkersAreBusy() throws Exception {
+    fixture = GatewayFixture.start(1, 0, settings -> with(settings, 2, Duration.ofMillis(50)));
+    FakeSidecar engine = fixture.sidecar("engine-1");
+    engine.always(Fault.BEATS_ONLY, null);
+    try (Socket first = send(GatewayFixture.CHAT);
+        Socket second = send(GatewayFixture.CHAT)) {
+      GatewayFixture.await(() -> engine.starts() == 2);
+
+      HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+      assertThat(response.statusCode()).isEqualTo(503);
+      assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+      assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    }
+    GatewayFixture.await(() -> active() == 0);
+  }
+
+  /** Guards against a planned stop that cuts a stream, hides from control or keeps credit (I13). */
+  @Test
+  void finishesStreamsAndReturnsCreditBeforeItStops() throws Exception {
+    fixture = GatewayFixture.start(1, 0, settings -> with(settings, 64, Duration.ofMillis(700)));
+    fixture.limits("press", 100_000, 100_000);
+    FakeSidecar engine = fixture.sidecar("engine-1");
+    engine.answers(request -> Answer.events(Collections.nCopies(20, "event"), 100));
+    CompletableFuture<HttpResponse<String>> stream = fixture.chatLater(GatewayFixture.stream(""));
+    GatewayFixture.await(() -> engine.starts() == 1);
+
+    CompletableFuture<Void> stopped = CompletableFuture.runAsync(this::close);
+    GatewayFixture.await(() -> !fixture.gateway.ready());
+    // A keep-alive connection is still served during the lag and told to go elsewhere.
+    engine.answers(request -> Answer.json(200, "{}"));
+    HttpResponse<String> late = fixture.chat(GatewayFixture.CHAT);
+    stopped.join();
+
+    assertThat(late.statusCode()).isEqualTo(200);
+    assertThat(late.headers().firstValue("Connection")).hasValue("close");
+    assertThat(stream.join().body()).isEqualTo("data: event\n\n".repeat(20));
+    assertThat(fixture.control.lastHeartbeat("gateway-1").orElseThrow().isLeaving()).isTrue();
+    long granted = sum(CreditItem::getWanted);
+    assertThat(sum(CreditItem::getUsed) + sum(CreditItem::getReturned)).isEqualTo(granted);
+  }
+
+  private long sum(java.util.function.ToLongFunction<CreditItem> part) {
+    return fixture.control.creditItems().stream().mapToLong(part).sum();
+  }
+
+  private void close() {
+    try {
+      fixture.gateway.close();
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private GatewayFixture start(Duration bodyTimeout, Duration idleTimeout) throws Exception {
+    UnaryOperator<GatewaySettings> change =
+        s ->
+            new GatewaySettings(
+                s.processId(),
+                s.zone(),
+                s.httpAddress(),
+                s.adminAddress(),
+                s.control(),
+                s.security(),
+                s.maxBodyBytes(),
+                s.stopLag(),
+                s.workers(),
+                s.requestTimeout(),
+                bodyTimeout,
+                idleTimeout,
+                s.defaultMaxTokens(),
+                s.bytesPerToken());
+    return GatewayFixture.start(1, 0, change);
+  }
+
+  private static GatewaySettings with(GatewaySettings s, int workers, Duration stopLag) {
+    return new GatewaySettings(
+        s.processId(),
+        s.zone(),
+        s.httpAddress(),
+        s.adminAddress(),
+        s.control(),
+        s.security(),
+        s.maxBodyBytes(),
+        stopLag,
+        workers,
+        s.requestTimeout(),
+        s.bodyTimeout(),
+        s.idleTimeout(),
+        s.defaultMaxTokens(),
+        s.bytesPerToken());
+  }
+
+  private double active() {
+    return fixture
+        .gateway
+        .metrics()
+        .lines()
+        .filter(line -> line.startsWith("comfreygap_gateway_requests_active"))
+        .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' '))))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private Socket send(String body) throws Exception {
+    Socket socket = new Socket("127.0.0.1", fixture.settings.httpAddress().getPort());
+    socket.setReceiveBufferSize(8 * 1024);
+    socket.getOutputStream().write(http(body));
+    return socket;
+  }
+
+  private static byte[] http(String body) {
+    byte[] head = head(body.length());
+    byte[] all = Arrays.copyOf(head, head.length + body.length());
+    System.arraycopy(body.getBytes(StandardCharsets.US_ASCII), 0, all, head.length, body.length());
+    return all;
+  }
+
+  private static byte[] head(int length) {
+    return ("POST /v1/chat/completions HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer "
+            + GatewayFixture.KEY
+            + "\r\nContent-Type: application/json\r\nContent-Length: "
+            + length
+            + "\r\n\r\n")
+        .getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static java.util.List<byte[]> parts(String text) {
+    return java.util.List.of(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String readUntil(InputStream in, String end) throws Exception {
+    StringBuilder text = new StringBuilder();
+    int c = in.read();
+    while (c >= 0) {
+      text.append((char) c);
+      if (text.indexOf(end) >= 0) {
+        return text.toString();
+      }
+      c = in.read();
+    }
+    return text.toString();
+  }
+}
--- a/gateway/src/test/java/org/comfreygap/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayFixture.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
@@ -114,14 +115,17 @@
     awaitRevision(revision);
   }
 
-  /** Waits until the gateway has reported {@code revision} as in force. */
+  /** Waits until the gateway has recorded {@code revision} as in force. */
   void awaitRevision(long revision) {
-    await(
-        () ->
-            control
-                .lastHeartbeat(settings.processId())
-                .filter(heartbeat -> heartbeat.getRevisionInForce() >= revision)
-                .isPresent());
+    await(() -> revisionInForce() >= revision);
+  }
+
+  private long revisionInForce() {
+    return gateway.events().timeline().since(0, Optional.empty(), Optional.empty()).stream()
+        .filter(entry -> entry.name().equals("SETTINGS_IN_FORCE"))
+        .mapToLong(entry -> Long.parseLong(entry.fields().get("revision")))
+        .max()
+        .orElse(0);
   }
 
   URI uri(String path) {
@@ -182,18 +186,17 @@
     }
   }
 
-  /** Returns true when an event was recorded at the gateway. */
-  boolean recorded(GatewayEvent event) {
-    return gateway
-        .events()
-        .timeline()
-        .since(0, java.util.Optional.empty(), java.util.Optional.empty())
-        .stream()
-        .anyMatch(entry -> entry.number() == event.number());
+  /** Waits until {@code event} is recorded; events are written by a thread of their own. */
+  void awaitEvent(GatewayEvent event) {
+    await(
+        () ->
+            gateway.events().timeline().since(0, Optional.empty(), Optional.empty()).stream()
+                .anyMatch(entry -> entry.number() == event.number()));
   }
 
   @Override
   public void close() throws Exception {
+    control.endPolls();
     closer.close();
   }
 
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
@@ -79,6 +79,7 @@
   private long quarantineVersion = 1;
   private long membershipVersion = 1;
   private Fault fault = Fault.NONE;
+  private boolean endingPolls;
   private ThriftServer server;
 
   private FakeControl() {}
@@ -127,6 +128,12 @@
     notifyAll();
   }
 
+  /** Answers long polls at once from now on, so that clients of this instance can stop quickly. */
+  public synchronized void endPolls() {
+    endingPolls = true;
+    notifyAll();
+  }
+
   /** Adds or changes the member for the sidecar of {@code endpoint}. */
   public synchronized void sidecar(String endpoint, String zone, MemberState state) {
     String id = "sidecar-" + endpoint;
@@ -189,7 +196,7 @@
     while (settings.revision() <= request.getAfterRevision()
         && quarantineSeen.getOrDefault(request.getProcessId(), 0L) >= quarantineVersion) {
       long left = Duration.ofNanos(end - System.nanoTime()).toMillis();
-      if (left <= 0 || !pause(left)) {
+      if (endingPolls || left <= 0 || !pause(left)) {
         break;
       }
     }
