--- a/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
@@ -219,7 +219,7 @@
     return GatewayFixture.start(1, 0, change);
   }
 
-  private static GatewaySettings with(GatewaySettings s, int workers, Duration stopLag) {
+  static GatewaySettings with(GatewaySettings s, int workers, Duration stopLag) {
     return new GatewaySettings(
         s.processId(),
         s.zone(),
@@ -255,7 +255,7 @@
     return socket;
   }
 
-  private static byte[] http(String body) {
+  static byte[] http(String body) {
     byte[] head = head(body.length());
     byte[] all = Arrays.copyOf(head, head.length + body.length());
     System.arraycopy(body.getBytes(StandardCharsets.US_ASCII), 0, all, head.length, body.length());
--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -182,6 +182,8 @@
       logging.setLevel(logLevel);
       // Thrift logs each connection that a peer closes as an error.
       logging.setLoggers(Map.of("org.apache.thrift", TextNode.valueOf("OFF")));
+      // Thread names would hold addresses with their queries, which may carry a caller's key.
+      factory.setEnableThreadNameFilter(false);
       // Compression buffers, which would delay the events of a stream.
       factory.getGzipFilterFactory().setEnabled(false);
       Configuration configuration = new Configuration();
