Let the fake sidecar's wrong frames carry wrong bytes

A frame of another attempt carried the right bytes, and a wrong total came after a whole answer, so neither showed whether the gateway checks it.

--- a/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
@@ -125,11 +125,11 @@
     CUT_HALFWAY,
     /** The connection closes after half of the answer, and the attempt is no longer known. */
     FORGET_HALFWAY,
-    /** The data frames carry the id of another attempt. */
+    /** The data frames carry the id and the bytes of another attempt. */
     WRONG_ATTEMPT,
     /** The second half of the answer carries the offset of the first. */
     WRONG_OFFSET,
-    /** The final frame counts one byte too many. */
+    /** The second half is left out, and the final frame counts it all the same. */
     WRONG_TOTAL,
     /** Only beats are sent until the attempt is cancelled. */
     BEATS_ONLY
@@ -403,19 +403,19 @@
         pause(id);
         part(answer.parts().get(i), i >= half);
       }
-      long total = answer.totalBytes() + (fault == Fault.WRONG_TOTAL ? 1 : 0);
-      exchange.frame(
-          id, FrameBody.finish(new FrameEnd(total, answer.tokensUsed()).setReport(report())));
+      FrameEnd end = new FrameEnd(answer.totalBytes(), answer.tokensUsed());
+      exchange.frame(id, FrameBody.finish(end.setReport(report())));
       exchange.end();
     }
 
     private void part(byte[] bytes, boolean secondHalf) throws Exception {
       int skip = (int) Math.min(bytes.length, Math.max(0, attempt.getResumeOffset() - offset));
-      if (skip < bytes.length) {
+      if (skip < bytes.length && !(fault == Fault.WRONG_TOTAL && secondHalf)) {
         long sent = offset + skip;
         sent = fault == Fault.WRONG_OFFSET && secondHalf ? 0 : sent;
         String id = fault == Fault.WRONG_ATTEMPT ? "another-attempt" : attempt.getAttemptId();
-        ByteBuffer data = ByteBuffer.wrap(bytes, skip, bytes.length - skip).slice();
+        byte[] carried = fault == Fault.WRONG_ATTEMPT ? new byte[bytes.length] : bytes;
+        ByteBuffer data = ByteBuffer.wrap(carried, skip, bytes.length - skip).slice();
         exchange.frame(id, FrameBody.data(new FrameData(sent, data)));
       }
       offset += bytes.length;
