--- a/bench/src/main/java/org/comfreygap/bench/MeasureMain.java
+++ b/bench/src/main/java/org/comfreygap/bench/MeasureMain.java
@@ -239,6 +239,7 @@
       report.add("requests_per_second_per_core", ours.results().size() / cpuSeconds);
       report.add("crashes", ours.record().events("CRASH", 0));
       report.add("settings_changes_failed", probe.get().failedChanges());
+      report.add("settings_change_slowest_ms", probe.get().slowestChangeMillis());
       for (String kind : List.of("control", "gateway", "sidecar")) {
         report.add(kind + "_resident_mb", product.get().residentBytes(kind) / 1e6);
       }
--- a/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
+++ b/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
@@ -207,7 +207,8 @@
   }
 
   private void launch(String name, String id, String settings, String options) throws IOException {
-    programs.put(id, RunningProgram.start(root, name, id, folder, settings, options));
+    String collections = " -Xlog:gc,safepoint:file=" + folder.resolve("gc-" + id + ".txt");
+    programs.put(id, RunningProgram.start(root, name, id, folder, settings, options + collections));
   }
 
   private void checkAlive() throws IOException {
--- a/bench/src/main/java/org/comfreygap/bench/SettingsProbe.java
+++ b/bench/src/main/java/org/comfreygap/bench/SettingsProbe.java
@@ -25,6 +25,7 @@
   private final ConcurrentLinkedQueue<SettingsReading> readings = new ConcurrentLinkedQueue<>();
   private final Thread thread = new Thread(this::loop, "settings-probe");
   private volatile long failedChanges;
+  private volatile double slowestChangeMillis;
 
   SettingsProbe(AdminClient admin) {
     this.admin = admin;
@@ -41,6 +42,11 @@
     return failedChanges;
   }
 
+  /** Returns the longest time that a change took to be accepted. */
+  double slowestChangeMillis() {
+    return slowestChangeMillis;
+  }
+
   @Override
   public void close() {
     thread.interrupt();
@@ -63,12 +69,14 @@
   }
 
   private void change(long value) throws InterruptedException {
+    long from = System.nanoTime();
     try {
       admin.put(PATH, "{\"displayName\":\"" + value + "\"}", CHANGE_LIMIT);
       see("document", value);
     } catch (IOException e) {
       failedChanges++;
     }
+    slowestChangeMillis = Math.max(slowestChangeMillis, (System.nanoTime() - from) / 1e6);
   }
 
   private void read() throws InterruptedException {
