--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointCore.java
@@ -96,7 +96,8 @@
     lock.lock();
     try {
       result = action.apply(System.nanoTime());
-      // An empty list stays in use under the lock, so it must not be run outside of it.
+      // The list that is run here must be out of reach of the next holder of the lock, which would
+      // otherwise have its effects run twice.
       due = effects.isEmpty() ? List.of() : effects;
       effects = effects.isEmpty() ? effects : new ArrayList<>();
     } finally {
