--- a/bench/src/main/java/org/comfreygap/bench/CapacityMain.java
+++ b/bench/src/main/java/org/comfreygap/bench/CapacityMain.java
@@ -189,21 +189,30 @@
 
   /** Runs membership agents as gateways and sidecars do, and observes control's cost of them. */
   private void processes(int[] sizes, String suffix) throws Exception {
-    try (EventLog events = new EventLog("capacity", clock(), new Timeline(16))) {
-      List<MembershipAgent> agents = new ArrayList<>();
-      try (ControlClient direct = new ControlClient(rpcAddresses(), security)) {
-        for (int size : sizes) {
-          while (agents.size() < size) {
-            agents.add(agent(agents.size(), direct, events));
-          }
-          Thread.sleep(5_000);
-          observe(size, suffix);
-        }
-      } finally {
-        for (MembershipAgent agent : agents) {
-          agent.close();
+    List<MembershipAgent> agents = new ArrayList<>();
+    try (EventLog events = new EventLog("capacity", clock(), new Timeline(16));
+        ControlClient direct = new ControlClient(rpcAddresses(), security)) {
+      for (int size : sizes) {
+        while (agents.size() < size) {
+          agents.add(agent(agents.size(), direct, events));
         }
+        Thread.sleep(5_000);
+        observe(size, suffix);
       }
+      closeAll(agents);
+    }
+  }
+
+  /** Closes agents at once, since each waits for its long poll to end. */
+  private static void closeAll(List<MembershipAgent> agents) throws InterruptedException {
+    List<Thread> threads = new ArrayList<>();
+    for (MembershipAgent agent : agents) {
+      Thread thread = new Thread(agent::close, "close-agent");
+      thread.start();
+      threads.add(thread);
+    }
+    for (Thread thread : threads) {
+      thread.join();
     }
   }
 
@@ -252,7 +261,7 @@
       }
       double changed = counter.take() / (double) PROXIED - idle * OBSERVED_MILLIS / 1_000.0;
       print("bytes_per_process_and_change", CHANGES, changed / CHANGES);
-      agents.forEach(MembershipAgent::close);
+      closeAll(agents);
       clients.forEach(ControlClient::close);
     }
   }
