--- a/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
+++ b/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.comfreygap.runtime.SharedKey;
 
 /**
  * The real programs of comfreygap, each in a process of its own.
@@ -202,12 +203,17 @@
     }
   }
 
+  static SharedKey sharedKey() {
+    return SharedKey.of(SHARED_KEY.getBytes(StandardCharsets.UTF_8));
+  }
+
   static String customer(int index) {
     return "c" + (index + 1);
   }
 
   private void launch(String name, String id, String settings, String options) throws IOException {
-    programs.put(id, RunningProgram.start(root, name, id, folder, settings, options));
+    String collections = " -Xlog:gc,safepoint:file=" + folder.resolve("gc-" + id + ".txt");
+    programs.put(id, RunningProgram.start(root, name, id, folder, settings, options + collections));
   }
 
   private void checkAlive() throws IOException {
@@ -230,7 +236,7 @@
     }
   }
 
-  private String endpoint(Layout.Runner runner) {
+  String endpoint(Layout.Runner runner) {
     Profile.Fleet fleet = layout.profile.fleet();
     String target =
         runner.engine()
