Wait for all three voters before the control program test stops one

serviceAndStateSurviveRestartsOfEachInstance failed once on a busy machine: no leader for 60 s. The events show the cause: the first instance starts alone and takes the others in one at a time, and the test stopped it when c3 was still a learner. With one of two voters stopped there is rightly no quorum. The test now waits for three voters, which is its precondition; its checks are unchanged.

--- a/control/src/test/java/org/comfreygap/control/ControlProgramTest.java
+++ b/control/src/test/java/org/comfreygap/control/ControlProgramTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.StreamSupport;
 import org.comfreygap.protocol.generated.BeginReply;
 import org.comfreygap.protocol.generated.BeginRequest;
 import org.comfreygap.protocol.generated.LedgerState;
@@ -43,6 +44,7 @@
     for (Instance instance : instances) {
       instance.start(members);
     }
+    awaitVoters(3);
   }
 
   @AfterEach
@@ -118,6 +120,21 @@
     put("op-2", "/teams/a/customers/d", 0);
   }
 
+  /** The first instance starts alone and takes the others in one by one, as learners first. */
+  private void awaitVoters(int count) throws Exception {
+    long end = System.nanoTime() + LIMIT.toNanos();
+    long voters = 0;
+    while (voters < count) {
+      assertThat(end - System.nanoTime()).as("%s of %s voters", voters, count).isPositive();
+      JsonNode members =
+          Codec.MAPPER.readTree(call("GET", "/members", null).body()).path("members");
+      voters =
+          StreamSupport.stream(members.spliterator(), false)
+              .filter(member -> !member.path("role").asText().equals("learner"))
+              .count();
+    }
+  }
+
   private String put(String operation, String path, long ifMatch) throws Exception {
     HttpResponse<String> answer = call("PUT", "/settings" + path, "{}", operation, ifMatch);
     assertThat(answer.statusCode()).isEqualTo(200);
