--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -28,8 +28,9 @@
 /**
  * Heartbeats and the membership view at the leader.
  *
- * <p>Invariant: answers carry changes of state only; endpoint reports are not passed on. Thread
- * safety: any thread may call; the view is guarded by its own monitor.
+ * <p>Invariant: answers carry changes of state only, and only to the processes that act on them;
+ * endpoint reports are not passed on. Thread safety: any thread may call; the view is guarded by
+ * its own monitor.
  */
 @Singleton
 final class MembershipController {
@@ -87,7 +88,11 @@
       noteLoading(term, request.getReport(), now);
     }
     List<Member> members = new ArrayList<>(delta.changed().size());
-    delta.changed().forEach(status -> members.add(member(status)));
+    for (MembershipView.Status<ProcessIdentity> status : delta.changed()) {
+      if (concerns(identity.getKind(), status.identity().description().getKind())) {
+        members.add(member(status));
+      }
+    }
     return new HeartbeatReply(
         state.revision(), term.term(), delta.version(), members, delta.full(), controlAddresses);
   }
@@ -199,6 +204,15 @@
     }
   }
 
+  /**
+   * Returns true when a process of kind {@code reader} acts on the state of one of kind {@code
+   * other}. Only gateways do, on sidecars and on the number of gateways; to send everything to the
+   * sidecars too would cost each of them 170 KB at a change of leader.
+   */
+  private static boolean concerns(ProcessKind reader, ProcessKind other) {
+    return reader == ProcessKind.GATEWAY && other != ProcessKind.CONTROL;
+  }
+
   private static Member member(MembershipView.Status<ProcessIdentity> status) {
     return new Member(
         status.identity().description(),
--- a/control/src/test/java/org/comfreygap/control/ControlMeasurement.java
+++ b/control/src/test/java/org/comfreygap/control/ControlMeasurement.java
@@ -163,10 +163,24 @@
     changes(state, 0, 100_000);
     print("smallHeap.stateBytes", heap() - empty);
     print("smallHeap.maxHeapBytes", Runtime.getRuntime().maxMemory());
-    CountingStream bytes = new CountingStream();
-    state.writeSnapshot(bytes);
-    print("smallHeap.snapshotBytes", bytes.count);
+    Path file = Files.createTempFile("control-snapshot", ".gz");
+    long start = System.nanoTime();
+    try (var out = Files.newOutputStream(file)) {
+      state.writeSnapshot(out);
+    }
+    print("smallHeap.snapshotWriteMillis", seconds(start) * 1_000);
+    print("smallHeap.snapshotBytes", Files.size(file));
     print("smallHeap.revision", state.revision());
+    state = null;
+    start = System.nanoTime();
+    ControlState copy = new ControlState();
+    try (var in = Files.newInputStream(file)) {
+      copy.readSnapshot(in);
+    }
+    print("smallHeap.snapshotReadMillis", seconds(start) * 1_000);
+    print("smallHeap.readRevision", copy.revision());
+    print("smallHeap.readStateBytes", heap() - empty);
+    Files.delete(file);
   }
 
   private static void restart() throws Exception {
@@ -331,21 +345,6 @@
     System.out.println(name + " " + String.format(Locale.ROOT, "%.1f", value.doubleValue()));
   }
 
-  private static final class CountingStream extends java.io.OutputStream {
-
-    private long count;
-
-    @Override
-    public void write(int b) {
-      count++;
-    }
-
-    @Override
-    public void write(byte[] bytes, int offset, int length) {
-      count += length;
-    }
-  }
-
   /** One instance with the log on disk. */
   private static final class Instance implements AutoCloseable {
 
--- a/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
+++ b/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
@@ -273,7 +273,9 @@
   @Test
   void heartbeatAnswersCarryChangesOnly() throws Exception {
     HeartbeatReply joined = first.handler.heartbeat(heartbeat("a", "s1", 0));
-    first.handler.heartbeat(heartbeat("b", "s1", 0));
+    HeartbeatRequest sidecar =
+        new HeartbeatRequest(ControlFixture.process("b", ProcessKind.SIDECAR, "s1"), 0, false, 0);
+    first.handler.heartbeat(sidecar);
     assertThat(joined.isFull()).isFalse();
     long deadline = System.nanoTime() + 30_000_000_000L;
     HeartbeatReply full = first.handler.heartbeat(heartbeat("a", "s1", 0));
@@ -281,7 +283,10 @@
       Thread.sleep(50);
       full = first.handler.heartbeat(heartbeat("a", "s1", 0));
     }
-    assertThat(full.getMembers()).hasSize(2);
+    assertThat(full.getMembers())
+        .extracting(member -> member.getIdentity().getProcessId())
+        .containsExactlyInAnyOrder("a", "b");
+    assertThat(first.handler.heartbeat(sidecar).getMembers()).isEmpty();
     assertThat(full.getCommittedRevision()).isEqualTo(1);
     long version = full.getMembershipVersion();
     HeartbeatReply delta = first.handler.heartbeat(heartbeat("a", "s1", version));
--- a/control/src/test/java/org/comfreygap/control/SettingsStateTest.java
+++ b/control/src/test/java/org/comfreygap/control/SettingsStateTest.java
@@ -168,6 +168,21 @@
     assertThat(documents(state)).isEmpty();
   }
 
+  /** Guards against a wall clock that jumps and so ends a quarantine or drops answers (I6, I11). */
+  @Test
+  void aJumpOfTheWallClockEndsNothing() {
+    ControlState state = new ControlState();
+    SettingsAnswer first = change(state, "first", "/teams/t", "{}");
+    state.apply(1, Codec.encode(new Command.RecordCrash(0, "e/1", List.of("bad"))));
+    state.apply(1, Codec.encode(new Command.RecordCrash(0, "e/2", List.of("bad"))));
+    long tenYears = 10 * 365 * 24 * 3_600_000L;
+    Author later = new Author("later", "root", System.currentTimeMillis() + tenYears);
+    List<DocumentChange> changes = List.of(new DocumentChange("/teams/u", "{}"));
+    apply(state, new Command.ChangeSettings(0, later, List.of(), changes));
+    assertThat(state.quarantined()).containsKey("bad");
+    assertThat(change(state, "first", "/teams/t", "{}")).isEqualTo(first);
+  }
+
   /** Guards against answers and history that grow without bound, and a reader that misses them. */
   @Test
   void answersAndHistoryAreBounded() throws Exception {
