--- a/sidecar/src/test/java/org/comfreygap/sidecar/HopLatency.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/HopLatency.java
@@ -6,13 +6,18 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TIOStreamTransport;
@@ -29,6 +34,7 @@
 public final class HopLatency {
 
   private static final long EVENT_MILLIS = 65;
+  private static final Set<String> RUNNING = ConcurrentHashMap.newKeySet();
 
   private HopLatency() {}
 
@@ -42,17 +48,9 @@
         StubControl control = new StubControl(security)) {
       settings(control, streams);
       int port = SidecarFixture.freePort();
-      SidecarSettings settings =
-          new SidecarSettings(
-              "sidecar-1",
-              "z1",
-              "engine-1",
-              new InetSocketAddress("127.0.0.1", port),
-              new InetSocketAddress("127.0.0.1", SidecarFixture.freePort()),
-              URI.create("http://127.0.0.1:" + engine.port()),
-              List.of(control.address()));
-      Sidecar sidecar = Sidecar.start(settings, security);
-      SidecarFixture.await("the sidecar serves", sidecar::ready);
+      int admin = SidecarFixture.freePort();
+      Process sidecar = startSidecar(engine.port(), port, admin, control.address());
+      SidecarFixture.await("the sidecar serves", () -> ready(admin));
       for (String round : List.of("warm-up", "measured")) {
         long[] direct = run(streams, sent -> direct(engine.port(), sent));
         System.gc();
@@ -63,10 +61,59 @@
             "%s added_p50_us %d added_p99_us %d%n",
             round, at(hop, 0.5) - at(direct, 0.5), at(hop, 0.99) - at(direct, 0.99));
       }
+      Files.readAllLines(Path.of("/proc/" + sidecar.pid() + "/status")).stream()
+          .filter(line -> line.startsWith("VmRSS") || line.startsWith("Threads"))
+          .forEach(line -> System.out.println("sidecar " + line.replaceAll("\\s+", " ")));
+      sidecar.destroy();
+      System.out.println("sidecar exit " + sidecar.waitFor());
       System.exit(0);
     }
   }
 
+  /** Starts the program with the options of {@code bin/comfreygap-sidecar}. */
+  private static Process startSidecar(int engine, int port, int admin, String control)
+      throws Exception {
+    Path folder = Files.createTempDirectory("hop");
+    Path key = Files.writeString(folder.resolve("key"), SidecarFixture.KEY_TEXT);
+    Path settings =
+        Files.writeString(
+            folder.resolve("sidecar.yaml"),
+            """
+            processId: sidecar-1
+            zone: z1
+            adminAddress: 127.0.0.1:%d
+            control: ["%s"]
+            security: {sharedKeyFile: %s}
+            endpoint: engine-1
+            attemptAddress: 127.0.0.1:%d
+            endpointUrl: http://127.0.0.1:%d
+            """
+                .formatted(admin, control, key, port, engine));
+    return new ProcessBuilder(
+            "java",
+            "-Xmx64m",
+            "-Xss512k",
+            "-XX:+UseSerialGC",
+            "-cp",
+            System.getProperty("java.class.path").replaceAll("[^:]*test-classes:", ""),
+            "org.comfreygap.sidecar.SidecarMain",
+            settings.toString())
+        .redirectErrorStream(true)
+        .redirectOutput(folder.resolve("log").toFile())
+        .start();
+  }
+
+  private static boolean ready(int admin) {
+    try {
+      HttpURLConnection connection =
+          (HttpURLConnection)
+              URI.create("http://127.0.0.1:" + admin + "/ready").toURL().openConnection();
+      return connection.getResponseCode() == 200;
+    } catch (java.io.IOException e) {
+      return false;
+    }
+  }
+
   /** Reads one stream and adds the latency of each event in nanoseconds. */
   private interface Stream {
 
@@ -154,26 +201,35 @@
   private static void answer(WireServer.Request request, WireServer.Response response, int events)
       throws java.io.IOException, InterruptedException {
     if (request.path().startsWith("/engine")) {
+      String running =
+          RUNNING.stream()
+              .map(id -> "{\"attempt\":\"" + id + "\"}")
+              .collect(Collectors.joining(","));
       String state =
-          "{\"bootId\":\"b1\",\"uptimeMillis\":600000,\"resident\":[\"blue/a@v1\"],\"running\":[]}";
+          "{\"bootId\":\"b1\",\"uptimeMillis\":600000,\"resident\":[\"blue/a@v1\"],\"running\":["
+              + running
+              + "]}";
       response.send(
           200,
           Map.of("content-type", "application/json", "x-boot-id", "b1"),
           state.getBytes(StandardCharsets.UTF_8));
       return;
     }
+    String id = request.header("x-request-id");
+    RUNNING.add(id);
     response.begin(
         200,
         Map.of(
             "content-type", "text/event-stream",
             "x-boot-id", "b1",
-            "x-request-id", request.header("x-request-id")));
+            "x-request-id", id));
     for (int i = 0; i < events; i++) {
       response.chunk(("data: t" + System.nanoTime() + "\n\n").getBytes(StandardCharsets.UTF_8));
       Thread.sleep(EVENT_MILLIS);
     }
     response.chunk("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
     response.end();
+    RUNNING.remove(id);
   }
 
   private static void settings(StubControl control, int streams) {
--- a/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
@@ -17,8 +17,8 @@
 /** A sidecar with a control stub, a test gateway and a fake endpoint. */
 final class SidecarFixture implements AutoCloseable {
 
-  static final SharedKey KEY =
-      SharedKey.of("a shared key for tests".getBytes(StandardCharsets.UTF_8));
+  static final String KEY_TEXT = "a shared key for tests";
+  static final SharedKey KEY = SharedKey.of(KEY_TEXT.getBytes(StandardCharsets.UTF_8));
   private static final PeerSecurity SECURITY = PeerSecurity.of(KEY);
 
   final StubControl control = new StubControl(SECURITY);
