--- a/gateway/src/main/java/org/comfreygap/gateway/Gateway.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/Gateway.java
@@ -94,7 +94,7 @@
 
   /** Stops: leaves, waits out the load balancer, finishes requests, returns credit. */
   @Override
-  public void close() throws Exception {
+  public void close() {
     events.record(RuntimeEvent.PROCESS_STOPPING);
     drain.begin();
     events.record(GatewayEvent.DRAIN_STARTED, Field.of("active", drain.active()));
@@ -104,11 +104,16 @@
     } catch (ControlUnavailable ignored) {
       // The duty thread repeats the heartbeat.
     }
-    Thread.sleep(settings.stopLag().toMillis());
-    boolean finished = drain.awaitIdle(settings.requestTimeout());
-    events.record(GatewayEvent.DRAIN_ENDED, Field.of("complete", finished));
-    events.record(RuntimeEvent.PROCESS_STOPPED);
-    closer.close();
+    try {
+      Thread.sleep(settings.stopLag().toMillis());
+      boolean finished = drain.awaitIdle(settings.requestTimeout());
+      events.record(GatewayEvent.DRAIN_ENDED, Field.of("complete", finished));
+      events.record(RuntimeEvent.PROCESS_STOPPED);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      closer.close();
+    }
   }
 
   private void serve() throws Exception {
@@ -124,6 +129,8 @@
     CrashController crashes = closer.register(injector.getInstance(CrashController.class));
     closer.register(injector.getInstance(AttemptRunner.class));
     CreditController credit = closer.register(injector.getInstance(CreditController.class));
+    LedgerController ledger = closer.register(injector.getInstance(LedgerController.class));
+    ledger.start();
     endpoints.start();
     crashes.start();
     credit.start();
--- a/gateway/src/main/java/org/comfreygap/gateway/LedgerFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/LedgerFilter.java
@@ -1,7 +1,6 @@
 package org.comfreygap.gateway;
 
 import com.google.inject.Inject;
-import java.time.Duration;
 import java.util.Map;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.gateway.RequestContext.Work;
@@ -10,10 +9,7 @@
 import org.comfreygap.protocol.generated.FinishRequest;
 import org.comfreygap.protocol.generated.Route;
 import org.comfreygap.protocol.generated.StoredAnswer;
-import org.comfreygap.runtime.ControlClient;
 import org.comfreygap.runtime.ControlUnavailable;
-import org.comfreygap.runtime.EventLog;
-import org.comfreygap.runtime.Field;
 
 /**
  * Passes service calls that must not be repeated through the request ledger, when the caller gives
@@ -24,21 +20,17 @@
  */
 final class LedgerFilter implements RequestFilter {
 
-  private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final int MAX_KEY_LENGTH = 200;
 
   private final GatewaySettings settings;
   private final ProcessStart start;
-  private final ControlClient control;
-  private final EventLog events;
+  private final LedgerController ledger;
 
   @Inject
-  LedgerFilter(
-      GatewaySettings settings, ProcessStart start, ControlClient control, EventLog events) {
+  LedgerFilter(GatewaySettings settings, ProcessStart start, LedgerController ledger) {
     this.settings = settings;
     this.start = start;
-    this.control = control;
-    this.events = events;
+    this.ledger = ledger;
   }
 
   @Override
@@ -90,11 +82,10 @@
             start.startId(),
             context.requestId());
     try {
-      return control.callLeader(TIMEOUT, client -> client.beginRequest(request));
+      return ledger.begin(request);
     } catch (ControlUnavailable e) {
-      recordFailure(context, e);
       // The beginning may have been recorded although its answer was lost.
-      finish(context, new FinishRequest(context.customer(), key, context.requestId(), notRun()));
+      ledger.finishLater(new FinishRequest(context.customer(), key, context.requestId(), notRun()));
       throw RequestRefused.notRun(
           CallerError.LEDGER_UNAVAILABLE, "the request ledger does not answer");
     }
@@ -111,7 +102,7 @@
                   key,
                   context.requestId(),
                   org.comfreygap.protocol.generated.Outcome.RAN);
-          finish(context, answer == null ? ran : ran.setAnswer(answer));
+          ledger.finish(answer == null ? ran : ran.setAnswer(answer));
         });
     try {
       chain.next(context);
@@ -119,7 +110,7 @@
       if (!stored[0]) {
         org.comfreygap.protocol.generated.Outcome outcome =
             org.comfreygap.protocol.generated.Outcome.valueOf(context.outcome().name());
-        finish(context, new FinishRequest(context.customer(), key, context.requestId(), outcome));
+        ledger.finish(new FinishRequest(context.customer(), key, context.requestId(), outcome));
       }
     }
   }
@@ -142,27 +133,6 @@
     }
   }
 
-  private void finish(RequestContext context, FinishRequest request) {
-    try {
-      control.callLeader(
-          TIMEOUT,
-          client -> {
-            client.finishRequest(request);
-            return request;
-          });
-    } catch (ControlUnavailable e) {
-      // Control closes the entry as unknown when it no longer hears of this process.
-      recordFailure(context, e);
-    }
-  }
-
-  private void recordFailure(RequestContext context, ControlUnavailable cause) {
-    events.record(
-        GatewayEvent.LEDGER_UNAVAILABLE,
-        Field.of("request", context.requestId()),
-        Field.of("cause", cause.getMessage()));
-  }
-
   private static org.comfreygap.protocol.generated.Outcome notRun() {
     return org.comfreygap.protocol.generated.Outcome.NOT_RUN;
   }
--- a/gateway/src/main/java/org/comfreygap/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/RequestPipeline.java
@@ -67,6 +67,7 @@
       answer(
           context,
           RequestRefused.notRun(CallerError.OVERLOADED, "the gateway has too many requests"));
+      metrics.request(route, response.status(), Outcome.NOT_RUN, System.nanoTime() - arrived);
       return;
     }
     try {
--- a/gateway/src/test/java/org/comfreygap/gateway/AdmissionFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/AdmissionFaultTest.java
@@ -32,7 +32,7 @@
   }
 
   @AfterEach
-  void stop() throws Exception {
+  void stop() {
     fixture.control.fault(FakeControl.Fault.NONE);
     fixture.close();
   }
--- a/gateway/src/test/java/org/comfreygap/gateway/AttemptFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/AttemptFaultTest.java
@@ -35,7 +35,7 @@
   }
 
   @AfterEach
-  void stop() throws Exception {
+  void stop() {
     fixture.close();
   }
 
--- a/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
@@ -26,7 +26,7 @@
   private GatewayFixture fixture;
 
   @AfterEach
-  void stop() throws Exception {
+  void stop() {
     fixture.close();
   }
 
@@ -36,9 +36,9 @@
     fixture = GatewayFixture.start(1);
     FakeSidecar engine = fixture.sidecar("engine-1");
     engine.plan(Fault.BEATS_ONLY);
-    try (Socket caller = send(GatewayFixture.CHAT)) {
-      GatewayFixture.await(() -> engine.starts() == 1);
-    }
+    Socket caller = send(GatewayFixture.CHAT);
+    GatewayFixture.await(() -> engine.starts() == 1);
+    caller.close();
 
     GatewayFixture.await(() -> engine.cancels().size() == 1);
     assertThat(engine.cancels().get(0).getAttemptId())
@@ -122,10 +122,10 @@
                 Collections.nCopies(100, part),
                 0,
                 1));
-    try (Socket caller = send(GatewayFixture.stream(""))) {
-      GatewayFixture.await(() -> engine.starts() == 1);
-      GatewayFixture.await(() -> active() == 0);
-    }
+    Socket caller = send(GatewayFixture.stream(""));
+    GatewayFixture.await(() -> engine.starts() == 1);
+    GatewayFixture.await(() -> active() == 0);
+    caller.close();
     GatewayFixture.await(() -> engine.cancels().size() == 1);
   }
 
@@ -148,16 +148,17 @@
     fixture = GatewayFixture.start(1, 0, settings -> with(settings, 2, Duration.ofMillis(50)));
     FakeSidecar engine = fixture.sidecar("engine-1");
     engine.always(Fault.BEATS_ONLY, null);
-    try (Socket first = send(GatewayFixture.CHAT);
-        Socket second = send(GatewayFixture.CHAT)) {
-      GatewayFixture.await(() -> engine.starts() == 2);
+    Socket first = send(GatewayFixture.CHAT);
+    Socket second = send(GatewayFixture.CHAT);
+    GatewayFixture.await(() -> engine.starts() == 2);
 
-      HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
 
-      assertThat(response.statusCode()).isEqualTo(503);
-      assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
-      assertThat(response.headers().firstValue("Retry-After")).isPresent();
-    }
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+    assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    first.close();
+    second.close();
     GatewayFixture.await(() -> active() == 0);
   }
 
@@ -171,7 +172,7 @@
     CompletableFuture<HttpResponse<String>> stream = fixture.chatLater(GatewayFixture.stream(""));
     GatewayFixture.await(() -> engine.starts() == 1);
 
-    CompletableFuture<Void> stopped = CompletableFuture.runAsync(this::close);
+    CompletableFuture<Void> stopped = CompletableFuture.runAsync(fixture.gateway::close);
     GatewayFixture.await(() -> !fixture.gateway.ready());
     // A keep-alive connection is still served during the lag and told to go elsewhere.
     engine.answers(request -> Answer.json(200, "{}"));
@@ -190,14 +191,6 @@
     return fixture.control.creditItems().stream().mapToLong(part).sum();
   }
 
-  private void close() {
-    try {
-      fixture.gateway.close();
-    } catch (Exception e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   private GatewayFixture start(Duration bodyTimeout, Duration idleTimeout) throws Exception {
     UnaryOperator<GatewaySettings> change =
         s ->
--- a/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
@@ -23,7 +23,7 @@
   }
 
   @AfterAll
-  static void stop() throws Exception {
+  static void stop() {
     fixture.close();
   }
 
--- a/gateway/src/test/java/org/comfreygap/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayFixture.java
@@ -195,7 +195,7 @@
   }
 
   @Override
-  public void close() throws Exception {
+  public void close() {
     control.endPolls();
     closer.close();
   }
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
@@ -45,6 +45,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -127,7 +128,7 @@
     FORGET_HALFWAY,
     /** The data frames carry the id and the bytes of another attempt. */
     WRONG_ATTEMPT,
-    /** The second half of the answer carries the offset of the first. */
+    /** The second half of the answer is replaced by the beginning of the first. */
     WRONG_OFFSET,
     /** The second half is left out, and the final frame counts it all the same. */
     WRONG_TOTAL,
@@ -254,8 +255,8 @@
 
   /** Stops accepting and closes all connections. */
   @Override
-  public void close() throws Exception {
-    server.stop();
+  public void close() {
+    LifeCycle.stop(server);
   }
 
   private static Answer echo(AttemptRequest request) {
@@ -414,7 +415,8 @@
         long sent = offset + skip;
         sent = fault == Fault.WRONG_OFFSET && secondHalf ? 0 : sent;
         String id = fault == Fault.WRONG_ATTEMPT ? "another-attempt" : attempt.getAttemptId();
-        byte[] carried = fault == Fault.WRONG_ATTEMPT ? new byte[bytes.length] : bytes;
+        boolean wrong = fault == Fault.WRONG_ATTEMPT || sent == 0 && secondHalf;
+        byte[] carried = wrong ? new byte[bytes.length] : bytes;
         ByteBuffer data = ByteBuffer.wrap(carried, skip, bytes.length - skip).slice();
         exchange.frame(id, FrameBody.data(new FrameData(sent, data)));
       }
