Bound the requests of one customer that wait for credit

A customer far over its rate could hold all workers while its requests waited. At most an eighth of the workers now wait for one customer, and an urgent request takes the place of a less urgent one. A request whose caller leaves between two attempts keeps the outcome known so far.

--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -40,14 +40,12 @@
   /** Demand ahead for which credit is held, so that most requests do not wait for an exchange. */
   public static final Duration HORIZON = Duration.ofMillis(250);
 
-  /** Most requests that wait at once. */
-  public static final int MAX_WAITING = 1_024;
-
   private static final double DEMAND_DECAY_NANOS = 1e9;
 
   private final Deque<Grant> grants = new ArrayDeque<>();
   private final List<Deque<Ticket>> waiting = new ArrayList<>();
   private final Deque<Ticket> decided = new ArrayDeque<>();
+  private final int maxWaiting;
   private int waitingCount;
   private long waitingTokens;
   private long held;
@@ -58,8 +56,13 @@
   private long demandAtNanos;
   private long lastUseNanos;
 
-  /** Creates credit without any grant. */
-  public CustomerCredit() {
+  /**
+   * Creates credit without any grant.
+   *
+   * @param maxWaiting most requests that wait at once
+   */
+  public CustomerCredit(int maxWaiting) {
+    this.maxWaiting = maxWaiting;
     for (int i = 0; i < Priority.values().length; i++) {
       waiting.add(new ArrayDeque<>());
     }
@@ -96,7 +99,7 @@
     if (!waitsBefore(priority) && held - debt >= tokens) {
       take(tokens, nowNanos);
       ticket.state = State.GRANTED;
-    } else if (waitingCount >= MAX_WAITING) {
+    } else if (waitingCount >= maxWaiting && !displace(priority)) {
       ticket.state = State.REFUSED;
       ticket.retryAfterMillis = MAX_WAIT.toMillis();
     } else {
@@ -221,6 +224,21 @@
     return waitingCount;
   }
 
+  /** Refuses the newest waiting request of the least urgent class below {@code priority}. */
+  private boolean displace(Priority priority) {
+    for (int i = waiting.size() - 1; i > priority.ordinal(); i--) {
+      Ticket last = waiting.get(i).pollLast();
+      if (last != null) {
+        forget(last);
+        last.state = State.REFUSED;
+        last.retryAfterMillis = MAX_WAIT.toMillis();
+        decided.addLast(last);
+        return true;
+      }
+    }
+    return false;
+  }
+
   private boolean waitsBefore(Priority priority) {
     for (int i = 0; i <= priority.ordinal(); i++) {
       if (!waiting.get(i).isEmpty()) {
--- a/decisions/src/test/java/org/comfreygap/decisions/CustomerCreditTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/CustomerCreditTest.java
@@ -45,7 +45,7 @@
   /** Guards against a later or less urgent request that overtakes one that waits. */
   @Test
   void servesInOrderWithinAClassAndUrgentFirst() {
-    CustomerCredit credit = new CustomerCredit();
+    CustomerCredit credit = new CustomerCredit(64);
     Ticket first = credit.reserve(30, Priority.NORMAL, START);
     Ticket second = credit.reserve(5, Priority.NORMAL, START);
     Ticket deferrable = credit.reserve(1, Priority.DEFERRABLE, START);
@@ -62,7 +62,7 @@
   /** Guards against a refusal that comes late although control said when credit will come. */
   @Test
   void refusesAtOnceWhatControlCannotGrantInTime() {
-    CustomerCredit credit = new CustomerCredit();
+    CustomerCredit credit = new CustomerCredit(64);
     Ticket ticket = credit.reserve(30, Priority.NORMAL, START);
     credit.granted(0, START + LIFETIME, 500, START);
     assertThat(ticket.state()).isEqualTo(State.WAITING);
@@ -71,10 +71,25 @@
     assertThat(ticket.retryAfterMillis()).isEqualTo(5_000);
   }
 
+  /** Guards against a queue that grows without a bound, and an urgent request shut out by it. */
+  @Test
+  void boundsTheQueueAndLetsUrgentRequestsIn() {
+    CustomerCredit credit = new CustomerCredit(2);
+    Ticket first = credit.reserve(1, Priority.NORMAL, START);
+    Ticket second = credit.reserve(1, Priority.NORMAL, START);
+
+    assertThat(credit.reserve(1, Priority.NORMAL, START).state()).isEqualTo(State.REFUSED);
+    assertThat(credit.reserve(1, Priority.URGENT, START).state()).isEqualTo(State.WAITING);
+    assertThat(List.of(first.state(), second.state()))
+        .containsExactly(State.WAITING, State.REFUSED);
+    assertThat(credit.nextDecided()).containsSame(second);
+    assertThat(credit.waitingCount()).isEqualTo(2);
+  }
+
   /** Guards against waiting without an end when control does not answer. */
   @Test
   void refusesAfterTheLongestWait() {
-    CustomerCredit credit = new CustomerCredit();
+    CustomerCredit credit = new CustomerCredit(64);
     Ticket ticket = credit.reserve(30, Priority.NORMAL, START);
     credit.advance(START + CustomerCredit.MAX_WAIT.toNanos() - 1);
     assertThat(ticket.state()).isEqualTo(State.WAITING);
@@ -85,7 +100,7 @@
   /** Guards against credit used after control counts it as spent. */
   @Test
   void doesNotUseExpiredCredit() {
-    CustomerCredit credit = new CustomerCredit();
+    CustomerCredit credit = new CustomerCredit(64);
     credit.granted(100, START + LIFETIME, 0, START);
     assertThat(credit.reserve(1, Priority.NORMAL, START + LIFETIME).state())
         .isEqualTo(State.WAITING);
@@ -94,11 +109,11 @@
   /** Guards against idle credit, and credit about to expire, that other gateways lack. */
   @Test
   void givesBackIdleAndExpiringCredit() {
-    CustomerCredit idle = new CustomerCredit();
+    CustomerCredit idle = new CustomerCredit(64);
     idle.granted(100, START + LIFETIME, 0, START);
     assertThat(idle.exchange(START + CustomerCredit.IDLE_RETURN.toNanos()).orElseThrow().returned())
         .isEqualTo(100);
-    CustomerCredit busy = new CustomerCredit();
+    CustomerCredit busy = new CustomerCredit(64);
     busy.granted(100, START + LIFETIME, 0, START);
     long late = START + LIFETIME - CustomerCredit.EXPIRY_MARGIN.toNanos();
     busy.reserve(10, Priority.NORMAL, late);
@@ -108,7 +123,7 @@
   /** Guards against an endpoint that used more than reserved and is not charged for it. */
   @Test
   void chargesTheExcessOverAReservation() {
-    CustomerCredit credit = new CustomerCredit();
+    CustomerCredit credit = new CustomerCredit(64);
     credit.granted(100, START + LIFETIME, 0, START);
     Ticket ticket = credit.reserve(10, Priority.NORMAL, START);
     credit.settle(ticket, 35, START);
@@ -119,7 +134,7 @@
   /** Adds up what was granted, reserved and reported. */
   private static final class Books {
 
-    private final CustomerCredit credit = new CustomerCredit();
+    private final CustomerCredit credit = new CustomerCredit(64);
     private final List<long[]> grants = new ArrayList<>();
     private final List<Ticket> open = new ArrayList<>();
     private final List<Ticket> waiting = new ArrayList<>();
--- a/gateway/src/main/java/org/comfreygap/gateway/AnswerRelay.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/AnswerRelay.java
@@ -18,8 +18,11 @@
  *
  * <p>An answer that is not a stream is held back until it is complete or exceeds {@link
  * #BUFFER_LIMIT}, so that a broken attempt can be replaced without a trace. Events of a stream are
- * passed on whole. After bytes were passed on, a further attempt runs from the start, and its first
- * bytes must equal those already passed on, by their SHA-256, before any later byte is used.
+ * passed on whole. After bytes were passed on, a further attempt follows only for a request that
+ * asked for a repeatable answer (a seed, or temperature 0). It runs from the start, and its first
+ * bytes must equal those already passed on, by their SHA-256, before any later byte is used. In all
+ * other cases a stream of events ends with an error event, and any other body with a cut
+ * connection.
  *
  * <p>Invariant: the caller receives each byte of one answer once, in order, and never bytes of two
  * different answers. Thread safety: one thread at a time.
@@ -58,7 +61,7 @@
   public AnswerRelay(RequestContext context) {
     this.context = context;
     this.continuable = context.work().idempotent() && context.work().deterministic();
-    this.delivered = sha256();
+    this.delivered = continuable ? sha256() : null;
   }
 
   /** A further attempt gave another answer than the one already passed on in part. */
@@ -86,7 +89,7 @@
     head = null;
     position = 0;
     held.reset();
-    repeated = deliveredBytes > 0 ? sha256() : null;
+    repeated = continuable && deliveredBytes > 0 ? sha256() : null;
   }
 
   /**
--- a/gateway/src/main/java/org/comfreygap/gateway/CreditController.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/CreditController.java
@@ -45,6 +45,8 @@
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration WAIT_SLACK = Duration.ofMillis(50);
   private static final int MAX_ITEMS = 1_000;
+  // A customer over its rate must leave workers to the others while its requests wait.
+  private static final int SHARE_OF_WORKERS_THAT_WAIT = 8;
 
   private final GatewaySettings settings;
   private final ProcessStart start;
@@ -54,6 +56,7 @@
   private final Map<String, Account> accounts = new ConcurrentHashMap<>();
   private final ReentrantLock wakeLock = new ReentrantLock();
   private final Condition wake = wakeLock.newCondition();
+  private final int maxWaiting;
   private boolean wanted;
   private long sequence;
   private Optional<CreditExchange> pending = Optional.empty();
@@ -72,14 +75,19 @@
     this.control = control;
     this.events = events;
     this.metrics = metrics;
+    this.maxWaiting = Math.max(1, settings.workers() / SHARE_OF_WORKERS_THAT_WAIT);
   }
 
   /** The credit of one customer with its lock and the threads that wait for it. */
   static final class Account {
 
-    private final CustomerCredit credit = new CustomerCredit();
+    private final CustomerCredit credit;
     private final Map<Ticket, Thread> waiting = new HashMap<>();
 
+    private Account(int maxWaiting) {
+      this.credit = new CustomerCredit(maxWaiting);
+    }
+
     private void wakeDecided() {
       Optional<Ticket> ticket = credit.nextDecided();
       while (ticket.isPresent()) {
@@ -103,13 +111,15 @@
    * @throws RequestRefused when credit does not come in time
    */
   ReservedCredit reserve(String customer, long tokens, Priority priority) throws RequestRefused {
-    Account account = accounts.computeIfAbsent(customer, c -> new Account());
+    Account account = accounts.computeIfAbsent(customer, c -> new Account(maxWaiting));
     Ticket ticket;
     synchronized (account) {
       ticket = account.credit.reserve(tokens, priority, System.nanoTime());
       if (ticket.state() == State.WAITING) {
         account.waiting.put(ticket, Thread.currentThread());
       }
+      // A more urgent request may have taken the place of one that waited.
+      account.wakeDecided();
     }
     if (ticket.state() == State.WAITING) {
       metrics.creditWait();
--- a/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
@@ -101,7 +101,6 @@
           done = attemptOnce();
         }
       } catch (CallerGone e) {
-        context.outcome(context.outcome() == Outcome.RAN ? Outcome.RAN : Outcome.UNKNOWN);
         events.record(
             GatewayEvent.CALLER_GONE,
             Field.of("request", context.requestId()),
--- a/gateway/src/test/java/org/comfreygap/gateway/GatewaySpeed.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewaySpeed.java
@@ -106,7 +106,7 @@
   }
 
   private static void credit() {
-    CustomerCredit credit = new CustomerCredit();
+    CustomerCredit credit = new CustomerCredit(64);
     long[] nanos = new long[DECISIONS];
     for (int i = 0; i < WARM_UP + DECISIONS; i++) {
       long now = System.nanoTime();
