--- /dev/null
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -0,0 +1,208 @@
+package org.comfreygap.control;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.decisions.MembershipView;
+import org.comfreygap.protocol.generated.EndpointReport;
+import org.comfreygap.protocol.generated.HeartbeatReply;
+import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.InvalidCall;
+import org.comfreygap.protocol.generated.Member;
+import org.comfreygap.protocol.generated.MemberState;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * Heartbeats and the membership view at the leader.
+ *
+ * <p>Invariant: answers carry changes of state only; endpoint reports are not passed on. Thread
+ * safety: any thread may call; the view is guarded by its own monitor.
+ */
+@Singleton
+final class MembershipController {
+
+  private static final Duration IN_FORCE_POLL = Duration.ofMillis(10);
+
+  private final Leadership leadership;
+  private final ControlState state;
+  private final ControlSettings settings;
+  private final ReplicatedLog log;
+  private final EventLog events;
+  private volatile List<String> controlAddresses;
+  private long recordedVersion;
+
+  @Inject
+  MembershipController(
+      Leadership leadership,
+      ControlState state,
+      ControlSettings settings,
+      ReplicatedLog log,
+      EventLog events) {
+    this.leadership = leadership;
+    this.state = state;
+    this.settings = settings;
+    this.log = log;
+    this.events = events;
+    this.controlAddresses = settings.controlAddresses();
+  }
+
+  HeartbeatReply heartbeat(HeartbeatRequest request) throws NotLeader, InvalidCall {
+    ProcessIdentity identity = request.getIdentity();
+    Limits.name("processId", identity.getProcessId());
+    Limits.name("startId", identity.getStartId());
+    LeaderTerm term = leadership.require();
+    long now = System.nanoTime();
+    MembershipView.Delta<ProcessIdentity> delta;
+    synchronized (term.members()) {
+      boolean known =
+          term.members()
+              .heartbeat(
+                  new MembershipView.Identity<>(
+                      identity.getProcessId(),
+                      identity.getStartId(),
+                      identity.getAddress(),
+                      identity),
+                  request.getRevisionInForce(),
+                  request.isLeaving(),
+                  now);
+      if (!known) {
+        throw new InvalidCall("given another process, expected no more processes");
+      }
+      delta = term.members().since(request.getMembershipVersion(), now);
+    }
+    if (request.isSetReport()) {
+      noteLoading(term, request.getReport(), now);
+    }
+    List<Member> members = new ArrayList<>(delta.changed().size());
+    delta.changed().forEach(status -> members.add(member(status)));
+    return new HeartbeatReply(
+        state.revision(), term.term(), delta.version(), members, delta.full(), controlAddresses);
+  }
+
+  /** Takes note that a process has a revision in force, learned from its watch. */
+  void revisionInForce(String processId, long revision) {
+    leadership
+        .current()
+        .ifPresent(
+            term -> {
+              synchronized (term.members()) {
+                term.members().revisionInForce(processId, revision);
+              }
+            });
+  }
+
+  /** Applies the passage of time; called a few times a second by one thread. */
+  void maintain(LeaderTerm term) {
+    MembershipView.Delta<ProcessIdentity> delta;
+    synchronized (term.members()) {
+      long now = System.nanoTime();
+      term.members().advance(now);
+      delta = term.members().since(recordedVersion, now);
+    }
+    recordedVersion = delta.version();
+    for (MembershipView.Status<ProcessIdentity> status : delta.changed()) {
+      events.record(
+          ControlEvent.PROCESS_STATE_CHANGED,
+          Field.of("process", status.identity().processId()),
+          Field.of("zone", status.identity().description().getZone()),
+          Field.of("state", status.state()));
+    }
+    controlAddresses = List.copyOf(addresses(processes(term)));
+  }
+
+  void platformList(LeaderTerm term, Map<String, Boolean> leavingByAddress) {
+    synchronized (term.members()) {
+      term.members().platformList(leavingByAddress, System.nanoTime());
+    }
+  }
+
+  /** Returns all processes with their states. */
+  Collection<MembershipView.Status<ProcessIdentity>> processes(LeaderTerm term) {
+    synchronized (term.members()) {
+      return term.members().all();
+    }
+  }
+
+  /**
+   * Waits until every process that is not gone has {@code revision} in force.
+   *
+   * @return the ids of the processes that lag when the time is over; empty when none does
+   */
+  List<String> awaitInForce(LeaderTerm term, long revision, Duration timeout)
+      throws LeadershipLost, InterruptedException {
+    long end = System.nanoTime() + timeout.toNanos();
+    while (true) {
+      if (!leadership.holds(term)) {
+        throw new LeadershipLost("the change is committed; leadership ended", false, null);
+      }
+      long now = System.nanoTime();
+      List<String> laggards = laggards(term, revision);
+      boolean settled;
+      synchronized (term.members()) {
+        settled = term.members().settled(now);
+      }
+      if ((settled && laggards.isEmpty()) || end - now <= 0) {
+        return laggards;
+      }
+      TimeUnit.MILLISECONDS.sleep(IN_FORCE_POLL.toMillis());
+    }
+  }
+
+  private List<String> laggards(LeaderTerm term, long revision) {
+    return processes(term).stream()
+        .filter(status -> status.state() != MembershipView.State.GONE)
+        .filter(status -> status.identity().description().getKind() != ProcessKind.CONTROL)
+        .filter(status -> status.revisionInForce() < revision)
+        .map(status -> status.identity().processId())
+        .sorted()
+        .toList();
+  }
+
+  private Set<String> addresses(Collection<MembershipView.Status<ProcessIdentity>> processes) {
+    // Those of the settings file stay: a leader does not know yet where replicas serve that have
+    // neither led nor sent a heartbeat.
+    Set<String> addresses = new LinkedHashSet<>(settings.controlAddresses());
+    Set<String> members = new HashSet<>();
+    log.members().forEach(member -> members.add(member.getReplicaId()));
+    for (ControlState.ReplicaAddresses replica : state.replicas()) {
+      if (members.contains(replica.replicaId())) {
+        addresses.add(replica.rpcAddress());
+      }
+    }
+    for (MembershipView.Status<ProcessIdentity> status : processes) {
+      ProcessIdentity identity = status.identity().description();
+      if (identity.getKind() == ProcessKind.CONTROL
+          && status.state() != MembershipView.State.GONE) {
+        addresses.add(identity.getAddress());
+      }
+    }
+    return addresses;
+  }
+
+  private static void noteLoading(LeaderTerm term, EndpointReport report, long now) {
+    List<String> loading = report.isSetLoading() ? report.getLoading() : List.of();
+    synchronized (term.permits()) {
+      term.permits().observed(report.getEndpoint(), loading, now);
+    }
+  }
+
+  private static Member member(MembershipView.Status<ProcessIdentity> status) {
+    return new Member(
+        status.identity().description(),
+        MemberState.valueOf(status.state().name()),
+        status.revisionInForce());
+  }
+}
--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -1,5 +1,6 @@
 package org.comfreygap.runtime;
 
+import com.codahale.metrics.health.HealthCheck;
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.Configuration;
@@ -173,6 +174,8 @@
       factory.setAdminMinThreads(1);
       factory.setRegisterDefaultExceptionMappers(true);
       factory.setDetailedJsonProcessingExceptionMapper(false);
+      // Compression would hold back the parts of a streamed answer.
+      factory.getGzipFilterFactory().setEnabled(false);
       factory.setShutdownGracePeriod(Duration.seconds(30));
       // The timeline records requests; an access log would write a line for each of them.
       LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
@@ -248,6 +251,7 @@
           .admin()
           .addServlet("timeline", new AdminServlets.TimelineEvents(builder.events.timeline()))
           .addMapping("/timeline");
+      environment.healthChecks().register("ready", new ReadyCheck(builder.ready));
       builder.resources.forEach(step -> step.accept(environment));
     }
 
@@ -256,4 +260,18 @@
       BootstrapLogging.bootstrap(ch.qos.logback.classic.Level.WARN);
     }
   }
+
+  private static final class ReadyCheck extends HealthCheck {
+
+    private final BooleanSupplier ready;
+
+    ReadyCheck(BooleanSupplier ready) {
+      this.ready = ready;
+    }
+
+    @Override
+    protected Result check() {
+      return ready.getAsBoolean() ? Result.healthy() : Result.unhealthy("takes no new work");
+    }
+  }
 }
