--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -31,6 +31,9 @@
   /** Longest wait for credit; covers the election of a control leader. */
   public static final Duration MAX_WAIT = Duration.ofMillis(1_000);
 
+  /** Most requests that wait at once by default. */
+  public static final int DEFAULT_MAX_WAITING = 1_024;
+
   /** Credit that stays unused for this time is given back, since another gateway may need it. */
   public static final Duration IDLE_RETURN = Duration.ofMillis(200);
 
@@ -56,6 +59,13 @@
   private long demandAtNanos;
   private long lastUseNanos;
 
+  /**
+   * Creates credit without any grant, for at most {@link #DEFAULT_MAX_WAITING} waiting requests.
+   */
+  public CustomerCredit() {
+    this(DEFAULT_MAX_WAITING);
+  }
+
   /**
    * Creates credit without any grant.
    *
