--- a/bench/src/main/java/org/comfreygap/bench/NaiveEndpoint.java
+++ b/bench/src/main/java/org/comfreygap/bench/NaiveEndpoint.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Semaphore;
 
 /**
@@ -64,9 +65,13 @@
     notifyAll();
   }
 
-  /** Forgets all adapters, when the endpoint says that it has lost one. */
-  synchronized void lost() {
-    resident.values().removeIf(use -> use.state == State.READY);
+  /** Takes over what the engine says is resident, after an answer that did not fit. */
+  synchronized void resident(Set<String> names) {
+    resident.values().removeIf(use -> use.state == State.READY && !names.contains(use.adapter));
+    for (String name : names) {
+      Use known = resident.computeIfAbsent(name, Use::new);
+      known.state = known.state == State.LOADING && known.users > 0 ? known.state : State.READY;
+    }
     notifyAll();
   }
 
--- a/bench/src/main/java/org/comfreygap/bench/NaiveProxy.java
+++ b/bench/src/main/java/org/comfreygap/bench/NaiveProxy.java
@@ -8,6 +8,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -15,6 +16,7 @@
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.hc.client5.http.classic.methods.HttpDelete;
+import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPost;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
@@ -132,6 +134,7 @@
         boolean done = load(engine, use);
         engine.loaded(use, done);
         if (!done) {
+          readState(engine);
           refuse(response, 502);
           return;
         }
@@ -201,16 +204,33 @@
       if (begun[0]) {
         throw e;
       }
-      endpoint.lost();
+      readState(endpoint);
       refuse(response, 502);
     }
   }
 
-  private static void refusedByEndpoint(NaiveEndpoint endpoint, ClassicHttpResponse answer) {
+  private void refusedByEndpoint(NaiveEndpoint endpoint, ClassicHttpResponse answer) {
+    EntityUtils.consumeQuietly(answer.getEntity());
     if (answer.getCode() == 404) {
-      endpoint.lost();
+      readState(endpoint);
+    }
+  }
+
+  private void readState(NaiveEndpoint endpoint) {
+    if (services.contains(endpoint)) {
+      return;
+    }
+    try {
+      JsonNode state =
+          client.execute(
+              new HttpGet(endpoint.url + "/engine/state"),
+              answer -> JSON.readTree(answer.getEntity().getContent()));
+      Set<String> names = new HashSet<>();
+      state.path("resident").forEach(name -> names.add(name.asText()));
+      endpoint.resident(names);
+    } catch (IOException ignored) {
+      // The engine is down; the next refused request reads its state.
     }
-    EntityUtils.consumeQuietly(answer.getEntity());
   }
 
   private static void copy(InputStream in, WireServer.Response response) throws IOException {
