--- a/bench/src/main/java/org/comfreygap/bench/CapacityMain.java
+++ b/bench/src/main/java/org/comfreygap/bench/CapacityMain.java
@@ -68,11 +68,14 @@
     this.security = PeerSecurity.of(ProductFleet.sharedKey());
   }
 
-  /** Runs all measurements. */
+  /** Runs all measurements, or with {@code views} only those in this process. */
   public static void main(String[] args) throws Exception {
+    SelectorSize.measure();
+    if (args.length > 0 && args[0].equals("views")) {
+      return;
+    }
     CapacityMain capacity = new CapacityMain();
     Runtime.getRuntime().addShutdownHook(new Thread(capacity::stop, "stop-all"));
-    SelectorSize.measure();
     capacity.programs();
     System.exit(0);
   }
@@ -335,16 +338,34 @@
     private SelectorSize() {}
 
     static void measure() throws InterruptedException {
-      viewBytes(100);
+      apart("", 100, SelectorSize::viewBytes);
       for (int size : ADAPTERS) {
-        print("settings_view_heap_bytes_by_adapters", size, viewBytes(size));
+        apart("settings_view_heap_bytes_by_adapters", size, SelectorSize::viewBytes);
       }
-      selectorBytes(10);
+      apart("", 10, SelectorSize::selectorBytes);
       for (int size : new int[] {230, 460, 920}) {
-        print("endpoint_selector_heap_bytes_by_endpoints", size, selectorBytes(size));
+        apart("endpoint_selector_heap_bytes_by_endpoints", size, SelectorSize::selectorBytes);
       }
     }
 
+    /** Measures in a thread of its own, so that no stack keeps an earlier object alive. */
+    private static void apart(String name, int size, Measure measure) throws InterruptedException {
+      Thread thread =
+          new Thread(
+              () -> {
+                try {
+                  long bytes = measure.bytes(size);
+                  if (!name.isEmpty()) {
+                    print(name, size, bytes);
+                  }
+                } catch (InterruptedException e) {
+                  Thread.currentThread().interrupt();
+                }
+              });
+      thread.start();
+      thread.join();
+    }
+
     private static long viewBytes(int size) throws InterruptedException {
       long before = usedHeap();
       SettingsView view = view(size);
@@ -373,6 +394,11 @@
       return SettingsView.snapshot(changes, size);
     }
 
+    private interface Measure {
+
+      long bytes(int size) throws InterruptedException;
+    }
+
     private static Change change(String path, String document, int revision) {
       Change change = new Change();
       change.setPath(path);
