--- a/control/src/main/java/org/comfreygap/control/CreditController.java
+++ b/control/src/main/java/org/comfreygap/control/CreditController.java
@@ -2,13 +2,16 @@
 
 import com.google.inject.Inject;
 import com.google.inject.Singleton;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.comfreygap.decisions.TokenBudget;
 import org.comfreygap.protocol.generated.CreditExchange;
 import org.comfreygap.protocol.generated.CreditGrant;
@@ -28,6 +31,7 @@
 final class CreditController {
 
   private static final int MAX_ITEMS = 1_000;
+  private static final Duration LONGEST_COMMIT_WAIT = Duration.ofMillis(150);
   private static final long MAX_TOKENS = 10_000_000_000L;
 
   private final Leadership leadership;
@@ -101,13 +105,22 @@
     }
   }
 
+  /**
+   * Waits for a commit for a short time only: customers whose ceiling is high enough must not wait
+   * for a slow disk, and without the commit the others are granted up to the ceiling in force.
+   */
   private void await(CompletableFuture<?> commit) throws NotLeader {
     if (commit == null) {
       return;
     }
     try {
-      leadership.await(commit);
-    } catch (LeadershipLost e) {
+      commit.get(LONGEST_COMMIT_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException ignored) {
+      // The exchange goes on under the ceilings in force.
+    } catch (ExecutionException e) {
+      throw leadership.notLeader();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
       throw leadership.notLeader();
     }
   }
--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
@@ -25,7 +25,9 @@
   // In one round of all waiting gateways a quarter of a second's tokens are shared out, so that
   // requests which wait at most a second are reached in time.
   private static final int ROUND_PART_OF_RATE = 4;
-  private static final int STEP_PART_OF_BURST = 10;
+  // A ceiling is committed about a second's tokens ahead, so that exchanges do not wait for a slow
+  // disk; a new leader counts as much as spent, so it is at most a quarter of the burst.
+  private static final int STEP_PART_OF_BURST = 4;
 
   private final Map<TokenBudget.Holder, Holding> holdings = new HashMap<>();
   // All grants in order of expiry, since all have the same lifetime.
@@ -172,7 +174,7 @@
     long step = step();
     long headroom = pendingCeiling - granted;
     long needed = Math.min(wanted, Math.max(0, level()));
-    boolean raise = headroom < needed || (background && headroom < step / 2);
+    boolean raise = headroom < needed || (background && headroom < step * 3 / 4);
     boolean stale = background && committed != null && pessimism() > 2 * step;
     if (!raise && !stale && !(limitsChanged && committed != null)) {
       return null;
@@ -213,7 +215,7 @@
   }
 
   private long step() {
-    return Math.max(1, Math.min(burst / STEP_PART_OF_BURST, Math.max(1, rate / 2)));
+    return Math.max(1, Math.min(burst / STEP_PART_OF_BURST, rate));
   }
 
   private long pessimism() {
