--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -29,6 +29,7 @@
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManager;
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -55,7 +56,8 @@
 public final class HttpEngineClient implements EngineClient {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(1);
+  // A process that is gone refuses at once; a longer wait only means that the instance is busy.
+  private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(3);
   // An idle connection that the endpoint closes at the moment of use makes an outcome unknown, so
   // idle connections are dropped well before common keep-alive limits.
   private static final TimeValue MAX_IDLE = TimeValue.ofSeconds(2);
@@ -64,13 +66,14 @@
   private static final int MAX_CONNECTIONS = 16_384;
 
   private final URI base;
+  private final PoolingAsyncClientConnectionManager connections = connections();
   private final CloseableHttpAsyncClient client;
   private volatile EndpointKind kind = EndpointKind.ENGINE;
 
   /** Creates the client of the endpoint at {@code base}, an engine until told otherwise. */
   public HttpEngineClient(URI base) {
     this.base = base;
-    this.client = client();
+    this.client = client(connections);
     client.start();
   }
 
@@ -128,6 +131,8 @@
   @Override
   public Answer resume(Answer broken, long offset, AnswerListener listener) {
     AnswerConsumer earlier = (AnswerConsumer) broken;
+    // Connections that were idle beside a broken one are probably as dead as it is.
+    connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
     String id = earlier.attemptId();
     SimpleHttpRequest request =
         SimpleRequestBuilder.get(uri("/engine/requests/" + encode(id) + "?offset=" + offset))
@@ -170,6 +175,7 @@
     boolean notSent =
         failure instanceof ConnectException
             || failure instanceof ConnectTimeoutException
+            || failure instanceof ConnectionRequestTimeoutException
             || failure instanceof NoRouteToHostException
             || failure instanceof UnknownHostException;
     EngineException.Kind kind =
@@ -198,6 +204,7 @@
 
           @Override
           public void failed(Exception failure) {
+            connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
             future.completeExceptionally(translate(failure));
           }
 
@@ -276,22 +283,24 @@
         .build();
   }
 
-  private static CloseableHttpAsyncClient client() {
-    PoolingAsyncClientConnectionManager connectionManager =
-        PoolingAsyncClientConnectionManagerBuilder.create()
-            .setMaxConnTotal(MAX_CONNECTIONS)
-            .setMaxConnPerRoute(MAX_CONNECTIONS)
-            .setDefaultConnectionConfig(
-                ConnectionConfig.custom()
-                    .setConnectTimeout(CONNECT_TIMEOUT)
-                    .setValidateAfterInactivity(TimeValue.ofMilliseconds(100))
-                    .setTimeToLive(TimeValue.ofMinutes(5))
-                    .build())
-            .setDefaultTlsConfig(
-                TlsConfig.custom().setVersionPolicy(HttpVersionPolicy.FORCE_HTTP_1).build())
-            .build();
+  private static PoolingAsyncClientConnectionManager connections() {
+    return PoolingAsyncClientConnectionManagerBuilder.create()
+        .setMaxConnTotal(MAX_CONNECTIONS)
+        .setMaxConnPerRoute(MAX_CONNECTIONS)
+        .setDefaultConnectionConfig(
+            ConnectionConfig.custom()
+                .setConnectTimeout(CONNECT_TIMEOUT)
+                .setValidateAfterInactivity(TimeValue.ofMilliseconds(100))
+                .setTimeToLive(TimeValue.ofMinutes(5))
+                .build())
+        .setDefaultTlsConfig(
+            TlsConfig.custom().setVersionPolicy(HttpVersionPolicy.FORCE_HTTP_1).build())
+        .build();
+  }
+
+  private static CloseableHttpAsyncClient client(PoolingAsyncClientConnectionManager manager) {
     return HttpAsyncClients.custom()
-        .setConnectionManager(connectionManager)
+        .setConnectionManager(manager)
         .setHttp1Config(Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).build())
         .setIOReactorConfig(
             IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
