Read and write answers on four threads

Cause: one I/O thread read every event of every answer and wrote it to the gateway, so events queued behind each other. Change: four I/O threads in the engine client.

The silence bound for answers that the engine does not list rises from 500 ms to 2 s, since requests not yet read by a busy engine looked lost.

--- a/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EndpointWatch.java
@@ -31,8 +31,9 @@
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration BROKEN_PATIENCE = Duration.ofSeconds(2);
   private static final Duration SILENCE_BOUND = Duration.ofSeconds(2);
-  // Longest time between sending a request and its appearance in the engine's state.
-  private static final Duration LATE_ARRIVAL = Duration.ofMillis(500);
+  // Longest time between sending a request and its appearance in the engine's state. With 500 ms a
+  // busy machine made requests look lost that the engine had not read yet.
+  private static final Duration LATE_ARRIVAL = Duration.ofSeconds(2);
   private static final int MAX_EXCHANGES = 4;
   private static final int FAILURES_UNTIL_UNREACHABLE = 2;
 
--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -56,6 +56,8 @@
 public final class HttpEngineClient implements EngineClient {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
+  // The thread that reads an event also writes it to the gateway.
+  private static final int IO_THREADS = 4;
   // A process that is gone refuses at once; a longer wait only means that the instance is busy.
   private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(3);
   // An idle connection that the endpoint closes at the moment of use makes an outcome unknown, so
@@ -303,7 +305,7 @@
         .setConnectionManager(manager)
         .setHttp1Config(Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).build())
         .setIOReactorConfig(
-            IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
+            IOReactorConfig.custom().setIoThreadCount(IO_THREADS).setTcpNoDelay(true).build())
         .setKeepAliveStrategy((response, context) -> MAX_IDLE)
         .disableAutomaticRetries()
         .disableRedirectHandling()
