Use smaller connection buffers and make two fault tests stricter

Cause: at 500 streams the live heap was 40 MiB of 64 MiB after a full collection. Change: 2 KiB session buffers towards the engine and 4 KiB towards gateways.

The tests of the grace period and of a restarted sidecar stayed green with the mechanism off, because the deadline or the end of the run came first.

--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptServlet.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptServlet.java
@@ -31,6 +31,8 @@
   /** Largest attempt in bytes. */
   static final int MAX_BYTES = 8 * 1024 * 1024;
 
+  // Frames are flushed one by one; the default of 32 KiB for each stream would be wasted.
+  private static final int BUFFER_BYTES = 4 * 1024;
   private static final long serialVersionUID = 1L;
   private static final String CONTENT_TYPE = "application/vnd.apache.thrift.compact";
 
@@ -69,6 +71,7 @@
       return;
     }
     response.setContentType(CONTENT_TYPE);
+    response.setBufferSize(BUFFER_BYTES);
     AsyncContext context = request.startAsync();
     context.setTimeout(0);
     AttemptStream stream = new AttemptStream(attempt.getAttemptId(), context, streams);
--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -67,6 +67,10 @@
   // The ramp bounds the connections in use; this only stops the pool from being the bound.
   private static final int MAX_CONNECTIONS = 16_384;
 
+  // Default buffers of 8 KiB for each direction would take 8 MiB of the 64 MiB heap at 500 streams.
+  private static final Http1Config HTTP1 =
+      Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).setBufferSize(2_048).build();
+
   private final URI base;
   private final PoolingAsyncClientConnectionManager connections = connections();
   private final CloseableHttpAsyncClient client;
@@ -303,7 +307,7 @@
   private static CloseableHttpAsyncClient client(PoolingAsyncClientConnectionManager manager) {
     return HttpAsyncClients.custom()
         .setConnectionManager(manager)
-        .setHttp1Config(Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).build())
+        .setHttp1Config(HTTP1)
         .setIOReactorConfig(
             IOReactorConfig.custom().setIoThreadCount(IO_THREADS).setTcpNoDelay(true).build())
         .setKeepAliveStrategy((response, context) -> MAX_IDLE)
--- a/sidecar/src/test/java/org/comfreygap/sidecar/AttemptProtocolTest.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/AttemptProtocolTest.java
@@ -223,7 +223,9 @@
   /** Guards against attempts that go on although nobody will read their answer. */
   @Test
   void anAttemptWithoutGatewayIsCancelledAfterTheGracePeriod() throws Exception {
-    TestGateway.Reply reply = fixture.gateway.post(TestGateway.attempt("a", 20_000));
+    // The deadline is far off, so that only the missing gateway can end the attempt.
+    TestGateway.Reply reply =
+        fixture.gateway.post(TestGateway.attempt("a", 20_000).setDeadlineMillis(600_000));
     reply.awaitData();
     reply.disconnect();
     SidecarFixture.await(
--- a/sidecar/src/test/java/org/comfreygap/sidecar/EngineFaultTest.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/EngineFaultTest.java
@@ -202,12 +202,13 @@
   void aRestartedSidecarTreatsResidentAdaptersAsInUse() throws Exception {
     try (FakeEngine engine = FakeEngine.builder("engine-1").slots(1).loadMillis(5).start();
         SidecarFixture fixture = SidecarFixture.engine(engine, 1, 4)) {
-      TestGateway.Reply left = fixture.gateway.post(TestGateway.attempt("a", 600));
+      TestGateway.Reply left = fixture.gateway.post(TestGateway.attempt("a", 1_500));
       left.awaitData();
       fixture.control.leaseMillisAtControl = 100;
       SidecarFixture.await("control has shortened the lease", fixture.control::shortened);
       fixture.sidecar.kill();
       fixture.start();
+      assertThat(engine.record().runs().get(0).state()).as("still runs").isEqualTo("running");
       TestGateway.Reply reply = fixture.gateway.run(TestGateway.attempt("b", 2));
       assertThat(reply.finished()).as("%s", reply.last).isTrue();
       assertThat(engine.record().events(EventKind.EVICTED_IN_USE)).isEmpty();
