--- a/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -14,6 +14,9 @@
 /**
  * The log on disk: segment files of checksummed records, only ever appended to.
  *
+ * <p>A segment is filled with zeros when it is begun, so that a sync of records need not wait for
+ * the file system's journal to record a new file size. The log ends where only zeros follow.
+ *
  * <p>An entry record replaces the entry of the same index and all later ones, so a conflicting
  * suffix is never cut from a file. The newest hard state is repeated at the start of each segment.
  *
@@ -25,22 +28,25 @@
   static final int SEGMENT_BYTES = 8 * 1024 * 1024;
 
   private static final String PREFIX = "log-";
-  private static final int INITIAL_BATCH_BYTES = 64 * 1024;
+  private static final int ZERO_BLOCK_BYTES = 1024 * 1024;
 
   private final Disk disk;
   private final Deque<Segment> segments = new ArrayDeque<>();
-  private ByteArrayOutputStream batch = new ByteArrayOutputStream(INITIAL_BATCH_BYTES);
+  private final List<LogRecord> batch = new ArrayList<>();
+  private final int segmentBytes;
   private Disk.DiskFile file;
   private long syncedSize;
+  private long writtenSize;
   private HardState hardState = HardState.NONE;
+  private HardState syncedState = HardState.NONE;
   private long lastIndex;
   private long lastTerm;
   private long syncedIndex;
   private long syncedTerm;
-  private boolean partlyWritten;
 
-  private LogStore(Disk disk) {
+  private LogStore(Disk disk, int segmentBytes) {
     this.disk = disk;
+    this.segmentBytes = segmentBytes;
   }
 
   /** Content of the log on disk. Thread safety: not thread-safe. */
@@ -50,7 +56,6 @@
     private HardState hardState = HardState.NONE;
     private long baseIndex;
     private long baseTerm;
-    private boolean present;
     private String tornSegment = "";
     private long tornBytes;
 
@@ -72,11 +77,6 @@
       return baseTerm;
     }
 
-    /** Returns false when the folder had no log, as at the very first start. */
-    boolean present() {
-      return present;
-    }
-
     /** Returns how many bytes of an unfinished write were cut off. */
     long tornBytes() {
       return tornBytes;
@@ -87,7 +87,7 @@
       return tornSegment;
     }
 
-    private long lastIndex() {
+    long lastIndex() {
       return baseIndex + entries.size();
     }
 
@@ -136,14 +136,15 @@
    *
    * @throws LogCorruptException when synced data is damaged or missing
    */
-  static Opened open(Disk disk) throws IOException {
-    LogStore store = new LogStore(disk);
+  static Opened open(Disk disk, int segmentBytes) throws IOException {
+    LogStore store = new LogStore(disk, segmentBytes);
     Contents contents = new Contents();
     List<String> names = disk.list().stream().filter(name -> name.startsWith(PREFIX)).toList();
     for (int i = 0; i < names.size(); i++) {
       store.readSegment(names.get(i), i == 0, i == names.size() - 1, contents);
     }
     store.hardState = contents.hardState;
+    store.syncedState = contents.hardState;
     store.lastIndex = contents.lastIndex();
     store.lastTerm =
         contents.entries.isEmpty()
@@ -152,8 +153,8 @@
     store.syncedIndex = store.lastIndex;
     store.syncedTerm = store.lastTerm;
     if (!store.segments.isEmpty()) {
-      store.file = disk.append(store.segments.getLast().name);
-      store.syncedSize = store.file.size();
+      store.file = disk.write(store.segments.getLast().name);
+      store.syncedSize = store.segments.getLast().end;
     }
     return new Opened(store, contents);
   }
@@ -161,14 +162,14 @@
   /** Adds a hard state to the batch. */
   void add(HardState state) {
     hardState = state;
-    LogRecord.hardState(syncedSize, state).write(batch);
+    batch.add(LogRecord.hardState(state));
   }
 
   /** Adds an entry to the batch. */
   void add(LogEntry entry) {
     lastIndex = entry.getIndex();
     lastTerm = entry.getTerm();
-    LogRecord.entry(syncedSize, entry).write(batch);
+    batch.add(LogRecord.entry(entry));
     if (!segments.isEmpty()) {
       Segment last = segments.getLast();
       last.maxIndex = Math.max(last.maxIndex, lastIndex);
@@ -179,7 +180,7 @@
   void reset(long index, long term) {
     lastIndex = index;
     lastTerm = term;
-    LogRecord.reset(syncedSize, index, term).write(batch);
+    batch.add(LogRecord.reset(index, term));
   }
 
   /**
@@ -192,12 +193,10 @@
     if (file == null) {
       beginSegment();
     }
-    if (partlyWritten) {
-      file.truncate(syncedSize);
-    }
-    partlyWritten = true;
-    file.write(ByteBuffer.wrap(batch.toByteArray()));
-    partlyWritten = false;
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    batch.forEach(record -> record.write(bytes, syncedSize));
+    file.write(syncedSize, ByteBuffer.wrap(bytes.toByteArray()));
+    writtenSize = syncedSize + bytes.size();
   }
 
   /**
@@ -207,17 +206,23 @@
    */
   void sync() throws IOException {
     file.sync();
-    syncedSize += batch.size();
+    syncedSize = writtenSize;
+    syncedState = hardState;
     syncedIndex = lastIndex;
     syncedTerm = lastTerm;
-    batch = new ByteArrayOutputStream(INITIAL_BATCH_BYTES);
-    if (syncedSize >= SEGMENT_BYTES) {
+    batch.clear();
+    if (syncedSize >= segmentBytes) {
       Disk.DiskFile full = file;
       file = null;
       full.close();
     }
   }
 
+  /** Returns the size of the newest segment up to its last synced record, in bytes. */
+  long syncedSize() {
+    return syncedSize;
+  }
+
   /** Deletes segments that hold only entries before {@code index}. */
   void compact(long index) throws IOException {
     boolean deleted = false;
@@ -234,7 +239,7 @@
   @Override
   public void close() throws IOException {
     if (file != null) {
-      LogRecord.syncMark(syncedSize).write(batch);
+      batch.add(LogRecord.syncMark());
       write();
       sync();
     }
@@ -253,12 +258,13 @@
     long sequence = segments.isEmpty() ? 1 : segments.getLast().sequence + 1;
     String name = PREFIX + "%016d".formatted(sequence);
     ByteArrayOutputStream head = new ByteArrayOutputStream();
-    LogRecord.segment(sequence, syncedIndex, syncedTerm).write(head);
-    LogRecord.hardState(0, hardState).write(head);
-    Disk.DiskFile next = disk.append(name);
+    LogRecord.segment(sequence, syncedIndex, syncedTerm).write(head, 0);
+    LogRecord.hardState(syncedState).write(head, 0);
+    Disk.DiskFile next = disk.write(name);
     try {
       next.truncate(0);
-      next.write(ByteBuffer.wrap(head.toByteArray()));
+      next.write(0, ByteBuffer.wrap(head.toByteArray()));
+      fillWithZeros(next, head.size(), segmentBytes);
     } catch (IOException e) {
       next.close();
       throw e;
@@ -307,7 +313,7 @@
       disk.syncFolder();
       return;
     }
-    contents.present = true;
+    segment.end = offset;
     segments.add(segment);
   }
 
@@ -322,14 +328,35 @@
               + offset
               + ", which had been synced; replace this replica under a new id");
     }
+    if (isZero(bytes, offset)) {
+      return;
+    }
     contents.tornSegment = name;
     contents.tornBytes = bytes.limit() - offset;
-    try (Disk.DiskFile torn = disk.append(name)) {
-      torn.truncate(offset);
+    try (Disk.DiskFile torn = disk.write(name)) {
+      fillWithZeros(torn, offset, bytes.limit());
       torn.sync();
     }
   }
 
+  private static boolean isZero(ByteBuffer bytes, int offset) {
+    for (int i = offset; i < bytes.limit(); i++) {
+      if (bytes.get(i) != 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static void fillWithZeros(Disk.DiskFile file, long from, long to) throws IOException {
+    long position = from;
+    while (position < to) {
+      int length = (int) Math.min(ZERO_BLOCK_BYTES, to - position);
+      file.write(position, ByteBuffer.allocate(length));
+      position += length;
+    }
+  }
+
   /** Returns true when an intact record after {@code offset} proves that it had been synced. */
   private static boolean syncedBeyond(ByteBuffer bytes, int offset) {
     int syncedOffsetAt = LogRecord.HEADER_BYTES + 1;
@@ -347,6 +374,7 @@
     private final long sequence;
     private final String name;
     private long maxIndex;
+    private long end;
 
     Segment(long sequence, String name) {
       this.sequence = sequence;
--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.comfreygap.consensus.ReplicatedLog;
 import org.comfreygap.decisions.MembershipView;
 import org.comfreygap.protocol.generated.EndpointReport;
 import org.comfreygap.protocol.generated.HeartbeatReply;
@@ -20,12 +22,15 @@
 import org.comfreygap.protocol.generated.NotLeader;
 import org.comfreygap.protocol.generated.ProcessIdentity;
 import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
 
 /**
  * Heartbeats and the membership view at the leader.
  *
- * <p>Invariant: answers carry changes of state only; endpoint reports are not passed on. Thread
- * safety: any thread may call; the view is guarded by its own monitor.
+ * <p>Invariant: answers carry changes of state only, and only to the processes that act on them;
+ * endpoint reports are not passed on. Thread safety: any thread may call; the view is guarded by
+ * its own monitor.
  */
 @Singleton
 final class MembershipController {
@@ -35,12 +40,24 @@
   private final Leadership leadership;
   private final ControlState state;
   private final ControlSettings settings;
+  private final ReplicatedLog log;
+  private final EventLog events;
+  private volatile List<String> controlAddresses;
+  private long recordedVersion;
 
   @Inject
-  MembershipController(Leadership leadership, ControlState state, ControlSettings settings) {
+  MembershipController(
+      Leadership leadership,
+      ControlState state,
+      ControlSettings settings,
+      ReplicatedLog log,
+      EventLog events) {
     this.leadership = leadership;
     this.state = state;
     this.settings = settings;
+    this.log = log;
+    this.events = events;
+    this.controlAddresses = settings.controlAddresses();
   }
 
   HeartbeatReply heartbeat(HeartbeatRequest request) throws NotLeader, InvalidCall {
@@ -50,7 +67,6 @@
     LeaderTerm term = leadership.require();
     long now = System.nanoTime();
     MembershipView.Delta<ProcessIdentity> delta;
-    Set<String> addresses = new LinkedHashSet<>();
     synchronized (term.members()) {
       boolean known =
           term.members()
@@ -67,20 +83,18 @@
         throw new InvalidCall("given another process, expected no more processes");
       }
       delta = term.members().since(request.getMembershipVersion(), now);
-      controlAddresses(term.members().all(), addresses);
     }
     if (request.isSetReport()) {
       noteLoading(term, request.getReport(), now);
     }
     List<Member> members = new ArrayList<>(delta.changed().size());
-    delta.changed().forEach(status -> members.add(member(status)));
+    for (MembershipView.Status<ProcessIdentity> status : delta.changed()) {
+      if (concerns(identity.getKind(), status.identity().description().getKind())) {
+        members.add(member(status));
+      }
+    }
     return new HeartbeatReply(
-        state.revision(),
-        term.term(),
-        delta.version(),
-        members,
-        delta.full(),
-        List.copyOf(addresses));
+        state.revision(), term.term(), delta.version(), members, delta.full(), controlAddresses);
   }
 
   /** Takes note that a process has a revision in force, learned from its watch. */
@@ -95,11 +109,23 @@
             });
   }
 
-  /** Applies the passage of time; called a few times a second. */
+  /** Applies the passage of time; called a few times a second by one thread. */
   void maintain(LeaderTerm term) {
+    MembershipView.Delta<ProcessIdentity> delta;
     synchronized (term.members()) {
-      term.members().advance(System.nanoTime());
+      long now = System.nanoTime();
+      term.members().advance(now);
+      delta = term.members().since(recordedVersion, now);
+    }
+    recordedVersion = delta.version();
+    for (MembershipView.Status<ProcessIdentity> status : delta.changed()) {
+      events.record(
+          ControlEvent.PROCESS_STATE_CHANGED,
+          Field.of("process", status.identity().processId()),
+          Field.of("zone", status.identity().description().getZone()),
+          Field.of("state", status.state()));
     }
+    controlAddresses = List.copyOf(addresses(processes(term)));
   }
 
   void platformList(LeaderTerm term, Map<String, Boolean> leavingByAddress) {
@@ -150,10 +176,17 @@
         .toList();
   }
 
-  private void controlAddresses(
-      Collection<MembershipView.Status<ProcessIdentity>> processes, Set<String> addresses) {
-    addresses.addAll(settings.controlAddresses());
-    state.replicas().forEach(replica -> addresses.add(replica.rpcAddress()));
+  private Set<String> addresses(Collection<MembershipView.Status<ProcessIdentity>> processes) {
+    // Those of the settings file stay: a leader does not know yet where replicas serve that have
+    // neither led nor sent a heartbeat.
+    Set<String> addresses = new LinkedHashSet<>(settings.controlAddresses());
+    Set<String> members = new HashSet<>();
+    log.members().forEach(member -> members.add(member.getReplicaId()));
+    for (ControlState.ReplicaAddresses replica : state.replicas()) {
+      if (members.contains(replica.replicaId())) {
+        addresses.add(replica.rpcAddress());
+      }
+    }
     for (MembershipView.Status<ProcessIdentity> status : processes) {
       ProcessIdentity identity = status.identity().description();
       if (identity.getKind() == ProcessKind.CONTROL
@@ -161,6 +194,7 @@
         addresses.add(identity.getAddress());
       }
     }
+    return addresses;
   }
 
   private static void noteLoading(LeaderTerm term, EndpointReport report, long now) {
@@ -170,6 +204,15 @@
     }
   }
 
+  /**
+   * Returns true when a process of kind {@code reader} acts on the state of one of kind {@code
+   * other}. Only gateways do, on sidecars and on the number of gateways; to send everything to the
+   * sidecars too would cost each of them 170 KB at a change of leader.
+   */
+  private static boolean concerns(ProcessKind reader, ProcessKind other) {
+    return reader == ProcessKind.GATEWAY && other != ProcessKind.CONTROL;
+  }
+
   private static Member member(MembershipView.Status<ProcessIdentity> status) {
     return new Member(
         status.identity().description(),
--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -31,20 +31,24 @@
   /** Longest wait for credit; covers the election of a control leader. */
   public static final Duration MAX_WAIT = Duration.ofMillis(1_000);
 
+  /** Most requests that wait at once by default. */
+  public static final int DEFAULT_MAX_WAITING = 1_024;
+
   /** Credit that stays unused for this time is given back, since another gateway may need it. */
   public static final Duration IDLE_RETURN = Duration.ofMillis(200);
 
+  /** Credit that expires this soon is given back, since an exchange may take that long. */
+  public static final Duration EXPIRY_MARGIN = Duration.ofMillis(400);
+
   /** Demand ahead for which credit is held, so that most requests do not wait for an exchange. */
   public static final Duration HORIZON = Duration.ofMillis(250);
 
-  /** Most requests that wait at once. */
-  public static final int MAX_WAITING = 1_024;
-
   private static final double DEMAND_DECAY_NANOS = 1e9;
 
   private final Deque<Grant> grants = new ArrayDeque<>();
   private final List<Deque<Ticket>> waiting = new ArrayList<>();
   private final Deque<Ticket> decided = new ArrayDeque<>();
+  private final int maxWaiting;
   private int waitingCount;
   private long waitingTokens;
   private long held;
@@ -55,8 +59,20 @@
   private long demandAtNanos;
   private long lastUseNanos;
 
-  /** Creates credit without any grant. */
+  /**
+   * Creates credit without any grant, for at most {@link #DEFAULT_MAX_WAITING} waiting requests.
+   */
   public CustomerCredit() {
+    this(DEFAULT_MAX_WAITING);
+  }
+
+  /**
+   * Creates credit without any grant.
+   *
+   * @param maxWaiting most requests that wait at once
+   */
+  public CustomerCredit(int maxWaiting) {
+    this.maxWaiting = maxWaiting;
     for (int i = 0; i < Priority.values().length; i++) {
       waiting.add(new ArrayDeque<>());
     }
@@ -93,7 +109,7 @@
     if (!waitsBefore(priority) && held - debt >= tokens) {
       take(tokens, nowNanos);
       ticket.state = State.GRANTED;
-    } else if (waitingCount >= MAX_WAITING) {
+    } else if (waitingCount >= maxWaiting && !displace(priority)) {
       ticket.state = State.REFUSED;
       ticket.retryAfterMillis = MAX_WAIT.toMillis();
     } else {
@@ -179,8 +195,10 @@
     expire(nowNanos);
     long target = target(nowNanos);
     long returned = 0;
-    if (waitingCount == 0 && nowNanos - lastUseNanos >= IDLE_RETURN.toNanos()) {
-      returned = giveBack(Math.max(0, held - target));
+    if (waitingCount == 0) {
+      boolean idle = nowNanos - lastUseNanos >= IDLE_RETURN.toNanos();
+      long excess = idle ? Math.max(0, held - target) : 0;
+      returned = giveBack(Math.max(excess, expiringSoon(nowNanos)));
     }
     // Refilling in steps of half the target keeps the number of exchanges low.
     long refill = 2 * held < target ? target - held : 0;
@@ -216,6 +234,21 @@
     return waitingCount;
   }
 
+  /** Refuses the newest waiting request of the least urgent class below {@code priority}. */
+  private boolean displace(Priority priority) {
+    for (int i = waiting.size() - 1; i > priority.ordinal(); i--) {
+      Ticket last = waiting.get(i).pollLast();
+      if (last != null) {
+        forget(last);
+        last.state = State.REFUSED;
+        last.retryAfterMillis = MAX_WAIT.toMillis();
+        decided.addLast(last);
+        return true;
+      }
+    }
+    return false;
+  }
+
   private boolean waitsBefore(Priority priority) {
     for (int i = 0; i <= priority.ordinal(); i++) {
       if (!waiting.get(i).isEmpty()) {
@@ -303,6 +336,16 @@
     }
   }
 
+  private long expiringSoon(long nowNanos) {
+    long tokens = 0;
+    for (Grant grant : grants) {
+      if (grant.expiresAtNanos - nowNanos <= EXPIRY_MARGIN.toNanos()) {
+        tokens += grant.tokens;
+      }
+    }
+    return tokens;
+  }
+
   private void noteDemand(long tokens, long nowNanos) {
     demand = demandNow(nowNanos) + tokens / (DEMAND_DECAY_NANOS / 1e9);
     demandAtNanos = nowNanos;
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
@@ -45,6 +45,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -125,11 +126,11 @@
     CUT_HALFWAY,
     /** The connection closes after half of the answer, and the attempt is no longer known. */
     FORGET_HALFWAY,
-    /** The data frames carry the id of another attempt. */
+    /** The data frames carry the id and the bytes of another attempt. */
     WRONG_ATTEMPT,
-    /** The second half of the answer carries the offset of the first. */
+    /** The second half of the answer is replaced by the beginning of the first. */
     WRONG_OFFSET,
-    /** The final frame counts one byte too many. */
+    /** The second half is left out, and the final frame counts it all the same. */
     WRONG_TOTAL,
     /** Only beats are sent until the attempt is cancelled. */
     BEATS_ONLY
@@ -254,8 +255,8 @@
 
   /** Stops accepting and closes all connections. */
   @Override
-  public void close() throws Exception {
-    server.stop();
+  public void close() {
+    LifeCycle.stop(server);
   }
 
   private static Answer echo(AttemptRequest request) {
@@ -403,19 +404,20 @@
         pause(id);
         part(answer.parts().get(i), i >= half);
       }
-      long total = answer.totalBytes() + (fault == Fault.WRONG_TOTAL ? 1 : 0);
-      exchange.frame(
-          id, FrameBody.finish(new FrameEnd(total, answer.tokensUsed()).setReport(report())));
+      FrameEnd end = new FrameEnd(answer.totalBytes(), answer.tokensUsed());
+      exchange.frame(id, FrameBody.finish(end.setReport(report())));
       exchange.end();
     }
 
     private void part(byte[] bytes, boolean secondHalf) throws Exception {
       int skip = (int) Math.min(bytes.length, Math.max(0, attempt.getResumeOffset() - offset));
-      if (skip < bytes.length) {
+      if (skip < bytes.length && !(fault == Fault.WRONG_TOTAL && secondHalf)) {
         long sent = offset + skip;
         sent = fault == Fault.WRONG_OFFSET && secondHalf ? 0 : sent;
         String id = fault == Fault.WRONG_ATTEMPT ? "another-attempt" : attempt.getAttemptId();
-        ByteBuffer data = ByteBuffer.wrap(bytes, skip, bytes.length - skip).slice();
+        boolean wrong = fault == Fault.WRONG_ATTEMPT || sent == 0 && secondHalf;
+        byte[] carried = wrong ? new byte[bytes.length] : bytes;
+        ByteBuffer data = ByteBuffer.wrap(carried, skip, bytes.length - skip).slice();
         exchange.frame(id, FrameBody.data(new FrameData(sent, data)));
       }
       offset += bytes.length;
