--- a/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
@@ -1,7 +1,10 @@
 package org.comfreygap.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
+import java.net.BindException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import org.comfreygap.protocol.generated.AttemptRequest;
@@ -180,4 +183,12 @@
     assertThat(announced.statusCode()).isEqualTo(413);
     assertThat(chunked.statusCode()).isEqualTo(413);
   }
+
+  /** Guards against a process that ends without a word when its address is taken. */
+  @Test
+  void reportsAnAddressInUse() {
+    assertThatThrownBy(() -> Gateway.start(fixture.settings))
+        .isInstanceOf(IOException.class)
+        .hasRootCauseInstanceOf(BindException.class);
+  }
 }
--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -18,6 +18,7 @@
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -161,6 +162,9 @@
       metrics.gauge("comfreygap.events.dropped", events, EventLog::dropped);
       ShellApplication application = new ShellApplication(this);
       application.run("server");
+      if (application.failure.isPresent()) {
+        throw new IOException("the HTTP server cannot start", application.failure.get());
+      }
       return new ServiceShell(application.server, metrics);
     }
 
@@ -211,6 +215,7 @@
   private static final class ShellApplication extends Application<Configuration> {
 
     private final Builder builder;
+    private Optional<Throwable> failure = Optional.empty();
     private Server server;
 
     ShellApplication(Builder builder) {
@@ -255,6 +260,12 @@
       builder.resources.forEach(step -> step.accept(environment));
     }
 
+    @Override
+    protected void onFatalError(Throwable error) {
+      // The default ends the whole process, without a chance for the program to say why.
+      failure = Optional.of(error);
+    }
+
     @Override
     protected void bootstrapLogging() {
       BootstrapLogging.bootstrap(ch.qos.logback.classic.Level.WARN);
