--- a/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
@@ -12,10 +12,13 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What callers and sidecars see of a gateway in good order, and the refusals of bad requests. */
+@Execution(ExecutionMode.SAME_THREAD)
 class GatewayContractTest {
 
   private static GatewayFixture fixture;
