--- /dev/null
+++ b/cli/src/main/java/org/comfreygap/cli/NewReplicaOptions.java
@@ -0,0 +1,55 @@
+package org.comfreygap.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.Optional;
+
+/**
+ * The options that describe a control instance to be added.
+ *
+ * <p>Thread safety: not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class NewReplicaOptions {
+
+  @Option(
+      name = {"--replica-id"},
+      title = "ID",
+      description = "Id of the new replica; never one that was used before")
+  @Required
+  private String replicaId;
+
+  @Option(
+      name = {"--address"},
+      title = "IP:PORT",
+      description = "Replication address")
+  @Required
+  private String address;
+
+  @Option(
+      name = {"--admin-address"},
+      title = "IP:PORT",
+      description = "Address of its administration API")
+  @Required
+  private String adminAddress;
+
+  /** Returns the id of the new replica. */
+  String replicaId() {
+    return replicaId;
+  }
+
+  /**
+   * Adds the replica; returns the members.
+   *
+   * @throws CommandFailure when control refuses it or does not answer
+   */
+  JsonNode add(AdminClient client) throws CommandFailure {
+    ObjectNode body = OperatorCommand.object();
+    body.put("replicaId", replicaId).put("address", address).put("adminAddress", adminAddress);
+    return client.send(
+        "POST", "/members", OperatorCommand.changeHeaders(Optional.empty()), Optional.of(body));
+  }
+}
--- a/cli/src/main/java/org/comfreygap/cli/PlatformCommands.java
+++ b/cli/src/main/java/org/comfreygap/cli/PlatformCommands.java
@@ -131,30 +131,11 @@
       description = "Add a control instance; it learns first and votes once it has caught up")
   public static final class MemberAdd extends OperatorCommand {
 
-    @Option(
-        name = {"--replica-id"},
-        title = "ID",
-        description = "Id of the new replica; never one that was used before")
-    @Required
-    private String replicaId;
-
-    @Option(
-        name = {"--address"},
-        title = "IP:PORT",
-        description = "Replication address")
-    @Required
-    private String address;
-
-    @Option(
-        name = {"--admin-address"},
-        title = "IP:PORT",
-        description = "Address of its administration API")
-    @Required
-    private String adminAddress;
+    @AirlineModule private NewReplicaOptions replica = new NewReplicaOptions();
 
     @Override
     ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
-      print(out, addMember(client, replicaId, address, adminAddress));
+      print(out, replica.add(client));
       return ExitCode.OK;
     }
   }
@@ -184,36 +165,17 @@
     @Required
     private String lostReplicaId;
 
-    @Option(
-        name = {"--replica-id"},
-        title = "ID",
-        description = "Id of the new replica; never one that was used before")
-    @Required
-    private String replicaId;
-
-    @Option(
-        name = {"--address"},
-        title = "IP:PORT",
-        description = "Replication address")
-    @Required
-    private String address;
-
-    @Option(
-        name = {"--admin-address"},
-        title = "IP:PORT",
-        description = "Address of its administration API")
-    @Required
-    private String adminAddress;
+    @AirlineModule private NewReplicaOptions replica = new NewReplicaOptions();
 
     @Override
     ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
-      if (replicaId.equals(lostReplicaId)) {
+      if (replica.replicaId().equals(lostReplicaId)) {
         throw new CommandFailure(
             ExitCode.USAGE,
             "given the id of the lost replica again, expected a new one: a replica that lost its"
                 + " disk must not vote as before");
       }
-      addMember(client, replicaId, address, adminAddress);
+      replica.add(client);
       print(out, removeMember(client, lostReplicaId));
       return ExitCode.OK;
     }
@@ -230,15 +192,6 @@
     }
   }
 
-  private static JsonNode addMember(
-      AdminClient client, String replicaId, String address, String adminAddress)
-      throws CommandFailure {
-    ObjectNode body = OperatorCommand.object();
-    body.put("replicaId", replicaId).put("address", address).put("adminAddress", adminAddress);
-    return client.send(
-        "POST", "/members", OperatorCommand.changeHeaders(Optional.empty()), Optional.of(body));
-  }
-
   private static JsonNode removeMember(AdminClient client, String replicaId) throws CommandFailure {
     return client.send(
         "DELETE",
