--- a/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ApplyDuty.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.comfreygap.consensus.ReplicatedLog.Applied;
 import org.comfreygap.protocol.generated.EntryKind;
@@ -31,6 +32,8 @@
   private final Consumer<SnapshotMeta> snapshotTaken;
   private final Map<Long, Proposal> proposals = new ConcurrentHashMap<>();
   private final DutyRing<Work> ring;
+  private final DutyRing<Work> snapshotRing;
+  private final AtomicBoolean snapshotBusy = new AtomicBoolean();
   private List<ReplicaMember> members;
   private long nextSnapshot;
   private long bytesSinceSnapshot;
@@ -50,13 +53,15 @@
     this.members = loaded.members();
     this.applied = loaded.index();
     this.nextSnapshot = applied + options.snapshotEntries();
-    this.ring = new DutyRing<>(name, RING_SIZE, IDLE, new Applying(), failureHandler).start();
+    this.ring = new DutyRing<>(name, RING_SIZE, IDLE, new Working(), failureHandler).start();
+    this.snapshotRing =
+        new DutyRing<>(name + "-snapshot", 2, IDLE, new Working(), failureHandler).start();
   }
 
   /** A command whose proposer waits; Thread safety: immutable. */
   record Proposal(long term, CompletableFuture<Applied> future) {}
 
-  /** One step of work on the apply thread. */
+  /** One step of work on the apply or the snapshot thread. */
   @FunctionalInterface
   private interface Work {
 
@@ -100,6 +105,7 @@
   @Override
   public void close() {
     ring.close();
+    snapshotRing.close();
     leadershipLost(0, 0);
   }
 
@@ -138,16 +144,39 @@
     }
   }
 
+  /** Writes the state here and leaves the sync to another thread, so that answers go on. */
   private void takeSnapshot(SnapshotMeta meta) throws IOException {
+    if (!snapshotBusy.compareAndSet(false, true)) {
+      return;
+    }
     try {
-      snapshots.write(meta, options.stateMachine()::writeSnapshot);
+      Disk.DiskFile file = snapshots.write(meta, options.stateMachine()::writeSnapshot);
+      if (!snapshotRing.tryPublish(() -> finishSnapshot(file, meta))) {
+        file.close();
+        snapshotBusy.set(false);
+      }
+    } catch (IOException e) {
+      snapshotFailed(e);
+    }
+  }
+
+  private void finishSnapshot(Disk.DiskFile file, SnapshotMeta meta) throws IOException {
+    try {
+      snapshots.finish(file, meta);
       events.record(ConsensusEvent.SNAPSHOT_WRITTEN, Field.of("index", meta.index()));
       snapshotTaken.accept(meta);
-    } catch (SyncFailedException e) {
-      throw e;
+      snapshotBusy.set(false);
     } catch (IOException e) {
-      events.record(ConsensusEvent.SNAPSHOT_FAILED, Field.of("error", e.getMessage()));
+      snapshotFailed(e);
+    }
+  }
+
+  private void snapshotFailed(IOException failure) throws IOException {
+    if (failure instanceof SyncFailedException) {
+      throw failure;
     }
+    events.record(ConsensusEvent.SNAPSHOT_FAILED, Field.of("error", failure.getMessage()));
+    snapshotBusy.set(false);
   }
 
   private void load(SnapshotMeta meta) throws IOException {
@@ -173,7 +202,7 @@
                     + " ended before the outcome of the command was known"));
   }
 
-  private final class Applying implements DutyRing.Handler<Work> {
+  private final class Working implements DutyRing.Handler<Work> {
 
     @Override
     public void handle(Work work, boolean endOfBatch) throws Exception {
--- a/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
@@ -84,25 +84,22 @@
     }
   }
 
-  /** Writes and syncs a snapshot and deletes older ones. */
-  void write(SnapshotMeta meta, Body body) throws IOException {
+  /** Writes a snapshot that {@link #finish} makes durable; one at a time. */
+  Disk.DiskFile write(SnapshotMeta meta, Body body) throws IOException {
     disk.delete(OWN);
-    try (Disk.DiskFile file = disk.write(OWN)) {
-      CheckedOutputStream checked =
-          new CheckedOutputStream(
-              new BufferedOutputStream(new FileOutput(file), BUFFER_BYTES), new CRC32C());
-      DataOutputStream out = new DataOutputStream(checked);
-      byte[] membership = Memberships.encode(meta.members());
-      out.writeInt(MAGIC);
-      out.writeLong(meta.index());
-      out.writeLong(meta.term());
-      out.writeInt(membership.length);
-      out.write(membership);
-      BlockOutput blocks = new BlockOutput(out);
-      body.write(blocks);
-      blocks.finish();
-      out.writeInt((int) checked.getChecksum().getValue());
-      out.flush();
+    Disk.DiskFile file = disk.write(OWN);
+    try {
+      writeTo(file, meta, body);
+      return file;
+    } catch (IOException e) {
+      file.close();
+      throw e;
+    }
+  }
+
+  /** Syncs, closes and publishes a snapshot of {@link #write} and deletes older ones. */
+  void finish(Disk.DiskFile file, SnapshotMeta meta) throws IOException {
+    try (file) {
       file.sync();
     }
     publish(OWN, meta.index());
@@ -139,6 +136,24 @@
     return meta;
   }
 
+  private static void writeTo(Disk.DiskFile file, SnapshotMeta meta, Body body) throws IOException {
+    CheckedOutputStream checked =
+        new CheckedOutputStream(
+            new BufferedOutputStream(new FileOutput(file), BUFFER_BYTES), new CRC32C());
+    DataOutputStream out = new DataOutputStream(checked);
+    byte[] membership = Memberships.encode(meta.members());
+    out.writeInt(MAGIC);
+    out.writeLong(meta.index());
+    out.writeLong(meta.term());
+    out.writeInt(membership.length);
+    out.write(membership);
+    BlockOutput blocks = new BlockOutput(out);
+    body.write(blocks);
+    blocks.finish();
+    out.writeInt((int) checked.getChecksum().getValue());
+    out.flush();
+  }
+
   private void closeReceiving() throws IOException {
     if (receiving != null) {
       receiving.close();
