--- a/consensus/src/test/java/org/comfreygap/consensus/LogStoreTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/LogStoreTest.java
@@ -188,6 +188,8 @@
       for (int i = 0; i < 1_000; i++) {
         replica.log.propose(new byte[100]).get(30, TimeUnit.SECONDS);
       }
+      // Snapshot and compaction follow on threads of their own; before, the log is complete.
+      cluster.await("the compaction", () -> !replica.disk.list().contains(SEGMENT));
       replica.kill();
       for (String name : replica.disk.list()) {
         if (name.startsWith("snapshot")) {
