--- a/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
+++ b/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
@@ -246,13 +246,15 @@
   @Test
   void aLaggingReplicaSendsItsReadersAway() throws Exception {
     assertThat(second.handler.watch(new WatchRequest("g", 0, 0)).isSnapshot()).isTrue();
-    second.log.disconnect();
+    second.log.lag();
     first.put("later", "/teams/blue", "{}");
     WatchReply newer = first.handler.watch(new WatchRequest("g", 1, 0));
     assertThat(newer.getRevision()).isEqualTo(2);
     assertThat(newer.getChanges()).hasSize(1);
     assertThatThrownBy(() -> second.handler.watch(new WatchRequest("g", 2, 0)))
         .isInstanceOf(InvalidCall.class);
+    assertThat(second.handler.watch(new WatchRequest("g", 1, 0)).getRevision()).isEqualTo(1);
+    second.log.disconnect();
     assertThatThrownBy(() -> second.handler.watch(new WatchRequest("g", 1, 0)))
         .isInstanceOf(InvalidCall.class);
   }
--- a/control/src/test/java/org/comfreygap/control/MemoryCluster.java
+++ b/control/src/test/java/org/comfreygap/control/MemoryCluster.java
@@ -70,6 +70,7 @@
     private ControlState state;
     private int applied;
     private boolean connected = true;
+    private boolean lagging;
 
     private Replica(String id, ControlState state) {
       this.member = new ReplicaMember(id, "127.0.0.1:1", true);
@@ -80,6 +81,13 @@
       return state;
     }
 
+    /** Lets the replica apply no further commands although it has contact to the leader. */
+    void lag() {
+      synchronized (MemoryCluster.this) {
+        lagging = true;
+      }
+    }
+
     /** Cuts the replica off from further commands. */
     void disconnect() {
       synchronized (MemoryCluster.this) {
@@ -96,7 +104,7 @@
         commands.add(command);
         byte[] answer = new byte[0];
         for (Replica replica : replicas) {
-          if (replica.connected) {
+          if (replica.connected && !replica.lagging) {
             byte[] given = replica.catchUp();
             answer = replica == this ? given : answer;
           }
