Tell a dropped answer from a cancelled attempt

The registry answered both as a tombstone, so that a duplicate that came more than 5 s after the end of its attempt was refused as NOT_RUN although it had run.

--- a/decisions/src/main/java/org/comfreygap/decisions/AttemptRegistry.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/AttemptRegistry.java
@@ -45,8 +45,10 @@
     ACCEPTED,
     /** The id belongs to an earlier attempt, which {@link #find} returns. */
     DUPLICATE,
-    /** The id was cancelled before it arrived, or its attempt ended and was released. */
+    /** The id was cancelled before it arrived; it never ran here. */
     TOMBSTONE,
+    /** The attempt under the id ended and was released; it may have run. */
+    ENDED,
     /** No id can be taken without forgetting one that must be kept. */
     FULL
   }
@@ -56,7 +58,10 @@
     expire(nowNanos);
     Entry<T> known = entries.get(id);
     if (known != null) {
-      return known.attempt == null ? Offer.TOMBSTONE : Offer.DUPLICATE;
+      if (known.attempt != null) {
+        return Offer.DUPLICATE;
+      }
+      return known.released ? Offer.ENDED : Offer.TOMBSTONE;
     }
     if (entries.size() >= capacity) {
       return Offer.FULL;
@@ -77,13 +82,14 @@
   }
 
   /**
-   * Leaves a tombstone for {@code id} if it is unknown. Returns false when there is no room; the
-   * caller must then not claim that the id never runs.
+   * Leaves a tombstone for {@code id} if it is unknown. Returns true when the id has a tombstone,
+   * so that it never ran here and never will; false when there is no room or the id had an attempt.
    */
   public boolean entomb(String id, long nowNanos) {
     expire(nowNanos);
-    if (entries.containsKey(id)) {
-      return true;
+    Entry<T> known = entries.get(id);
+    if (known != null) {
+      return known.attempt == null && !known.released;
     }
     if (entries.size() >= capacity) {
       return false;
@@ -102,11 +108,12 @@
     }
   }
 
-  /** Forgets what is kept for {@code id} but not the id, which becomes a tombstone. */
+  /** Forgets what is kept for {@code id} but not the id. */
   public void release(String id) {
     Entry<T> entry = entries.get(id);
-    if (entry != null) {
+    if (entry != null && entry.attempt != null) {
       entry.attempt = null;
+      entry.released = true;
     }
   }
 
@@ -135,6 +142,7 @@
     private final String id;
     private T attempt;
     private boolean ended;
+    private boolean released;
     private long endedAtNanos;
 
     Entry(String id, T attempt) {
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptController.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptController.java
@@ -184,6 +184,7 @@
     switch (offer) {
       case DUPLICATE -> attach(core.registry.find(id).orElseThrow(), request, sink, now);
       case TOMBSTONE -> turnAway(request, sink, RefusalReason.CANCELLED, Outcome.NOT_RUN, now);
+      case ENDED -> turnAway(request, sink, RefusalReason.UNKNOWN_ATTEMPT, Outcome.UNKNOWN, now);
       case FULL -> turnAway(request, sink, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN, now);
       default -> accept(attempt, fault, sink, now);
     }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/LeaseKeeper.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/LeaseKeeper.java
@@ -30,6 +30,7 @@
   private final EventLog events;
   private final EndpointLeaseRequest request;
   private boolean held;
+  private boolean waiting;
 
   @Inject
   LeaseKeeper(
@@ -69,6 +70,12 @@
 
   private Duration apply(EndpointLeaseReply reply, long sentAtNanos) {
     if (!reply.isGranted()) {
+      if (!waiting) {
+        waiting = true;
+        events.record(
+            SidecarEvent.ENDPOINT_LEASE_HELD,
+            Field.of("retryAfterMillis", reply.getRetryAfterMillis()));
+      }
       lease.lost();
       if (held) {
         noteLoss();
@@ -76,6 +83,7 @@
       long wait = Math.max(1, Math.min(MAX_WAIT.toMillis(), reply.getRetryAfterMillis()));
       return Duration.ofMillis(wait);
     }
+    waiting = false;
     long lifetime = TimeUnit.MILLISECONDS.toNanos(reply.getLifetimeMillis());
     boolean another = lease.granted(reply.getFencing(), sentAtNanos, lifetime);
     request.setFencing(reply.getFencing());
--- a/sidecar/src/test/java/org/comfreygap/sidecar/AttemptProtocolTest.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/AttemptProtocolTest.java
@@ -129,6 +129,22 @@
     assertThat(engine.record().runs()).hasSize(1);
   }
 
+  /** Guards against a claim that an attempt did not run after its answer was dropped. */
+  @Test
+  void aDuplicateAfterTheAnswerWasDroppedIsUnknown() throws Exception {
+    AttemptRequest request = TestGateway.attempt("a", 2);
+    TestGateway.Reply reply = fixture.gateway.run(request);
+    while (reply.finished()) {
+      Thread.sleep(200);
+      reply = fixture.gateway.run(request);
+    }
+    assertThat(reply.refusal()).isEqualTo(RefusalReason.UNKNOWN_ATTEMPT);
+    assertThat(reply.last.getRefusal().getOutcome()).isEqualTo(Outcome.UNKNOWN);
+    assertThat(fixture.gateway.cancel(request.getAttemptId()).getOutcome())
+        .isEqualTo(Outcome.UNKNOWN);
+    assertThat(engine.record().runs()).hasSize(1);
+  }
+
   /** Guards against a lost or doubled part of the answer after a silent connection. */
   @Test
   void aGatewayAttachesAgainAtItsOffset() throws Exception {
