--- a/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
@@ -1,7 +1,10 @@
 package org.comfreygap.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
+import java.net.BindException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import org.comfreygap.protocol.generated.AttemptRequest;
@@ -9,10 +12,13 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What callers and sidecars see of a gateway in good order, and the refusals of bad requests. */
+@Execution(ExecutionMode.SAME_THREAD)
 class GatewayContractTest {
 
   private static GatewayFixture fixture;
@@ -180,4 +186,12 @@
     assertThat(announced.statusCode()).isEqualTo(413);
     assertThat(chunked.statusCode()).isEqualTo(413);
   }
+
+  /** Guards against a process that ends without a word when its address is taken. */
+  @Test
+  void reportsAnAddressInUse() {
+    assertThatThrownBy(() -> Gateway.start(fixture.settings))
+        .isInstanceOf(IOException.class)
+        .hasRootCauseInstanceOf(BindException.class);
+  }
 }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -56,6 +56,8 @@
 public final class HttpEngineClient implements EngineClient {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
+  // The thread that reads an event also writes it to the gateway.
+  private static final int IO_THREADS = 4;
   // A process that is gone refuses at once; a longer wait only means that the instance is busy.
   private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(3);
   // An idle connection that the endpoint closes at the moment of use makes an outcome unknown, so
@@ -65,6 +67,10 @@
   // The ramp bounds the connections in use; this only stops the pool from being the bound.
   private static final int MAX_CONNECTIONS = 16_384;
 
+  // Default buffers of 8 KiB for each direction would take 8 MiB of the 64 MiB heap at 500 streams.
+  private static final Http1Config HTTP1 =
+      Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).setBufferSize(2_048).build();
+
   private final URI base;
   private final PoolingAsyncClientConnectionManager connections = connections();
   private final CloseableHttpAsyncClient client;
@@ -301,9 +307,9 @@
   private static CloseableHttpAsyncClient client(PoolingAsyncClientConnectionManager manager) {
     return HttpAsyncClients.custom()
         .setConnectionManager(manager)
-        .setHttp1Config(Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).build())
+        .setHttp1Config(HTTP1)
         .setIOReactorConfig(
-            IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
+            IOReactorConfig.custom().setIoThreadCount(IO_THREADS).setTcpNoDelay(true).build())
         .setKeepAliveStrategy((response, context) -> MAX_IDLE)
         .disableAutomaticRetries()
         .disableRedirectHandling()
