--- a/bench/src/main/java/org/comfreygap/bench/AnswerCheck.java
+++ b/bench/src/main/java/org/comfreygap/bench/AnswerCheck.java
@@ -24,6 +24,7 @@
   private boolean done;
   private boolean reportedFailure;
   private boolean unreadable;
+  private String problem = "";
 
   AnswerCheck(Planned planned, String team) {
     this.planned = planned;
@@ -51,6 +52,11 @@
     }
   }
 
+  /** Returns what is wrong with the answer, for people; empty when nothing is. */
+  String problem() {
+    return problem + (done ? "" : " no end mark") + (unreadable ? " an unreadable event" : "");
+  }
+
   /** Judges the stream after its last line. */
   Verdict streamVerdict() {
     if (reportedFailure) {
@@ -82,6 +88,7 @@
     String[] parts = text.isEmpty() ? new String[0] : text.split(";");
     for (int i = 0; i < parts.length; i++) {
       String[] fields = parts[i].split(" ");
+      problem = "token " + (i + 1) + " of " + planned.tokens() + " reads " + parts[i];
       if (fields.length < 2 && i == parts.length - 1) {
         return Verdict.CUT;
       }
@@ -92,6 +99,7 @@
         return Verdict.CUT;
       }
     }
+    problem = parts.length + " tokens of " + planned.tokens();
     return parts.length == planned.tokens() ? Verdict.COMPLETE : Verdict.CUT;
   }
 }
--- a/bench/src/main/java/org/comfreygap/bench/Caller.java
+++ b/bench/src/main/java/org/comfreygap/bench/Caller.java
@@ -123,7 +123,8 @@
       }
       if (exchange.planned.stream()) {
         stream(exchange, response, check);
-        return exchange.result(check.streamVerdict(), "");
+        Verdict verdict = check.streamVerdict();
+        return exchange.result(verdict, verdict == Verdict.COMPLETE ? "" : check.problem());
       }
       String text = bodyText(response);
       exchange.firstMicros = Clock.micros();
