--- a/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
 import org.comfreygap.protocol.generated.CreditItem;
@@ -182,6 +183,11 @@
     assertThat(late.statusCode()).isEqualTo(200);
     assertThat(late.headers().firstValue("Connection")).hasValue("close");
     assertThat(stream.join().body()).isEqualTo("data: event\n\n".repeat(20));
+    // The HTTP server would also wait, but only for 30 s.
+    assertThat(fixture.gateway.events().timeline().since(0, Optional.empty(), Optional.empty()))
+        .filteredOn(entry -> entry.number() == GatewayEvent.DRAIN_ENDED.number())
+        .allMatch(entry -> entry.fields().get("complete").equals("true"))
+        .isNotEmpty();
     assertThat(fixture.control.lastHeartbeat("gateway-1").orElseThrow().isLeaving()).isTrue();
     long granted = sum(CreditItem::getWanted);
     assertThat(sum(CreditItem::getUsed) + sum(CreditItem::getReturned)).isEqualTo(granted);
