Set control's answers before the membership agent starts in its test

admitsOnlyOnceTheCommittedRevisionIsInForce failed once under load: a heartbeat was answered with revision 0 before the test set 5, which rightly confirms the settings for 5 s. Each test now sets its answers first; the checks are unchanged.

--- a/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
+++ b/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
@@ -37,7 +37,6 @@
 import org.comfreygap.protocol.generated.WatchReply;
 import org.comfreygap.protocol.generated.WatchRequest;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a process that acts on old settings or on a reverted revision. */
@@ -50,31 +49,16 @@
   private final StubControl control = new StubControl();
   private MembershipAgent agent;
 
-  @BeforeEach
-  void start() throws Exception {
-    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    ThriftServer server =
-        closer.register(
-            ThriftServer.start("stub", any, SECURITY, new ControlService.Processor<>(control)));
-    control.address = Addresses.text(server.address());
-    EventLog events =
-        closer.register(new EventLog("p", new HybridClock(() -> 1_000), new Timeline(100)));
-    ControlClient client = closer.register(new ControlClient(List.of(server.address()), SECURITY));
-    ProcessIdentity identity =
-        new ProcessIdentity(
-            "gateway-1", ProcessKind.GATEWAY, "s1", "north", "127.0.0.1:1", "127.0.0.1:2");
-    agent = closer.register(MembershipAgent.start(identity, client, events, Optional::empty));
-  }
-
   @AfterEach
   void stop() {
     closer.close();
   }
 
   @Test
-  void admitsOnlyOnceTheCommittedRevisionIsInForce() {
+  void admitsOnlyOnceTheCommittedRevisionIsInForce() throws Exception {
     control.committed = 5;
     control.watchRevision = 4;
+    start();
     await(() -> agent.settings().revision() == 4);
     await(() -> control.heartbeats.size() >= 3);
     assertThat(agent.admits()).isFalse();
@@ -84,7 +68,8 @@
   }
 
   @Test
-  void stopsAdmittingWithinTheBoundWhenControlHasNoLeader() {
+  void stopsAdmittingWithinTheBoundWhenControlHasNoLeader() throws Exception {
+    start();
     await(agent::admits);
     control.leading = false;
 
@@ -96,8 +81,9 @@
   }
 
   @Test
-  void keepsItsRevisionWhenAReplicaLags() {
+  void keepsItsRevisionWhenAReplicaLags() throws Exception {
     control.watchRevision = 9;
+    start();
     await(() -> agent.settings().revision() == 9);
     int asked = control.watches.size();
     control.watchRevision = 3;
@@ -108,7 +94,8 @@
   }
 
   @Test
-  void keepsQuarantineForItsTimeAndMembersUntilTheyAreGone() {
+  void keepsQuarantineForItsTimeAndMembersUntilTheyAreGone() throws Exception {
+    start();
     control.quarantined = Map.of("bad", 60_000L);
     control.member = Optional.of(MemberState.LEAVING);
     await(() -> agent.quarantined("bad", System.nanoTime()));
@@ -122,12 +109,29 @@
   }
 
   @Test
-  void tellsControlThatItIsLeaving() {
+  void tellsControlThatItIsLeaving() throws Exception {
+    start();
     agent.leave();
 
     await(() -> control.heartbeats.stream().anyMatch(HeartbeatRequest::isLeaving));
   }
 
+  /** Starts the agent; called by each test once the answers of control are set. */
+  private void start() throws Exception {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    ThriftServer server =
+        closer.register(
+            ThriftServer.start("stub", any, SECURITY, new ControlService.Processor<>(control)));
+    control.address = Addresses.text(server.address());
+    EventLog events =
+        closer.register(new EventLog("p", new HybridClock(() -> 1_000), new Timeline(100)));
+    ControlClient client = closer.register(new ControlClient(List.of(server.address()), SECURITY));
+    ProcessIdentity identity =
+        new ProcessIdentity(
+            "gateway-1", ProcessKind.GATEWAY, "s1", "north", "127.0.0.1:1", "127.0.0.1:2");
+    agent = closer.register(MembershipAgent.start(identity, client, events, Optional::empty));
+  }
+
   private static void await(BooleanSupplier condition) {
     long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
     while (!condition.getAsBoolean()) {
