Hold a reserve of credit for customers with little traffic

Change: for 5 s after a request a gateway holds two typical requests ready, all gateways together at most an eighth of the burst, and nothing for 2 s after control could not grant all.

--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -43,6 +43,13 @@
   /** Demand ahead for which credit is held, so that most requests do not wait for an exchange. */
   public static final Duration HORIZON = Duration.ofMillis(250);
 
+  /** Time after the last request for which the reserve for the next ones is held. */
+  public static final Duration RESERVE_TIME = Duration.ofSeconds(5);
+
+  /** Time after a short grant in which no reserve is held, so that other gateways get it. */
+  public static final Duration SHORTAGE_TIME = Duration.ofSeconds(2);
+
+  private static final int RESERVED_REQUESTS = 2;
   private static final double DEMAND_DECAY_NANOS = 1e9;
 
   private final Deque<Grant> grants = new ArrayDeque<>();
@@ -58,6 +65,11 @@
   private double demand;
   private long demandAtNanos;
   private long lastUseNanos;
+  private boolean usedOnce;
+  private long reserveBound;
+  private double typicalTokens;
+  private boolean shortage;
+  private long shortAtNanos;
 
   /**
    * Creates credit without any grant, for at most {@link #DEFAULT_MAX_WAITING} waiting requests.
@@ -163,10 +175,20 @@
     }
     advance(nowNanos);
     if (retryAfterMillis > 0) {
+      shortage = true;
+      shortAtNanos = nowNanos;
       refuseWaiting(nowNanos, retryAfterMillis);
     }
   }
 
+  /**
+   * Sets the most tokens to hold ready for requests to come, besides what the present demand needs.
+   * Without a reserve every request of a customer with little traffic waits for an exchange.
+   */
+  public void reserveBound(long tokens) {
+    reserveBound = tokens;
+  }
+
   /** Serves those who wait and refuses those whose wait is over. */
   public void advance(long nowNanos) {
     expire(nowNanos);
@@ -194,14 +216,15 @@
   public Optional<Item> exchange(long nowNanos) {
     expire(nowNanos);
     long target = target(nowNanos);
+    long ready = Math.max(target, reserveTarget(nowNanos));
     long returned = 0;
     if (waitingCount == 0) {
       boolean idle = nowNanos - lastUseNanos >= IDLE_RETURN.toNanos();
-      long excess = idle ? Math.max(0, held - target) : 0;
+      long excess = idle ? Math.max(0, held - ready) : 0;
       returned = giveBack(Math.max(excess, expiringSoon(nowNanos)));
     }
-    // Refilling in steps of half the target keeps the number of exchanges low.
-    long refill = 2 * held < target ? target - held : 0;
+    // Refilling in steps of half of what is held ready keeps the number of exchanges low.
+    long refill = 2 * held < ready ? ready - held : 0;
     long wanted =
         waitingCount > 0 ? waitingTokens + debt + target - Math.min(held, target) : refill;
     if (used == 0 && returned == 0 && refunded == 0 && wanted == 0) {
@@ -297,6 +320,7 @@
     remove(tokens);
     used += tokens;
     lastUseNanos = nowNanos;
+    usedOnce = true;
   }
 
   private void payDebt() {
@@ -349,6 +373,15 @@
   private void noteDemand(long tokens, long nowNanos) {
     demand = demandNow(nowNanos) + tokens / (DEMAND_DECAY_NANOS / 1e9);
     demandAtNanos = nowNanos;
+    typicalTokens = Math.max(tokens, 0.9 * typicalTokens);
+  }
+
+  private long reserveTarget(long nowNanos) {
+    boolean active = usedOnce && nowNanos - lastUseNanos < RESERVE_TIME.toNanos();
+    boolean scarce = shortage && nowNanos - shortAtNanos < SHORTAGE_TIME.toNanos();
+    return active && !scarce
+        ? Math.min(reserveBound, (long) (RESERVED_REQUESTS * typicalTokens))
+        : 0;
   }
 
   private double demandNow(long nowNanos) {
--- a/gateway/src/main/java/org/comfreygap/gateway/CreditController.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/CreditController.java
@@ -21,11 +21,14 @@
 import org.comfreygap.protocol.generated.CreditGrant;
 import org.comfreygap.protocol.generated.CreditItem;
 import org.comfreygap.protocol.generated.CreditReply;
+import org.comfreygap.protocol.generated.MemberState;
+import org.comfreygap.protocol.generated.ProcessKind;
 import org.comfreygap.runtime.ControlClient;
 import org.comfreygap.runtime.ControlUnavailable;
 import org.comfreygap.runtime.DutyThread;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
+import org.comfreygap.runtime.MembershipAgent;
 import org.comfreygap.settings.Priority;
 
 /**
@@ -45,12 +48,15 @@
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration WAIT_SLACK = Duration.ofMillis(50);
   private static final int MAX_ITEMS = 1_000;
+  // All gateways together hold at most this part of a customer's burst ready for requests to come.
+  private static final long RESERVE_PART_OF_BURST = 8;
   // A customer over its rate must leave workers to the others while its requests wait.
   private static final int SHARE_OF_WORKERS_THAT_WAIT = 8;
 
   private final GatewaySettings settings;
   private final ProcessStart start;
   private final ControlClient control;
+  private final MembershipAgent agent;
   private final EventLog events;
   private final GatewayMetrics metrics;
   private final Map<String, Account> accounts = new ConcurrentHashMap<>();
@@ -68,11 +74,13 @@
       GatewaySettings settings,
       ProcessStart start,
       ControlClient control,
+      MembershipAgent agent,
       EventLog events,
       GatewayMetrics metrics) {
     this.settings = settings;
     this.start = start;
     this.control = control;
+    this.agent = agent;
     this.events = events;
     this.metrics = metrics;
     this.maxWaiting = Math.max(1, settings.workers() / SHARE_OF_WORKERS_THAT_WAIT);
@@ -230,12 +238,14 @@
     CreditReply reply = control.callLeader(timeout, client -> client.exchangeCredit(exchange));
     pending = Optional.empty();
     long now = System.nanoTime();
+    long reserveParts = RESERVE_PART_OF_BURST * gateways();
     for (CreditGrant grant : reply.getGrants()) {
       Account account = accounts.get(grant.getCustomer());
       if (account != null) {
         long expires =
             pendingSentAtNanos + TimeUnit.MILLISECONDS.toNanos(grant.getLifetimeMillis());
         synchronized (account) {
+          account.credit.reserveBound(grant.getBurstTokens() / reserveParts);
           account.credit.granted(grant.getGranted(), expires, grant.getRetryAfterMillis(), now);
           account.wakeDecided();
         }
@@ -243,6 +253,15 @@
     }
   }
 
+  private long gateways() {
+    long live =
+        agent.members().stream()
+            .filter(member -> member.getIdentity().getKind() == ProcessKind.GATEWAY)
+            .filter(member -> member.getState() == MemberState.LIVE)
+            .count();
+    return Math.max(1, live);
+  }
+
   private Optional<CreditExchange> collect(boolean closing) {
     List<CreditItem> items = new ArrayList<>();
     long now = System.nanoTime();
