Take the bytes of an answer only from its present exchange

Found by reading; BackpressureTest.ignoresBytesOfAnExchangeThatWasResumedElsewhere fails without the check. Change: each exchange has a number; beginning one fixes the offset and closes the earlier one in one step.

--- a/sidecar/src/main/java/org/comfreygap/sidecar/AnswerConsumer.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AnswerConsumer.java
@@ -173,8 +173,10 @@
 
   @Override
   public void consume(ByteBuffer source) {
-    end.accept(source);
-    listener.data(source);
+    // The end is looked for only in bytes that were taken, since a resumed answer goes on from it.
+    if (listener.data(source.duplicate())) {
+      end.accept(source);
+    }
     source.position(source.limit());
   }
 
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AnswerEnd.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AnswerEnd.java
@@ -11,7 +11,7 @@
  * <p>Server-sent events are whole when their last event is {@code [DONE]}, JSON when its outermost
  * value is closed, and any other body when its length was declared or it was sent in chunks.
  *
- * <p>Thread safety: none; one answer at a time.
+ * <p>Thread safety: all methods are synchronized, since a resumed answer goes on in another thread.
  */
 final class AnswerEnd {
 
@@ -61,7 +61,7 @@
   }
 
   /** Notes bytes of the body; the position of {@code bytes} is left alone. */
-  void accept(ByteBuffer bytes) {
+  synchronized void accept(ByteBuffer bytes) {
     int length = bytes.remaining();
     int kept = Math.min(length, TAIL_BYTES);
     for (int i = bytes.limit() - kept; i < bytes.limit(); i++) {
@@ -76,7 +76,7 @@
   }
 
   /** Returns true when the body noted so far is whole. */
-  boolean whole() {
+  synchronized boolean whole() {
     return switch (form) {
       case EVENTS -> endsWithDone();
       case JSON -> depth == 0 && !inString && (closed || !objectExpected);
@@ -86,7 +86,7 @@
   }
 
   /** Returns the total tokens that the engine reported near the end of the body, or -1. */
-  long totalTokens() {
+  synchronized long totalTokens() {
     String text = new String(tailBytes(), StandardCharsets.ISO_8859_1);
     int at = text.lastIndexOf("\"total_tokens\":");
     if (at < 0) {
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptOutput.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptOutput.java
@@ -36,6 +36,7 @@
   private FrameBody last;
   private long first;
   private long end;
+  private int current;
   private FrameSink sink;
   private long position;
   private boolean headTaken;
@@ -120,12 +121,25 @@
     tell(reader);
   }
 
-  /** Adds bytes of the body. */
-  void append(ByteBuffer bytes) {
+  /**
+   * Makes {@code exchange} the only one whose bytes are taken, and returns the number of bytes
+   * received so far. A silent connection may still deliver bytes after its answer was resumed on
+   * another one; they would stand twice in the answer.
+   */
+  synchronized long begin(int exchange) {
+    current = exchange;
+    return end;
+  }
+
+  /** Adds bytes of the body; false when they come from an earlier exchange. */
+  boolean append(int exchange, ByteBuffer bytes) {
     FrameSink reader;
     synchronized (this) {
+      if (exchange != current) {
+        return false;
+      }
       if (last != null || !bytes.hasRemaining()) {
-        return;
+        return true;
       }
       byte[] chunk = new byte[bytes.remaining()];
       bytes.get(chunk);
@@ -136,6 +150,7 @@
       reader = sink;
     }
     tell(reader);
+    return true;
   }
 
   /** Ends the answer; false when it had already ended. */
--- a/sidecar/src/main/java/org/comfreygap/sidecar/EngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EngineClient.java
@@ -114,8 +114,11 @@
     /** Receives status and headers, with lower-case names. */
     void head(int status, Map<String, String> headers, String bootId);
 
-    /** Receives bytes; the buffer is only valid during the call. */
-    void data(ByteBuffer bytes);
+    /**
+     * Receives bytes; the buffer is only valid during the call. Returns false when the answer goes
+     * on in another exchange, so that these bytes do not belong to it.
+     */
+    boolean data(ByteBuffer bytes);
 
     /** The answer is whole; {@code totalTokens} is what the engine reported, or -1. */
     void ended(long totalTokens);
--- a/sidecar/src/main/java/org/comfreygap/sidecar/Follower.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Follower.java
@@ -27,10 +27,8 @@
   }
 
   @Override
-  public void data(ByteBuffer bytes) {
-    if (usable) {
-      attempt.output.append(bytes);
-    }
+  public boolean data(ByteBuffer bytes) {
+    return !usable || attempt.output.append(exchange, bytes);
   }
 
   @Override
--- a/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
@@ -97,7 +97,7 @@
     int exchange = ++attempt.exchange;
     core.after(
         () -> {
-          long offset = attempt.output.received();
+          long offset = attempt.output.begin(exchange);
           events.record(
               SidecarEvent.ATTEMPT_RESUMED,
               Field.of("request", attempt.request.getRequestId()),
@@ -227,10 +227,11 @@
     metrics.waited(now - attempt.receivedAtNanos, attempt.waitedForLoad);
     int exchange = ++attempt.exchange;
     core.after(
-        () ->
-            follow(
-                attempt,
-                engine.start(attempt.engineRequest, new Follower(this, attempt, exchange))));
+        () -> {
+          attempt.output.begin(exchange);
+          follow(
+              attempt, engine.start(attempt.engineRequest, new Follower(this, attempt, exchange)));
+        });
   }
 
   private void follow(Attempt attempt, EngineClient.Answer answer) {
--- a/sidecar/src/test/java/org/comfreygap/sidecar/BackpressureTest.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/BackpressureTest.java
@@ -74,8 +74,9 @@
     Collector first = new Collector(output);
     output.attach(first, 0);
     output.head(new FrameHead(200, "b1"));
+    output.begin(1);
     for (int i = 0; i < 100_000; i++) {
-      output.append(ByteBuffer.wrap((i + ";").getBytes(StandardCharsets.UTF_8)));
+      output.append(1, ByteBuffer.wrap((i + ";").getBytes(StandardCharsets.UTF_8)));
     }
     long total = output.received();
     Collector late = new Collector(output);
@@ -90,6 +91,31 @@
     assertThat(late.last.get().isSetFinish()).isTrue();
   }
 
+  /**
+   * Guards against an answer with bytes twice: a connection that was silent delivers after the
+   * answer was resumed on another one (I9).
+   */
+  @Test
+  void ignoresBytesOfAnExchangeThatWasResumedElsewhere() {
+    AttemptOutput output = new AttemptOutput(new BufferBudget(), 0);
+    Collector reader = new Collector(output);
+    output.attach(reader, 0);
+    output.head(new FrameHead(200, "b1"));
+    output.begin(1);
+    assertThat(output.append(1, bytes("one;"))).isTrue();
+    assertThat(output.begin(2)).isEqualTo(4);
+
+    assertThat(output.append(1, bytes("two;"))).isFalse();
+    assertThat(output.append(2, bytes("two;three;"))).isTrue();
+    output.finish(new FrameEnd(output.received(), 1));
+
+    assertThat(reader.text.toString()).isEqualTo("one;two;three;");
+  }
+
+  private static ByteBuffer bytes(String text) {
+    return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+  }
+
   private static EngineClient.AnswerListener listener(AtomicLong received, CountDownLatch over) {
     return new EngineClient.AnswerListener() {
       @Override
@@ -98,8 +124,9 @@
       }
 
       @Override
-      public void data(ByteBuffer bytes) {
+      public boolean data(ByteBuffer bytes) {
         received.addAndGet(bytes.remaining());
+        return true;
       }
 
       @Override
