--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -70,8 +70,14 @@
 
   /** Stops the connectors; requests in progress end within the graceful period of the server. */
   @Override
-  public void close() throws Exception {
-    server.stop();
+  public void close() {
+    try {
+      server.stop();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (Exception e) {
+      throw new IllegalStateException("the HTTP connectors did not stop", e);
+    }
   }
 
   /** Describes a shell. Not thread-safe. */
--- a/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
@@ -116,7 +116,7 @@
   }
 
   @Override
-  public void close() throws Exception {
+  public void close() throws IOException {
     gateway.close();
     // Closed first, so that no call of the sidecar waits for an answer.
     control.close();
--- a/testkit/src/main/java/org/comfreygap/testkit/FakesMain.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakesMain.java
@@ -8,10 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import org.comfreygap.runtime.Closer;
 
 /**
  * Starts a set of fakes in one process from a YAML file and prints {@code ready}.
@@ -39,7 +38,7 @@
   private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
 
   private final Map<String, FakeEndpoint> endpoints = new LinkedHashMap<>();
-  private final List<AutoCloseable> others = new ArrayList<>();
+  private final Closer closer = new Closer();
   private WeightStore store;
   private FakePlatformList platform;
   private WireServer control;
@@ -84,12 +83,12 @@
     if (!list.isMissingNode()) {
       fakes.platform =
           new FakePlatformList(list.path("port").asInt(), list.path("lagMillis").asLong());
-      fakes.others.add(fakes.platform);
+      fakes.closer.register(fakes.platform);
     }
     fakes.control =
         new WireServer(
             new InetSocketAddress("127.0.0.1", root.path("controlPort").asInt()), fakes::command);
-    fakes.others.add(fakes.control);
+    fakes.closer.register(fakes.control);
     return fakes;
   }
 
@@ -104,17 +103,12 @@
   }
 
   @Override
-  public void close() throws Exception {
-    for (FakeEndpoint endpoint : endpoints.values()) {
-      endpoint.close();
-    }
-    for (AutoCloseable other : others) {
-      other.close();
-    }
+  public void close() {
+    closer.close();
   }
 
   private void add(FakeEndpoint endpoint) {
-    endpoints.put(endpoint.name(), endpoint);
+    endpoints.put(endpoint.name(), closer.register(endpoint));
   }
 
   private void command(WireServer.Request request, WireServer.Response response)
