--- a/consensus/src/main/java/org/comfreygap/consensus/PeerCalls.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/PeerCalls.java
@@ -24,9 +24,9 @@
   // Longer than the peer's own bound, so that it gives up first.
   private static final long ANSWER_TIMEOUT_MILLIS = 2_000;
 
-  private final PeerLanes.CoreAccess core;
+  private final PeerChannels.CoreAccess core;
 
-  PeerCalls(PeerLanes.CoreAccess core) {
+  PeerCalls(PeerChannels.CoreAccess core) {
     this.core = core;
   }
 
--- a/consensus/src/main/java/org/comfreygap/consensus/PeerLanes.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/PeerChannels.java
@@ -19,7 +19,7 @@
  * <p>They are apart because an answer to entries waits for the peer's disk, while the lease and
  * check-quorum depend on prompt answers to heartbeats. Thread safety: any thread may submit.
  */
-final class PeerLanes implements AutoCloseable {
+final class PeerChannels implements AutoCloseable {
 
   private static final int RING_SIZE = 64;
   private static final Duration IDLE = Duration.ofMillis(500);
@@ -34,7 +34,7 @@
   private final DutyRing<Call> control;
   private final DutyRing<Call> data;
 
-  PeerLanes(
+  PeerChannels(
       String self,
       ReplicaMember peer,
       Transport transport,
@@ -45,8 +45,8 @@
     this.core = core;
     this.snapshots = snapshots;
     String name = "raft-" + self + "-to-" + peer.getReplicaId();
-    this.control = lane(name, transport.link(peer, CONTROL_TIMEOUT), failureHandler);
-    this.data = lane(name + "-data", transport.link(peer, DATA_TIMEOUT), failureHandler);
+    this.control = channel(name, transport.link(peer, CONTROL_TIMEOUT), failureHandler);
+    this.data = channel(name + "-data", transport.link(peer, DATA_TIMEOUT), failureHandler);
   }
 
   /** Runs tasks on the thread of the core. */
@@ -98,8 +98,8 @@
 
   /** Sends entries or a heartbeat; false when too much is waiting. */
   boolean append(AppendRequest request) {
-    DutyRing<Call> lane = request.getEntriesSize() == 0 ? control : data;
-    return lane.tryPublish(link -> sendEntries(link, request));
+    DutyRing<Call> channel = request.getEntriesSize() == 0 ? control : data;
+    return channel.tryPublish(link -> sendEntries(link, request));
   }
 
   /** Sends the newest snapshot; false when too much is waiting. */
@@ -167,7 +167,7 @@
     }
   }
 
-  private static DutyRing<Call> lane(
+  private static DutyRing<Call> channel(
       String name, Transport.Link link, Consumer<Exception> failureHandler) {
     return new DutyRing<Call>(
             name,
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -60,10 +60,10 @@
   private final SnapshotStore snapshots;
   private final RaftCore core;
   private final MembershipChanges changes;
-  private final DutyRing<PeerLanes.CoreTask> ring;
+  private final DutyRing<PeerChannels.CoreTask> ring;
   private final StorageDuty storage;
   private final ApplyDuty apply;
-  private final Map<String, PeerLanes> lanes = new HashMap<>();
+  private final Map<String, PeerChannels> channels = new HashMap<>();
   private final Set<CompletableFuture<?>> waiting = ConcurrentHashMap.newKeySet();
   private final AtomicBoolean closed = new AtomicBoolean();
 
@@ -261,7 +261,7 @@
       events.record(ConsensusEvent.REPLICA_CLOSED, Field.of("error", e.getMessage()));
     }
     ring.close();
-    lanes.values().forEach(PeerLanes::close);
+    channels.values().forEach(PeerChannels::close);
     if (clean) {
       storage.close();
     } else {
@@ -305,7 +305,7 @@
     }
   }
 
-  private boolean submit(PeerLanes.CoreTask task) {
+  private boolean submit(PeerChannels.CoreTask task) {
     return ring.publish(task);
   }
 
@@ -424,32 +424,33 @@
     }
   }
 
-  private PeerLanes lanesTo(ReplicaMember member) {
-    PeerLanes existing = lanes.get(member.getReplicaId());
+  private PeerChannels channelsTo(ReplicaMember member) {
+    PeerChannels existing = channels.get(member.getReplicaId());
     if (existing != null && existing.peer().getAddress().equals(member.getAddress())) {
       return existing;
     }
     if (existing != null) {
       existing.close();
     }
-    PeerLanes opened =
-        new PeerLanes(options.replicaId(), member, transport, snapshots, this::submit, this::fail);
-    lanes.put(member.getReplicaId(), opened);
+    PeerChannels opened =
+        new PeerChannels(
+            options.replicaId(), member, transport, snapshots, this::submit, this::fail);
+    channels.put(member.getReplicaId(), opened);
     return opened;
   }
 
   private void closeUnusedLanes() {
     List<ReplicaMember> members = core.log().members();
-    if (!core.established() || lanes.size() < members.size()) {
+    if (!core.established() || channels.size() < members.size()) {
       return;
     }
-    lanes
+    channels
         .values()
         .removeIf(
-            lane -> {
-              boolean unused = Memberships.find(members, lane.peer().getReplicaId()).isEmpty();
+            channel -> {
+              boolean unused = Memberships.find(members, channel.peer().getReplicaId()).isEmpty();
               if (unused) {
-                lane.close();
+                channel.close();
               }
               return unused;
             });
@@ -481,10 +482,10 @@
     }
   }
 
-  private final class Deciding implements DutyRing.Handler<PeerLanes.CoreTask> {
+  private final class Deciding implements DutyRing.Handler<PeerChannels.CoreTask> {
 
     @Override
-    public void handle(PeerLanes.CoreTask task, boolean endOfBatch) {
+    public void handle(PeerChannels.CoreTask task, boolean endOfBatch) {
       task.run(core, now());
       if (endOfBatch) {
         afterBatch(now());
@@ -501,26 +502,26 @@
 
     @Override
     public void vote(ReplicaMember to, VoteRequest request) {
-      lanesTo(to).vote(request);
+      channelsTo(to).vote(request);
     }
 
     @Override
     public void append(ReplicaMember to, AppendRequest request) {
-      if (!lanesTo(to).append(request)) {
+      if (!channelsTo(to).append(request)) {
         core.onSendFailed(now(), to.getReplicaId(), request);
       }
     }
 
     @Override
     public void snapshot(ReplicaMember to, SnapshotMeta meta, long term, long round) {
-      if (!lanesTo(to).snapshot(meta, options.replicaId(), term, round)) {
+      if (!channelsTo(to).snapshot(meta, options.replicaId(), term, round)) {
         core.onSnapshotSent(now(), to.getReplicaId(), term, 0, false, meta.index());
       }
     }
 
     @Override
     public void timeoutNow(ReplicaMember to, TimeoutNow request) {
-      lanesTo(to).timeoutNow(request);
+      channelsTo(to).timeoutNow(request);
     }
 
     @Override
