--- a/sidecar/src/test/java/org/comfreygap/sidecar/StubControl.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/StubControl.java
@@ -23,6 +23,7 @@
 import org.comfreygap.protocol.generated.FinishRequest;
 import org.comfreygap.protocol.generated.HeartbeatReply;
 import org.comfreygap.protocol.generated.HeartbeatRequest;
+import org.comfreygap.protocol.generated.InvalidCall;
 import org.comfreygap.protocol.generated.NotLeader;
 import org.comfreygap.protocol.generated.PermitReply;
 import org.comfreygap.protocol.generated.PermitRequest;
@@ -146,13 +147,13 @@
   }
 
   @Override
-  public BeginReply beginRequest(BeginRequest request) {
-    throw new UnsupportedOperationException();
+  public BeginReply beginRequest(BeginRequest request) throws InvalidCall {
+    throw new InvalidCall("given a ledger call, expected none from a sidecar");
   }
 
   @Override
-  public void finishRequest(FinishRequest request) {
-    throw new UnsupportedOperationException();
+  public void finishRequest(FinishRequest request) throws InvalidCall {
+    throw new InvalidCall("given a ledger call, expected none from a sidecar");
   }
 
   @Override
