--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -0,0 +1,361 @@
+package org.comfreygap.decisions;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.comfreygap.settings.Priority;
+
+/**
+ * The credit that a gateway holds for one customer, granted by control in tokens.
+ *
+ * <p>A request reserves its prompt plus its maximum output before it runs; what it does not use is
+ * refunded when it ends. A request that finds too little credit waits for a short time, first come
+ * first served within its priority class, and is refused when control says that credit will not
+ * come in time.
+ *
+ * <pre>{@code
+ * Ticket ticket = credit.reserve(tokens, Priority.NORMAL, now);
+ * if (ticket.state() == State.GRANTED) { run(); credit.settle(ticket, tokensUsed, now); }
+ * }</pre>
+ *
+ * <p>Invariant: tokens reserved never exceed tokens granted and not expired; a token is reported
+ * exactly once as used, returned or (by silence) expired. Thread safety: not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class CustomerCredit {
+
+  /** Longest wait for credit; covers the election of a control leader. */
+  public static final Duration MAX_WAIT = Duration.ofMillis(1_000);
+
+  /** Credit that stays unused for this time is given back, since another gateway may need it. */
+  public static final Duration IDLE_RETURN = Duration.ofMillis(200);
+
+  /** Demand ahead for which credit is held, so that most requests do not wait for an exchange. */
+  public static final Duration HORIZON = Duration.ofMillis(250);
+
+  /** Most requests that wait at once. */
+  public static final int MAX_WAITING = 1_024;
+
+  private static final double DEMAND_DECAY_NANOS = 1e9;
+
+  private final Deque<Grant> grants = new ArrayDeque<>();
+  private final List<Deque<Ticket>> waiting = new ArrayList<>();
+  private final Deque<Ticket> decided = new ArrayDeque<>();
+  private int waitingCount;
+  private long waitingTokens;
+  private long held;
+  private long debt;
+  private long used;
+  private long refunded;
+  private double demand;
+  private long demandAtNanos;
+  private long lastUseNanos;
+
+  /** Creates credit without any grant. */
+  public CustomerCredit() {
+    for (int i = 0; i < Priority.values().length; i++) {
+      waiting.add(new ArrayDeque<>());
+    }
+  }
+
+  /** State of a reservation. */
+  public enum State {
+    WAITING,
+    GRANTED,
+    REFUSED,
+    SETTLED
+  }
+
+  /**
+   * What to report to control and ask from it.
+   *
+   * @param used tokens reserved since the last exchange
+   * @param returned granted tokens given back
+   * @param refunded reserved tokens of finished requests that turned out unused
+   * @param wanted tokens wanted now
+   * @param priority most urgent waiting class, or the most deferrable one when none waits
+   */
+  public record Item(long used, long returned, long refunded, long wanted, Priority priority) {}
+
+  /**
+   * Reserves {@code tokens}, or queues the request.
+   *
+   * @return a ticket that is granted, waiting, or refused when too many wait
+   */
+  public Ticket reserve(long tokens, Priority priority, long nowNanos) {
+    expire(nowNanos);
+    noteDemand(tokens, nowNanos);
+    Ticket ticket = new Ticket(tokens, priority, nowNanos + MAX_WAIT.toNanos());
+    if (!waitsBefore(priority) && held - debt >= tokens) {
+      take(tokens, nowNanos);
+      ticket.state = State.GRANTED;
+    } else if (waitingCount >= MAX_WAITING) {
+      ticket.state = State.REFUSED;
+      ticket.retryAfterMillis = MAX_WAIT.toMillis();
+    } else {
+      waiting.get(priority.ordinal()).addLast(ticket);
+      waitingCount++;
+      waitingTokens += tokens;
+    }
+    return ticket;
+  }
+
+  /** Takes a waiting ticket out of the queue; other tickets stay as they are. */
+  public void abandon(Ticket ticket) {
+    if (ticket.state == State.WAITING) {
+      waiting.get(ticket.priority.ordinal()).remove(ticket);
+      forget(ticket);
+      ticket.state = State.REFUSED;
+    }
+  }
+
+  /**
+   * Ends the use of a granted ticket.
+   *
+   * @param tokensUsed tokens the request used; 0 when it did not run
+   */
+  public void settle(Ticket ticket, long tokensUsed, long nowNanos) {
+    if (ticket.state != State.GRANTED) {
+      return;
+    }
+    ticket.state = State.SETTLED;
+    if (tokensUsed <= ticket.tokens) {
+      refunded += ticket.tokens - tokensUsed;
+      return;
+    }
+    // The endpoint used more than was reserved: the excess comes out of the next credit.
+    debt += tokensUsed - ticket.tokens;
+    expire(nowNanos);
+    payDebt();
+  }
+
+  /**
+   * Adds granted tokens and serves those who wait.
+   *
+   * @param expiresAtNanos monotonic time at which the unused part is lost
+   * @param retryAfterMillis earliest time at which control can grant more, 0 when unknown
+   */
+  public void granted(long tokens, long expiresAtNanos, long retryAfterMillis, long nowNanos) {
+    if (tokens > 0 && expiresAtNanos - nowNanos > 0) {
+      grants.addLast(new Grant(tokens, expiresAtNanos));
+      held += tokens;
+      payDebt();
+    }
+    advance(nowNanos);
+    if (retryAfterMillis > 0) {
+      refuseWaiting(nowNanos, retryAfterMillis);
+    }
+  }
+
+  /** Serves those who wait and refuses those whose wait is over. */
+  public void advance(long nowNanos) {
+    expire(nowNanos);
+    for (Deque<Ticket> queue : waiting) {
+      while (!queue.isEmpty() && held - debt >= queue.peekFirst().tokens) {
+        Ticket ticket = queue.pollFirst();
+        forget(ticket);
+        take(ticket.tokens, nowNanos);
+        ticket.state = State.GRANTED;
+        decided.addLast(ticket);
+      }
+      if (!queue.isEmpty()) {
+        break;
+      }
+    }
+    refuseWaiting(nowNanos, 0);
+  }
+
+  /** Returns the next ticket that was decided while it waited, or empty. */
+  public Optional<Ticket> nextDecided() {
+    return Optional.ofNullable(decided.pollFirst());
+  }
+
+  /** Returns the report for the next exchange and resets it, or empty when there is none. */
+  public Optional<Item> exchange(long nowNanos) {
+    expire(nowNanos);
+    long target = target(nowNanos);
+    long returned = 0;
+    if (waitingCount == 0 && nowNanos - lastUseNanos >= IDLE_RETURN.toNanos()) {
+      returned = giveBack(Math.max(0, held - target));
+    }
+    // Refilling in steps of half the target keeps the number of exchanges low.
+    long refill = 2 * held < target ? target - held : 0;
+    long wanted =
+        waitingCount > 0 ? waitingTokens + debt + target - Math.min(held, target) : refill;
+    if (used == 0 && returned == 0 && refunded == 0 && wanted == 0) {
+      return Optional.empty();
+    }
+    Item item = new Item(used, returned, refunded, wanted, mostUrgent());
+    used = 0;
+    refunded = 0;
+    return Optional.of(item);
+  }
+
+  /** Gives back everything held; the next {@link #exchange} does not ask for more. */
+  public Optional<Item> close(long nowNanos) {
+    expire(nowNanos);
+    long returned = giveBack(held);
+    Item item = new Item(used, returned, refunded, 0, Priority.DEFERRABLE);
+    used = 0;
+    refunded = 0;
+    return item.used + item.returned + item.refunded == 0 ? Optional.empty() : Optional.of(item);
+  }
+
+  /** Returns the granted tokens that are neither reserved nor expired. */
+  public long held(long nowNanos) {
+    expire(nowNanos);
+    return held;
+  }
+
+  /** Returns how many requests wait. */
+  public int waitingCount() {
+    return waitingCount;
+  }
+
+  private boolean waitsBefore(Priority priority) {
+    for (int i = 0; i <= priority.ordinal(); i++) {
+      if (!waiting.get(i).isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private Priority mostUrgent() {
+    for (Priority priority : Priority.values()) {
+      if (!waiting.get(priority.ordinal()).isEmpty()) {
+        return priority;
+      }
+    }
+    return Priority.DEFERRABLE;
+  }
+
+  private void refuseWaiting(long nowNanos, long retryAfterMillis) {
+    if (waitingCount == 0) {
+      return;
+    }
+    long useful = nowNanos + Duration.ofMillis(retryAfterMillis).toNanos();
+    for (Deque<Ticket> queue : waiting) {
+      queue.removeIf(ticket -> refuse(ticket, useful, retryAfterMillis));
+    }
+  }
+
+  private boolean refuse(Ticket ticket, long usefulNanos, long retryAfterMillis) {
+    if (usefulNanos - ticket.deadlineNanos < 0) {
+      return false;
+    }
+    forget(ticket);
+    ticket.state = State.REFUSED;
+    ticket.retryAfterMillis = retryAfterMillis > 0 ? retryAfterMillis : MAX_WAIT.toMillis();
+    decided.addLast(ticket);
+    return true;
+  }
+
+  private void forget(Ticket ticket) {
+    waitingCount--;
+    waitingTokens -= ticket.tokens;
+  }
+
+  private void take(long tokens, long nowNanos) {
+    remove(tokens);
+    used += tokens;
+    lastUseNanos = nowNanos;
+  }
+
+  private void payDebt() {
+    long paid = Math.min(debt, held);
+    if (paid > 0) {
+      remove(paid);
+      used += paid;
+      debt -= paid;
+    }
+  }
+
+  private long giveBack(long tokens) {
+    remove(tokens);
+    return tokens;
+  }
+
+  private void remove(long tokens) {
+    held -= tokens;
+    long left = tokens;
+    while (left > 0) {
+      Grant first = grants.peekFirst();
+      long part = Math.min(left, first.tokens);
+      first.tokens -= part;
+      left -= part;
+      if (first.tokens == 0) {
+        grants.pollFirst();
+      }
+    }
+  }
+
+  private void expire(long nowNanos) {
+    Grant first = grants.peekFirst();
+    while (first != null && first.expiresAtNanos - nowNanos <= 0) {
+      held -= first.tokens;
+      grants.pollFirst();
+      first = grants.peekFirst();
+    }
+  }
+
+  private void noteDemand(long tokens, long nowNanos) {
+    demand = demandNow(nowNanos) + tokens / (DEMAND_DECAY_NANOS / 1e9);
+    demandAtNanos = nowNanos;
+  }
+
+  private double demandNow(long nowNanos) {
+    long age = Math.max(0, nowNanos - demandAtNanos);
+    return demand == 0 ? 0 : demand * Math.exp(-age / DEMAND_DECAY_NANOS);
+  }
+
+  private long target(long nowNanos) {
+    return (long) (demandNow(nowNanos) * HORIZON.toNanos() / 1e9);
+  }
+
+  /** A reservation. Its state changes only through the methods of {@link CustomerCredit}. */
+  public static final class Ticket {
+
+    private final long tokens;
+    private final Priority priority;
+    private final long deadlineNanos;
+    private State state = State.WAITING;
+    private long retryAfterMillis;
+
+    private Ticket(long tokens, Priority priority, long deadlineNanos) {
+      this.tokens = tokens;
+      this.priority = priority;
+      this.deadlineNanos = deadlineNanos;
+    }
+
+    /** Returns the reserved or wanted tokens. */
+    public long tokens() {
+      return tokens;
+    }
+
+    /** Returns the state. */
+    public State state() {
+      return state;
+    }
+
+    /** Returns, for a refused ticket, when another try is useful, in milliseconds. */
+    public long retryAfterMillis() {
+      return retryAfterMillis;
+    }
+  }
+
+  private static final class Grant {
+
+    private long tokens;
+    private final long expiresAtNanos;
+
+    Grant(long tokens, long expiresAtNanos) {
+      this.tokens = tokens;
+      this.expiresAtNanos = expiresAtNanos;
+    }
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointHealth.java
@@ -0,0 +1,82 @@
+package org.comfreygap.decisions;
+
+import java.time.Duration;
+
+/**
+ * Decides whether a gateway may send work to one endpoint, from the results of its own attempts.
+ *
+ * <p>A failure takes the endpoint out for a time that doubles with each further failure. After that
+ * time a single attempt is let through; its result decides whether the endpoint is back.
+ *
+ * <pre>{@code
+ * if (health.usable(now)) { health.dispatched(now); }
+ * }</pre>
+ *
+ * <p>Invariant: between a failure and the next success at most one attempt is in progress at a
+ * time, unless its result is overdue. Thread safety: not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class EndpointHealth {
+
+  /** Time out of use after the first failure. */
+  public static final Duration FIRST_PAUSE = Duration.ofMillis(250);
+
+  /** Longest time out of use; an endpoint that is back is noticed within this time. */
+  public static final Duration LONGEST_PAUSE = Duration.ofSeconds(8);
+
+  /** Age at which a trial attempt without a result no longer blocks the next one. */
+  public static final Duration TRIAL_LIMIT = Duration.ofSeconds(5);
+
+  private static final int MAX_DOUBLINGS = 5;
+
+  private int failures;
+  private long pausedUntilNanos;
+  private boolean paused;
+  private boolean trial;
+  private long trialAtNanos;
+
+  /** Returns true when an attempt may be sent at {@code nowNanos}. */
+  public boolean usable(long nowNanos) {
+    if (paused && nowNanos - pausedUntilNanos < 0) {
+      return false;
+    }
+    return failures == 0 || !trial || nowNanos - trialAtNanos >= TRIAL_LIMIT.toNanos();
+  }
+
+  /** Records that an attempt was sent. */
+  public void dispatched(long nowNanos) {
+    if (failures > 0) {
+      trial = true;
+      trialAtNanos = nowNanos;
+    }
+  }
+
+  /** Records that the endpoint answered, with an answer or with a refusal. */
+  public void succeeded() {
+    failures = 0;
+    trial = false;
+    paused = false;
+  }
+
+  /** Records that the endpoint could not be reached or broke an attempt. */
+  public void failed(long nowNanos) {
+    long pause = FIRST_PAUSE.toNanos() << Math.min(failures, MAX_DOUBLINGS);
+    failures = Math.min(failures + 1, MAX_DOUBLINGS + 1);
+    trial = false;
+    pause(nowNanos, Math.min(pause, LONGEST_PAUSE.toNanos()));
+  }
+
+  /** Records that the endpoint asked for no work for {@code millis}. */
+  public void backOff(long nowNanos, long millis) {
+    pause(nowNanos, Math.min(Duration.ofMillis(millis).toNanos(), LONGEST_PAUSE.toNanos()));
+  }
+
+  private void pause(long nowNanos, long pauseNanos) {
+    long until = nowNanos + pauseNanos;
+    if (!paused || until - pausedUntilNanos > 0) {
+      pausedUntilNanos = until;
+      paused = true;
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/AnswerRelay.java
@@ -0,0 +1,282 @@
+package org.comfreygap.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.protocol.generated.FrameHead;
+import org.comfreygap.protocol.generated.StoredAnswer;
+
+/**
+ * Passes the answer of the attempts for one request to the caller.
+ *
+ * <p>An answer that is not a stream is held back until it is complete or exceeds {@link
+ * #BUFFER_LIMIT}, so that a broken attempt can be replaced without a trace. Events of a stream are
+ * passed on whole. After bytes were passed on, a further attempt runs from the start, and its first
+ * bytes must equal those already passed on, by their SHA-256, before any later byte is used.
+ *
+ * <p>Invariant: the caller receives each byte of one answer once, in order, and never bytes of two
+ * different answers. Thread safety: one thread at a time.
+ *
+ * @since 0.1
+ */
+public final class AnswerRelay {
+
+  /** Largest part of an answer held back, in bytes. */
+  static final int BUFFER_LIMIT = 256 * 1024;
+
+  private static final Set<String> PASSED_HEADERS =
+      Set.of(
+          "content-type",
+          "content-language",
+          "content-disposition",
+          "cache-control",
+          "etag",
+          "last-modified",
+          "location",
+          "retry-after",
+          "vary",
+          "x-request-id");
+
+  private final RequestContext context;
+  private final boolean continuable;
+  private final MessageDigest delivered;
+  private final ByteArrayOutputStream held = new ByteArrayOutputStream(1_024);
+  private MessageDigest repeated;
+  private FrameHead head;
+  private FrameHead begunHead;
+  private long deliveredBytes;
+  private long position;
+
+  /** Creates a relay to the caller of {@code context}. */
+  public AnswerRelay(RequestContext context) {
+    this.context = context;
+    this.continuable = context.work().idempotent() && context.work().deterministic();
+    this.delivered = sha256();
+  }
+
+  /** A further attempt gave another answer than the one already passed on in part. */
+  public static final class AnswerDiffers extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    AnswerDiffers(String message) {
+      super(message, null, false, false);
+    }
+  }
+
+  /** Returns true when bytes of the answer were passed on. */
+  public boolean begun() {
+    return deliveredBytes > 0 || context.response().begun();
+  }
+
+  /** Returns true when a further attempt may complete the answer. */
+  public boolean replaceable() {
+    return !begun() || continuable;
+  }
+
+  /** Starts over for the answer of a new attempt. */
+  public void beginAttempt() {
+    head = null;
+    position = 0;
+    held.reset();
+    repeated = deliveredBytes > 0 ? sha256() : null;
+  }
+
+  /**
+   * Takes the head of the answer.
+   *
+   * @throws AnswerDiffers when another head was passed on already
+   */
+  public void head(FrameHead received) throws AnswerDiffers {
+    head = received;
+    if (begunHead != null
+        && (begunHead.getStatus() != received.getStatus()
+            || !contentType(begunHead).equals(contentType(received)))) {
+      throw new AnswerDiffers("the second answer has another status or type");
+    }
+  }
+
+  /** Returns true once the head of the present attempt was received. */
+  public boolean hasHead() {
+    return head != null;
+  }
+
+  /** Returns the boot id of the endpoint that runs the present attempt, once known. */
+  public Optional<String> bootId() {
+    return Optional.ofNullable(head).map(FrameHead::getBootId);
+  }
+
+  /**
+   * Takes the next bytes of the answer.
+   *
+   * @throws CallerGone when the caller does not take them
+   * @throws AnswerDiffers when they differ from those passed on already
+   */
+  public void data(ByteBuffer bytes) throws CallerGone, AnswerDiffers {
+    ByteBuffer rest = bytes.duplicate();
+    if (position < deliveredBytes) {
+      rest = compare(rest);
+    }
+    position += rest.remaining();
+    if (rest.hasArray()) {
+      held.write(rest.array(), rest.arrayOffset() + rest.position(), rest.remaining());
+    } else {
+      byte[] copy = new byte[rest.remaining()];
+      rest.get(copy);
+      held.writeBytes(copy);
+    }
+    passOn();
+  }
+
+  /**
+   * Takes note that the attempt goes on without new bytes.
+   *
+   * @throws CallerGone when the caller closed its connection
+   */
+  public void beat() throws CallerGone {
+    context.response().checkConnected();
+  }
+
+  /**
+   * Completes the answer.
+   *
+   * @throws CallerGone when the caller does not take it
+   */
+  public void finish() throws CallerGone {
+    CallerResponse response = context.response();
+    if (response.begun()) {
+      deliver(held.size());
+      context.beforeAnswer().ifPresent(listener -> listener.accept(null));
+      response.end();
+      return;
+    }
+    byte[] body = held.toByteArray();
+    Map<String, String> headers = headers();
+    context
+        .beforeAnswer()
+        .ifPresent(
+            listener ->
+                listener.accept(
+                    new StoredAnswer(head.getStatus(), headers, ByteBuffer.wrap(body))));
+    response.send(head.getStatus(), headers, Outcome.RAN, body);
+  }
+
+  /**
+   * Tells the caller that an answer that was passed on in part is not complete.
+   *
+   * @throws CallerGone when the caller is no longer there
+   */
+  public void fail(RequestRefused refused) throws CallerGone {
+    if (begunHead != null && events(begunHead)) {
+      context.response().errorEvent(refused);
+    } else {
+      context.response().abort();
+    }
+  }
+
+  private ByteBuffer compare(ByteBuffer bytes) throws AnswerDiffers {
+    int count = (int) Math.min(bytes.remaining(), deliveredBytes - position);
+    ByteBuffer first = bytes.duplicate();
+    first.limit(first.position() + count);
+    repeated.update(first);
+    position += count;
+    if (position == deliveredBytes && !MessageDigest.isEqual(digestSoFar(), repeated.digest())) {
+      throw new AnswerDiffers("the second answer does not begin with the bytes passed on");
+    }
+    bytes.position(bytes.position() + count);
+    return bytes;
+  }
+
+  private byte[] digestSoFar() {
+    try {
+      return ((MessageDigest) delivered.clone()).digest();
+    } catch (CloneNotSupportedException e) {
+      throw new IllegalStateException("SHA-256 cannot be copied", e);
+    }
+  }
+
+  private void passOn() throws CallerGone {
+    if (events(head)) {
+      int whole = held.size() > BUFFER_LIMIT ? held.size() : wholeEvents();
+      deliver(whole);
+    } else if (held.size() > BUFFER_LIMIT || begun() && position > deliveredBytes) {
+      deliver(held.size());
+    }
+  }
+
+  private void deliver(int count) throws CallerGone {
+    if (count == 0) {
+      return;
+    }
+    byte[] bytes = held.toByteArray();
+    if (!context.response().begun()) {
+      begunHead = head;
+      context.response().begin(head.getStatus(), headers(), Outcome.RAN, -1);
+    }
+    deliveredBytes += count;
+    if (continuable) {
+      delivered.update(bytes, 0, count);
+    }
+    held.reset();
+    held.write(bytes, count, bytes.length - count);
+    context.response().write(bytes, 0, count);
+  }
+
+  /** Returns the length of the held bytes up to the end of the last whole event. */
+  private int wholeEvents() {
+    byte[] bytes = held.toByteArray();
+    for (int i = bytes.length - 1; i > 0; i--) {
+      if (bytes[i] == '\n'
+          && (bytes[i - 1] == '\n'
+              || i > 2 && bytes[i - 1] == '\r' && bytes[i - 2] == '\n' && bytes[i - 3] == '\r')) {
+        return i + 1;
+      }
+    }
+    return 0;
+  }
+
+  private Map<String, String> headers() {
+    Map<String, String> passed = new LinkedHashMap<>();
+    if (head.isSetHeaders()) {
+      head.getHeaders()
+          .forEach(
+              (name, value) -> {
+                if (PASSED_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+                  passed.put(name, value);
+                }
+              });
+    }
+    return passed;
+  }
+
+  private static boolean events(FrameHead answer) {
+    return contentType(answer).startsWith("text/event-stream");
+  }
+
+  private static String contentType(FrameHead answer) {
+    if (!answer.isSetHeaders()) {
+      return "";
+    }
+    Optional<String> found =
+        answer.getHeaders().entrySet().stream()
+            .filter(entry -> entry.getKey().equalsIgnoreCase("content-type"))
+            .map(Map.Entry::getValue)
+            .findFirst();
+    return found.orElse("").toLowerCase(Locale.ROOT);
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("this Java runtime lacks SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/BodyReader.java
@@ -0,0 +1,77 @@
+package org.comfreygap.gateway;
+
+import jakarta.servlet.http.HttpServletRequest;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.time.Duration;
+
+/**
+ * Reads request bodies within a bound on size and time.
+ *
+ * <p>The time is checked after each read, and each read is bounded by the idle time of the
+ * connection, so that a caller which sends a byte now and then cannot hold a worker. Trailers are
+ * never looked at. Thread safety: immutable.
+ */
+final class BodyReader {
+
+  private static final int CHUNK = 16 * 1024;
+
+  private final int maxBytes;
+  private final Duration timeout;
+
+  BodyReader(int maxBytes, Duration timeout) {
+    this.maxBytes = maxBytes;
+    this.timeout = timeout;
+  }
+
+  /**
+   * Checks the announced length.
+   *
+   * @throws RequestRefused when it is over the limit
+   */
+  void checkLength(HttpServletRequest request) throws RequestRefused {
+    if (request.getContentLengthLong() > maxBytes) {
+      throw tooLarge();
+    }
+  }
+
+  /**
+   * Returns the body.
+   *
+   * @throws RequestRefused when it is too large, comes too slowly or is cut
+   */
+  byte[] read(HttpServletRequest request) throws RequestRefused {
+    long end = System.nanoTime() + timeout.toNanos();
+    long length = request.getContentLengthLong();
+    if (length == 0) {
+      return new byte[0];
+    }
+    ByteArrayOutputStream body = new ByteArrayOutputStream(length > 0 ? (int) length : 1_024);
+    byte[] chunk = new byte[length > 0 ? (int) Math.min(length, CHUNK) : CHUNK];
+    try {
+      InputStream in = request.getInputStream();
+      int count = in.read(chunk);
+      while (count >= 0) {
+        body.write(chunk, 0, count);
+        if (body.size() > maxBytes) {
+          throw tooLarge();
+        }
+        if (System.nanoTime() - end > 0) {
+          throw RequestRefused.notRun(
+              CallerError.BODY_TIMEOUT,
+              "given a body that takes over " + timeout.toSeconds() + " s");
+        }
+        count = in.read(chunk);
+      }
+    } catch (IOException e) {
+      throw RequestRefused.notRun(CallerError.INVALID_REQUEST, "given a body that is not complete");
+    }
+    return body.toByteArray();
+  }
+
+  private RequestRefused tooLarge() {
+    return RequestRefused.notRun(
+        CallerError.BODY_TOO_LARGE, "given a larger body, expected at most " + maxBytes + " bytes");
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/CallerResponse.java
@@ -0,0 +1,231 @@
+package org.comfreygap.gateway;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import jakarta.servlet.ServletOutputStream;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.comfreygap.decisions.Outcome;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.util.BufferUtil;
+
+/**
+ * The answer to one caller.
+ *
+ * <p>Invariant: an answer is either complete or visibly cut: after a failure the connection is
+ * closed before the end marker of the body is sent. Thread safety: one thread at a time.
+ *
+ * @since 0.1
+ */
+public final class CallerResponse {
+
+  /** Header with the request id. */
+  public static final String REQUEST_ID_HEADER = "Comfreygap-Request-Id";
+
+  /** Header that says whether the request ran. */
+  public static final String OUTCOME_HEADER = "Comfreygap-Outcome";
+
+  /** Total time for which a caller may delay its own answer by not reading it. */
+  static final Duration WRITE_LIMIT = Duration.ofSeconds(30);
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int PIPELINED_BYTES = 1_024;
+
+  private final HttpServletRequest request;
+  private final HttpServletResponse response;
+  private final String requestId;
+  private final BooleanSupplier closing;
+  private boolean begun;
+  private int status;
+  private long blockedNanos;
+
+  /**
+   * Creates an answer that has not begun.
+   *
+   * @param closing true while the caller should open its next connection elsewhere
+   */
+  CallerResponse(
+      HttpServletRequest request,
+      HttpServletResponse response,
+      String requestId,
+      BooleanSupplier closing) {
+    this.request = request;
+    this.response = response;
+    this.requestId = requestId;
+    this.closing = closing;
+  }
+
+  /** Returns true once the status can no longer change. */
+  public boolean begun() {
+    return begun;
+  }
+
+  /** Returns the status sent, 0 before that. */
+  public int status() {
+    return status;
+  }
+
+  /**
+   * Begins the answer.
+   *
+   * @param contentLength length of the body, or -1 when it is not known
+   */
+  public void begin(int code, Map<String, String> headers, Outcome outcome, long contentLength) {
+    begun = true;
+    status = code;
+    response.setStatus(code);
+    headers.forEach(response::setHeader);
+    response.setHeader(REQUEST_ID_HEADER, requestId);
+    response.setHeader(OUTCOME_HEADER, outcome.headerValue());
+    if (closing.getAsBoolean()) {
+      response.setHeader("Connection", "close");
+    }
+    if (contentLength >= 0) {
+      response.setContentLengthLong(contentLength);
+    }
+  }
+
+  /**
+   * Sends bytes of the body now.
+   *
+   * @throws CallerGone when the caller does not take them
+   */
+  public void write(byte[] bytes, int offset, int length) throws CallerGone {
+    long before = System.nanoTime();
+    try {
+      ServletOutputStream out = response.getOutputStream();
+      out.write(bytes, offset, length);
+      out.flush();
+    } catch (IOException e) {
+      throw new CallerGone("the connection to the caller failed", e);
+    }
+    blockedNanos += System.nanoTime() - before;
+    if (blockedNanos > WRITE_LIMIT.toNanos()) {
+      throw new CallerGone("the caller reads its answer too slowly", null);
+    }
+  }
+
+  /**
+   * Sends a whole answer.
+   *
+   * @throws CallerGone when the caller does not take it
+   */
+  public void send(int code, Map<String, String> headers, Outcome outcome, byte[] body)
+      throws CallerGone {
+    begin(code, headers, outcome, body.length);
+    try {
+      ServletOutputStream out = response.getOutputStream();
+      out.write(body);
+      out.close();
+    } catch (IOException e) {
+      throw new CallerGone("the connection to the caller failed", e);
+    }
+  }
+
+  /**
+   * Ends a body sent with {@link #write}.
+   *
+   * @throws CallerGone when the caller is no longer there
+   */
+  public void end() throws CallerGone {
+    try {
+      response.getOutputStream().close();
+    } catch (IOException e) {
+      throw new CallerGone("the connection to the caller failed", e);
+    }
+  }
+
+  /**
+   * Sends an error as the whole answer.
+   *
+   * @throws CallerGone when the caller is no longer there
+   */
+  public void error(RequestRefused refused) throws CallerGone {
+    byte[] body = errorBody(refused, requestId).getBytes(StandardCharsets.UTF_8);
+    long retryAfter = refused.retryAfterMillis();
+    Map<String, String> headers =
+        retryAfter > 0
+            ? Map.of(
+                "Content-Type",
+                "application/json",
+                "Retry-After",
+                Long.toString(retryAfterSeconds(retryAfter)))
+            : Map.of("Content-Type", "application/json");
+    send(refused.error().status(), headers, refused.outcome(), body);
+  }
+
+  /**
+   * Ends a stream of events with an error event.
+   *
+   * @throws CallerGone when the caller is no longer there
+   */
+  public void errorEvent(RequestRefused refused) throws CallerGone {
+    byte[] event =
+        ("data: " + errorBody(refused, requestId) + "\n\n").getBytes(StandardCharsets.UTF_8);
+    write(event, 0, event.length);
+    end();
+  }
+
+  /**
+   * Checks that the caller has not closed its connection. May be called once the request body was
+   * read to its end; bytes of a further request are handed to the connection.
+   *
+   * @throws CallerGone when the connection is closed
+   */
+  public void checkConnected() throws CallerGone {
+    Connection connection = connection();
+    ByteBuffer next = BufferUtil.allocate(PIPELINED_BYTES);
+    int count;
+    try {
+      count = connection.getEndPoint().isOpen() ? connection.getEndPoint().fill(next) : -1;
+    } catch (IOException e) {
+      throw new CallerGone("the connection to the caller failed", e);
+    }
+    if (count < 0) {
+      throw new CallerGone("the caller closed its connection", null);
+    }
+    if (count > 0 && connection instanceof Connection.UpgradeTo waiting) {
+      waiting.onUpgradeTo(next);
+    }
+  }
+
+  /** Closes the connection, so that the caller sees that the body is not complete. */
+  public void abort() {
+    connection().getEndPoint().close();
+  }
+
+  private Connection connection() {
+    return ServletContextRequest.getServletContextRequest(request)
+        .getConnectionMetaData()
+        .getConnection();
+  }
+
+  /** Returns the OpenAI-style body of an error. */
+  static String errorBody(RequestRefused refused, String requestId) {
+    ObjectNode root = MAPPER.createObjectNode();
+    ObjectNode error = root.putObject("error");
+    error.put("message", refused.getMessage());
+    error.put("type", refused.error().type());
+    error.put("code", refused.error().code());
+    error.putNull("param");
+    error.put("request_id", requestId);
+    error.put("outcome", refused.outcome().headerValue());
+    try {
+      return MAPPER.writeValueAsString(root);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("an error body cannot be written", e);
+    }
+  }
+
+  private static long retryAfterSeconds(long millis) {
+    return Math.max(1, (millis + 999) / 1_000);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/CreditController.java
@@ -0,0 +1,267 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.locks.ReentrantLock;
+import org.comfreygap.decisions.CustomerCredit;
+import org.comfreygap.decisions.CustomerCredit.State;
+import org.comfreygap.decisions.CustomerCredit.Ticket;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.protocol.generated.CreditExchange;
+import org.comfreygap.protocol.generated.CreditGrant;
+import org.comfreygap.protocol.generated.CreditItem;
+import org.comfreygap.protocol.generated.CreditReply;
+import org.comfreygap.runtime.ControlClient;
+import org.comfreygap.runtime.ControlUnavailable;
+import org.comfreygap.runtime.DutyThread;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+import org.comfreygap.settings.Priority;
+
+/**
+ * Keeps the credit of all customers at this gateway and exchanges it with control.
+ *
+ * <p>Invariant: exchanges are sent one at a time with rising sequence numbers; one that got no
+ * answer is repeated unchanged, and its grants live from the first time it was sent. Thread safety:
+ * any thread may reserve and settle; each account has a lock of its own.
+ */
+@Singleton
+final class CreditController implements AutoCloseable {
+
+  private static final Duration EXCHANGE_PERIOD = Duration.ofMillis(100);
+  // Spaces exchanges while requests wait, so that a customer over its rate costs little.
+  private static final Duration LEAST_SPACING = Duration.ofMillis(10);
+  private static final Duration EXCHANGE_TIMEOUT = Duration.ofMillis(1_500);
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration WAIT_SLACK = Duration.ofMillis(50);
+  private static final int MAX_ITEMS = 1_000;
+
+  private final GatewaySettings settings;
+  private final ProcessStart start;
+  private final ControlClient control;
+  private final EventLog events;
+  private final GatewayMetrics metrics;
+  private final Map<String, Account> accounts = new ConcurrentHashMap<>();
+  private final ReentrantLock wakeLock = new ReentrantLock();
+  private final Condition wake = wakeLock.newCondition();
+  private boolean wanted;
+  private long sequence;
+  private Optional<CreditExchange> pending = Optional.empty();
+  private long pendingSentAtNanos;
+  private DutyThread duty;
+
+  @Inject
+  CreditController(
+      GatewaySettings settings,
+      ProcessStart start,
+      ControlClient control,
+      EventLog events,
+      GatewayMetrics metrics) {
+    this.settings = settings;
+    this.start = start;
+    this.control = control;
+    this.events = events;
+    this.metrics = metrics;
+  }
+
+  /** The credit of one customer with its lock and the threads that wait for it. */
+  static final class Account {
+
+    private final CustomerCredit credit = new CustomerCredit();
+    private final Map<Ticket, Thread> waiting = new HashMap<>();
+
+    private void wakeDecided() {
+      Optional<Ticket> ticket = credit.nextDecided();
+      while (ticket.isPresent()) {
+        Thread thread = waiting.remove(ticket.get());
+        if (thread != null) {
+          LockSupport.unpark(thread);
+        }
+        ticket = credit.nextDecided();
+      }
+    }
+  }
+
+  /** Starts the exchange with control. */
+  void start() {
+    duty = DutyThread.continuous("credit-exchange", this::exchangeOnce);
+  }
+
+  /**
+   * Reserves credit and waits for it for a short time.
+   *
+   * @throws RequestRefused when credit does not come in time
+   */
+  ReservedCredit reserve(String customer, long tokens, Priority priority) throws RequestRefused {
+    Account account = accounts.computeIfAbsent(customer, c -> new Account());
+    Ticket ticket;
+    synchronized (account) {
+      ticket = account.credit.reserve(tokens, priority, System.nanoTime());
+      if (ticket.state() == State.WAITING) {
+        account.waiting.put(ticket, Thread.currentThread());
+      }
+    }
+    if (ticket.state() == State.WAITING) {
+      metrics.creditWait();
+      await(account, ticket);
+    }
+    if (ticket.state() != State.GRANTED) {
+      metrics.creditRefusal();
+      throw RequestRefused.notRun(CallerError.RATE_LIMITED, "the customer is over its rate limit")
+          .retryAfter(Math.max(1, ticket.retryAfterMillis()));
+    }
+    return new ReservedCredit(account, ticket);
+  }
+
+  /** Reserves again for a further attempt of one request, without a wait; empty when refused. */
+  Optional<ReservedCredit> reserveAgain(ReservedCredit before, long tokens, Priority priority) {
+    Account account = before.account();
+    synchronized (account) {
+      Ticket ticket = account.credit.reserve(tokens, priority, System.nanoTime());
+      account.credit.abandon(ticket);
+      return ticket.state() == State.GRANTED
+          ? Optional.of(new ReservedCredit(account, ticket))
+          : Optional.empty();
+    }
+  }
+
+  /** Ends the use of reserved credit. */
+  void settle(ReservedCredit reserved, Outcome outcome, long tokensUsed) {
+    long used = outcome == Outcome.NOT_RUN ? 0 : tokensUsed;
+    synchronized (reserved.account()) {
+      reserved.account().credit.settle(reserved.ticket(), used, System.nanoTime());
+    }
+  }
+
+  /** Stops the duty and gives back all credit. */
+  @Override
+  public void close() {
+    if (duty == null) {
+      return;
+    }
+    duty.close();
+    try {
+      if (pending.isPresent()) {
+        send(CLOSE_TIMEOUT);
+      }
+      pending = collect(true);
+      if (pending.isPresent()) {
+        send(CLOSE_TIMEOUT);
+      }
+    } catch (ControlUnavailable e) {
+      events.record(GatewayEvent.CREDIT_EXCHANGE_FAILED, Field.of("cause", e.getMessage()));
+    }
+  }
+
+  private void await(Account account, Ticket ticket) {
+    wakeExchange();
+    long end = System.nanoTime() + CustomerCredit.MAX_WAIT.plus(WAIT_SLACK).toNanos();
+    boolean waiting = true;
+    while (waiting) {
+      LockSupport.parkNanos(this, end - System.nanoTime());
+      synchronized (account) {
+        boolean over = end - System.nanoTime() <= 0 || Thread.currentThread().isInterrupted();
+        if (over && ticket.state() == State.WAITING) {
+          account.credit.abandon(ticket);
+          account.waiting.remove(ticket);
+        }
+        waiting = ticket.state() == State.WAITING;
+      }
+    }
+  }
+
+  private void wakeExchange() {
+    wakeLock.lock();
+    try {
+      wanted = true;
+      wake.signal();
+    } finally {
+      wakeLock.unlock();
+    }
+  }
+
+  private void exchangeOnce() throws InterruptedException {
+    wakeLock.lock();
+    try {
+      long left = EXCHANGE_PERIOD.toNanos();
+      while (!wanted && left > 0) {
+        left = wake.awaitNanos(left);
+      }
+      wanted = false;
+    } finally {
+      wakeLock.unlock();
+    }
+    if (pending.isEmpty()) {
+      pending = collect(false);
+      pendingSentAtNanos = System.nanoTime();
+    }
+    if (pending.isPresent()) {
+      try {
+        send(EXCHANGE_TIMEOUT);
+      } catch (ControlUnavailable e) {
+        events.record(GatewayEvent.CREDIT_EXCHANGE_FAILED, Field.of("cause", e.getMessage()));
+      }
+      TimeUnit.NANOSECONDS.sleep(LEAST_SPACING.toNanos());
+    }
+  }
+
+  private void send(Duration timeout) throws ControlUnavailable {
+    CreditExchange exchange = pending.orElseThrow();
+    CreditReply reply = control.callLeader(timeout, client -> client.exchangeCredit(exchange));
+    pending = Optional.empty();
+    long now = System.nanoTime();
+    for (CreditGrant grant : reply.getGrants()) {
+      Account account = accounts.get(grant.getCustomer());
+      if (account != null) {
+        long expires =
+            pendingSentAtNanos + TimeUnit.MILLISECONDS.toNanos(grant.getLifetimeMillis());
+        synchronized (account) {
+          account.credit.granted(grant.getGranted(), expires, grant.getRetryAfterMillis(), now);
+          account.wakeDecided();
+        }
+      }
+    }
+  }
+
+  private Optional<CreditExchange> collect(boolean closing) {
+    List<CreditItem> items = new ArrayList<>();
+    long now = System.nanoTime();
+    for (Map.Entry<String, Account> entry : accounts.entrySet()) {
+      if (items.size() >= MAX_ITEMS) {
+        break;
+      }
+      Account account = entry.getValue();
+      synchronized (account) {
+        account.credit.advance(now);
+        account.wakeDecided();
+        (closing ? account.credit.close(now) : account.credit.exchange(now))
+            .ifPresent(item -> items.add(item(entry.getKey(), item)));
+      }
+    }
+    if (items.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new CreditExchange(settings.processId(), start.startId(), ++sequence, items));
+  }
+
+  private static CreditItem item(String customer, CustomerCredit.Item item) {
+    return new CreditItem(
+        customer,
+        item.used(),
+        item.returned(),
+        item.refunded(),
+        item.wanted(),
+        org.comfreygap.protocol.generated.Priority.valueOf(item.priority().name()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/CreditFilter.java
@@ -0,0 +1,50 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Inject;
+import java.util.Optional;
+import org.comfreygap.gateway.RequestContext.Work;
+import org.comfreygap.settings.Documents.Limits;
+
+/**
+ * Reserves the customer's credit before the request runs and returns what it did not use.
+ *
+ * <p>A customer without a limits document, and an open route, are not limited. Thread safety:
+ * stateless but for thread-safe collaborators.
+ */
+final class CreditFilter implements RequestFilter {
+
+  private final CreditController credit;
+
+  @Inject
+  CreditFilter(CreditController credit) {
+    this.credit = credit;
+  }
+
+  @Override
+  public void filter(RequestContext context, FilterChain chain) throws RequestRefused {
+    Optional<Limits> limits = context.settings().limits(context.customer());
+    if (limits.isEmpty()) {
+      chain.next(context);
+      return;
+    }
+    Work work = context.work();
+    if (work.reservedTokens() > limits.get().burstTokens()) {
+      throw RequestRefused.notRun(
+          CallerError.INVALID_REQUEST,
+          "given a request for up to "
+              + work.reservedTokens()
+              + " tokens, expected at most the customer's burst of "
+              + limits.get().burstTokens());
+    }
+    context.credit(credit.reserve(context.customer(), work.reservedTokens(), work.priority()));
+    context.tokensUsed(work.reservedTokens());
+    try {
+      chain.next(context);
+    } finally {
+      // A retry may have replaced the reservation.
+      context
+          .credit()
+          .ifPresent(held -> credit.settle(held, context.outcome(), context.tokensUsed()));
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
@@ -0,0 +1,351 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Inject;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.decisions.RetryPolicy;
+import org.comfreygap.decisions.RetryPolicy.Cause;
+import org.comfreygap.gateway.AnswerRelay.AnswerDiffers;
+import org.comfreygap.gateway.EndpointDirectory.Placement;
+import org.comfreygap.gateway.RequestContext.Work;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.protocol.generated.Priority;
+import org.comfreygap.protocol.generated.Route;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+import org.comfreygap.runtime.MembershipAgent;
+import org.comfreygap.settings.Documents.Key;
+import org.comfreygap.settings.SettingsView;
+
+/**
+ * Runs a request at one endpoint after another until it is complete or given up.
+ *
+ * <p>Before each attempt the settings lease, the caller's key and the quarantine list are checked
+ * again. Once bytes of the answer were passed on, only an answer that is the same by its beginning
+ * may complete it; otherwise the caller gets an error event or a cut connection.
+ *
+ * <p>Invariant: an attempt follows another one only when {@link RetryPolicy} allows it. Thread
+ * safety: stateless but for thread-safe collaborators.
+ */
+final class DispatchFilter implements RequestFilter {
+
+  // Bounds how long a request waits for an endpoint to become usable before its final answer.
+  private static final Duration PLACEMENT_WAIT = Duration.ofMillis(500);
+  private static final Duration PLACEMENT_PAUSE = Duration.ofMillis(25);
+  private static final Duration BUSY_PAUSE = Duration.ofMillis(25);
+  private static final Duration LONGEST_BUSY_PAUSE = Duration.ofMillis(250);
+
+  private final GatewaySettings settings;
+  private final MembershipAgent agent;
+  private final EndpointDirectory endpoints;
+  private final AttemptRunner attempts;
+  private final CrashController crashes;
+  private final CreditController credit;
+  private final EventLog events;
+  private final GatewayMetrics metrics;
+  private final RetryPolicy retries = new RetryPolicy();
+
+  @Inject
+  DispatchFilter(
+      GatewaySettings settings,
+      MembershipAgent agent,
+      EndpointDirectory endpoints,
+      AttemptRunner attempts,
+      CrashController crashes,
+      CreditController credit,
+      EventLog events,
+      GatewayMetrics metrics) {
+    this.settings = settings;
+    this.agent = agent;
+    this.endpoints = endpoints;
+    this.attempts = attempts;
+    this.crashes = crashes;
+    this.credit = credit;
+    this.events = events;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void filter(RequestContext context, FilterChain chain) throws RequestRefused {
+    synchronized (retries) {
+      retries.admitted();
+    }
+    new Dispatch(context).run();
+  }
+
+  /** The attempts for one request. */
+  private final class Dispatch {
+
+    private final RequestContext context;
+    private final Work work;
+    private final AnswerRelay relay;
+    private final List<String> excluded = new ArrayList<>();
+    private int made;
+    private int charged;
+    private Optional<AttemptResult> last = Optional.empty();
+
+    Dispatch(RequestContext context) {
+      this.context = context;
+      this.work = context.work();
+      this.relay = new AnswerRelay(context);
+    }
+
+    void run() throws RequestRefused {
+      try {
+        boolean done = attemptOnce();
+        while (!done) {
+          done = attemptOnce();
+        }
+      } catch (CallerGone e) {
+        context.outcome(context.outcome() == Outcome.RAN ? Outcome.RAN : Outcome.UNKNOWN);
+        events.record(
+            GatewayEvent.CALLER_GONE,
+            Field.of("request", context.requestId()),
+            Field.of("cause", e.getMessage()));
+        context.response().abort();
+      } catch (AnswerDiffers e) {
+        breakAnswer(refused(CallerError.ENDPOINT_FAILED, e.getMessage()));
+      } catch (RequestRefused refused) {
+        if (!relay.begun()) {
+          throw refused;
+        }
+        breakAnswer(refused);
+      }
+    }
+
+    /** Makes one attempt; returns true when the caller has its answer. */
+    private boolean attemptOnce() throws RequestRefused, CallerGone, AnswerDiffers {
+      Placement placement = place();
+      String attemptId = context.requestId() + "-" + made;
+      made++;
+      boolean isolated = crashes.started(placement.endpoint(), attemptId, work.fingerprint());
+      AttemptRequest request = request(attemptId, placement, isolated);
+      Outcome before = context.outcome();
+      // Until its result is known the attempt may have run.
+      context.outcome(before.and(Outcome.UNKNOWN));
+      String bootId = endpoints.bootId(placement.endpoint());
+      AttemptResult result = null;
+      try {
+        boolean continues = relay.begun();
+        result = attempts.run(placement.sidecar(), request, relay, context.deadlineNanos());
+        if (result.crashed()) {
+          crashes.crashed(placement.endpoint(), relay.bootId().orElse(bootId));
+        }
+        if (continues && result.kind() == AttemptResult.Kind.COMPLETE) {
+          metrics.continuedAnswer();
+          record(GatewayEvent.ANSWER_CONTINUED, result, placement);
+        }
+      } finally {
+        crashes.ended(placement.endpoint(), attemptId);
+        if (result == null) {
+          endpoints.abandoned(placement);
+        } else {
+          endpoints.ended(placement, result);
+        }
+      }
+      context.outcome(before.and(result.outcome()));
+      metrics.attempt(result.kind());
+      if (result.kind() == AttemptResult.Kind.COMPLETE) {
+        context.tokensUsed(Math.max(result.tokensUsed(), leastTokens()));
+        relay.finish();
+        return true;
+      }
+      excluded.add(placement.endpoint());
+      decide(result, placement);
+      return false;
+    }
+
+    /** Decides on a further attempt; returns normally when there is one. */
+    private void decide(AttemptResult result, Placement placement)
+        throws RequestRefused, CallerGone {
+      last = Optional.of(result);
+      charged += made == 1 || result.cause().charged() ? 1 : 0;
+      long now = System.nanoTime();
+      RetryPolicy.Decision decision;
+      long pauseMillis = pauseMillis(result);
+      synchronized (retries) {
+        decision =
+            retries.next(
+                result.outcome(),
+                work.idempotent(),
+                result.cause(),
+                made,
+                charged,
+                pauseMillis,
+                context.deadlineNanos(),
+                now);
+      }
+      if (!decision.retry() || !relay.replaceable() || !chargeAgain(result)) {
+        giveUp(result);
+      }
+      metrics.retry(result.cause());
+      record(GatewayEvent.REQUEST_RETRIED, result, placement);
+      if (decision.delayMillis() > 0) {
+        pause(Duration.ofMillis(decision.delayMillis()));
+      }
+    }
+
+    /** The second endpoint is tried at once; after that busy endpoints get time to finish work. */
+    private long pauseMillis(AttemptResult result) {
+      if (result.cause() != Cause.BUSY || made < 2) {
+        return 0;
+      }
+      long wanted = Math.max(BUSY_PAUSE.toMillis() * made, result.retryAfterMillis());
+      return Math.min(wanted, LONGEST_BUSY_PAUSE.toMillis());
+    }
+
+    /** Charges an attempt that may have used tokens before the next one uses them again. */
+    private boolean chargeAgain(AttemptResult result) {
+      if (result.outcome() == Outcome.NOT_RUN || context.credit().isEmpty()) {
+        return true;
+      }
+      ReservedCredit before = context.credit().get();
+      Optional<ReservedCredit> next =
+          credit.reserveAgain(before, work.reservedTokens(), work.priority());
+      next.ifPresent(
+          reserved -> {
+            credit.settle(before, Outcome.UNKNOWN, work.reservedTokens());
+            context.credit(reserved);
+          });
+      return next.isPresent();
+    }
+
+    private void giveUp(AttemptResult result) throws RequestRefused {
+      RequestRefused refused =
+          RequestRefused.of(result.error(), message(result), context.outcome());
+      throw result.retryAfterMillis() > 0 ? refused.retryAfter(result.retryAfterMillis()) : refused;
+    }
+
+    private void breakAnswer(RequestRefused refused) {
+      context.outcome(Outcome.UNKNOWN);
+      metrics.brokenAnswer();
+      events.record(
+          GatewayEvent.ANSWER_BROKEN,
+          Field.of("request", context.requestId()),
+          Field.of("cause", refused.getMessage()));
+      try {
+        relay.fail(refused.outcome(Outcome.UNKNOWN));
+      } catch (CallerGone ignored) {
+        // There is nobody left to tell.
+      }
+    }
+
+    private Placement place() throws RequestRefused, CallerGone {
+      long end = System.nanoTime() + PLACEMENT_WAIT.toNanos();
+      while (true) {
+        recheck();
+        long before = System.nanoTime();
+        Optional<Placement> placement = endpoints.place(work, excluded);
+        metrics.routed(System.nanoTime() - before);
+        if (placement.isPresent()) {
+          return placement.get();
+        }
+        if (!excluded.isEmpty()) {
+          // Every other endpoint was tried or is out of use: a second round may find room.
+          excluded.clear();
+        } else if (System.nanoTime() - end > 0) {
+          break;
+        }
+        pause(PLACEMENT_PAUSE);
+      }
+      if (last.isPresent()) {
+        giveUp(last.get());
+      }
+      throw RequestRefused.of(
+          CallerError.NO_ENDPOINT, "no endpoint can take the request now", context.outcome());
+    }
+
+    /** Checks again what may have changed since admission. */
+    private void recheck() throws RequestRefused {
+      if (!agent.admits()) {
+        throw refused(CallerError.SETTINGS_STALE, "the settings are not confirmed by control");
+      }
+      SettingsView now = agent.settings();
+      if (context.key().isPresent()) {
+        Key key = context.key().get();
+        if (!now.keyActive(key.customer(), key.keyId())) {
+          throw refused(CallerError.INVALID_KEY, "the key was withdrawn");
+        }
+      } else if (now.service(work.target()).filter(service -> service.open()).isEmpty()) {
+        throw refused(CallerError.INVALID_KEY, "the service is no longer open");
+      }
+      QuarantineFilter.check(agent, context);
+      if (System.nanoTime() - context.deadlineNanos() > 0) {
+        throw refused(CallerError.DEADLINE_EXCEEDED, "the time for the request is over");
+      }
+    }
+
+    private AttemptRequest request(String attemptId, Placement placement, boolean isolated) {
+      long left = context.deadlineNanos() - System.nanoTime();
+      AttemptRequest request =
+          new AttemptRequest(
+              attemptId,
+              context.requestId(),
+              settings.processId(),
+              context.customer(),
+              context.route(),
+              Priority.valueOf(work.priority().name()),
+              work.idempotent(),
+              Math.max(1, Duration.ofNanos(left).toMillis()),
+              work.reservedTokens(),
+              work.fingerprint(),
+              context.settings().revision(),
+              placement.endpoint());
+      request
+          .setHeaders(work.headers())
+          .setBody(ByteBuffer.wrap(work.body()))
+          .setIsolated(isolated)
+          .setStream(work.stream())
+          .setKeyId(context.key().map(Key::keyId).orElse(""));
+      work.adapter()
+          .ifPresent(
+              version ->
+                  request
+                      .setAdapter(version.adapter())
+                      .setVersion(version.version())
+                      .setSource(version.source()));
+      if (context.route() == Route.SERVICE) {
+        request
+            .setServiceName(work.target().substring(work.target().indexOf('/') + 1))
+            .setMethod(work.method())
+            .setPath(work.path());
+      }
+      return request;
+    }
+
+    private long leastTokens() {
+      return context.route() == Route.SERVICE ? ServiceResolver.TOKENS_PER_CALL : 0;
+    }
+
+    private void pause(Duration time) throws RequestRefused, CallerGone {
+      try {
+        Thread.sleep(time.toMillis());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw refused(CallerError.NO_ENDPOINT, "the gateway stops");
+      }
+      context.response().checkConnected();
+    }
+
+    private RequestRefused refused(CallerError error, String message) {
+      return RequestRefused.of(error, message, context.outcome());
+    }
+
+    private String message(AttemptResult result) {
+      return "no endpoint completed the request: " + result.detail();
+    }
+
+    private void record(GatewayEvent event, AttemptResult result, Placement placement) {
+      events.record(
+          event,
+          Field.of("request", context.requestId()),
+          Field.of("endpoint", placement.endpoint()),
+          Field.of("outcome", result.outcome().headerValue()),
+          Field.of("cause", result.detail()));
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/Drain.java
@@ -0,0 +1,84 @@
+package org.comfreygap.gateway;
+
+import java.time.Duration;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * Counts the requests in progress, bounds them, and lets a planned stop wait for their end.
+ *
+ * <p>Invariant: at most {@code limit} requests are in progress. Thread safety: any thread may call.
+ */
+final class Drain {
+
+  private final int limit;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition idle = lock.newCondition();
+  private int active;
+  private volatile boolean draining;
+
+  Drain(int limit) {
+    this.limit = limit;
+  }
+
+  /** Enters a request; returns false when there are too many. */
+  boolean enter() {
+    lock.lock();
+    try {
+      if (active >= limit) {
+        return false;
+      }
+      active++;
+      return true;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Leaves; follows each {@link #enter} that returned true. */
+  void leave() {
+    lock.lock();
+    try {
+      active--;
+      if (active == 0) {
+        idle.signalAll();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the number of requests in progress. */
+  int active() {
+    lock.lock();
+    try {
+      return active;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** From now on callers are told to open their next connection elsewhere. */
+  void begin() {
+    draining = true;
+  }
+
+  /** Returns true once the drain has begun. */
+  boolean draining() {
+    return draining;
+  }
+
+  /** Waits until no request is in progress; returns false when {@code limitTime} was too short. */
+  boolean awaitIdle(Duration limitTime) throws InterruptedException {
+    long left = limitTime.toNanos();
+    lock.lock();
+    try {
+      while (active > 0 && left > 0) {
+        left = idle.awaitNanos(left);
+      }
+      return active == 0;
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/EndpointDirectory.java
@@ -0,0 +1,220 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.comfreygap.decisions.AdapterHomes;
+import org.comfreygap.decisions.EndpointSelector;
+import org.comfreygap.decisions.EndpointSelector.Availability;
+import org.comfreygap.decisions.EndpointSelector.Query;
+import org.comfreygap.decisions.EndpointSelector.Site;
+import org.comfreygap.decisions.RetryPolicy.Cause;
+import org.comfreygap.gateway.RequestContext.Work;
+import org.comfreygap.protocol.generated.EndpointReport;
+import org.comfreygap.protocol.generated.Member;
+import org.comfreygap.protocol.generated.MemberState;
+import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.runtime.Addresses;
+import org.comfreygap.runtime.DutyThread;
+import org.comfreygap.runtime.MembershipAgent;
+import org.comfreygap.settings.Documents.AdapterVersion;
+import org.comfreygap.settings.Documents.Endpoint;
+import org.comfreygap.settings.Documents.EndpointKind;
+import org.comfreygap.settings.Documents.EndpointState;
+import org.comfreygap.settings.SettingsView;
+
+/**
+ * The gateway's view of all endpoints, from settings, membership, reports and its own attempts.
+ *
+ * <p>Invariant: an endpoint that settings or membership take out gets no new attempt after the next
+ * refresh. Thread safety: all methods are synchronized on this object, which guards the selector.
+ */
+@Singleton
+final class EndpointDirectory implements AutoCloseable {
+
+  private static final int MAX_ADAPTERS = 32_768;
+  // One endpoint runs a few requests of one adapter at full speed beside those of others.
+  private static final double REQUESTS_PER_HOME = 8;
+  private static final Duration REFRESH_PERIOD = Duration.ofMillis(200);
+  // Settings and membership follow within this time after an endpoint refuses since it moves.
+  private static final long MOVED_PAUSE_MILLIS = 250;
+  private static final String SERVICE_PREFIX = "service:";
+
+  private static final Map<MemberState, Availability> BY_STATE =
+      new EnumMap<>(
+          Map.of(
+              MemberState.LIVE, Availability.OPEN,
+              MemberState.SUSPECT, Availability.SUSPECT,
+              MemberState.LEAVING, Availability.BLOCKED,
+              MemberState.GONE, Availability.BLOCKED));
+
+  private final MembershipAgent agent;
+  private final String zone;
+  private final EndpointSelector selector;
+  private final AdapterHomes homes = new AdapterHomes(MAX_ADAPTERS, REQUESTS_PER_HOME);
+  private final Map<String, Endpoint> endpoints = new HashMap<>();
+  private final Map<String, InetSocketAddress> sidecars = new HashMap<>();
+  private SettingsView settings = SettingsView.empty();
+  private List<Site> sites = List.of();
+  private DutyThread duty;
+
+  @Inject
+  EndpointDirectory(GatewaySettings settings, MembershipAgent agent) {
+    this.agent = agent;
+    this.zone = settings.zone();
+    this.selector = new EndpointSelector(homes, System.nanoTime());
+  }
+
+  /** An endpoint chosen for one attempt. */
+  record Placement(String endpoint, InetSocketAddress sidecar) {}
+
+  /** Starts to follow settings and membership. */
+  void start() {
+    agent.onSettings(this::settingsChanged);
+    duty = DutyThread.every("endpoint-refresh", REFRESH_PERIOD, this::refresh);
+  }
+
+  /** Chooses the endpoint for the next attempt and counts the attempt there. */
+  synchronized Optional<Placement> place(Work work, List<String> excluded) {
+    long now = System.nanoTime();
+    long adapter =
+        work.adapter().map(AdapterVersion::immutableName).map(AdapterHomes::hash).orElse(0L);
+    String target = adapter == 0 ? SERVICE_PREFIX + work.target() : work.target();
+    int index = selector.select(new Query(target, adapter, zone, work.prefix(), excluded), now);
+    if (index == EndpointSelector.NONE) {
+      return Optional.empty();
+    }
+    selector.dispatched(index, now);
+    String name = selector.name(index);
+    return Optional.of(new Placement(name, sidecars.get(name)));
+  }
+
+  /** Records how an attempt ended. */
+  synchronized void ended(Placement placement, AttemptResult result) {
+    int index = selector.index(placement.endpoint());
+    if (index == EndpointSelector.NONE) {
+      return;
+    }
+    selector.finished(index);
+    long now = System.nanoTime();
+    switch (result.kind()) {
+      case COMPLETE -> selector.health(index).succeeded();
+      case REFUSED -> {
+        selector.health(index).succeeded();
+        if (result.cause() == Cause.MOVED) {
+          selector.health(index).backOff(now, MOVED_PAUSE_MILLIS);
+        } else if (result.cause() == Cause.UNREACHABLE) {
+          selector.health(index).failed(now);
+        }
+      }
+      case FAILED, UNREACHABLE, BROKEN -> selector.health(index).failed(now);
+      default -> throw new IllegalStateException("unexpected kind " + result.kind());
+    }
+  }
+
+  /** Records that an attempt was given up for a reason that says nothing about the endpoint. */
+  synchronized void abandoned(Placement placement) {
+    int index = selector.index(placement.endpoint());
+    if (index != EndpointSelector.NONE) {
+      selector.finished(index);
+    }
+  }
+
+  /** Takes a report; reports are hints and no invariant depends on them. */
+  synchronized void reported(EndpointReport report) {
+    int index = selector.index(report.getEndpoint());
+    if (index == EndpointSelector.NONE) {
+      return;
+    }
+    List<String> names = report.getResident();
+    long[] hashes = new long[names.size()];
+    for (int i = 0; i < hashes.length; i++) {
+      hashes[i] = AdapterHomes.hash(names.get(i));
+    }
+    selector.reported(
+        index,
+        report.getBootId(),
+        report.getSequence(),
+        report.getQueued() + report.getRunning(),
+        report.getLimit(),
+        hashes,
+        System.nanoTime());
+  }
+
+  /** Returns the boot id last reported by an endpoint, or an empty string. */
+  synchronized String bootId(String endpoint) {
+    int index = selector.index(endpoint);
+    return index == EndpointSelector.NONE ? "" : selector.bootId(index);
+  }
+
+  /** Returns how many endpoints are known. */
+  synchronized int size() {
+    return selector.size();
+  }
+
+  @Override
+  public void close() {
+    if (duty != null) {
+      duty.close();
+    }
+  }
+
+  private synchronized void settingsChanged(SettingsView next) {
+    settings = next;
+    List<Site> nextSites = new ArrayList<>();
+    endpoints.clear();
+    sidecars.clear();
+    for (Endpoint endpoint : next.endpoints()) {
+      endpoints.put(endpoint.name(), endpoint);
+      sidecars.put(endpoint.name(), Addresses.parse(endpoint.sidecar()));
+      String target =
+          endpoint.kind() == EndpointKind.SERVICE
+              ? SERVICE_PREFIX + endpoint.target()
+              : endpoint.target();
+      nextSites.add(new Site(endpoint.name(), endpoint.zone(), target, endpoint.maxBatch()));
+    }
+    nextSites.sort(Comparator.comparing(Site::name));
+    if (!nextSites.equals(sites)) {
+      sites = nextSites;
+      selector.fleet(sites);
+    }
+    refresh();
+  }
+
+  private synchronized void refresh() {
+    Map<String, MemberState> states = new HashMap<>();
+    int gateways = 0;
+    for (Member member : agent.members()) {
+      if (member.getIdentity().getKind() == ProcessKind.GATEWAY) {
+        gateways += member.getState() == MemberState.LIVE ? 1 : 0;
+      } else if (member.getIdentity().isSetEndpoint()) {
+        // Two sidecars of one endpoint exist during a replacement; the better state counts.
+        states.merge(
+            member.getIdentity().getEndpoint(),
+            member.getState(),
+            (a, b) -> a.compareTo(b) <= 0 ? a : b);
+      }
+    }
+    homes.scale(gateways);
+    for (Site site : sites) {
+      Availability availability = availability(endpoints.get(site.name()), states);
+      selector.availability(selector.index(site.name()), availability);
+    }
+  }
+
+  private Availability availability(Endpoint endpoint, Map<String, MemberState> states) {
+    if (!settings.zoneIn(endpoint.zone()) || endpoint.state() == EndpointState.LEAVING) {
+      return Availability.BLOCKED;
+    }
+    MemberState state = states.get(endpoint.name());
+    return state == null ? Availability.SUSPECT : BY_STATE.get(state);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/FrameStream.java
@@ -0,0 +1,161 @@
+package org.comfreygap.gateway;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TIOStreamTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.comfreygap.protocol.generated.AttemptFrame;
+import org.comfreygap.protocol.generated.FrameBody;
+import org.comfreygap.protocol.generated.FrameData;
+
+/**
+ * The frames of one connection of an attempt.
+ *
+ * <p>Invariant: every frame returned carries the id of the attempt, and data frames carry on from
+ * each other without a gap or an overlap. The connection goes back to the pool only after {@link
+ * #complete}; in all other cases it is closed. Thread safety: one thread at a time.
+ */
+final class FrameStream implements AutoCloseable {
+
+  /** Time without a frame after which a connection is considered silent. */
+  static final Duration SILENCE = Duration.ofSeconds(2);
+
+  private static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
+  private static final int MAX_ITEMS = 100_000;
+  private static final int MAX_DEPTH = 16;
+
+  private final HttpPost post;
+  private final ClassicHttpResponse response;
+  private final String attemptId;
+  private final TimedInput input;
+  private final TProtocol protocol;
+  private long offset;
+  private boolean complete;
+
+  /**
+   * Reads frames from an open response.
+   *
+   * @param offset byte offset of the answer at which data begins
+   * @throws IOException when the response has no body
+   */
+  FrameStream(HttpPost post, ClassicHttpResponse response, String attemptId, long offset)
+      throws IOException {
+    this.post = post;
+    this.response = response;
+    this.attemptId = attemptId;
+    this.offset = offset;
+    if (response.getEntity() == null) {
+      throw new IOException("the response has no body");
+    }
+    this.input = new TimedInput(response.getEntity().getContent());
+    try {
+      TConfiguration bounds = new TConfiguration(MAX_FRAME_BYTES, MAX_FRAME_BYTES, MAX_DEPTH);
+      this.protocol =
+          new TCompactProtocol(new TIOStreamTransport(bounds, input), MAX_FRAME_BYTES, MAX_ITEMS);
+    } catch (TTransportException e) {
+      throw new IOException("the frames cannot be read", e);
+    }
+  }
+
+  /** Returns the byte offset of the answer up to which data was read. */
+  long offset() {
+    return offset;
+  }
+
+  /**
+   * Returns the next frame.
+   *
+   * @throws FrameStreamBroken when none came in time or it cannot be trusted
+   */
+  FrameBody next() throws FrameStreamBroken {
+    input.begin();
+    AttemptFrame frame = new AttemptFrame();
+    try {
+      frame.read(protocol);
+    } catch (TException e) {
+      boolean silent = e.getCause() instanceof SocketTimeoutException;
+      throw new FrameStreamBroken(silent ? "silent" : "cut", e);
+    } catch (RuntimeException e) {
+      throw new FrameStreamBroken("malformed", e);
+    }
+    if (!attemptId.equals(frame.getAttemptId())) {
+      throw new FrameStreamBroken("a frame of another attempt", null);
+    }
+    FrameBody body = frame.getBody();
+    if (body.isSetData()) {
+      FrameData data = body.getData();
+      if (data.getOffset() != offset) {
+        throw new FrameStreamBroken("a data frame at another offset", null);
+      }
+      offset += data.bytes.remaining();
+    }
+    return body;
+  }
+
+  /** Gives the connection back after the final frame, when nothing follows it. */
+  void complete() {
+    try {
+      input.begin();
+      complete = input.read() < 0;
+    } catch (IOException ignored) {
+      complete = false;
+    }
+  }
+
+  @Override
+  public void close() {
+    if (!complete) {
+      // Closing the response alone would first read its body to the end.
+      post.cancel();
+    }
+    try {
+      response.close();
+    } catch (IOException ignored) {
+      // The connection is closed in any case.
+    }
+  }
+
+  /** Bounds the time of one frame, also when single bytes keep coming. */
+  private static final class TimedInput extends FilterInputStream {
+
+    private long beganAtNanos;
+
+    TimedInput(InputStream in) {
+      super(in);
+    }
+
+    void begin() {
+      beganAtNanos = System.nanoTime();
+    }
+
+    @Override
+    public int read() throws IOException {
+      int value = super.read();
+      check();
+      return value;
+    }
+
+    @Override
+    public int read(byte[] bytes, int from, int length) throws IOException {
+      int count = super.read(bytes, from, length);
+      check();
+      return count;
+    }
+
+    private void check() throws SocketTimeoutException {
+      // The read that found the silence ends just after the bound, so it gets twice the time.
+      if (System.nanoTime() - beganAtNanos > 2 * SILENCE.toNanos()) {
+        throw new SocketTimeoutException("a frame took longer than " + SILENCE);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/Gateway.java
@@ -0,0 +1,164 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import com.google.inject.Stage;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.UUID;
+import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.protocol.generated.ProcessKind;
+import org.comfreygap.runtime.Addresses;
+import org.comfreygap.runtime.Closer;
+import org.comfreygap.runtime.ControlClient;
+import org.comfreygap.runtime.ControlUnavailable;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+import org.comfreygap.runtime.HybridClock;
+import org.comfreygap.runtime.MembershipAgent;
+import org.comfreygap.runtime.RuntimeEvent;
+import org.comfreygap.runtime.ServiceShell;
+import org.comfreygap.runtime.Timeline;
+
+/**
+ * A running gateway.
+ *
+ * <pre>{@code
+ * try (Gateway gateway = Gateway.start(settings)) { ... }
+ * }</pre>
+ *
+ * <p>Invariant: {@link #close} interrupts no request: it finishes those in progress, as long as
+ * they are within their time. Thread safety: {@link #close} may be called from any thread.
+ *
+ * @since 0.1
+ */
+public final class Gateway implements AutoCloseable {
+
+  // Threads beside the workers: they refuse at once what exceeds the workers.
+  private static final int REFUSING_THREADS = 32;
+
+  private final GatewaySettings settings;
+  private final Closer closer = new Closer();
+  private final Drain drain;
+  private final MembershipAgent agent;
+  private final EventLog events;
+  private final ControlClient control;
+  private final ProcessStart start;
+  private ServiceShell shell;
+
+  private Gateway(GatewaySettings settings) {
+    this.settings = settings;
+    this.drain = new Drain(settings.workers());
+    HybridClock clock = new HybridClock(System::currentTimeMillis);
+    this.events =
+        closer.register(
+            new EventLog(settings.processId(), clock, new Timeline(Timeline.DEFAULT_CAPACITY)));
+    this.control = closer.register(new ControlClient(settings.control(), settings.security()));
+    ProcessStart start = new ProcessStart(UUID.randomUUID().toString());
+    this.agent =
+        closer.register(
+            MembershipAgent.start(identity(settings, start), control, events, Optional::empty));
+    this.start = start;
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @throws Exception when an address cannot be bound
+   */
+  public static Gateway start(GatewaySettings settings) throws Exception {
+    Gateway gateway = new Gateway(settings);
+    try {
+      gateway.serve();
+      return gateway;
+    } catch (Exception e) {
+      gateway.closer.close();
+      throw e;
+    }
+  }
+
+  /** Returns true while the load balancer should send requests here. */
+  public boolean ready() {
+    return agent.admits() && !drain.draining();
+  }
+
+  /** Returns the event log. */
+  public EventLog events() {
+    return events;
+  }
+
+  /** Returns the text of the metrics. */
+  public String metrics() {
+    return shell.metrics().scrape();
+  }
+
+  /** Stops: leaves, waits out the load balancer, finishes requests, returns credit. */
+  @Override
+  public void close() throws Exception {
+    events.record(RuntimeEvent.PROCESS_STOPPING);
+    drain.begin();
+    events.record(GatewayEvent.DRAIN_STARTED, Field.of("active", drain.active()));
+    agent.leave();
+    try {
+      agent.sendHeartbeat();
+    } catch (ControlUnavailable ignored) {
+      // The duty thread repeats the heartbeat.
+    }
+    Thread.sleep(settings.stopLag().toMillis());
+    boolean finished = drain.awaitIdle(settings.requestTimeout());
+    events.record(GatewayEvent.DRAIN_ENDED, Field.of("complete", finished));
+    events.record(RuntimeEvent.PROCESS_STOPPED);
+    closer.close();
+  }
+
+  private void serve() throws Exception {
+    ServiceShell.Builder builder = ServiceShell.builder("comfreygap-gateway");
+    GatewayMetrics metrics = new GatewayMetrics(builder.metrics());
+    metrics.inProgress(drain::active);
+    Injector injector =
+        Guice.createInjector(
+            Stage.PRODUCTION,
+            new GatewayModule(settings, start, control, agent, events, metrics, drain));
+    closer.register(injector.getInstance(SidecarClient.class));
+    EndpointDirectory endpoints = closer.register(injector.getInstance(EndpointDirectory.class));
+    CrashController crashes = closer.register(injector.getInstance(CrashController.class));
+    closer.register(injector.getInstance(AttemptRunner.class));
+    CreditController credit = closer.register(injector.getInstance(CreditController.class));
+    endpoints.start();
+    crashes.start();
+    credit.start();
+    shell =
+        builder
+            .http(settings.httpAddress())
+            .admin(settings.adminAddress())
+            .events(events)
+            .threads(settings.workers() + REFUSING_THREADS)
+            .idleTimeout(settings.idleTimeout())
+            .ready(this::ready)
+            .resources(
+                environment -> {
+                  environment.jersey().register(injector.getInstance(CompletionsResource.class));
+                  environment.jersey().register(injector.getInstance(ServicesResource.class));
+                  environment.jersey().register(injector.getInstance(RoutingErrorMapper.class));
+                  RequestPipeline pipeline = injector.getInstance(RequestPipeline.class);
+                  environment
+                      .lifecycle()
+                      .addServerLifecycleListener(
+                          server -> server.setErrorHandler(new ProtocolErrorHandler(pipeline)));
+                })
+            .start();
+    closer.register(shell);
+    InetSocketAddress address = settings.httpAddress();
+    events.record(RuntimeEvent.PROCESS_STARTED, Field.of("address", Addresses.text(address)));
+  }
+
+  private static ProcessIdentity identity(GatewaySettings settings, ProcessStart start) {
+    return new ProcessIdentity(
+        settings.processId(),
+        ProcessKind.GATEWAY,
+        start.startId(),
+        settings.zone(),
+        Addresses.text(settings.httpAddress()),
+        Addresses.text(settings.adminAddress()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/GatewayMetrics.java
@@ -0,0 +1,125 @@
+package org.comfreygap.gateway;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.decisions.RetryPolicy;
+import org.comfreygap.protocol.generated.Route;
+
+/**
+ * The meters of a gateway.
+ *
+ * <p>Invariant: every label value is a constant of an enum or a status, so that the number of
+ * series is bounded and no label can hold a key, a customer or an adapter. Thread safety: any
+ * thread may call.
+ */
+final class GatewayMetrics {
+
+  private final MeterRegistry registry;
+  private final Map<Route, Timer> latencies = new ConcurrentHashMap<>();
+  private final Map<RequestSeries, Counter> requests = new ConcurrentHashMap<>();
+  private final Map<String, Counter> attempts = new ConcurrentHashMap<>();
+  private final Map<RetryPolicy.Cause, Counter> retries = new ConcurrentHashMap<>();
+  private final Counter attached;
+  private final Counter cancels;
+  private final Counter creditWaits;
+  private final Counter creditRefusals;
+  private final Counter continuedAnswers;
+  private final Counter brokenAnswers;
+  private final Timer routing;
+
+  GatewayMetrics(MeterRegistry registry) {
+    this.registry = registry;
+    this.attached = registry.counter("comfreygap.gateway.attempts.attached");
+    this.cancels = registry.counter("comfreygap.gateway.attempts.cancelled");
+    this.creditWaits = registry.counter("comfreygap.gateway.credit.waits");
+    this.creditRefusals = registry.counter("comfreygap.gateway.credit.refusals");
+    this.continuedAnswers = registry.counter("comfreygap.gateway.answers.continued");
+    this.brokenAnswers = registry.counter("comfreygap.gateway.answers.broken");
+    this.routing = registry.timer("comfreygap.gateway.routing");
+  }
+
+  private record RequestSeries(Route route, int status, Outcome outcome) {}
+
+  /** Shows the number of requests in progress. */
+  void inProgress(Supplier<Number> count) {
+    registry.gauge("comfreygap.gateway.requests.active", this, m -> count.get().doubleValue());
+  }
+
+  /** Records a request that ended. */
+  void request(Route route, int status, Outcome outcome, long nanos) {
+    requests
+        .computeIfAbsent(
+            new RequestSeries(route, status, outcome),
+            series ->
+                registry.counter(
+                    "comfreygap.gateway.requests",
+                    "route",
+                    route.name(),
+                    "status",
+                    Integer.toString(status),
+                    "outcome",
+                    outcome.headerValue()))
+        .increment();
+    latencies
+        .computeIfAbsent(
+            route, r -> registry.timer("comfreygap.gateway.request.time", "route", r.name()))
+        .record(Duration.ofNanos(nanos));
+  }
+
+  /** Records how an attempt ended. */
+  void attempt(AttemptResult.Kind kind) {
+    attempts
+        .computeIfAbsent(
+            kind.name(), k -> registry.counter("comfreygap.gateway.attempts", "result", k))
+        .increment();
+  }
+
+  /** Records that a request is tried again. */
+  void retry(RetryPolicy.Cause cause) {
+    retries
+        .computeIfAbsent(
+            cause, c -> registry.counter("comfreygap.gateway.retries", "cause", c.name()))
+        .increment();
+  }
+
+  /** Records a routing decision. */
+  void routed(long nanos) {
+    routing.record(Duration.ofNanos(nanos));
+  }
+
+  /** Records that an attempt went on over a new connection. */
+  void attached() {
+    attached.increment();
+  }
+
+  /** Records a cancellation. */
+  void cancelled() {
+    cancels.increment();
+  }
+
+  /** Records a request that had to wait for credit. */
+  void creditWait() {
+    creditWaits.increment();
+  }
+
+  /** Records a request refused for want of credit. */
+  void creditRefusal() {
+    creditRefusals.increment();
+  }
+
+  /** Records an answer that another attempt continued. */
+  void continuedAnswer() {
+    continuedAnswers.increment();
+  }
+
+  /** Records an answer that broke after it had begun. */
+  void brokenAnswer() {
+    brokenAnswers.increment();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/KeyGuard.java
@@ -0,0 +1,61 @@
+package org.comfreygap.gateway;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * Refuses a request that would carry the caller's key to an endpoint.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class KeyGuard {
+
+  private KeyGuard() {}
+
+  /**
+   * Searches what would be sent for the key, in the path and query also in decoded form.
+   *
+   * @throws RequestRefused when the key is found
+   */
+  static void check(String key, String path, Map<String, String> headers, byte[] body)
+      throws RequestRefused {
+    boolean found =
+        path.contains(key)
+            || decoded(path).contains(key)
+            || headers.values().stream().anyMatch(value -> value.contains(key))
+            || contains(body, key.getBytes(StandardCharsets.UTF_8));
+    if (found) {
+      throw RequestRefused.notRun(
+          CallerError.KEY_IN_REQUEST,
+          "given the key outside of the Authorization header, expected it there only");
+    }
+  }
+
+  private static String decoded(String path) {
+    try {
+      return URLDecoder.decode(path, StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException e) {
+      return "";
+    }
+  }
+
+  private static boolean contains(byte[] text, byte[] wanted) {
+    byte first = wanted[0];
+    for (int i = 0; i <= text.length - wanted.length; i++) {
+      if (text[i] == first && matches(text, i, wanted)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean matches(byte[] text, int offset, byte[] wanted) {
+    for (int i = 1; i < wanted.length; i++) {
+      if (text[offset + i] != wanted[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/LedgerFilter.java
@@ -0,0 +1,169 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Inject;
+import java.time.Duration;
+import java.util.Map;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.gateway.RequestContext.Work;
+import org.comfreygap.protocol.generated.BeginReply;
+import org.comfreygap.protocol.generated.BeginRequest;
+import org.comfreygap.protocol.generated.FinishRequest;
+import org.comfreygap.protocol.generated.Route;
+import org.comfreygap.protocol.generated.StoredAnswer;
+import org.comfreygap.runtime.ControlClient;
+import org.comfreygap.runtime.ControlUnavailable;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+
+/**
+ * Passes service calls that must not be repeated through the request ledger, when the caller gives
+ * them an idempotency key. A call without one is tried once.
+ *
+ * <p>Invariant: a request reaches an endpoint only after control has recorded its beginning. Thread
+ * safety: stateless but for thread-safe collaborators.
+ */
+final class LedgerFilter implements RequestFilter {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final int MAX_KEY_LENGTH = 200;
+
+  private final GatewaySettings settings;
+  private final ProcessStart start;
+  private final ControlClient control;
+  private final EventLog events;
+
+  @Inject
+  LedgerFilter(
+      GatewaySettings settings, ProcessStart start, ControlClient control, EventLog events) {
+    this.settings = settings;
+    this.start = start;
+    this.control = control;
+    this.events = events;
+  }
+
+  @Override
+  public void filter(RequestContext context, FilterChain chain) throws RequestRefused {
+    Work work = context.work();
+    String key = work.headers().get(EndpointHeaders.IDEMPOTENCY_KEY);
+    if (context.route() != Route.SERVICE
+        || work.idempotent()
+        || key == null
+        || context.customer().isEmpty()) {
+      chain.next(context);
+      return;
+    }
+    if (key.length() > MAX_KEY_LENGTH) {
+      throw RequestRefused.notRun(
+          CallerError.INVALID_REQUEST,
+          "header Idempotency-Key: expected at most " + MAX_KEY_LENGTH + " characters");
+    }
+    BeginReply begun = begin(context, key);
+    switch (begun.getState()) {
+      case STARTED -> run(context, chain, key);
+      case DONE -> replay(context, begun);
+      case IN_PROGRESS ->
+          throw RequestRefused.of(
+              CallerError.IDEMPOTENCY_KEY_IN_PROGRESS,
+              "a request with this idempotency key is in progress",
+              Outcome.UNKNOWN);
+      case UNKNOWN ->
+          throw RequestRefused.of(
+              CallerError.OUTCOME_UNKNOWN,
+              "it is not known whether the request with this idempotency key ran",
+              Outcome.UNKNOWN);
+      case KEY_REUSED ->
+          throw RequestRefused.notRun(
+              CallerError.IDEMPOTENCY_KEY_REUSED,
+              "the idempotency key was used with another request");
+      default ->
+          throw RequestRefused.notRun(CallerError.LEDGER_UNAVAILABLE, "the request ledger is full");
+    }
+  }
+
+  private BeginReply begin(RequestContext context, String key) throws RequestRefused {
+    BeginRequest request =
+        new BeginRequest(
+            context.customer(),
+            key,
+            context.work().fingerprint(),
+            settings.processId(),
+            start.startId(),
+            context.requestId());
+    try {
+      return control.callLeader(TIMEOUT, client -> client.beginRequest(request));
+    } catch (ControlUnavailable e) {
+      recordFailure(context, e);
+      // The beginning may have been recorded although its answer was lost.
+      finish(context, new FinishRequest(context.customer(), key, context.requestId(), notRun()));
+      throw RequestRefused.notRun(
+          CallerError.LEDGER_UNAVAILABLE, "the request ledger does not answer");
+    }
+  }
+
+  private void run(RequestContext context, FilterChain chain, String key) throws RequestRefused {
+    boolean[] stored = new boolean[1];
+    context.beforeAnswer(
+        answer -> {
+          stored[0] = true;
+          FinishRequest ran =
+              new FinishRequest(
+                  context.customer(),
+                  key,
+                  context.requestId(),
+                  org.comfreygap.protocol.generated.Outcome.RAN);
+          finish(context, answer == null ? ran : ran.setAnswer(answer));
+        });
+    try {
+      chain.next(context);
+    } finally {
+      if (!stored[0]) {
+        org.comfreygap.protocol.generated.Outcome outcome =
+            org.comfreygap.protocol.generated.Outcome.valueOf(context.outcome().name());
+        finish(context, new FinishRequest(context.customer(), key, context.requestId(), outcome));
+      }
+    }
+  }
+
+  private static void replay(RequestContext context, BeginReply begun) throws RequestRefused {
+    context.outcome(Outcome.RAN);
+    if (!begun.isSetAnswer()) {
+      throw RequestRefused.of(
+          CallerError.ANSWER_NOT_KEPT,
+          "the request with this idempotency key ran and its answer was not kept",
+          Outcome.RAN);
+    }
+    StoredAnswer answer = begun.getAnswer();
+    try {
+      context
+          .response()
+          .send(answer.getStatus(), Map.copyOf(answer.getHeaders()), Outcome.RAN, answer.getBody());
+    } catch (CallerGone ignored) {
+      // The answer stays in the ledger for the caller's next try.
+    }
+  }
+
+  private void finish(RequestContext context, FinishRequest request) {
+    try {
+      control.callLeader(
+          TIMEOUT,
+          client -> {
+            client.finishRequest(request);
+            return request;
+          });
+    } catch (ControlUnavailable e) {
+      // Control closes the entry as unknown when it no longer hears of this process.
+      recordFailure(context, e);
+    }
+  }
+
+  private void recordFailure(RequestContext context, ControlUnavailable cause) {
+    events.record(
+        GatewayEvent.LEDGER_UNAVAILABLE,
+        Field.of("request", context.requestId()),
+        Field.of("cause", cause.getMessage()));
+  }
+
+  private static org.comfreygap.protocol.generated.Outcome notRun() {
+    return org.comfreygap.protocol.generated.Outcome.NOT_RUN;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/RequestPipeline.java
@@ -0,0 +1,126 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.servlet.http.HttpServletResponse;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import org.comfreygap.decisions.Outcome;
+import org.comfreygap.protocol.generated.Route;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
+import org.comfreygap.runtime.MembershipAgent;
+
+/**
+ * Handles each request from its arrival to the end of its answer.
+ *
+ * <p>Invariant: every request gets exactly one answer, with its id and its outcome. Thread safety:
+ * any thread may handle requests.
+ */
+@Singleton
+final class RequestPipeline {
+
+  private static final int ID_BYTES = 16;
+  private static final int FIRST_SYSTEM_ERROR = 500;
+
+  private final GatewaySettings settings;
+  private final MembershipAgent agent;
+  private final Drain drain;
+  private final FilterChain chain;
+  private final EventLog events;
+  private final GatewayMetrics metrics;
+  private final ThreadLocal<SecureRandom> random = ThreadLocal.withInitial(SecureRandom::new);
+
+  @Inject
+  RequestPipeline(
+      GatewaySettings settings,
+      MembershipAgent agent,
+      Drain drain,
+      FilterChain chain,
+      EventLog events,
+      GatewayMetrics metrics) {
+    this.settings = settings;
+    this.agent = agent;
+    this.drain = drain;
+    this.chain = chain;
+    this.events = events;
+    this.metrics = metrics;
+  }
+
+  /** Handles a request on the calling thread. */
+  void handle(Route route, HttpServletRequest request, HttpServletResponse servletResponse) {
+    long arrived = System.nanoTime();
+    String requestId = newId();
+    CallerResponse response =
+        new CallerResponse(request, servletResponse, requestId, drain::draining);
+    RequestContext context =
+        new RequestContext(
+            requestId,
+            route,
+            request,
+            response,
+            agent.settings(),
+            arrived,
+            arrived + settings.requestTimeout().toNanos());
+    if (!drain.enter()) {
+      answer(
+          context,
+          RequestRefused.notRun(CallerError.OVERLOADED, "the gateway has too many requests"));
+      return;
+    }
+    try {
+      run(context);
+    } finally {
+      drain.leave();
+      metrics.request(route, response.status(), context.outcome(), System.nanoTime() - arrived);
+    }
+  }
+
+  /** Returns a new request id. */
+  String newId() {
+    byte[] bytes = new byte[ID_BYTES];
+    random.get().nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
+  }
+
+  private void run(RequestContext context) {
+    try {
+      chain.next(context);
+    } catch (RequestRefused refused) {
+      answer(context, refused);
+    } catch (RuntimeException e) {
+      // Only the type is recorded: a message may quote the request.
+      events.record(
+          GatewayEvent.REQUEST_ERROR,
+          Field.of("request", context.requestId()),
+          Field.of("type", e.getClass().getName()),
+          Field.of("at", e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "unknown"));
+      RequestRefused failed =
+          RequestRefused.of(CallerError.INTERNAL, "internal error", context.outcome());
+      if (context.response().begun()) {
+        context.response().abort();
+      } else {
+        answer(context, failed);
+      }
+    }
+  }
+
+  private void answer(RequestContext context, RequestRefused refused) {
+    if (refused.error().status() >= FIRST_SYSTEM_ERROR) {
+      events.record(
+          refused.outcome() == Outcome.NOT_RUN
+              ? GatewayEvent.REQUEST_REFUSED
+              : GatewayEvent.REQUEST_FAILED,
+          Field.of("request", context.requestId()),
+          Field.of("status", refused.error().status()),
+          Field.of("outcome", refused.outcome().headerValue()),
+          Field.of("cause", refused.getMessage()));
+    }
+    try {
+      context.response().error(refused);
+    } catch (CallerGone ignored) {
+      // There is nobody left to answer.
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/ReservedCredit.java
@@ -0,0 +1,10 @@
+package org.comfreygap.gateway;
+
+import org.comfreygap.decisions.CustomerCredit.Ticket;
+
+/**
+ * Credit reserved for a request with the account it came from.
+ *
+ * <p>Thread safety: immutable; {@link CreditController} guards the ticket.
+ */
+record ReservedCredit(CreditController.Account account, Ticket ticket) {}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/ServiceResolver.java
@@ -0,0 +1,136 @@
+package org.comfreygap.gateway;
+
+import jakarta.servlet.http.HttpServletRequest;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.comfreygap.gateway.RequestContext.Work;
+import org.comfreygap.settings.Documents.Key;
+import org.comfreygap.settings.Documents.ServiceRoute;
+import org.comfreygap.settings.Priority;
+import org.comfreygap.settings.SettingsView;
+
+/**
+ * Resolves calls below {@code /services/{name}}.
+ *
+ * <p>A caller with a key reaches services of its own team that list it or are open; without a key
+ * only open services. Thread safety: stateless.
+ */
+final class ServiceResolver {
+
+  /** Tokens charged for one call of a plain service. */
+  static final long TOKENS_PER_CALL = 1;
+
+  private static final String PREFIX = "/services/";
+  private static final Pattern DOT_SEGMENT =
+      Pattern.compile("(?i)/(?:\\.|%2e){1,2}(?:/|;|$)|%2f|%5c|\\\\");
+  private static final Pattern PLAIN_VALUE = Pattern.compile("[\\x20-\\x7e]{1,512}");
+
+  /** A service with the path and query below it. */
+  record Call(ServiceRoute service, String path) {}
+
+  /**
+   * Finds the service that the path names.
+   *
+   * @throws RequestRefused when there is none or the customer may not call it
+   */
+  Call find(RequestContext context) throws RequestRefused {
+    String uri = context.http().getRequestURI();
+    int end = uri.indexOf('/', PREFIX.length());
+    String name = end < 0 ? uri.substring(PREFIX.length()) : uri.substring(PREFIX.length(), end);
+    String path = end < 0 ? "/" : uri.substring(end);
+    if (DOT_SEGMENT.matcher(path).find()) {
+      throw RequestRefused.notRun(
+          CallerError.INVALID_REQUEST, "given a path with dot segments or encoded slashes");
+    }
+    String query = context.http().getQueryString();
+    return new Call(service(context, name), query == null ? path : path + "?" + query);
+  }
+
+  /**
+   * Returns the work of a call.
+   *
+   * @throws RequestRefused when a header is malformed
+   */
+  Work resolve(RequestContext context, Call call, byte[] body) throws RequestRefused {
+    HttpServletRequest http = context.http();
+    ServiceRoute service = call.service();
+    String customer = context.customer();
+    return new Work(
+        service.id(),
+        Optional.empty(),
+        http.getMethod(),
+        call.path(),
+        headers(http),
+        body,
+        Priorities.of(http, service.defaultPriority()),
+        service.idempotentMethods().contains(http.getMethod()),
+        false,
+        false,
+        TOKENS_PER_CALL,
+        0,
+        Hashes.fingerprint(body, customer, service.id(), http.getMethod(), call.path()));
+  }
+
+  private static ServiceRoute service(RequestContext context, String name) throws RequestRefused {
+    SettingsView settings = context.settings();
+    Optional<Key> key = context.key();
+    if (key.isPresent()) {
+      String team = key.get().customer().substring(0, key.get().customer().indexOf('/'));
+      Optional<ServiceRoute> own = settings.service(team + "/" + name);
+      if (own.isPresent()) {
+        if (own.get().open() || own.get().permits(key.get().customer())) {
+          return own.get();
+        }
+        throw RequestRefused.notRun(
+            CallerError.FORBIDDEN, "the customer may not call the service " + name);
+      }
+    }
+    Optional<ServiceRoute> open = settings.openService(name);
+    if (open.isEmpty() && key.isEmpty()) {
+      throw RequestRefused.notRun(
+          CallerError.INVALID_KEY, "given no key, expected Authorization: Bearer KEY");
+    }
+    return open.orElseThrow(
+        () -> RequestRefused.notRun(CallerError.NOT_FOUND, "there is no such service"));
+  }
+
+  private static Map<String, String> headers(HttpServletRequest http) throws RequestRefused {
+    Map<String, String> headers = new LinkedHashMap<>();
+    for (String name : EndpointHeaders.SERVICE) {
+      String value = http.getHeader(name);
+      if (value != null) {
+        if (!PLAIN_VALUE.matcher(value).matches()) {
+          throw RequestRefused.notRun(
+              CallerError.INVALID_REQUEST,
+              "header " + name + ": expected at most 512 printable ASCII characters");
+        }
+        headers.put(name, value);
+      }
+    }
+    return headers;
+  }
+
+  /** Reads the priority of a request. */
+  static final class Priorities {
+
+    private static final String HEADER = "Comfreygap-Priority";
+
+    private Priorities() {}
+
+    /** Returns the priority in the header, or {@code absent} without one. */
+    static Priority of(HttpServletRequest http, Priority absent) throws RequestRefused {
+      String value = http.getHeader(HEADER);
+      if (value == null) {
+        return absent;
+      }
+      return Priority.parse(value.strip())
+          .orElseThrow(
+              () ->
+                  RequestRefused.notRun(
+                      CallerError.INVALID_REQUEST,
+                      "header " + HEADER + ": expected urgent, normal or deferrable"));
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
@@ -0,0 +1,207 @@
+package org.comfreygap.gateway;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.UnknownHostException;
+import java.time.Duration;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.protocol.generated.CancelReply;
+import org.comfreygap.protocol.generated.CancelRequest;
+import org.comfreygap.runtime.SharedKey;
+
+/**
+ * Sends messages to sidecars over HTTP.
+ *
+ * <p>Invariant: a message is sent at most once by each call; nothing is retried, redirected or
+ * remembered between messages, and a connection that timed out or was cut is never used again.
+ * Thread safety: any thread may call.
+ */
+@Singleton
+final class SidecarClient implements AutoCloseable {
+
+  private static final String ATTEMPTS = "/attempts";
+  private static final String CANCEL = "/attempts/cancel";
+  private static final ContentType THRIFT =
+      ContentType.create("application/vnd.apache.thrift.compact");
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+  private static final Duration POOL_TIMEOUT = Duration.ofMillis(250);
+  private static final Duration VALIDATE_AFTER = Duration.ofMillis(500);
+  // Below the idle time of the sidecar's server, so that the sidecar rarely closes first.
+  private static final Duration MAX_IDLE = Duration.ofSeconds(15);
+  private static final int MAX_CONNECTIONS_PER_SIDECAR = 1_024;
+  private static final int OK = 200;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final SharedKey key;
+  private final CloseableHttpClient client;
+
+  @Inject
+  SidecarClient(GatewaySettings settings) {
+    this.key = settings.security().sharedKey();
+    this.client = client(2 * settings.workers());
+  }
+
+  /**
+   * Posts an attempt and returns its frames.
+   *
+   * @throws SidecarUnreachable when no byte was sent
+   * @throws FrameStreamBroken when the attempt may have reached the sidecar and no frames came back
+   */
+  FrameStream attempt(InetSocketAddress sidecar, AttemptRequest attempt)
+      throws SidecarUnreachable, FrameStreamBroken {
+    HttpPost post = post(ATTEMPTS, serialize(attempt));
+    ClassicHttpResponse response = execute(sidecar, post);
+    try {
+      if (response.getCode() != OK) {
+        throw new IOException("the sidecar answered with status " + response.getCode());
+      }
+      return new FrameStream(post, response, attempt.getAttemptId(), attempt.getResumeOffset());
+    } catch (IOException e) {
+      post.cancel();
+      closeQuietly(response);
+      if (response.getCode() != OK && response.getCode() < FIRST_SERVER_ERROR) {
+        throw new SidecarUnreachable("the sidecar refused the message", e);
+      }
+      throw new FrameStreamBroken("no frames", e);
+    }
+  }
+
+  /**
+   * Cancels an attempt.
+   *
+   * @throws SidecarUnreachable when no byte was sent
+   * @throws FrameStreamBroken when the sidecar's answer is not known
+   */
+  CancelReply cancel(InetSocketAddress sidecar, String attemptId, String reason)
+      throws SidecarUnreachable, FrameStreamBroken {
+    HttpPost post = post(CANCEL, serialize(new CancelRequest(attemptId, reason)));
+    ClassicHttpResponse response = execute(sidecar, post);
+    boolean complete = false;
+    try {
+      if (response.getCode() != OK) {
+        throw new IOException("the sidecar answered with status " + response.getCode());
+      }
+      byte[] body = response.getEntity().getContent().readAllBytes();
+      CancelReply reply = new CancelReply();
+      new TDeserializer(new TCompactProtocol.Factory()).deserialize(reply, body);
+      complete = true;
+      return reply;
+    } catch (IOException | TException e) {
+      throw new FrameStreamBroken("no answer to a cancellation", e);
+    } finally {
+      if (!complete) {
+        post.cancel();
+      }
+      closeQuietly(response);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    client.close();
+  }
+
+  private ClassicHttpResponse execute(InetSocketAddress sidecar, HttpPost post)
+      throws SidecarUnreachable, FrameStreamBroken {
+    HttpHost host = new HttpHost("http", sidecar.getHostString(), sidecar.getPort());
+    try {
+      return client.executeOpen(host, post, null);
+    } catch (ConnectTimeoutException
+        | ConnectionRequestTimeoutException
+        | ConnectException
+        | NoRouteToHostException
+        | UnknownHostException e) {
+      throw new SidecarUnreachable("no connection", e);
+    } catch (IOException e) {
+      post.cancel();
+      throw new FrameStreamBroken("no response", e);
+    }
+  }
+
+  private HttpPost post(String path, byte[] body) {
+    HttpPost post = new HttpPost(path);
+    post.setHeader(SharedKey.SIGNATURE_HEADER, key.signHttp(path, body));
+    post.setEntity(new ByteArrayEntity(body, THRIFT));
+    return post;
+  }
+
+  private static byte[] serialize(TBase<?, ?> message) {
+    try {
+      return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
+    } catch (TException e) {
+      throw new IllegalStateException("a message cannot be written", e);
+    }
+  }
+
+  private static void closeQuietly(ClassicHttpResponse response) {
+    try {
+      response.close();
+    } catch (IOException ignored) {
+      // The connection is closed in any case.
+    }
+  }
+
+  private static CloseableHttpClient client(int maxConnections) {
+    ConnectionConfig connections =
+        ConnectionConfig.custom()
+            .setConnectTimeout(Timeout.of(CONNECT_TIMEOUT))
+            .setSocketTimeout(Timeout.of(FrameStream.SILENCE))
+            .setValidateAfterInactivity(TimeValue.of(VALIDATE_AFTER))
+            .build();
+    PoolingHttpClientConnectionManager manager =
+        PoolingHttpClientConnectionManagerBuilder.create()
+            .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
+            .setDefaultConnectionConfig(connections)
+            .setDefaultSocketConfig(
+                SocketConfig.custom()
+                    .setTcpNoDelay(true)
+                    .setSoTimeout(Timeout.of(FrameStream.SILENCE))
+                    .build())
+            .setMaxConnPerRoute(MAX_CONNECTIONS_PER_SIDECAR)
+            .setMaxConnTotal(maxConnections)
+            .build();
+    RequestConfig requests =
+        RequestConfig.custom()
+            .setConnectionRequestTimeout(Timeout.of(POOL_TIMEOUT))
+            .setResponseTimeout(Timeout.of(FrameStream.SILENCE))
+            .build();
+    return HttpClients.custom()
+        .setConnectionManager(manager)
+        .setDefaultRequestConfig(requests)
+        .disableAutomaticRetries()
+        .disableRedirectHandling()
+        .disableCookieManagement()
+        .disableAuthCaching()
+        .disableContentCompression()
+        .disableConnectionState()
+        .disableDefaultUserAgent()
+        .evictIdleConnections(TimeValue.of(MAX_IDLE))
+        .build();
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayContractTest.java
@@ -0,0 +1,183 @@
+package org.comfreygap.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.testkit.FakeSidecar;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What callers and sidecars see of a gateway in good order, and the refusals of bad requests. */
+class GatewayContractTest {
+
+  private static GatewayFixture fixture;
+
+  @BeforeAll
+  static void start() throws Exception {
+    fixture = GatewayFixture.start(2, 1);
+  }
+
+  @AfterAll
+  static void stop() throws Exception {
+    fixture.close();
+  }
+
+  /** Guards against a completion that runs on another adapter version than named (I1). */
+  @Test
+  void completesAChatOnTheVersionItNames() throws Exception {
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+    assertThat(response.body()).isEqualTo("{\"model\":\"blue/lexicon@1\",\"text\":\"ok\"}");
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("ran");
+    assertThat(response.headers().firstValue(CallerResponse.REQUEST_ID_HEADER)).isPresent();
+  }
+
+  /** Guards against events that are lost, joined or delayed to the end. */
+  @Test
+  void streamsEvents() throws Exception {
+    HttpResponse<String> response = fixture.chat(GatewayFixture.stream(""));
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(response.headers().firstValue("Content-Type")).hasValue("text/event-stream");
+    assertThat(response.body())
+        .isEqualTo("data: {\"model\":\"blue/lexicon@1\"}\n\ndata: [DONE]\n\n");
+  }
+
+  /** Guards against a sidecar that lacks what it needs to admit and run the attempt. */
+  @Test
+  void sendsTheSidecarWhatItNeeds() throws Exception {
+    HttpResponse<String> response =
+        fixture.send(
+            fixture
+                .request("/services/orders/a%20b/c?x=1&y=2")
+                .header("Cookie", "session=1")
+                .header("X-Forwarded-For", "10.0.0.1")
+                .header("Content-Type", "text/plain")
+                .header("Comfreygap-Priority", "urgent")
+                .method("GET", HttpRequest.BodyPublishers.ofString("body")));
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    FakeSidecar sidecar = fixture.sidecar("orders-1");
+    AttemptRequest attempt = sidecar.received().get(sidecar.received().size() - 1);
+    assertThat(attempt.getPath()).isEqualTo("/a%20b/c?x=1&y=2");
+    assertThat(attempt.getMethod()).isEqualTo("GET");
+    assertThat(attempt.getServiceName()).isEqualTo("orders");
+    assertThat(attempt.getHeaders()).containsOnlyKeys("Content-Type");
+    assertThat(attempt.getCustomer()).isEqualTo("blue/press");
+    assertThat(attempt.getKeyId()).isEqualTo("k1");
+    assertThat(attempt.isIdempotent()).isTrue();
+    assertThat(attempt.getPriority()).isEqualTo(org.comfreygap.protocol.generated.Priority.URGENT);
+    assertThat(attempt.getBody()).isEqualTo("body".getBytes());
+    assertThat(attempt.getEndpoint()).isEqualTo("orders-1");
+    assertThat(attempt.getDeadlineMillis()).isBetween(1L, 60_000L);
+  }
+
+  /** Guards against an endpoint that generates more than was reserved. */
+  @Test
+  void setsTheMaximumOutputWhenTheCallerDoesNot() throws Exception {
+    fixture.chat("{\"model\":\"lexicon@2\",\"messages\":[]}");
+
+    AttemptRequest attempt =
+        fixture.sidecars.values().stream()
+            .flatMap(sidecar -> sidecar.received().stream())
+            .filter(request -> "2".equals(request.getVersion()))
+            .findFirst()
+            .orElseThrow();
+    assertThat(new String(attempt.getBody())).contains("\"max_tokens\":16");
+    assertThat(attempt.getReservedTokens()).isEqualTo(16);
+    assertThat(attempt.getSource()).isEqualTo("s3://w/2");
+  }
+
+  /** Guards against open routes that need a key, and against open routes that lend a customer. */
+  @Test
+  void servesOpenRoutesWithoutAKeyAndWithoutACustomer() throws Exception {
+    HttpResponse<String> response =
+        fixture.send(HttpRequest.newBuilder(fixture.uri("/services/public/menu")).GET());
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    FakeSidecar sidecar = fixture.sidecar("public-1");
+    assertThat(sidecar.received().get(sidecar.received().size() - 1).getCustomer()).isEmpty();
+  }
+
+  /** Guards against a wrong status, outcome or form of error for each kind of bad request. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '^',
+      value = {
+        "not JSON            | {\"model\"                                          | 400",
+        "trailing text       | {\"model\":\"lexicon@1\"} x                         | 400",
+        "no model            | {\"messages\":[]}                                   | 400",
+        "no version          | {\"model\":\"lexicon\"}                             | 400",
+        "bad maximum         | {\"model\":\"lexicon@1\",\"max_tokens\":0}          | 400",
+        "unknown adapter     | {\"model\":\"nothing@1\"}                           | 404",
+        "unknown version     | {\"model\":\"lexicon@9\"}                           | 404",
+        "another team        | {\"model\":\"red/lexicon@1\"}                       | 403",
+        "team prefix         | {\"model\":\"bluex/lexicon@1\"}                     | 403"
+      })
+  void refusesBadCompletions(String name, String body, int status) throws Exception {
+    int before = fixture.starts();
+
+    HttpResponse<String> response = fixture.chat(body);
+
+    assertThat(response.statusCode()).as(response.body()).isEqualTo(status);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+    assertThat(response.body()).contains("\"error\"").contains("\"request_id\"");
+    assertThat(fixture.starts()).isEqualTo(before);
+  }
+
+  /** Guards against another customer's adapter or service, and against bad keys (I3). */
+  @ParameterizedTest(name = "{0} {1}")
+  @CsvSource({
+    "Basic abc,                          /v1/chat/completions, 401",
+    "Bearer,                             /v1/chat/completions, 401",
+    "Bearer sk-unknown,                  /v1/chat/completions, 401",
+    "Bearer sk-unknown,                  /services/public/x,   401",
+    "Bearer sk-test-0a77c1e59b2d4f60,    /v1/chat/completions, 403",
+    "Bearer sk-test-0a77c1e59b2d4f60,    /services/orders/x,   403",
+    "Bearer sk-test-5f1c9d7be2a84c33,    /services/nothing/x,  404",
+    "Bearer sk-test-5f1c9d7be2a84c33,    /v2/other,            404",
+    "Bearer sk-test-5f1c9d7be2a84c33,    /services/orders/%2e%2e/x, 400"
+  })
+  void refusesCallersWithoutTheRight(String authorization, String path, int status)
+      throws Exception {
+    HttpResponse<String> response =
+        fixture.send(
+            HttpRequest.newBuilder(fixture.uri(path))
+                .header("Authorization", authorization)
+                .POST(HttpRequest.BodyPublishers.ofString(GatewayFixture.CHAT)));
+
+    assertThat(response.statusCode()).as(response.body()).isEqualTo(status);
+    assertThat(GatewayFixture.outcome(response)).isEqualTo("not-run");
+    assertThat(response.headers().firstValue(CallerResponse.REQUEST_ID_HEADER)).isPresent();
+    assertThat(response.body()).contains("\"error\"").doesNotContain("sk-");
+  }
+
+  /** Guards against unbounded memory for bodies, announced or not. */
+  @Test
+  void refusesLargeBodies() throws Exception {
+    byte[] large = new byte[fixture.settings.maxBodyBytes() + 1];
+
+    HttpResponse<String> announced =
+        fixture.send(
+            fixture
+                .request("/v1/chat/completions")
+                .POST(HttpRequest.BodyPublishers.ofByteArray(large)));
+    HttpResponse<String> chunked =
+        fixture.send(
+            fixture
+                .request("/v1/chat/completions")
+                .POST(
+                    HttpRequest.BodyPublishers.ofInputStream(
+                        () -> new java.io.ByteArrayInputStream(large))));
+
+    assertThat(announced.statusCode()).isEqualTo(413);
+    assertThat(chunked.statusCode()).isEqualTo(413);
+  }
+}
--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -7,6 +7,7 @@
 import io.dropwizard.core.setup.Environment;
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.logging.common.BootstrapLogging;
+import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
@@ -163,6 +164,12 @@
       factory.setRegisterDefaultExceptionMappers(true);
       factory.setDetailedJsonProcessingExceptionMapper(false);
       factory.setShutdownGracePeriod(Duration.seconds(30));
+      // The request log would hold query strings, which may carry a caller's key.
+      LogbackAccessRequestLogFactory requestLog = new LogbackAccessRequestLogFactory();
+      requestLog.setAppenders(List.of());
+      factory.setRequestLogFactory(requestLog);
+      // Compression buffers, which would delay the events of a stream.
+      factory.getGzipFilterFactory().setEnabled(false);
       Configuration configuration = new Configuration();
       configuration.setServerFactory(factory);
       return configuration;
--- /dev/null
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
@@ -0,0 +1,546 @@
+package org.comfreygap.testkit;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.comfreygap.protocol.generated.AttemptFrame;
+import org.comfreygap.protocol.generated.AttemptRequest;
+import org.comfreygap.protocol.generated.CancelReply;
+import org.comfreygap.protocol.generated.CancelRequest;
+import org.comfreygap.protocol.generated.EndpointReport;
+import org.comfreygap.protocol.generated.FrameBeat;
+import org.comfreygap.protocol.generated.FrameBody;
+import org.comfreygap.protocol.generated.FrameData;
+import org.comfreygap.protocol.generated.FrameEnd;
+import org.comfreygap.protocol.generated.FrameFailure;
+import org.comfreygap.protocol.generated.FrameHead;
+import org.comfreygap.protocol.generated.FrameRefusal;
+import org.comfreygap.protocol.generated.Outcome;
+import org.comfreygap.protocol.generated.RefusalReason;
+import org.comfreygap.protocol.generated.Route;
+import org.comfreygap.runtime.SharedKey;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.NetworkTrafficListener;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.NetworkTrafficServerConnector;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/**
+ * A sidecar with its endpoint in memory, at the HTTP interface, with faults that can be switched
+ * on.
+ *
+ * <pre>{@code
+ * FakeSidecar sidecar = FakeSidecar.start("engine-1", sharedKey);
+ * sidecar.plan(FakeSidecar.Fault.SILENT_AFTER_HEAD);
+ * }</pre>
+ *
+ * <p>An attempt id runs at most once; a repeat replays the answer from its buffer. Thread safety:
+ * any thread may call.
+ *
+ * @since 0.1
+ */
+public final class FakeSidecar implements AutoCloseable {
+
+  private static final int THREADS = 700;
+  private static final int BEAT_MILLIS = 250;
+  private static final int MAX_RECORDED_BYTES = 16 * 1024 * 1024;
+
+  private final String endpoint;
+  private final SharedKey key;
+  private final Server server;
+  private final NetworkTrafficServerConnector connector;
+  private final Queue<Plan> plans = new ConcurrentLinkedQueue<>();
+  private final Map<String, Run> runs = new ConcurrentHashMap<>();
+  private final Queue<AttemptRequest> received = new ConcurrentLinkedQueue<>();
+  private final Queue<CancelRequest> cancels = new ConcurrentLinkedQueue<>();
+  private final Set<String> resident = ConcurrentHashMap.newKeySet();
+  private final AtomicLong sequence = new AtomicLong();
+  private final AtomicInteger starts = new AtomicInteger();
+  private final AtomicInteger running = new AtomicInteger();
+  private final AtomicInteger mostRunning = new AtomicInteger();
+  private final ByteArrayOutputStream traffic = new ByteArrayOutputStream();
+  private volatile Function<AttemptRequest, Answer> answers = FakeSidecar::echo;
+  private volatile Plan standing = new Plan(Fault.NONE, RefusalReason.QUEUE_FULL);
+  private volatile String bootId = "boot-1";
+  private volatile boolean recordTraffic;
+  private volatile boolean keepRequests = true;
+  private volatile int limit = 16;
+
+  private FakeSidecar(String endpoint, SharedKey key) {
+    this.endpoint = endpoint;
+    this.key = key;
+    QueuedThreadPool threads = new QueuedThreadPool(THREADS, 8);
+    threads.setName("fake-sidecar-" + endpoint);
+    threads.setDaemon(true);
+    this.server = new Server(threads);
+    this.connector = new NetworkTrafficServerConnector(server);
+    connector.setHost("127.0.0.1");
+    connector.setNetworkTrafficListener(new Recorder());
+    server.addConnector(connector);
+    server.setHandler(new Attempts());
+  }
+
+  /**
+   * A fault of one attempt. Attaching to the attempt again works, unless the name says otherwise.
+   */
+  public enum Fault {
+    NONE,
+    /** Refused before it ran, with the reason of the plan. */
+    REFUSE,
+    /** The engine crashed after half of the answer. */
+    CRASH,
+    /** The connection closes before the response head; the attempt runs. */
+    CLOSE_BEFORE_HEAD,
+    /** The connection closes before the response head; the attempt did not run and is unknown. */
+    LOSE_REQUEST,
+    /** Nothing is sent at all; the attempt runs. */
+    SILENT_BEFORE_HEAD,
+    /** Nothing more is sent after half of the answer; the connection stays open. */
+    SILENT_HALFWAY,
+    /** The body ends properly after half of the answer, without a final frame. */
+    END_HALFWAY,
+    /** The connection closes after half of the answer. */
+    CUT_HALFWAY,
+    /** The connection closes after half of the answer, and the attempt is no longer known. */
+    FORGET_HALFWAY,
+    /** The data frames carry the id of another attempt. */
+    WRONG_ATTEMPT,
+    /** The second half of the answer carries the offset of the first. */
+    WRONG_OFFSET,
+    /** The final frame counts one byte too many. */
+    WRONG_TOTAL,
+    /** Only beats are sent until the attempt is cancelled. */
+    BEATS_ONLY
+  }
+
+  /**
+   * An answer of the endpoint.
+   *
+   * @param parts bytes of the body, one data frame each
+   * @param pauseMillis time before each part
+   */
+  public record Answer(
+      int status,
+      Map<String, String> headers,
+      List<byte[]> parts,
+      long pauseMillis,
+      long tokensUsed) {
+
+    /** Returns a JSON answer sent at once. */
+    public static Answer json(int status, String json) {
+      byte[] bytes = json.getBytes(StandardCharsets.UTF_8);
+      return new Answer(status, Map.of("Content-Type", "application/json"), List.of(bytes), 0, 10);
+    }
+
+    /** Returns server-sent events, one part each, with a pause before each. */
+    public static Answer events(List<String> events, long pauseMillis) {
+      List<byte[]> parts =
+          events.stream()
+              .map(event -> ("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8))
+              .toList();
+      return new Answer(
+          200, Map.of("Content-Type", "text/event-stream"), parts, pauseMillis, parts.size());
+    }
+
+    private long totalBytes() {
+      return parts.stream().mapToLong(part -> part.length).sum();
+    }
+  }
+
+  private record Plan(Fault fault, RefusalReason reason) {}
+
+  private record Run(Answer answer, Fault fault, AtomicInteger connections) {}
+
+  /** Starts a sidecar for {@code endpoint} on a free loopback port. */
+  public static FakeSidecar start(String endpoint, SharedKey key) throws Exception {
+    FakeSidecar sidecar = new FakeSidecar(endpoint, key);
+    sidecar.server.start();
+    return sidecar;
+  }
+
+  /** Returns the address of the attempt server. */
+  public InetSocketAddress address() {
+    return new InetSocketAddress("127.0.0.1", connector.getLocalPort());
+  }
+
+  /** Sets how the endpoint answers. */
+  public void answers(Function<AttemptRequest, Answer> function) {
+    answers = function;
+  }
+
+  /** Plans a fault for the next new attempt without one. */
+  public void plan(Fault fault) {
+    plans.add(new Plan(fault, RefusalReason.QUEUE_FULL));
+  }
+
+  /** Plans a refusal for the next new attempt without a fault. */
+  public void planRefusal(RefusalReason reason) {
+    plans.add(new Plan(Fault.REFUSE, reason));
+  }
+
+  /** Sets the fault of all further new attempts. */
+  public void always(Fault fault, RefusalReason reason) {
+    standing = new Plan(fault, reason);
+  }
+
+  /** Sets the running bound that is reported. */
+  public void limit(int bound) {
+    limit = bound;
+  }
+
+  /** Starts or stops the recording of every byte received. */
+  public void recordTraffic(boolean on) {
+    recordTraffic = on;
+  }
+
+  /** Stops keeping requests, for long measurements. */
+  public void keepRequests(boolean on) {
+    keepRequests = on;
+  }
+
+  /** Returns every byte received while recording. */
+  public byte[] traffic() {
+    synchronized (traffic) {
+      return traffic.toByteArray();
+    }
+  }
+
+  /** Returns the attempt requests received, also those that only attach. */
+  public List<AttemptRequest> received() {
+    return List.copyOf(received);
+  }
+
+  /** Returns the cancellations received. */
+  public List<CancelRequest> cancels() {
+    return List.copyOf(cancels);
+  }
+
+  /** Returns how many attempts were started at the endpoint. */
+  public int starts() {
+    return starts.get();
+  }
+
+  /** Returns how many attempts are running. */
+  public int running() {
+    return running.get();
+  }
+
+  /** Returns the most attempts that ran at once. */
+  public int mostRunning() {
+    return mostRunning.get();
+  }
+
+  /** Stops accepting and closes all connections. */
+  @Override
+  public void close() throws Exception {
+    server.stop();
+  }
+
+  private static Answer echo(AttemptRequest request) {
+    String name = request.isSetAdapter() ? request.getAdapter() + "@" + request.getVersion() : "";
+    return request.isStream()
+        ? Answer.events(List.of("{\"model\":\"" + name + "\"}", "[DONE]"), 0)
+        : Answer.json(200, "{\"model\":\"" + name + "\",\"text\":\"ok\"}");
+  }
+
+  private EndpointReport report() {
+    return new EndpointReport(
+        endpoint,
+        bootId,
+        sequence.incrementAndGet(),
+        0,
+        running.get(),
+        limit,
+        8,
+        new ArrayList<>(resident));
+  }
+
+  private final class Attempts extends Handler.Abstract {
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      byte[] body = Content.Source.asInputStream(request).readAllBytes();
+      String path = request.getHttpURI().getPath();
+      if (!key.verifyHttp(request.getHeaders().get(SharedKey.SIGNATURE_HEADER), path, body)) {
+        response.setStatus(401);
+        callback.succeeded();
+        return true;
+      }
+      try {
+        if (path.equals("/attempts")) {
+          AttemptRequest attempt = new AttemptRequest();
+          new TDeserializer(new TCompactProtocol.Factory()).deserialize(attempt, body);
+          attempt(attempt, new Exchange(request, response, callback));
+        } else {
+          CancelRequest cancel = new CancelRequest();
+          new TDeserializer(new TCompactProtocol.Factory()).deserialize(cancel, body);
+          cancel(cancel, new Exchange(request, response, callback));
+        }
+      } catch (ConnectionCut e) {
+        request.getConnectionMetaData().getConnection().getEndPoint().close();
+        callback.failed(e);
+      } catch (IOException e) {
+        callback.failed(e);
+      }
+      return true;
+    }
+
+    private void attempt(AttemptRequest attempt, Exchange exchange) throws Exception {
+      if (keepRequests) {
+        received.add(attempt);
+      }
+      String id = attempt.getAttemptId();
+      Run run = runs.get(id);
+      if (run == null && attempt.isAttachOnly()) {
+        exchange.refuse(id, RefusalReason.UNKNOWN_ATTEMPT);
+        return;
+      }
+      if (run == null) {
+        run = begin(attempt, exchange);
+        if (run == null) {
+          return;
+        }
+      }
+      boolean first = run.connections().incrementAndGet() == 1;
+      running.incrementAndGet();
+      mostRunning.accumulateAndGet(running.get(), Math::max);
+      try {
+        new Player(attempt, run.answer(), first ? run.fault() : Fault.NONE, exchange).play();
+      } finally {
+        running.decrementAndGet();
+        if (!keepRequests) {
+          runs.remove(id);
+        }
+      }
+    }
+
+    private Run begin(AttemptRequest attempt, Exchange exchange) throws Exception {
+      Plan plan = plans.poll();
+      plan = plan == null ? standing : plan;
+      if (plan.fault() == Fault.REFUSE) {
+        exchange.refuse(attempt.getAttemptId(), plan.reason());
+        return null;
+      }
+      if (plan.fault() == Fault.LOSE_REQUEST) {
+        throw new ConnectionCut();
+      }
+      starts.incrementAndGet();
+      if (attempt.isSetAdapter() && attempt.getRoute() != Route.SERVICE) {
+        resident.add(attempt.getAdapter() + "@" + attempt.getVersion());
+      }
+      Run run = new Run(answers.apply(attempt), plan.fault(), new AtomicInteger());
+      runs.put(attempt.getAttemptId(), run);
+      return run;
+    }
+
+    private void cancel(CancelRequest cancel, Exchange exchange) throws Exception {
+      cancels.add(cancel);
+      boolean known = runs.containsKey(cancel.getAttemptId());
+      Outcome outcome = known ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+      exchange.write(
+          new TSerializer(new TCompactProtocol.Factory())
+              .serialize(new CancelReply(cancel.getAttemptId(), outcome).setReport(report())));
+      exchange.end();
+    }
+  }
+
+  /** Sends one answer with one fault. */
+  private final class Player {
+
+    private final AttemptRequest attempt;
+    private final Answer answer;
+    private final Fault fault;
+    private final Exchange exchange;
+    private long offset;
+
+    Player(AttemptRequest attempt, Answer answer, Fault fault, Exchange exchange) {
+      this.attempt = attempt;
+      this.answer = answer;
+      this.fault = fault;
+      this.exchange = exchange;
+    }
+
+    void play() throws Exception {
+      String id = attempt.getAttemptId();
+      if (fault == Fault.CLOSE_BEFORE_HEAD) {
+        throw new ConnectionCut();
+      }
+      if (fault == Fault.SILENT_BEFORE_HEAD) {
+        exchange.waitUntilClosed(id, false);
+      }
+      if (fault == Fault.BEATS_ONLY) {
+        exchange.waitUntilClosed(id, true);
+      }
+      FrameHead head = new FrameHead(answer.status(), bootId).setHeaders(answer.headers());
+      exchange.frame(id, FrameBody.head(head));
+      int half = (answer.parts().size() + 1) / 2;
+      for (int i = 0; i < answer.parts().size(); i++) {
+        if (i == half || answer.parts().size() == 1) {
+          breakHalfway(id);
+        }
+        pause(id);
+        part(answer.parts().get(i), i >= half);
+      }
+      long total = answer.totalBytes() + (fault == Fault.WRONG_TOTAL ? 1 : 0);
+      exchange.frame(
+          id, FrameBody.finish(new FrameEnd(total, answer.tokensUsed()).setReport(report())));
+      exchange.end();
+    }
+
+    private void part(byte[] bytes, boolean secondHalf) throws Exception {
+      int skip = (int) Math.min(bytes.length, Math.max(0, attempt.getResumeOffset() - offset));
+      if (skip < bytes.length) {
+        long sent = offset + skip;
+        sent = fault == Fault.WRONG_OFFSET && secondHalf ? 0 : sent;
+        String id = fault == Fault.WRONG_ATTEMPT ? "another-attempt" : attempt.getAttemptId();
+        ByteBuffer data = ByteBuffer.wrap(bytes, skip, bytes.length - skip).slice();
+        exchange.frame(id, FrameBody.data(new FrameData(sent, data)));
+      }
+      offset += bytes.length;
+    }
+
+    private void pause(String id) throws Exception {
+      long left = answer.pauseMillis();
+      while (left > BEAT_MILLIS) {
+        Thread.sleep(BEAT_MILLIS);
+        left -= BEAT_MILLIS;
+        exchange.frame(id, FrameBody.beat(new FrameBeat(0)));
+      }
+      if (left > 0) {
+        Thread.sleep(left);
+      }
+    }
+
+    private void breakHalfway(String id) throws Exception {
+      switch (fault) {
+        case SILENT_HALFWAY -> exchange.waitUntilClosed(id, false);
+        case CUT_HALFWAY -> throw new ConnectionCut();
+        case FORGET_HALFWAY -> {
+          runs.remove(id);
+          throw new ConnectionCut();
+        }
+        case END_HALFWAY -> {
+          exchange.end();
+          throw new IOException("planned end");
+        }
+        case CRASH -> {
+          FrameFailure failure = new FrameFailure(Outcome.UNKNOWN, "the engine restarted");
+          bootId = "boot-" + (starts.get() + 1);
+          failure.setEndpointCrashed(true).setReport(report());
+          exchange.frame(id, FrameBody.failure(failure));
+          exchange.end();
+          throw new IOException("planned crash");
+        }
+        default -> {
+          return;
+        }
+      }
+    }
+  }
+
+  /** One HTTP exchange. */
+  private final class Exchange {
+
+    private final Request request;
+    private final OutputStream out;
+    private final Callback callback;
+
+    Exchange(Request request, Response response, Callback callback) {
+      this.request = request;
+      this.callback = callback;
+      response.getHeaders().put("Content-Type", "application/vnd.apache.thrift.compact");
+      this.out = Content.Sink.asOutputStream(response);
+    }
+
+    void frame(String attemptId, FrameBody body) throws IOException, TException {
+      write(
+          new TSerializer(new TCompactProtocol.Factory())
+              .serialize(new AttemptFrame(attemptId, body)));
+      if (!body.isSetHead()) {
+        out.flush();
+      }
+    }
+
+    void write(byte[] bytes) throws IOException {
+      out.write(bytes);
+    }
+
+    void refuse(String attemptId, RefusalReason reason) throws IOException, TException {
+      FrameRefusal refusal = new FrameRefusal(reason, Outcome.NOT_RUN).setReport(report());
+      frame(attemptId, FrameBody.refusal(refusal));
+      end();
+    }
+
+    void end() throws IOException {
+      out.close();
+      callback.succeeded();
+    }
+
+    void waitUntilClosed(String id, boolean beats) throws IOException, TException {
+      out.flush();
+      try {
+        while (server.isRunning() && request.getConnectionMetaData().getConnection() != null) {
+          Thread.sleep(BEAT_MILLIS);
+          if (beats) {
+            frame(id, FrameBody.beat(new FrameBeat(1)));
+          }
+          if (!request.getConnectionMetaData().getConnection().getEndPoint().isOpen()
+              || cancels.stream().anyMatch(cancel -> cancel.getAttemptId().equals(id))) {
+            break;
+          }
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      throw new ConnectionCut();
+    }
+  }
+
+  private final class Recorder implements NetworkTrafficListener {
+
+    @Override
+    public void incoming(Socket socket, ByteBuffer bytes) {
+      if (!recordTraffic) {
+        return;
+      }
+      byte[] copy = new byte[bytes.remaining()];
+      bytes.duplicate().get(copy);
+      synchronized (traffic) {
+        if (traffic.size() < MAX_RECORDED_BYTES) {
+          traffic.writeBytes(copy);
+        }
+      }
+    }
+  }
+
+  private static final class ConnectionCut extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    ConnectionCut() {
+      super("planned cut");
+    }
+  }
+}
