Never unload an adapter that open requests use

The sidecars' log shows why: unload orders went to adapters with runs in progress (last sent 400 ms ago, streams last seconds).

Ruled out: the store's bandwidth (22 loads a second of 64), reports that lag (sequence and expected agree in nearly all lines), credit.

Change: gateways tell sidecars which adapters their open requests use, at once when one comes into use and within 100 ms when it is used no more. Adapters in use do not make way and are not replaced by a newer version. Sidecars state how many loads could begin; a gateway sends a load elsewhere where none can. A request whose load was not ordered within 400 ms is refused to the gateway, which tries another engine, instead of using up its whole time.

--- a/decisions/src/main/java/org/comfreygap/decisions/AdapterPlaces.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/AdapterPlaces.java
@@ -1,11 +1,11 @@
 package org.comfreygap.decisions;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -15,7 +15,8 @@
  *
  * <p>An adapter that makes way is first retired: it is no longer shown as resident, so that
  * gateways send it nothing more, and unloaded after {@link #RETIRE_NOTICE}. The least recently used
- * one goes first.
+ * one goes first. One that open requests use does not make way and is not replaced: the engine
+ * would wait for these runs, for seconds, and take no other order meanwhile.
  *
  * <pre>{@code
  * places.want(name, 0, now);
@@ -36,15 +37,18 @@
   /** Time between the last word to gateways and an unload, above a network round trip. */
   public static final Duration RETIRE_NOTICE = Duration.ofMillis(30);
 
-  /** An adapter used within this time is not retired, so that its requests are not sent in vain. */
-  public static final Duration KEEP = Duration.ofMillis(400);
+  /**
+   * An adapter used within this time is not retired: after its load, the request that waits for it
+   * is sent, and its gateway tells of the use, within a few network round trips.
+   */
+  public static final Duration KEEP = Duration.ofMillis(100);
 
   /** A wish is dropped after this time; the gateway has given up or asks again. */
   public static final Duration WISH_LIFETIME = Duration.ofSeconds(3);
 
   /**
-   * An outdated version is unloaded once it was unused for this long, above the length of most
-   * runs: replacing it earlier makes the engine wait for its runs, and take no order meanwhile.
+   * An outdated version is unloaded once it was unused for this long: until the newest one is due
+   * it may still serve, and it is loaded sooner where a request asks for it.
    */
   public static final Duration OUTDATED_IDLE = Duration.ofSeconds(8);
 
@@ -58,6 +62,9 @@
   private final Map<Name, Long> retiredNanos = new HashMap<>();
   private final Map<Name, Wish> wishes = new LinkedHashMap<>();
   private final Map<Name, Long> announced = new HashMap<>();
+  private Set<Name> inUse = Set.of();
+  private long keepUntilNanos;
+  private boolean keeps;
   private int places;
 
   /** Creates an endpoint of which nothing is known. */
@@ -122,9 +129,31 @@
     usedNanos.clear();
   }
 
-  /** Records that requests were sent for an adapter. */
-  public void used(Name name, long nowNanos) {
-    usedNanos.put(name, nowNanos);
+  /** Sets the adapters that open requests use. */
+  public void inUse(Set<Name> names, long nowNanos) {
+    // Those that were in use until now were used until now.
+    inUse.forEach(name -> usedNanos.put(name, nowNanos));
+    names.forEach(name -> usedNanos.put(name, nowNanos));
+    retiredNanos.keySet().removeAll(names);
+    inUse = Set.copyOf(names);
+  }
+
+  /** Lets no adapter make way until {@code nanos}, while it is not known which are in use. */
+  public void keepUntil(long nanos) {
+    keepUntilNanos = nanos;
+    keeps = true;
+  }
+
+  /** Returns how many more loads than are asked for could begin now. */
+  public int loadable(long nowNanos) {
+    long open = wishes.keySet().stream().filter(this::orderable).count();
+    int room = places - taken() + retiredNanos.size() + idle(nowNanos).size();
+    return (int) Math.max(0, Math.min(MOST_COMING - coming.size(), room) - open);
+  }
+
+  /** Returns true while a load of the adapter is under way. */
+  public boolean comes(Name name) {
+    return coming.containsKey(name);
   }
 
   /** Asks for an adapter; returns true when it is resident already. */
@@ -189,8 +218,7 @@
     if (unload.isPresent()) {
       return unload;
     }
-    Optional<Name> wanted =
-        wishes.keySet().stream().filter(name -> !coming.containsKey(name)).findFirst();
+    Optional<Name> wanted = wishes.keySet().stream().filter(this::orderable).findFirst();
     retireOutdated(nowNanos);
     if (wanted.isEmpty() || coming.size() >= MOST_COMING) {
       return Optional.empty();
@@ -199,7 +227,7 @@
     if (resident.containsKey(name) || taken() < places) {
       return Optional.of(new Order(Action.LOAD, name));
     }
-    long missing = wishes.keySet().stream().filter(wish -> !coming.containsKey(wish)).count();
+    long missing = wishes.keySet().stream().filter(this::orderable).count();
     retire(missing - retiredNanos.size(), nowNanos);
     return Optional.empty();
   }
@@ -214,6 +242,7 @@
   private Optional<Order> dueUnload(long nowNanos) {
     return retiredNanos.entrySet().stream()
         .filter(retired -> nowNanos - retired.getValue() >= RETIRE_NOTICE.toNanos())
+        .filter(retired -> !inUse.contains(retired.getKey()))
         .map(retired -> new Order(Action.UNLOAD, retired.getKey()))
         .findFirst();
   }
@@ -223,21 +252,34 @@
         (name, version) -> {
           boolean outdated = announced.getOrDefault(name, 0L) > version;
           boolean unused = nowNanos - lastUse(name) >= OUTDATED_IDLE.toNanos();
-          if (outdated && unused && !wishes.containsKey(name)) {
+          if (outdated && unused && !wishes.containsKey(name) && !inUse.contains(name)) {
             retiredNanos.putIfAbsent(name, nowNanos);
           }
         });
   }
 
   private void retire(long count, long nowNanos) {
-    Collection<Name> idle =
-        resident.keySet().stream()
-            .filter(name -> !retiredNanos.containsKey(name) && !wishes.containsKey(name))
-            .filter(name -> nowNanos - lastUse(name) >= KEEP.toNanos())
-            .sorted(Comparator.comparingLong(this::lastUse).thenComparing(Name::adapter))
-            .limit(Math.max(0, count))
-            .toList();
-    idle.forEach(name -> retiredNanos.put(name, nowNanos));
+    idle(nowNanos).stream()
+        .sorted(Comparator.comparingLong(this::lastUse).thenComparing(Name::adapter))
+        .limit(Math.max(0, count))
+        .forEach(name -> retiredNanos.put(name, nowNanos));
+  }
+
+  /** Returns the adapters that may make way now. */
+  private List<Name> idle(long nowNanos) {
+    if (keeps && nowNanos - keepUntilNanos < 0) {
+      return List.of();
+    }
+    return resident.keySet().stream()
+        .filter(name -> !inUse.contains(name) && !retiredNanos.containsKey(name))
+        .filter(name -> !wishes.containsKey(name))
+        .filter(name -> nowNanos - lastUse(name) >= KEEP.toNanos())
+        .toList();
+  }
+
+  /** Returns true when a load for a wish may be ordered, as soon as there is a place. */
+  private boolean orderable(Name name) {
+    return !coming.containsKey(name) && !(resident.containsKey(name) && inUse.contains(name));
   }
 
   private long lastUse(Name name) {
--- a/decisions/src/test/java/org/comfreygap/decisions/AdapterPlacesTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/AdapterPlacesTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.comfreygap.decisions.AdapterPlaces.Action;
 import org.comfreygap.decisions.AdapterPlaces.Name;
 import org.comfreygap.decisions.AdapterPlaces.Order;
@@ -32,7 +33,7 @@
   @Test
   void retiresTheLeastRecentlyUsedOneBeforeItsUnload() {
     AdapterPlaces places = full(2);
-    places.used(name(1), 900 * MILLI);
+    places.inUse(Set.of(name(1)), 900 * MILLI);
     places.want(name(9), 0, 1_000 * MILLI);
 
     assertThat(places.next(1_000 * MILLI)).isEmpty();
@@ -43,8 +44,8 @@
   @Test
   void keepsWhatWasUsedLately() {
     AdapterPlaces places = full(2);
-    places.used(name(1), 900 * MILLI);
-    places.used(name(2), 900 * MILLI);
+    places.inUse(Set.of(name(1), name(2)), 0);
+    places.inUse(Set.of(), 950 * MILLI);
     places.want(name(9), 0, 1_000 * MILLI);
 
     assertThat(places.next(1_000 * MILLI)).isEmpty();
@@ -56,7 +57,8 @@
   void keepsOutdatedVersionWhileItIsUsedAndUnloadsItLater() {
     AdapterPlaces places = full(2);
     places.announced(Map.of(name(2), 5L));
-    places.used(name(2), 1_000 * MILLI);
+    places.inUse(Set.of(name(2)), 500 * MILLI);
+    places.inUse(Set.of(), 1_000 * MILLI);
 
     assertThat(places.next(2_000 * MILLI)).isEmpty();
     assertThat(places.offered()).containsEntry(name(2), 1L);
@@ -76,6 +78,78 @@
     assertThat(places.next(0)).contains(new Order(Action.LOAD, name(2)));
   }
 
+  /**
+   * Load pattern: more adapters than places, streams of seconds. Guards against unloading one in
+   * use: the engine took no other order for 3.8 s, and every request for another adapter timed out.
+   */
+  @Test
+  void neverUnloadsWhatOpenRequestsUse() {
+    AdapterPlaces places = full(2);
+    places.inUse(Set.of(name(1), name(2)), 0);
+    places.want(name(9), 0, 2_000 * MILLI);
+
+    assertThat(places.next(2_000 * MILLI)).isEmpty();
+    assertThat(places.next(2_500 * MILLI)).isEmpty();
+    assertThat(places.offered()).hasSize(2);
+
+    places.inUse(Set.of(name(2)), 2_600 * MILLI);
+    assertThat(places.next(2_700 * MILLI)).isEmpty();
+    assertThat(places.next(2_740 * MILLI)).contains(new Order(Action.UNLOAD, name(1)));
+  }
+
+  /** Guards against unloading an adapter for which a request was sent just before the notice. */
+  @Test
+  void keepsRetiredAdapterThatComesIntoUse() {
+    AdapterPlaces places = full(1);
+    places.want(name(9), 0, 1_000 * MILLI);
+    places.next(1_000 * MILLI);
+    assertThat(places.offered()).isEmpty();
+
+    places.inUse(Set.of(name(1)), 1_010 * MILLI);
+
+    assertThat(places.next(1_040 * MILLI)).isEmpty();
+    assertThat(places.offered()).containsOnlyKeys(name(1));
+  }
+
+  /** Load pattern: a new version of an adapter whose streams go on. */
+  @Test
+  void replacesOutdatedVersionOnlyOnceItsRequestsHaveEnded() {
+    AdapterPlaces places = full(2);
+    places.announced(Map.of(name(2), 5L));
+    places.inUse(Set.of(name(2)), 0);
+    places.want(name(2), 5, 10 * MILLI);
+
+    assertThat(places.next(10 * MILLI)).isEmpty();
+    places.inUse(Set.of(), 20 * MILLI);
+    assertThat(places.next(20 * MILLI)).contains(new Order(Action.LOAD, name(2)));
+  }
+
+  /** Guards against gateways that send loads where every place is in use. */
+  @Test
+  void statesHowManyLoadsCouldBegin() {
+    AdapterPlaces places = full(3);
+    assertThat(places.loadable(500 * MILLI)).isEqualTo(3);
+
+    places.inUse(Set.of(name(1), name(2)), 600 * MILLI);
+    assertThat(places.loadable(800 * MILLI)).isEqualTo(1);
+
+    places.want(name(9), 0, 800 * MILLI);
+    assertThat(places.loadable(800 * MILLI)).isZero();
+  }
+
+  /** Guards against unloads right after a restart, before gateways have told what they use. */
+  @Test
+  void letsNothingMakeWayWhileUseIsUnknown() {
+    AdapterPlaces places = full(1);
+    places.keepUntil(1_500 * MILLI);
+    places.want(name(9), 0, 1_000 * MILLI);
+
+    assertThat(places.next(1_000 * MILLI)).isEmpty();
+    assertThat(places.offered()).hasSize(1);
+    places.next(1_500 * MILLI);
+    assertThat(places.offered()).isEmpty();
+  }
+
   @Test
   void countsOrderWithoutAnswerAsTaken() {
     AdapterPlaces places = new AdapterPlaces(1);
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -390,6 +390,8 @@
   10: required list<string> models
   /** Adapters that are resident and are not about to be unloaded; unset when unchanged. */
   11: optional list<ResidentAdapter> resident
+  /** Adapters whose load could begin now; 0 while every place is used by open requests. */
+  12: optional i32 loadable
 }
 
 /** Asks that an adapter become resident. */
@@ -411,7 +413,7 @@
   4: optional i64 version
 }
 
-/** Adapters that the gateway has sent requests for since its last message of this kind. */
+/** Adapters of the requests that the gateway has open at the endpoint; replaces the last one. */
 struct AdapterUse {
   1: required list<ResidentAdapter> used
 }
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import org.comfreygap.decisions.AdapterPlaces;
 import org.comfreygap.decisions.Outcome;
 
 /**
@@ -21,6 +22,7 @@
   private final long startNanos;
   private Optional<EndpointConnection> connection = Optional.empty();
   private Optional<AnswerHead> refusal = Optional.empty();
+  private Optional<Runnable> use = Optional.empty();
   private boolean sent;
   private boolean begun;
   private boolean over;
@@ -38,6 +40,9 @@
     /** Returns the request to send, or empty when it is not to be sent any more. */
     Optional<FullHttpRequest> request(Endpoint endpoint, long nowNanos);
 
+    /** Returns the adapter that the request needs. */
+    Optional<AdapterPlaces.Name> adapter();
+
     /** Returns the id under which the answer comes. */
     String requestId();
 
@@ -155,6 +160,7 @@
       return;
     }
     connection = Optional.of(opened);
+    use = endpoint.link().flatMap(link -> owner.adapter().map(link::using));
     sent = true;
     opened.send(owner.requestId(), request.get(), this);
   }
@@ -177,6 +183,7 @@
 
   private void end() {
     over = true;
+    use.ifPresent(Runnable::run);
     endpoint.ended(begun);
     relay.loop().execute(relay.waiting()::offer);
   }
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -180,6 +180,13 @@
     return asked ? Residency.COMING : Residency.ABSENT;
   }
 
+  /** Returns false when every place for adapters is used by open requests. */
+  boolean canLoad(long nowNanos) {
+    return fresh(nowNanos)
+        .map(known -> !known.isSetLoadable() || known.getLoadable() > 0)
+        .orElse(true);
+  }
+
   /** Returns the version of an adapter that is held, where it is known. */
   OptionalLong residentVersion(AdapterPlaces.Name name) {
     Map<AdapterPlaces.Name, Long> held = status.isPresent() ? resident : listed.adapters();
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -161,6 +161,11 @@
     attempt.ifPresent(current -> current.reading(caller.writable()));
   }
 
+  @Override
+  public Optional<AdapterPlaces.Name> adapter() {
+    return stated.adapter().map(name -> new AdapterPlaces.Name(stated.model().orElse(""), name));
+  }
+
   @Override
   public String requestId() {
     return stated.id();
@@ -188,7 +193,6 @@
       HttpUtil.setContentLength(request, body.readableBytes());
     }
     answer.lastEventId().ifPresent(last -> request.headers().set("Last-Event-Id", last));
-    endpoint.link().ifPresent(link -> adapter().ifPresent(link::used));
     return Optional.of(request);
   }
 
@@ -549,10 +553,6 @@
         && runs < decision.route().maxAttempts();
   }
 
-  private Optional<AdapterPlaces.Name> adapter() {
-    return stated.adapter().map(name -> new AdapterPlaces.Name(stated.model().orElse(""), name));
-  }
-
   private long leastVersion(RouteTable table, long nowNanos) {
     return adapter().map(name -> table.leastVersion(name, nowNanos)).orElse(0L);
   }
--- a/relay/src/main/java/org/comfreygap/relay/Placement.java
+++ b/relay/src/main/java/org/comfreygap/relay/Placement.java
@@ -35,6 +35,9 @@
 
   private static final double COLD_MILLIS = 120;
 
+  /** Where all places for adapters are in use, a load waits for the end of a run, of 1 to 3 s. */
+  private static final double NO_PLACE_MILLIS = 1_200;
+
   /** A failed run costs its caller a whole run of a plain service, here with its wait. */
   private static final double FAILURE_MILLIS = 150;
 
@@ -185,8 +188,10 @@
             ? PlacementCost.engine(load, PROMPT_MILLIS)
             : PlacementCost.service(load, Math.max(1, fastestMillis));
     double cold = endpoint.cold(nowNanos) ? COLD_MILLIS : 0;
+    double crowded =
+        residency == Residency.ABSENT && !endpoint.canLoad(nowNanos) ? NO_PLACE_MILLIS : 0;
     double failing = endpoint.failureShare() * (engine ? ENGINE_FAILURE_MILLIS : FAILURE_MILLIS);
-    return (cost + cold + failing) * (1 + JITTER * random.nextDouble());
+    return (cost + cold + crowded + failing) * (1 + JITTER * random.nextDouble());
   }
 
   /** Returns how many endpoints come before this one as the home of an adapter. */
--- a/relay/src/main/java/org/comfreygap/relay/ResidencyLink.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResidencyLink.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,7 +56,8 @@
   private final Map<Long, Consumer<AdapterReply>> adapterReplies = new HashMap<>();
   private final Map<Long, Consumer<ColdPermitReply>> permitReplies = new HashMap<>();
   private final Map<AdapterPlaces.Name, List<Consumer<AdapterReply>>> wanted = new HashMap<>();
-  private final Set<AdapterPlaces.Name> used = new HashSet<>();
+  private final Map<AdapterPlaces.Name, Integer> openRequests = new HashMap<>();
+  private Set<AdapterPlaces.Name> told = Set.of();
   private Optional<Channel> channel = Optional.empty();
   private long pauseMillis = FIRST_PAUSE.toMillis();
   private long heardNanos;
@@ -132,12 +132,21 @@
         request, permitReplies, () -> new ColdPermitReply(request, false, FIRST_PAUSE.toMillis()));
   }
 
-  /** Records that a request was sent for an adapter. */
-  void used(AdapterPlaces.Name name) {
-    used.add(name);
+  /**
+   * Records that a request for an adapter is sent. The sidecar learns at once of an adapter that no
+   * request used before, since it may be about to unload it.
+   *
+   * @return to be run once, when the request has ended
+   */
+  Runnable using(AdapterPlaces.Name name) {
+    openRequests.merge(name, 1, Integer::sum);
+    if (!told.contains(name)) {
+      tellUse();
+    }
+    return () -> openRequests.computeIfPresent(name, (key, open) -> open > 1 ? open - 1 : null);
   }
 
-  /** Tells the sidecar which adapters were used; ends a connection that went silent. */
+  /** Tells the sidecar which adapters are in use; ends a connection that went silent. */
   void tick(long nowNanos) {
     if (channel.isEmpty()) {
       return;
@@ -146,12 +155,7 @@
       channel.get().close();
       return;
     }
-    if (!used.isEmpty()) {
-      List<ResidentAdapter> names = new ArrayList<>();
-      used.forEach(name -> names.add(new ResidentAdapter(name.model(), name.adapter(), 0)));
-      used.clear();
-      send(ResidencyMessage.adapterUse(new AdapterUse(names)));
-    }
+    tellUse();
   }
 
   void close() {
@@ -187,6 +191,16 @@
     channel.ifPresent(open -> PeerMessages.send(open, message));
   }
 
+  private void tellUse() {
+    if (channel.isEmpty() || openRequests.keySet().equals(told)) {
+      return;
+    }
+    told = Set.copyOf(openRequests.keySet());
+    List<ResidentAdapter> names = new ArrayList<>();
+    told.forEach(name -> names.add(new ResidentAdapter(name.model(), name.adapter(), 0)));
+    send(ResidencyMessage.adapterUse(new AdapterUse(names)));
+  }
+
   private <T> void expire(long request, Map<Long, Consumer<T>> open, Supplier<T> answer) {
     loop.schedule(
         () -> {
@@ -222,6 +236,8 @@
       channel = Optional.of(opened);
       pauseMillis = FIRST_PAUSE.toMillis();
       heardNanos = System.nanoTime();
+      told = Set.of();
+      tellUse();
       events.record(RelayEvent.SIDECAR_CONNECTED, Field.of("sidecar", address));
     }
 
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.comfreygap.decisions.AdapterPlaces;
@@ -52,6 +53,18 @@
   /** A gateway's request for an adapter is refused after this time; it tries elsewhere. */
   static final Duration REQUEST_TIMEOUT = Duration.ofMillis(1_200);
 
+  /**
+   * A request for an adapter whose load was not ordered by then is refused: it can still be loaded
+   * elsewhere in time.
+   */
+  static final Duration LONGEST_WAIT_FOR_PLACE = Duration.ofMillis(400);
+
+  /** Length of most runs: what a lost gateway used counts as in use for so long. */
+  static final Duration USE_AFTER_LOSS = Duration.ofSeconds(3);
+
+  /** Gateways connect again and tell what they use within this time after a start. */
+  static final Duration USE_UNKNOWN = Duration.ofMillis(1_000);
+
   /** Share of the stated bound for cold engines that is used; the rest is for what is late. */
   static final double COLD_SHARE = 0.8;
 
@@ -82,6 +95,7 @@
   private final Set<Channel> gateways = new HashSet<>();
   private final List<Request> requests = new ArrayList<>();
   private final Map<Name, Long> announced = new HashMap<>();
+  private final Map<Channel, Set<Name>> inUse = new HashMap<>();
   private Optional<EngineReport> report = Optional.empty();
   private Optional<RateGate> coldGate = Optional.empty();
   private Map<Name, Long> offeredBefore = Map.of();
@@ -111,7 +125,13 @@
 
   /** A gateway's open request for an adapter. */
   private record Request(
-      Channel gateway, long number, Name name, long leastVersion, long endNanos) {}
+      Channel gateway, long number, Name name, long leastVersion, long sinceNanos) {
+
+    boolean over(long nowNanos, boolean coming) {
+      Duration longest = coming ? REQUEST_TIMEOUT : LONGEST_WAIT_FOR_PLACE;
+      return nowNanos - sinceNanos >= longest.toNanos();
+    }
+  }
 
   /** Returns true while reports should be read often. */
   boolean busy() {
@@ -151,6 +171,9 @@
             || report.get().bornMillis() != newest.bornMillis();
     if (anew) {
       places.restarted();
+      if (report.isEmpty()) {
+        places.keepUntil(now + USE_UNKNOWN.toNanos());
+      }
       events.record(
           ResidencyEvent.ENGINE_STARTED,
           Field.of("endpoint", newest.instanceId().orElse("")),
@@ -190,6 +213,14 @@
   @Override
   public void closed(Channel gateway, String reason) {
     requests.removeIf(request -> request.gateway() == gateway);
+    // The requests of a gateway that is cut off here may still run.
+    loop.schedule(
+        () -> {
+          inUse.remove(gateway);
+          useChanged(System.nanoTime());
+        },
+        USE_AFTER_LOSS.toMillis(),
+        TimeUnit.MILLISECONDS);
     if (gateways.remove(gateway)) {
       events.record(
           ResidencyEvent.GATEWAY_LOST,
@@ -204,19 +235,28 @@
     if (message.isSetAdapterRequest()) {
       wanted(gateway, message.getAdapterRequest(), now);
     } else if (message.isSetAdapterUse()) {
+      Set<Name> names = new HashSet<>();
       for (ResidentAdapter used : message.getAdapterUse().getUsed()) {
-        places.used(new Name(used.getModel(), used.getAdapter()), now);
+        names.add(new Name(used.getModel(), used.getAdapter()));
       }
+      inUse.put(gateway, names);
+      useChanged(now);
     } else if (message.isSetColdPermitRequest()) {
       permit(gateway, message.getColdPermitRequest(), now);
     }
   }
 
+  private void useChanged(long now) {
+    Set<Name> all = new HashSet<>();
+    inUse.values().forEach(all::addAll);
+    places.inUse(all, now);
+    advance();
+  }
+
   private void wanted(Channel gateway, AdapterRequest asked, long now) {
     Name name = new Name(asked.getModel(), asked.getAdapter());
     long least = Math.max(asked.getLeastVersion(), announced.getOrDefault(name, 0L));
-    Request request =
-        new Request(gateway, asked.getNumber(), name, least, now + REQUEST_TIMEOUT.toNanos());
+    Request request = new Request(gateway, asked.getNumber(), name, least, now);
     boolean able =
         answering
             && report.isPresent()
@@ -247,7 +287,7 @@
     for (Request request : open) {
       if (places.serves(request.name(), request.leastVersion())) {
         answer(request, true, "");
-      } else if (now - request.endNanos() >= 0) {
+      } else if (request.over(now, places.comes(request.name()))) {
         recordNotLoaded(request);
         answer(request, false, "not loaded in time");
       } else {
@@ -269,6 +309,7 @@
         Field.of("needsReport", newReportNeeded),
         Field.of("orderOpen", orders.busy()),
         Field.of("offered", places.offered().size()),
+        Field.of("inUse", inUse.values().stream().mapToInt(Set::size).sum()),
         Field.of("requests", requests.size()));
   }
 
@@ -437,7 +478,8 @@
             + (known.coldMillis() > 0)
             + known.leaving()
             + answering
-            + known.instanceId();
+            + known.instanceId()
+            + (places.loadable(now) > 0);
     boolean due = now - statusNanos >= STATUS_PERIOD.toNanos();
     if (!residentChanged && !due && state.equals(statusBefore)) {
       return;
@@ -464,6 +506,7 @@
             known.coldMillis(),
             known.leaving(),
             new ArrayList<>(known.models()));
+    status.setLoadable(places.loadable(System.nanoTime()));
     if (withResident) {
       List<ResidentAdapter> resident = new ArrayList<>();
       places
