Model engines and loads without a network: bin/loadmodel

Requests for streams with adapters are played on a model of engines (batch, prompts read one after the other, places and loads of adapters, unloads that wait for runs), with the product's decisions and with naive ones side by side, for six patterns of load. The cost of a place moved from the gateway into decisions.PlacementPolicy, so that the model plays what the gateway decides.

--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/LoadModel.java
@@ -0,0 +1,375 @@
+package org.comfreygap.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import org.comfreygap.decisions.AdapterHomes;
+import org.comfreygap.decisions.AdapterPlaces;
+import org.comfreygap.decisions.AdapterPlaces.Name;
+import org.comfreygap.decisions.PlacementCost;
+import org.comfreygap.decisions.PlacementCost.Residency;
+import org.comfreygap.decisions.PlacementPolicy;
+
+/**
+ * Plays a load of streams for adapters on a model of engines, without processes or network, in
+ * steps of a millisecond.
+ *
+ * <p>What is left out: plain requests, limits of customers, memory for prompts, failures of
+ * gateways. The decisions are those of the product where {@link Policy#PRESENT} is played.
+ *
+ * <pre>{@code
+ * LoadModel.Result result =
+ *     new LoadModel(Setup.LIANHUA, LoadPattern.BURST, Policy.PRESENT, 7).play();
+ * }</pre>
+ *
+ * <p>Invariant: the same arguments give the same result. Thread safety: not thread-safe.
+ *
+ * @since 0.3
+ */
+public final class LoadModel {
+
+  /** Time that is played. */
+  static final long PLAYED_MILLIS = 45_000;
+
+  /** Reports of the engines reach the gateways after about this time. */
+  static final long STATUS_MILLIS = 50;
+
+  private static final long RETRY_MILLIS = 20;
+  private static final long LONGEST_PLACING_MILLIS = 1_200;
+  private static final long LONGEST_ORDER_WAIT_MILLIS = 400;
+  private static final double PROMPT_MILLIS = 45;
+  private static final double JITTER = 0.08;
+  private static final int ADAPTERS = 3_000;
+  private static final double SKEW = 1.2;
+
+  private final Setup setup;
+  private final LoadPattern pattern;
+  private final Policy policy;
+  private final Random random;
+  private final Zipf popularity;
+  private final List<Site> sites = new ArrayList<>();
+  private final List<ModelRequest> all = new ArrayList<>();
+  private final List<Waiting> waiting = new ArrayList<>();
+  private long blockedMillis;
+
+  /** Creates a model with engines that hold nothing. */
+  public LoadModel(Setup setup, LoadPattern pattern, Policy policy, long seed) {
+    this.setup = setup;
+    this.pattern = pattern;
+    this.policy = policy;
+    this.random = new Random(seed);
+    this.popularity = new Zipf(ADAPTERS, SKEW);
+    for (int i = 0; i < setup.engines; i++) {
+      sites.add(new Site(i));
+    }
+  }
+
+  /** The size of a deployment; rates are those of its heavy days. */
+  public enum Setup {
+    LIANHUA(13, 8, 87, ModelEngine.Sheet.LIANHUA),
+    GLASNIK(6, 9, 35, ModelEngine.Sheet.GLASNIK);
+
+    private final int engines;
+    private final int gateways;
+    private final double requestsPerSecond;
+    private final ModelEngine.Sheet sheet;
+
+    Setup(int engines, int gateways, double requestsPerSecond, ModelEngine.Sheet sheet) {
+      this.engines = engines;
+      this.gateways = gateways;
+      this.requestsPerSecond = requestsPerSecond;
+      this.sheet = sheet;
+    }
+  }
+
+  /** Who decides where requests go and which adapters make way. */
+  public enum Policy {
+    /** The product's decisions. */
+    PRESENT,
+    /** The endpoint with the fewest requests, and the least recently sent adapter makes way. */
+    NAIVE
+  }
+
+  /**
+   * What came out.
+   *
+   * @param inAimShare share of the requests that began within their target
+   * @param servedShare share that was served at all
+   * @param adaptersAsked different adapters that were asked for
+   * @param blockedMillis time in which engines took no order because an unload waited
+   */
+  public record Result(
+      int requests,
+      double inAimShare,
+      double servedShare,
+      int loadsFromStore,
+      int loadsFromCopies,
+      int adaptersAsked,
+      long blockedMillis) {}
+
+  /** Plays the load. */
+  public Result play() {
+    for (long now = 0; now < PLAYED_MILLIS; now++) {
+      arrive(now);
+      for (Site site : sites) {
+        site.advance(now);
+      }
+      place(now);
+    }
+    return result();
+  }
+
+  private void arrive(long now) {
+    double rate = setup.requestsPerSecond * pattern.rateFactor(now) / 1_000;
+    // At most one a millisecond, which rates of up to some hundred a second hardly notice.
+    if (random.nextDouble() >= rate) {
+      return;
+    }
+    boolean rare = random.nextDouble() < pattern.rareShare(now);
+    int rank = rare ? random.nextInt(ADAPTERS) : popularity.draw(random);
+    Name adapter = new Name("base", "a" + Math.floorMod(rank - pattern.shift(now), ADAPTERS));
+    ModelRequest request =
+        new ModelRequest(
+            ModelRequest.Kind.drawn(random.nextDouble()),
+            adapter,
+            random.nextInt(setup.gateways),
+            now);
+    all.add(request);
+    waiting.add(new Waiting(request));
+  }
+
+  private void place(long now) {
+    Iterator<Waiting> each = waiting.iterator();
+    while (each.hasNext()) {
+      if (each.next().settled(now)) {
+        each.remove();
+      }
+    }
+  }
+
+  private Result result() {
+    int inAim = 0;
+    int served = 0;
+    Set<Name> asked = new HashSet<>();
+    for (ModelRequest request : all) {
+      inAim += request.inAim() ? 1 : 0;
+      served += request.began() ? 1 : 0;
+      asked.add(request.adapter());
+    }
+    int store = sites.stream().mapToInt(site -> site.engine.loadsFromStore()).sum();
+    int copies = sites.stream().mapToInt(site -> site.engine.loadsFromCopies()).sum();
+    double count = Math.max(1, all.size());
+    return new Result(
+        all.size(), inAim / count, served / count, store, copies, asked.size(), blockedMillis);
+  }
+
+  private static long nanos(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  /** A request that looks for a place. */
+  private final class Waiting {
+
+    private final ModelRequest request;
+    private final Set<Site> excluded = new HashSet<>();
+    private Optional<Site> loading = Optional.empty();
+    private long loadingSince;
+    private long nextTry;
+
+    Waiting(ModelRequest request) {
+      this.request = request;
+      this.nextTry = request.arrivedMillis();
+    }
+
+    /** Returns true once the request was sent or given up. */
+    boolean settled(long now) {
+      long longest = Math.min(2 * request.kind().targetMillis(), LONGEST_PLACING_MILLIS);
+      if (now - request.arrivedMillis() >= longest) {
+        request.refuse();
+        return true;
+      }
+      if (loading.isPresent()) {
+        return loaded(loading.get(), now);
+      }
+      return now >= nextTry && choose(now);
+    }
+
+    private boolean loaded(Site site, long now) {
+      if (site.serves(request.adapter())) {
+        return send(site);
+      }
+      boolean late =
+          !site.engine.coming().contains(request.adapter())
+              && now - loadingSince >= LONGEST_ORDER_WAIT_MILLIS;
+      if (late || pattern.down(site.index, now)) {
+        excluded.add(site);
+        loading = Optional.empty();
+      }
+      return false;
+    }
+
+    private boolean choose(long now) {
+      nextTry = now + RETRY_MILLIS;
+      Optional<Site> best = Optional.empty();
+      double bestCost = Double.MAX_VALUE;
+      ToDoubleFunction<Site> cost = site -> site.cost(request, now);
+      for (Site site : sites) {
+        if (excluded.contains(site) || pattern.down(site.index, now)) {
+          continue;
+        }
+        double found = cost.applyAsDouble(site);
+        if (found < bestCost) {
+          best = Optional.of(site);
+          bestCost = found;
+        }
+      }
+      if (best.isEmpty()) {
+        return false;
+      }
+      Site chosen = best.get();
+      if (chosen.seen[request.gateway()].resident.contains(request.adapter())) {
+        return send(chosen);
+      }
+      chosen.places.want(request.adapter(), 0, nanos(now));
+      loading = best;
+      loadingSince = now;
+      return false;
+    }
+
+    private boolean send(Site site) {
+      if (site.engine.accept(request)) {
+        site.seen[request.gateway()].sent++;
+        site.places.inUse(site.useKnown(), nanos(site.nowMillis));
+        return true;
+      }
+      excluded.add(site);
+      loading = Optional.empty();
+      return false;
+    }
+  }
+
+  /** An engine with its sidecar, as the gateways see it. */
+  private final class Site {
+
+    private final int index;
+    private final long hash;
+    private final ModelEngine engine = new ModelEngine(setup.sheet);
+    private final AdapterPlaces places = new AdapterPlaces(setup.sheet.places());
+    private final Seen[] seen = new Seen[setup.gateways];
+    private long nowMillis;
+
+    Site(int index) {
+      this.index = index;
+      this.hash = AdapterHomes.hash("engine-" + index);
+      for (int i = 0; i < seen.length; i++) {
+        seen[i] = new Seen();
+      }
+    }
+
+    boolean serves(Name adapter) {
+      return engine.resident().contains(adapter) && places.serves(adapter, 0);
+    }
+
+    void advance(long now) {
+      nowMillis = now;
+      if (pattern.restarts(index, now) || pattern.down(index, now)) {
+        engine.restart();
+        places.restarted();
+      }
+      if (pattern.down(index, now)) {
+        return;
+      }
+      engine.advance(now, sites.stream().mapToInt(site -> site.engine.coming().size()).sum());
+      Map<Name, Long> resident = new HashMap<>();
+      engine.resident().forEach(name -> resident.put(name, 1L));
+      Map<Name, Long> coming = new HashMap<>();
+      engine.coming().forEach(name -> coming.put(name, 1L));
+      places.observed(resident, coming, nanos(now));
+      places.inUse(useKnown(), nanos(now));
+      blockedMillis += engine.blocked() ? 1 : 0;
+      if (!engine.blocked()) {
+        places
+            .next(nanos(now))
+            .filter(engine::order)
+            .ifPresent(order -> places.accepted(order, nanos(now)));
+      }
+      for (int i = 0; i < seen.length; i++) {
+        if ((now + i * STATUS_MILLIS / seen.length) % STATUS_MILLIS == 0) {
+          seen[i].update(this);
+        }
+      }
+    }
+
+    /** Naive sidecars do not know what is in use. */
+    Set<Name> useKnown() {
+      return policy == Policy.PRESENT ? engine.inUse() : Set.of();
+    }
+
+    double cost(ModelRequest request, long now) {
+      Seen known = seen[request.gateway()];
+      int waits = known.waiting + known.sent;
+      if (policy == Policy.NAIVE) {
+        return (known.running + waits) * (1 + JITTER * random.nextDouble());
+      }
+      PlacementCost.Load load =
+          new PlacementCost.Load(
+              setup.sheet.slots(),
+              known.running,
+              waits,
+              1,
+              known.residency(request.adapter()),
+              homePosition(request.adapter(), now),
+              (index + request.gateway()) % 3 == 0);
+      PlacementPolicy.Candidate candidate =
+          new PlacementPolicy.Candidate(load, known.loadable > 0, false, 0);
+      return PlacementPolicy.ENGINE.cost(candidate, PROMPT_MILLIS)
+          * (1 + JITTER * random.nextDouble());
+    }
+
+    private int homePosition(Name adapter, long now) {
+      long name = AdapterHomes.hash(adapter.model() + "/" + adapter.adapter());
+      long own = AdapterHomes.weight(name, hash);
+      int before = 0;
+      for (Site other : sites) {
+        boolean up = !pattern.down(other.index, now);
+        before += up && AdapterHomes.weight(name, other.hash) > own ? 1 : 0;
+      }
+      return before;
+    }
+  }
+
+  /** What one gateway knows of an engine. */
+  private static final class Seen {
+
+    private Set<Name> resident = Set.of();
+    private Set<Name> coming = Set.of();
+    private int running;
+    private int waiting;
+    private int loadable = 1;
+    private int sent;
+
+    void update(Site site) {
+      resident = new HashSet<>(site.places.offered().keySet());
+      coming = new HashSet<>(site.engine.coming());
+      running = site.engine.running();
+      waiting = site.engine.waiting();
+      loadable = site.places.loadable(nanos(site.nowMillis));
+      sent = 0;
+    }
+
+    Residency residency(Name adapter) {
+      if (resident.contains(adapter)) {
+        return Residency.HELD;
+      }
+      return coming.contains(adapter) ? Residency.COMING : Residency.ABSENT;
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/LoadModelMain.java
@@ -0,0 +1,143 @@
+package org.comfreygap.bench;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/**
+ * Compares the product's decisions with naive ones on {@link LoadModel}, {@code bin/loadmodel}.
+ *
+ * <p>Thread safety: used once.
+ *
+ * @since 0.3
+ */
+@Command(
+    name = "loadmodel",
+    description =
+        "Plays a load on a model of engines with the present and a naive policy, for example:"
+            + " loadmodel --pattern burst --seed 7")
+public final class LoadModelMain {
+
+  private static final int BAR_WIDTH = 600;
+  private static final int BAR_HEIGHT = 16;
+
+  @Option(
+      name = {"--pattern"},
+      description = "Pattern of the load; all when not given")
+  private String pattern = "";
+
+  @Option(
+      name = {"--size"},
+      description = "Size of the deployment: lianhua or glasnik")
+  private String size = "lianhua";
+
+  @Option(
+      name = {"--seed"},
+      description = "Seed of the arrivals")
+  private long seed = 1;
+
+  @Option(
+      name = {"--plot"},
+      description = "Writes the shares as an SVG picture to this file")
+  private String plot;
+
+  private record Line(LoadPattern pattern, LoadModel.Policy policy, LoadModel.Result result) {}
+
+  /** Runs the comparison; exits with 2 for wrong usage. */
+  public static void main(String[] args) throws IOException {
+    try {
+      SingleCommand.singleCommand(LoadModelMain.class).parse(args).run(System.out);
+    } catch (ParseException | IllegalArgumentException e) {
+      System.err.println("loadmodel: " + e.getMessage());
+      System.exit(2);
+    }
+  }
+
+  private void run(PrintStream out) throws IOException {
+    LoadModel.Setup setup = LoadModel.Setup.valueOf(size.toUpperCase(Locale.ROOT));
+    List<Line> lines = new ArrayList<>();
+    out.printf(
+        "%-14s %-8s %8s %7s %7s %6s %7s %7s %8s%n",
+        "pattern", "policy", "requests", "in aim", "served", "store", "copies", "asked", "blocked");
+    for (LoadPattern played : patterns()) {
+      for (LoadModel.Policy policy : LoadModel.Policy.values()) {
+        LoadModel.Result result = new LoadModel(setup, played, policy, seed).play();
+        lines.add(new Line(played, policy, result));
+        out.printf(
+            Locale.ROOT,
+            "%-14s %-8s %8d %7.3f %7.3f %6d %7d %7d %6dms%n",
+            played.word(),
+            policy.name().toLowerCase(Locale.ROOT),
+            result.requests(),
+            result.inAimShare(),
+            result.servedShare(),
+            result.loadsFromStore(),
+            result.loadsFromCopies(),
+            result.adaptersAsked(),
+            result.blockedMillis());
+      }
+    }
+    if (plot != null) {
+      Files.writeString(Path.of(plot), picture(lines));
+    }
+  }
+
+  private List<LoadPattern> patterns() {
+    if (pattern.isEmpty()) {
+      return List.of(LoadPattern.values());
+    }
+    String known =
+        Arrays.stream(LoadPattern.values())
+            .map(LoadPattern::word)
+            .collect(Collectors.joining(", "));
+    return List.of(
+        LoadPattern.named(pattern)
+            .orElseThrow(
+                () ->
+                    new IllegalArgumentException(
+                        "given --pattern " + pattern + ", expected one of " + known)));
+  }
+
+  /** Returns a picture with a bar for each play: served, and within it in aim. */
+  private static String picture(List<Line> lines) {
+    StringBuilder svg = new StringBuilder();
+    svg.append("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"")
+        .append(BAR_WIDTH + 240)
+        .append("\" height=\"")
+        .append((lines.size() + 2) * (BAR_HEIGHT + 4))
+        .append("\" font-family=\"sans-serif\" font-size=\"12\">\n");
+    int y = BAR_HEIGHT;
+    for (Line line : lines) {
+      String name = line.pattern().word() + " " + line.policy().name().toLowerCase(Locale.ROOT);
+      svg.append(
+          String.format(
+              Locale.ROOT,
+              "<text x=\"4\" y=\"%d\">%s</text><rect x=\"180\" y=\"%d\" width=\"%.0f\""
+                  + " height=\"%d\" fill=\"#bcd\"/><rect x=\"180\" y=\"%d\" width=\"%.0f\""
+                  + " height=\"%d\" fill=\"#276\"/>%n",
+              y + BAR_HEIGHT - 4,
+              name,
+              y,
+              BAR_WIDTH * line.result().servedShare(),
+              BAR_HEIGHT,
+              y,
+              BAR_WIDTH * line.result().inAimShare(),
+              BAR_HEIGHT));
+      y += BAR_HEIGHT + 4;
+    }
+    return svg.append("<text x=\"180\" y=\"")
+        .append(y + BAR_HEIGHT)
+        .append("\">dark: began in aim; light: served at all</text></svg>\n")
+        .toString();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/LoadPattern.java
@@ -0,0 +1,92 @@
+package org.comfreygap.bench;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * A shape of load, and of what the engines go through, for {@link LoadModel}.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @since 0.3
+ */
+public enum LoadPattern {
+  /** The usual traffic, adapters with a skew of 1.2. */
+  STEADY,
+  /** 1.8 times the usual for a third of the time. */
+  BURST {
+    @Override
+    double rateFactor(long millis) {
+      return millis > 15_000 && millis < 30_000 ? 1.8 : 1;
+    }
+  },
+  /** A sixth of the requests ask for adapters that are hardly ever used. */
+  RARE_ADAPTERS {
+    @Override
+    double rareShare(long millis) {
+      return 1.0 / 6;
+    }
+  },
+  /** The popular adapters change every 8 s. */
+  DEMAND_SHIFT {
+    @Override
+    int shift(long millis) {
+      return (int) (millis / 8_000) * 5;
+    }
+  },
+  /** All engines start empty at a third of the time, as after a loss of power. */
+  RESTART {
+    @Override
+    boolean restarts(int engine, long millis) {
+      return millis == 15_000;
+    }
+  },
+  /** A quarter of the engines is down for 2 s. */
+  ENGINE_LOSS {
+    @Override
+    boolean down(int engine, long millis) {
+      return engine % 4 == 0 && millis >= 15_000 && millis < 17_000;
+    }
+
+    @Override
+    boolean restarts(int engine, long millis) {
+      return engine % 4 == 0 && millis == 17_000;
+    }
+  };
+
+  /** Returns the pattern with the given name, in lower case with dashes. */
+  public static Optional<LoadPattern> named(String name) {
+    return Arrays.stream(values()).filter(pattern -> pattern.word().equals(name)).findFirst();
+  }
+
+  /** Returns the name as it is given on the command line. */
+  public String word() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  /** Returns by what the usual rate of requests is multiplied. */
+  double rateFactor(long millis) {
+    return 1;
+  }
+
+  /** Returns the share of requests for adapters that are drawn evenly from all. */
+  double rareShare(long millis) {
+    return 0;
+  }
+
+  /** Returns by how many places the ranking of the adapters has moved. */
+  int shift(long millis) {
+    return 0;
+  }
+
+  /** Returns true while an engine does not answer. */
+  boolean down(int engine, long millis) {
+    return false;
+  }
+
+  /** Returns true when an engine starts empty at this moment. */
+  boolean restarts(int engine, long millis) {
+    return false;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/ModelEngine.java
@@ -0,0 +1,197 @@
+package org.comfreygap.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.comfreygap.decisions.AdapterPlaces;
+import org.comfreygap.decisions.AdapterPlaces.Action;
+import org.comfreygap.decisions.AdapterPlaces.Name;
+import org.comfreygap.decisions.AdapterPlaces.Order;
+
+/**
+ * A model of one engine: it reads prompts one after the other, runs a batch, and holds adapters.
+ *
+ * <p>An unload waits for the runs of its adapter, and the engine takes no other order until then.
+ * Invariant: at most {@link Sheet#places} adapters are held or coming. Thread safety: not
+ * thread-safe.
+ */
+final class ModelEngine {
+
+  private final Sheet sheet;
+  private final Deque<ModelRequest> reading = new ArrayDeque<>();
+  private final List<ModelRequest> running = new ArrayList<>();
+  private final Map<Name, Double> comingMillis = new HashMap<>();
+  private final Set<Name> resident = new HashSet<>();
+  private final Set<Name> copies = new HashSet<>();
+  private Optional<Name> unloading = Optional.empty();
+  private int loadsFromStore;
+  private int loadsFromCopies;
+
+  ModelEngine(Sheet sheet) {
+    this.sheet = sheet;
+  }
+
+  /**
+   * Figures of an engine, from the sheets of the deployments.
+   *
+   * @param stepMillis time of one step of a batch
+   * @param stepMillisEach what each running request adds to it
+   * @param tokensPerMilli prompt tokens read in a millisecond
+   * @param loadMillis load of an adapter from the store
+   * @param storeAtOnce loads at full speed over all engines
+   */
+  record Sheet(
+      int slots,
+      int places,
+      double stepMillis,
+      double stepMillisEach,
+      double tokensPerMilli,
+      double loadMillis,
+      int storeAtOnce) {
+
+    /** Share of the load time when the engine has a copy of its own. */
+    static final double COPY_SHARE = 0.1;
+
+    /** Engines of lianhua-route. */
+    static final Sheet LIANHUA = new Sheet(64, 17, 8.2, 0.05, 25.8, 250, 16);
+
+    /** Engines of glasnik-mreza. */
+    static final Sheet GLASNIK = new Sheet(64, 15, 8.87, 0.05, 19.1, 250, 8);
+  }
+
+  Set<Name> resident() {
+    return resident;
+  }
+
+  Set<Name> coming() {
+    return comingMillis.keySet();
+  }
+
+  int running() {
+    return running.size();
+  }
+
+  int waiting() {
+    return reading.size();
+  }
+
+  int loadsFromStore() {
+    return loadsFromStore;
+  }
+
+  int loadsFromCopies() {
+    return loadsFromCopies;
+  }
+
+  /** Returns true while an unload waits for runs. */
+  boolean blocked() {
+    return unloading.isPresent();
+  }
+
+  /** Returns the adapters of open requests. */
+  Set<Name> inUse() {
+    Set<Name> names = new HashSet<>();
+    reading.forEach(request -> names.add(request.adapter()));
+    running.forEach(request -> names.add(request.adapter()));
+    return names;
+  }
+
+  void restart() {
+    reading.forEach(ModelRequest::fail);
+    running.forEach(ModelRequest::fail);
+    reading.clear();
+    running.clear();
+    resident.clear();
+    comingMillis.clear();
+    unloading = Optional.empty();
+  }
+
+  /** Takes a request; one for an adapter that is absent or about to go is refused. */
+  boolean accept(ModelRequest request) {
+    boolean serves =
+        resident.contains(request.adapter())
+            && unloading.filter(request.adapter()::equals).isEmpty();
+    if (serves) {
+      reading.add(request);
+    }
+    return serves;
+  }
+
+  /** Carries out an order, or refuses it. */
+  boolean order(Order order) {
+    if (unloading.isPresent()) {
+      return false;
+    }
+    Name name = order.name();
+    if (order.action() == Action.UNLOAD) {
+      if (inUse().contains(name)) {
+        unloading = Optional.of(name);
+      } else {
+        resident.remove(name);
+      }
+      return true;
+    }
+    if (resident.size() + comingMillis.size() >= sheet.places()
+        || comingMillis.size() >= AdapterPlaces.MOST_COMING) {
+      return false;
+    }
+    boolean copy = copies.contains(name);
+    loadsFromCopies += copy ? 1 : 0;
+    loadsFromStore += copy ? 0 : 1;
+    comingMillis.put(name, sheet.loadMillis() * (copy ? Sheet.COPY_SHARE : 1));
+    return true;
+  }
+
+  /**
+   * Lets a millisecond pass.
+   *
+   * @param comingOverall loads that are under way at all engines
+   */
+  void advance(long nowMillis, int comingOverall) {
+    double speed = Math.min(1, sheet.storeAtOnce() / (double) Math.max(1, comingOverall));
+    for (Name name : List.copyOf(comingMillis.keySet())) {
+      double left = comingMillis.get(name) - speed;
+      comingMillis.put(name, left);
+      if (left <= 0) {
+        comingMillis.remove(name);
+        resident.add(name);
+        copies.add(name);
+      }
+    }
+    read(nowMillis);
+    run();
+    if (unloading.isPresent() && !inUse().contains(unloading.get())) {
+      resident.remove(unloading.get());
+      unloading = Optional.empty();
+    }
+  }
+
+  private void read(long nowMillis) {
+    ModelRequest first = reading.peekFirst();
+    if (first == null || running.size() >= sheet.slots()) {
+      return;
+    }
+    if (first.read(sheet.tokensPerMilli())) {
+      reading.removeFirst();
+      running.add(first);
+      first.begin(nowMillis);
+    }
+  }
+
+  private void run() {
+    double steps = 1 / (sheet.stepMillis() + sheet.stepMillisEach() * running.size());
+    Iterator<ModelRequest> all = running.iterator();
+    while (all.hasNext()) {
+      if (all.next().step(steps)) {
+        all.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/ModelRequest.java
@@ -0,0 +1,122 @@
+package org.comfreygap.bench;
+
+import org.comfreygap.decisions.AdapterPlaces.Name;
+
+/**
+ * A request for a stream in {@link LoadModel}.
+ *
+ * <p>Thread safety: not thread-safe.
+ */
+final class ModelRequest {
+
+  private final Kind kind;
+  private final Name adapter;
+  private final int gateway;
+  private final long arrivedMillis;
+  private double promptTokens;
+  private double steps;
+  private long beganMillis = -1;
+  private boolean failed;
+  private boolean refused;
+
+  ModelRequest(Kind kind, Name adapter, int gateway, long arrivedMillis) {
+    this.kind = kind;
+    this.adapter = adapter;
+    this.gateway = gateway;
+    this.arrivedMillis = arrivedMillis;
+    this.promptTokens = kind.promptTokens;
+    this.steps = kind.outputTokens;
+  }
+
+  /** Kinds of streams of the deployments, with their part of the traffic. */
+  enum Kind {
+    LONG(0.62, 600, 1_460, 171),
+    DEFERRABLE(0.08, 1_000, 1_460, 171),
+    SHORT(0.30, 500, 646, 69);
+
+    private final double share;
+    private final long targetMillis;
+    private final int promptTokens;
+    private final int outputTokens;
+
+    Kind(double share, long targetMillis, int promptTokens, int outputTokens) {
+      this.share = share;
+      this.targetMillis = targetMillis;
+      this.promptTokens = promptTokens;
+      this.outputTokens = outputTokens;
+    }
+
+    /** Returns the kind for a number drawn evenly from 0 to 1. */
+    static Kind drawn(double number) {
+      if (number < LONG.share) {
+        return LONG;
+      }
+      return number < LONG.share + DEFERRABLE.share ? DEFERRABLE : SHORT;
+    }
+
+    long targetMillis() {
+      return targetMillis;
+    }
+  }
+
+  Kind kind() {
+    return kind;
+  }
+
+  Name adapter() {
+    return adapter;
+  }
+
+  int gateway() {
+    return gateway;
+  }
+
+  long arrivedMillis() {
+    return arrivedMillis;
+  }
+
+  boolean refused() {
+    return refused;
+  }
+
+  boolean failed() {
+    return failed;
+  }
+
+  void refuse() {
+    refused = true;
+  }
+
+  void fail() {
+    failed = true;
+  }
+
+  /** Reads a part of the prompt; returns true once it is read. */
+  boolean read(double tokens) {
+    promptTokens -= tokens;
+    return promptTokens <= 0;
+  }
+
+  void begin(long nowMillis) {
+    beganMillis = nowMillis;
+  }
+
+  /** Makes a part of the output; returns true once it is complete. */
+  boolean step(double count) {
+    steps -= count;
+    return steps <= 0;
+  }
+
+  boolean began() {
+    return beganMillis >= 0 && !failed;
+  }
+
+  /** Returns the time from arrival to the first output. */
+  long waitedMillis() {
+    return beganMillis - arrivedMillis;
+  }
+
+  boolean inAim() {
+    return began() && waitedMillis() <= kind.targetMillis;
+  }
+}
--- a/relay/src/main/java/org/comfreygap/relay/Placement.java
+++ b/relay/src/main/java/org/comfreygap/relay/Placement.java
@@ -9,6 +9,7 @@
 import org.comfreygap.decisions.AdapterPlaces;
 import org.comfreygap.decisions.PlacementCost;
 import org.comfreygap.decisions.PlacementCost.Residency;
+import org.comfreygap.decisions.PlacementPolicy;
 import org.comfreygap.settings.Documents.Pool;
 
 /**
@@ -33,17 +34,6 @@
   /** Endpoints whose costs are this close are chosen by chance, so that gateways spread out. */
   private static final double JITTER = 0.08;
 
-  private static final double COLD_MILLIS = 120;
-
-  /** Where all places for adapters are in use, a load waits for the end of a run, of 1 to 3 s. */
-  private static final double NO_PLACE_MILLIS = 1_200;
-
-  /** A failed run costs its caller a whole run of a plain service, here with its wait. */
-  private static final double FAILURE_MILLIS = 150;
-
-  /** The same for a model engine, whose runs take seconds. */
-  private static final double ENGINE_FAILURE_MILLIS = 1_500;
-
   private final EndpointDirectory directory;
   private final String zone;
   private final RandomGenerator random;
@@ -183,15 +173,14 @@
             residency,
             home,
             endpoint.zone().equals(zone));
+    PlacementPolicy.Candidate candidate =
+        new PlacementPolicy.Candidate(
+            load, endpoint.canLoad(nowNanos), endpoint.cold(nowNanos), endpoint.failureShare());
     double cost =
         engine
-            ? PlacementCost.engine(load, PROMPT_MILLIS)
-            : PlacementCost.service(load, Math.max(1, fastestMillis));
-    double cold = endpoint.cold(nowNanos) ? COLD_MILLIS : 0;
-    double crowded =
-        residency == Residency.ABSENT && !endpoint.canLoad(nowNanos) ? NO_PLACE_MILLIS : 0;
-    double failing = endpoint.failureShare() * (engine ? ENGINE_FAILURE_MILLIS : FAILURE_MILLIS);
-    return (cost + cold + crowded + failing) * (1 + JITTER * random.nextDouble());
+            ? PlacementPolicy.ENGINE.cost(candidate, PROMPT_MILLIS)
+            : PlacementPolicy.SERVICE.cost(candidate, Math.max(1, fastestMillis));
+    return cost * (1 + JITTER * random.nextDouble());
   }
 
   /** Returns how many endpoints come before this one as the home of an adapter. */
