Explain a request from its id: comfreygap explain

Walking from a request's id to its cause took a search in the logs of every process. The command does it over collected log files or over the running processes: the request's own events, the changes of belief of the gateways that it met from 3 s before it, and the events of its endpoints, with the cause that the last event states and where to look next. Events are read and merged by one class, which timeline uses as well.

--- a/cli/src/main/java/org/comfreygap/cli/CliMain.java
+++ b/cli/src/main/java/org/comfreygap/cli/CliMain.java
@@ -25,7 +25,12 @@
     name = "comfreygap",
     description = "Operates a comfreygap deployment through the administration API of control",
     defaultCommand = Help.class,
-    commands = {Help.class, PlatformCommands.Status.class, TimelineCommand.class},
+    commands = {
+      Help.class,
+      PlatformCommands.Status.class,
+      TimelineCommand.class,
+      ExplainCommand.class
+    },
     groups = {
       @Group(
           name = "settings",
--- /dev/null
+++ b/cli/src/main/java/org/comfreygap/cli/EventCollection.java
@@ -0,0 +1,104 @@
+package org.comfreygap.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * Events of several processes in the order of their hybrid logical clocks, from their log files or
+ * from the time lines that they serve.
+ *
+ * <p>Each event is an object with {@code process}, {@code hlc}, {@code number}, {@code name} and
+ * {@code fields}. Thread safety: immutable.
+ *
+ * @param missing processes that did not answer
+ */
+record EventCollection(List<JsonNode> events, List<String> missing) {
+
+  private static final List<String> OWN = List.of("process", "hlc", "number");
+
+  EventCollection {
+    events =
+        events.stream()
+            .sorted(Comparator.comparingLong(event -> event.path("hlc").asLong()))
+            .toList();
+    missing = List.copyOf(missing);
+  }
+
+  /** Reads the time lines of all processes that control knows. */
+  static EventCollection live(AdminClient client, String query) throws CommandFailure {
+    List<String> missing = new ArrayList<>();
+    List<JsonNode> events = new ArrayList<>();
+    for (Map.Entry<String, String> process : processes(client).entrySet()) {
+      try {
+        JsonNode answer =
+            client.getFromProcess("http://" + process.getValue() + "/timeline" + query);
+        answer.forEach(events::add);
+      } catch (IOException e) {
+        missing.add(process.getKey() + " (" + e.getMessage() + ")");
+      }
+    }
+    return new EventCollection(events, missing);
+  }
+
+  /** Reads log files; lines that are no events, and what a collector put before them, are left. */
+  static EventCollection fromLogs(List<Path> files) throws CommandFailure {
+    List<JsonNode> events = new ArrayList<>();
+    for (Path file : files) {
+      try (Stream<String> lines = Files.lines(file)) {
+        lines.flatMap(line -> event(line).stream()).forEach(events::add);
+      } catch (IOException e) {
+        throw new CommandFailure(ExitCode.USAGE, "cannot read the log file " + file, e);
+      }
+    }
+    return new EventCollection(events, List.of());
+  }
+
+  /** Returns the event of one line of a log. */
+  static Optional<JsonNode> event(String line) {
+    int start = line.indexOf('{');
+    if (start < 0) {
+      return Optional.empty();
+    }
+    JsonNode written;
+    try {
+      written = AdminClient.MAPPER.readTree(line.substring(start));
+    } catch (JsonProcessingException e) {
+      // Other programs write into the same files; what is no JSON is no event.
+      return Optional.empty();
+    }
+    ObjectNode event = AdminClient.MAPPER.createObjectNode();
+    ObjectNode fields = AdminClient.MAPPER.createObjectNode();
+    for (JsonNode pair : written.path("kvpList")) {
+      pair.fields()
+          .forEachRemaining(
+              field ->
+                  (OWN.contains(field.getKey()) ? event : fields)
+                      .set(field.getKey(), field.getValue()));
+    }
+    event.set("name", written.path("formattedMessage"));
+    event.set("fields", fields);
+    return event.has("number") ? Optional.of(event) : Optional.empty();
+  }
+
+  private static Map<String, String> processes(AdminClient client) throws CommandFailure {
+    Map<String, String> addresses = new TreeMap<>();
+    for (JsonNode process : client.get("/status").path("processes")) {
+      String address = process.path("adminAddress").asText("");
+      if (!address.isEmpty()) {
+        addresses.put(process.path("processId").asText(), address);
+      }
+    }
+    return addresses;
+  }
+}
--- a/cli/src/main/java/org/comfreygap/cli/OperatorCommand.java
+++ b/cli/src/main/java/org/comfreygap/cli/OperatorCommand.java
@@ -26,7 +26,7 @@
    *
    * @throws CommandFailure when it could not do what it was asked to do
    */
-  final ExitCode execute(PrintStream out) throws CommandFailure {
+  ExitCode execute(PrintStream out) throws CommandFailure {
     try (AdminClient client = connection.client()) {
       return run(client, out);
     }
--- a/cli/src/main/java/org/comfreygap/cli/TimelineCommand.java
+++ b/cli/src/main/java/org/comfreygap/cli/TimelineCommand.java
@@ -14,10 +14,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * Merges the events of all processes in the order of their hybrid logical clocks.
@@ -57,19 +54,9 @@
 
   @Override
   ExitCode run(AdminClient client, PrintStream out) throws CommandFailure {
-    String query = query();
-    List<String> missing = new ArrayList<>();
-    List<JsonNode> events = new ArrayList<>();
-    for (Map.Entry<String, String> process : processes(client).entrySet()) {
-      try {
-        JsonNode answer =
-            client.getFromProcess("http://" + process.getValue() + "/timeline" + query);
-        answer.forEach(events::add);
-      } catch (IOException e) {
-        missing.add(process.getKey());
-      }
-    }
-    events.sort((a, b) -> Long.compare(a.path("hlc").asLong(), b.path("hlc").asLong()));
+    EventCollection found = EventCollection.live(client, query());
+    List<JsonNode> events = found.events();
+    List<String> missing = found.missing();
     print(out, events, missing);
     if (html != null) {
       writeHtml(events, missing);
@@ -108,17 +95,6 @@
     return query.toString();
   }
 
-  private static Map<String, String> processes(AdminClient client) throws CommandFailure {
-    Map<String, String> addresses = new TreeMap<>();
-    for (JsonNode process : client.get("/status").path("processes")) {
-      String address = process.path("adminAddress").asText("");
-      if (!address.isEmpty()) {
-        addresses.put(process.path("processId").asText(), address);
-      }
-    }
-    return addresses;
-  }
-
   private void print(PrintStream out, List<JsonNode> events, List<String> missing) {
     if (format() == OutputFormat.JSON) {
       ObjectNode result = object();
--- a/cli/src/main/java/org/comfreygap/cli/TimelineText.java
+++ b/cli/src/main/java/org/comfreygap/cli/TimelineText.java
@@ -23,8 +23,12 @@
 
   /** Returns the event as one line. */
   static String line(JsonNode event) {
+    return Instant.ofEpochMilli(millis(event)) + " " + lineWithoutTime(event);
+  }
+
+  /** Returns the event as one line, for a time that is given otherwise. */
+  static String lineWithoutTime(JsonNode event) {
     StringBuilder line = new StringBuilder();
-    line.append(Instant.ofEpochMilli(millis(event))).append(' ');
     line.append(event.path("process").asText()).append(' ');
     line.append(event.path("number").asText()).append(' ');
     line.append(event.path("name").asText());
--- /dev/null
+++ b/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
@@ -0,0 +1,114 @@
+package org.comfreygap.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards the walk from a request's id to its cause, which on-call engineers have only logs for. */
+class ExplainCommandTest {
+
+  @TempDir Path folder;
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  @Test
+  void leadsFromARefusalToTheCreditThatWasMissing() throws IOException {
+    Path log =
+        log(
+            line("gateway.a", 1_000, 3540, "TABLES_IN_FORCE", "revision", "7"),
+            line(
+                "gateway.a",
+                1_200,
+                3501,
+                "REQUEST_REJECTED",
+                "request",
+                "r1",
+                "reason",
+                "over-limit",
+                "customer",
+                "acme",
+                "credit",
+                "held:0"),
+            line("gateway.b", 1_200, 3540, "TABLES_IN_FORCE", "revision", "7"));
+
+    assertThat(run("explain", "r1", "--log", log.toString())).isEqualTo(ExitCode.OK);
+
+    assertThat(text(out))
+        .contains("-200 ms  gateway.a 3540 TABLES_IN_FORCE")
+        .contains("cause: refused: customer acme had no credit left (held:0")
+        .doesNotContain("gateway.b");
+  }
+
+  @Test
+  void leadsFromAFailureToTheEndpointThatCrashed() throws IOException {
+    Path log =
+        log(
+            line("gateway.a", 5_000, 3507, "REQUEST_SENT", "request", "r2", "endpoint", "i-1"),
+            line("sidecar.x", 5_900, 4501, "ENGINE_STARTED", "endpoint", "i-1"),
+            line("sidecar.y", 5_900, 4501, "ENGINE_STARTED", "endpoint", "i-2"),
+            "a line of another program",
+            line(
+                "gateway.a",
+                5_500,
+                3503,
+                "REQUEST_FAILED",
+                "request",
+                "r2",
+                "endpoint",
+                "i-1",
+                "reason",
+                "the connection was reset"));
+
+    assertThat(run("explain", "r2", "--log", log.toString(), "--output", "json"))
+        .isEqualTo(ExitCode.OK);
+
+    assertThat(text(out))
+        .contains("the connection was reset")
+        .contains("sidecar.x")
+        .doesNotContain("sidecar.y");
+  }
+
+  @Test
+  void saysWhenNothingIsKnownOfARequest() throws IOException {
+    Path log = log(line("gateway.a", 5_000, 3507, "REQUEST_SENT", "request", "r2"));
+
+    assertThat(run("explain", "r9", "--log", log.toString())).isEqualTo(ExitCode.NOT_FOUND);
+    assertThat(text(err)).contains("no event of request r9 among 1 events");
+  }
+
+  private Path log(String... lines) throws IOException {
+    return Files.write(folder.resolve("all.log"), List.of(lines));
+  }
+
+  /** Returns a line as a collector stores it, with its own words before the JSON object. */
+  private static String line(
+      String process, long millis, int number, String name, String... fields) {
+    StringBuilder pairs = new StringBuilder();
+    for (int i = 0; i < fields.length; i += 2) {
+      pairs.append(",{\"%s\":\"%s\"}".formatted(fields[i], fields[i + 1]));
+    }
+    return " 1.5 host-7 {\"level\":\"INFO\",\"kvpList\": [{\"process\":\"%s\"},{\"hlc\":\"%d\"}"
+            .formatted(process, millis << 16)
+        + ",{\"number\":\"%d\"}%s],\"formattedMessage\":\"%s\"}".formatted(number, pairs, name);
+  }
+
+  private ExitCode run(String... args) {
+    return CliMain.run(
+        args,
+        new PrintStream(out, true, StandardCharsets.UTF_8),
+        new PrintStream(err, true, StandardCharsets.UTF_8));
+  }
+
+  private static String text(ByteArrayOutputStream stream) {
+    return stream.toString(StandardCharsets.UTF_8);
+  }
+}
