Spread the returns of callers that were refused for their limit

Ruled out: refusals of other customers (13 of 2,721).

Change: each refusal is told the time at which the customer's rate can admit it after those refused before it, up to 30 s. Test: ReturnScheduleTest, pattern of one customer at six times its limit. Jetty, Dropwizard and Jersey are logged from WARN on, as they wrote 40 lines at each start of control.

--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/ReturnSchedule.java
@@ -0,0 +1,47 @@
+package org.comfreygap.decisions;
+
+import java.time.Duration;
+
+/**
+ * Tells refused callers of one customer when to come back, so that they return spread over the time
+ * in which the customer's limit can admit them.
+ *
+ * <p>With one time for all, those who were refused in a second return in the same 50 ms, and nearly
+ * all of them are refused again.
+ *
+ * <pre>{@code
+ * Duration wait = schedule.next(tokens, tokensPerSecond, earliest, now);
+ * }</pre>
+ *
+ * <p>Invariant: the tokens of requests told to return within any second are at most those of a
+ * second of the limit, up to {@link #LONGEST}. Thread safety: not thread-safe.
+ *
+ * @since 0.3
+ */
+public final class ReturnSchedule {
+
+  /** Beyond this the demand will have changed; the longest deadlines of callers are as long. */
+  public static final Duration LONGEST = Duration.ofSeconds(30);
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private long nextNanos;
+  private boolean used;
+
+  /**
+   * Returns the time after which a refused request should return.
+   *
+   * @param tokens tokens of the request
+   * @param tokensPerSecond part of the limit that this gateway may count on, at least 1
+   * @param earliest time until which no credit comes
+   */
+  public Duration next(long tokens, double tokensPerSecond, Duration earliest, long nowNanos) {
+    long soonest = nowNanos + earliest.toNanos();
+    long start = used && nextNanos - soonest > 0 ? nextNanos : soonest;
+    long length = (long) (tokens / Math.max(1, tokensPerSecond) * NANOS_PER_SECOND);
+    long longest = nowNanos + LONGEST.toNanos();
+    used = true;
+    nextNanos = start + length - longest > 0 ? longest : start + length;
+    return Duration.ofNanos(Math.min(start, longest) - nowNanos);
+  }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/comfreygap/decisions/ReturnScheduleTest.java
@@ -0,0 +1,48 @@
+package org.comfreygap.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Load pattern: one customer sends six times its limit. Guards against callers who were refused
+ * together and return together.
+ */
+class ReturnScheduleTest {
+
+  private static final Duration EARLIEST = Duration.ofMillis(50);
+
+  @Test
+  void spreadsTheReturnsAtTheRateOfTheLimit() {
+    ReturnSchedule schedule = new ReturnSchedule();
+    int[] returnsPerSecond = new int[31];
+    for (int i = 0; i < 60; i++) {
+      long now = TimeUnit.MILLISECONDS.toNanos(i * 16L);
+      Duration wait = schedule.next(1_000, 10_000, EARLIEST, now);
+      returnsPerSecond[(int) ((now + wait.toNanos()) / 1_000_000_000L)]++;
+    }
+
+    for (int second = 0; second < 6; second++) {
+      assertThat(returnsPerSecond[second]).isBetween(9, 10);
+    }
+  }
+
+  @Test
+  void tellsTheEarliestTimeWhenFewAreRefused() {
+    ReturnSchedule schedule = new ReturnSchedule();
+
+    assertThat(schedule.next(1_000, 10_000, EARLIEST, 0)).isEqualTo(EARLIEST);
+    assertThat(schedule.next(1_000, 10_000, EARLIEST, TimeUnit.SECONDS.toNanos(5)))
+        .isEqualTo(EARLIEST);
+  }
+
+  @Test
+  void neverTellsMoreThanTheLongestTime() {
+    ReturnSchedule schedule = new ReturnSchedule();
+    for (int i = 0; i < 1_000; i++) {
+      assertThat(schedule.next(1_000, 1, EARLIEST, 0)).isLessThanOrEqualTo(ReturnSchedule.LONGEST);
+    }
+  }
+}
--- a/relay/src/main/java/org/comfreygap/relay/CreditKeeper.java
+++ b/relay/src/main/java/org/comfreygap/relay/CreditKeeper.java
@@ -16,6 +16,7 @@
 import org.comfreygap.decisions.CustomerCredit.State;
 import org.comfreygap.decisions.CustomerCredit.Ticket;
 import org.comfreygap.decisions.LimitTolerance;
+import org.comfreygap.decisions.ReturnSchedule;
 import org.comfreygap.protocol.generated.CreditExchange;
 import org.comfreygap.protocol.generated.CreditGrant;
 import org.comfreygap.protocol.generated.CreditItem;
@@ -60,6 +61,8 @@
   private final LimitTolerance tolerance;
   private final Map<String, CustomerCredit> accounts = new HashMap<>();
   private final Map<Ticket, Consumer<Ticket>> waiting = new HashMap<>();
+  private final Map<String, ReturnSchedule> returns = new HashMap<>();
+  private final Map<String, Long> rates = new HashMap<>();
   private final BlockingQueue<CreditExchange> outgoing = new ArrayBlockingQueue<>(1);
   private final DutyThread duty;
   private boolean exchanging;
@@ -112,6 +115,18 @@
     return ticket;
   }
 
+  /** Returns when a request that was refused should return. */
+  Duration returnAfter(String customer, Ticket refused, long nowNanos) {
+    double share = rates.getOrDefault(customer, 0L) / (double) Math.max(1, gateways.getAsInt());
+    Duration earliest = Duration.ofMillis(refused.retryAfterMillis());
+    if (share <= 0) {
+      return earliest;
+    }
+    return returns
+        .computeIfAbsent(customer, name -> new ReturnSchedule())
+        .next(refused.tokens(), share, earliest, nowNanos);
+  }
+
   /** Takes back a ticket that still waits. */
   void abandon(String customer, Ticket ticket) {
     if (waiting.remove(ticket) != null) {
@@ -213,6 +228,7 @@
     for (CreditGrant grant : reply.getGrants()) {
       CustomerCredit credit = accounts.get(grant.getCustomer());
       long expires = sentNanos + TimeUnit.MILLISECONDS.toNanos(grant.getLifetimeMillis());
+      rates.put(grant.getCustomer(), grant.getTokensPerSecond());
       credit.reserveBound(grant.getBurstTokens() / reserveParts);
       credit.overdraft(
           tolerance.borrowable(
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -292,7 +293,9 @@
     } else if (decided.state() == State.GRANTED) {
       place();
     } else {
-      refuse(Refusal.overLimit(decided.retryAfterMillis()));
+      String customer = decision.customer().orElseThrow().id();
+      Duration wait = relay.credit().returnAfter(customer, decided, System.nanoTime());
+      refuse(Refusal.overLimit(wait.toMillis()));
     }
   }
 
--- a/runtime/src/main/java/org/comfreygap/runtime/StructuredLogging.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/StructuredLogging.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.core.ConsoleAppender;
 import com.codahale.metrics.MetricRegistry;
 import io.dropwizard.logging.common.LoggingFactory;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -62,6 +63,10 @@
     // Thrift logs each connection that a peer closes as an error, Netty its search for features.
     context.getLogger("org.apache.thrift").setLevel(Level.OFF);
     context.getLogger("io.netty").setLevel(Level.ERROR);
+    // What the HTTP server says of its own start costs a restarted program time and tells nothing.
+    for (String name : List.of("org.eclipse.jetty", "io.dropwizard", "org.glassfish")) {
+      context.getLogger(name).setLevel(Level.WARN);
+    }
   }
 
   @Override
