Load fewer adapters at once while the store is slow

The sidecars' log has 1,053 loads for 341 adapters in 16 s, the same adapter on up to 8 engines: with four loads at each of 13 engines the store is shared by 52 instead of 16, each load takes 0.8 s, requests were refused after 400 ms without an order, and their gateways asked for the adapter at the next engine. Load begot load.

Ruled out: the engines' places (4 to 13 of 17 in use), orders refused (none), cold engines.

Change: the loads at once are halved after a slow load and raised step by step after others; what most requests wait for goes first; a request waits at its engine while the store is slow; a wish of which no request is left is dropped.

--- a/bench/src/main/java/org/comfreygap/bench/LoadModel.java
+++ b/bench/src/main/java/org/comfreygap/bench/LoadModel.java
@@ -194,6 +194,7 @@
       long longest = Math.min(2 * request.kind().targetMillis(), LONGEST_PLACING_MILLIS);
       if (now - request.arrivedMillis() >= longest) {
         request.refuse();
+        loading.ifPresent(site -> site.forget(request.adapter()));
         return true;
       }
       if (loading.isPresent()) {
@@ -208,6 +209,7 @@
       }
       boolean late =
           !site.engine.coming().contains(request.adapter())
+              && !site.places.congested()
               && now - loadingSince >= LONGEST_ORDER_WAIT_MILLIS;
       if (late || pattern.down(site.index, now)) {
         excluded.add(site);
@@ -308,6 +310,20 @@
       }
     }
 
+    /** Drops a wish of which no request is left. */
+    void forget(Name adapter) {
+      boolean others =
+          waiting.stream()
+              .anyMatch(
+                  one ->
+                      one.loading.filter(this::equals).isPresent()
+                          && one.request.adapter().equals(adapter)
+                          && !one.request.refused());
+      if (!others) {
+        places.unwant(adapter);
+      }
+    }
+
     /** Naive sidecars do not know what is in use. */
     Set<Name> useKnown() {
       return policy == Policy.PRESENT ? engine.inUse() : Set.of();
--- a/bench/src/main/java/org/comfreygap/bench/LoadPattern.java
+++ b/bench/src/main/java/org/comfreygap/bench/LoadPattern.java
@@ -35,8 +35,13 @@
       return (int) (millis / 8_000) * 5;
     }
   },
-  /** All engines start empty at a third of the time, as after a loss of power. */
+  /** All engines start empty at a third of the time, and callers who were cut off return. */
   RESTART {
+    @Override
+    double rateFactor(long millis) {
+      return millis > 15_000 && millis < 20_000 ? 2 : 1;
+    }
+
     @Override
     boolean restarts(int engine, long millis) {
       return millis == 15_000;
--- a/bench/src/main/java/org/comfreygap/bench/ModelEngine.java
+++ b/bench/src/main/java/org/comfreygap/bench/ModelEngine.java
@@ -103,12 +103,14 @@
     return names;
   }
 
+  /** Starts anew, with neither adapters nor copies of them. */
   void restart() {
     reading.forEach(ModelRequest::fail);
     running.forEach(ModelRequest::fail);
     reading.clear();
     running.clear();
     resident.clear();
+    copies.clear();
     comingMillis.clear();
     unloading = Optional.empty();
   }
--- a/decisions/src/main/java/org/comfreygap/decisions/AdapterPlaces.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/AdapterPlaces.java
@@ -23,6 +23,10 @@
  * Optional<Order> order = places.next(now);
  * }</pre>
  *
+ * <p>The store is shared by all endpoints, and beyond a number of loads each takes longer. The
+ * loads at once are therefore halved after one that took long and raised step by step otherwise, so
+ * that what most requests wait for comes first and in time.
+ *
  * <p>Invariant: resident and coming adapters together never exceed the places, and those coming
  * never exceed {@link #MOST_COMING}, counting every order that may still be carried out. Thread
  * safety: not thread-safe.
@@ -34,6 +38,17 @@
   /** Adapters that may be on their way to one endpoint at once, a bound of the engines. */
   public static final int MOST_COMING = 4;
 
+  /**
+   * A load that takes longer than this shares the store with more loads than it carries: at full
+   * speed one takes 250 ms by the capacity sheets.
+   */
+  public static final Duration SLOW_LOAD = Duration.ofMillis(400);
+
+  /** By what the loads at once are divided after a slow one, and raised after each other one. */
+  static final double WINDOW_DECREASE = 0.5;
+
+  static final double WINDOW_INCREASE = 0.25;
+
   /** Time between the last word to gateways and an unload, above a network round trip. */
   public static final Duration RETIRE_NOTICE = Duration.ofMillis(30);
 
@@ -65,6 +80,10 @@
   private Set<Name> inUse = Set.of();
   private long keepUntilNanos;
   private boolean keeps;
+  private final Map<Name, Long> orderedNanos = new HashMap<>();
+  private double window = MOST_COMING;
+  private long windowLoweredNanos;
+  private boolean windowLowered;
   private int places;
 
   /** Creates an endpoint of which nothing is known. */
@@ -84,7 +103,7 @@
   /** An order to the endpoint. */
   public record Order(Action action, Name name) {}
 
-  private record Wish(long leastVersion, long sinceNanos) {}
+  private record Wish(long leastVersion, long sinceNanos, int requests) {}
 
   /** Sets the number of places. */
   public void places(int count) {
@@ -109,6 +128,7 @@
     resident.putAll(residentVersions);
     coming.clear();
     coming.putAll(comingVersions);
+    noteLoads(nowNanos);
     doubtfulUntil
         .entrySet()
         .removeIf(
@@ -124,6 +144,7 @@
   public void restarted() {
     resident.clear();
     coming.clear();
+    orderedNanos.clear();
     doubtfulUntil.clear();
     retiredNanos.clear();
     usedNanos.clear();
@@ -144,11 +165,16 @@
     keeps = true;
   }
 
-  /** Returns how many more loads than are asked for could begin now. */
+  /** Returns for how many more loads than are asked for there are places. */
   public int loadable(long nowNanos) {
     long open = wishes.keySet().stream().filter(this::orderable).count();
     int room = places - taken() + retiredNanos.size() + idle(nowNanos).size();
-    return (int) Math.max(0, Math.min(MOST_COMING - coming.size(), room) - open);
+    return (int) Math.max(0, room - open);
+  }
+
+  /** Returns true while as many loads are under way as may be. */
+  public boolean congested() {
+    return coming.size() >= (int) window;
   }
 
   /** Returns true while a load of the adapter is under way. */
@@ -166,12 +192,20 @@
     }
     wishes.merge(
         name,
-        new Wish(leastVersion, nowNanos),
+        new Wish(leastVersion, nowNanos, 1),
         (before, after) ->
-            new Wish(Math.max(before.leastVersion(), after.leastVersion()), after.sinceNanos()));
+            new Wish(
+                Math.max(before.leastVersion(), after.leastVersion()),
+                after.sinceNanos(),
+                before.requests() + 1));
     return false;
   }
 
+  /** Takes back a wish of which no request is left; a load that was ordered goes on. */
+  public void unwant(Name name) {
+    wishes.remove(name);
+  }
+
   /** Returns true when an adapter is resident in at least the given version and not retired. */
   public boolean serves(Name name, long leastVersion) {
     Long version = resident.get(name);
@@ -198,6 +232,7 @@
     doubtfulUntil.clear();
     if (order.action() == Action.LOAD) {
       coming.put(order.name(), announced.getOrDefault(order.name(), 0L));
+      orderedNanos.put(order.name(), nowNanos);
     } else {
       resident.remove(order.name());
       retiredNanos.remove(order.name());
@@ -218,9 +253,9 @@
     if (unload.isPresent()) {
       return unload;
     }
-    Optional<Name> wanted = wishes.keySet().stream().filter(this::orderable).findFirst();
+    Optional<Name> wanted = mostWanted();
     retireOutdated(nowNanos);
-    if (wanted.isEmpty() || coming.size() >= MOST_COMING) {
+    if (wanted.isEmpty() || congested()) {
       return Optional.empty();
     }
     Name name = wanted.get();
@@ -277,6 +312,40 @@
         .toList();
   }
 
+  /** Returns what most requests wait for; the first of several. */
+  private Optional<Name> mostWanted() {
+    Name most = null;
+    int requests = 0;
+    for (Map.Entry<Name, Wish> wish : wishes.entrySet()) {
+      if (wish.getValue().requests() > requests && orderable(wish.getKey())) {
+        most = wish.getKey();
+        requests = wish.getValue().requests();
+      }
+    }
+    return Optional.ofNullable(most);
+  }
+
+  private void noteLoads(long nowNanos) {
+    for (Name name : List.copyOf(orderedNanos.keySet())) {
+      if (coming.containsKey(name)) {
+        continue;
+      }
+      long ordered = orderedNanos.remove(name);
+      if (!resident.containsKey(name)) {
+        continue;
+      }
+      // Loads that began before the last decrease say nothing about its effect.
+      boolean slow = nowNanos - ordered > SLOW_LOAD.toNanos();
+      if (!slow) {
+        window = Math.min(MOST_COMING, window + WINDOW_INCREASE);
+      } else if (!windowLowered || ordered - windowLoweredNanos >= 0) {
+        window = Math.max(1, window * WINDOW_DECREASE);
+        windowLoweredNanos = nowNanos;
+        windowLowered = true;
+      }
+    }
+  }
+
   /** Returns true when a load for a wish may be ordered, as soon as there is a place. */
   private boolean orderable(Name name) {
     return !coming.containsKey(name) && !(resident.containsKey(name) && inUse.contains(name));
--- a/decisions/src/test/java/org/comfreygap/decisions/AdapterPlacesTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/AdapterPlacesTest.java
@@ -137,6 +137,37 @@
     assertThat(places.loadable(800 * MILLI)).isZero();
   }
 
+  /**
+   * Load pattern: all engines start empty. Guards against loads that all become slow, since the
+   * store carries fewer at once: 1,053 loads for 341 adapters, and a third of the requests refused.
+   */
+  @Test
+  void loadsFewerAtOnceWhileTheStoreIsSlowAndMoreWhenItIsFast() {
+    AdapterPlaces places = new AdapterPlaces(60);
+    long now = 0;
+    for (int i = 0; i < 12; i++) {
+      now = load(places, i * 10, now, 800 * MILLI);
+    }
+    assertThat(atOnce(places, 500, now)).isEqualTo(1);
+
+    for (int i = 0; i < 20; i++) {
+      now = load(places, 1_000 + i * 10, now, 250 * MILLI);
+    }
+    assertThat(atOnce(places, 2_000, now)).isEqualTo(AdapterPlaces.MOST_COMING);
+  }
+
+  @Test
+  void loadsFirstWhatMostRequestsWaitFor() {
+    AdapterPlaces places = new AdapterPlaces(5);
+    places.want(name(1), 0, 0);
+    places.want(name(2), 0, 0);
+    places.want(name(2), 0, 0);
+
+    assertThat(places.next(0)).contains(new Order(Action.LOAD, name(2)));
+    places.unwant(name(2));
+    assertThat(places.next(0)).contains(new Order(Action.LOAD, name(1)));
+  }
+
   /** Guards against unloads right after a restart, before gateways have told what they use. */
   @Test
   void letsNothingMakeWayWhileUseIsUnknown() {
@@ -216,6 +247,35 @@
     }
   }
 
+  /** Loads as many as may be at once, which takes the given time; returns the time after it. */
+  private static long load(AdapterPlaces places, int first, long now, long duration) {
+    Map<Name, Long> coming = order(places, first, now);
+    places.observed(coming, Map.of(), now + duration);
+    places.observed(Map.of(), Map.of(), now + duration);
+    return now + duration;
+  }
+
+  private static int atOnce(AdapterPlaces places, int first, long now) {
+    return order(places, first, now).size();
+  }
+
+  private static Map<Name, Long> order(AdapterPlaces places, int first, long now) {
+    for (int i = 0; i < AdapterPlaces.MOST_COMING + 1; i++) {
+      places.want(name(first + i), 0, now);
+    }
+    Map<Name, Long> coming = new HashMap<>();
+    Optional<Order> order = places.next(now);
+    while (order.isPresent()) {
+      places.accepted(order.get(), now);
+      coming.put(order.get().name(), 1L);
+      order = places.next(now);
+    }
+    for (int i = 0; i < AdapterPlaces.MOST_COMING + 1; i++) {
+      places.unwant(name(first + i));
+    }
+    return coming;
+  }
+
   private record LateOrder(Order order, long expectedSequence) {}
 
   private static void carryOut(Order order, Map<Name, Long> resident, Map<Name, Long> coming) {
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -54,8 +54,8 @@
   static final Duration REQUEST_TIMEOUT = Duration.ofMillis(1_200);
 
   /**
-   * A request for an adapter whose load was not ordered by then is refused: it can still be loaded
-   * elsewhere in time.
+   * A request for an adapter that found no place by then is refused: it can still be loaded
+   * elsewhere in time. While the store is slow it waits, since elsewhere it would only add a load.
    */
   static final Duration LONGEST_WAIT_FOR_PLACE = Duration.ofMillis(400);
 
@@ -287,9 +287,12 @@
     for (Request request : open) {
       if (places.serves(request.name(), request.leastVersion())) {
         answer(request, true, "");
-      } else if (request.over(now, places.comes(request.name()))) {
+      } else if (request.over(now, places.comes(request.name()) || places.congested())) {
         recordNotLoaded(request);
         answer(request, false, "not loaded in time");
+        if (open.stream().noneMatch(o -> o != request && o.name().equals(request.name()))) {
+          places.unwant(request.name());
+        }
       } else {
         requests.add(request);
       }
