Log each error that is expected and passed over, with its reason

25 catches of main code only had a comment. They now leave a debug line; the one whose message could quote a caller's body leaves its class alone. An unreadable load stated by an endpoint leaves one too.

--- a/bench/src/main/java/org/comfreygap/bench/ByteCounter.java
+++ b/bench/src/main/java/org/comfreygap/bench/ByteCounter.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Forwards TCP connections to a list of addresses and counts the bytes in both directions.
@@ -20,6 +22,8 @@
  */
 final class ByteCounter implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(ByteCounter.class);
+
   private static final int BUFFER_BYTES = 16_384;
 
   private final List<ServerSocket> listeners = new ArrayList<>();
@@ -61,7 +65,8 @@
         called.setTcpNoDelay(true);
         run(() -> copy(caller, called));
         run(() -> copy(called, caller));
-      } catch (IOException ignored) {
+      } catch (IOException e) {
+        LOG.debug("a connection was not forwarded", e);
         // The target refused, or the counter is closed.
       }
     }
@@ -79,7 +84,8 @@
         bytes.addAndGet(count);
         count = in.read(buffer);
       }
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("a forwarded connection ended", e);
       // One side closed the connection.
     }
   }
--- a/bench/src/main/java/org/comfreygap/bench/Layout.java
+++ b/bench/src/main/java/org/comfreygap/bench/Layout.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Names, zones and ports of one fleet.
@@ -18,6 +20,8 @@
  */
 final class Layout {
 
+  private static final Logger LOG = LoggerFactory.getLogger(Layout.class);
+
   /** Team that owns all customers, adapters and services. */
   static final String TEAM = "shop";
 
@@ -133,7 +137,8 @@
         next = next + 1 >= LAST_PORT ? FIRST_PORT : next + 1;
         try (ServerSocket probe = new ServerSocket(next, 1, InetAddress.getLoopbackAddress())) {
           return probe.getLocalPort();
-        } catch (IOException ignored) {
+        } catch (IOException e) {
+          LOG.debug("a port is in use", e);
           // Another process uses this port.
         }
       }
--- a/bench/src/main/java/org/comfreygap/bench/NaiveProxy.java
+++ b/bench/src/main/java/org/comfreygap/bench/NaiveProxy.java
@@ -28,6 +28,8 @@
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.util.Timeout;
 import org.comfreygap.testkit.WireServer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The naive policy that comfreygap is compared with: a random endpoint, adapters loaded on demand
@@ -41,6 +43,8 @@
  */
 final class NaiveProxy implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(NaiveProxy.class);
+
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int BUFFER_BYTES = 8_192;
 
@@ -228,7 +232,8 @@
       Set<String> names = new HashSet<>();
       state.path("resident").forEach(name -> names.add(name.asText()));
       endpoint.resident(names);
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("an engine does not tell what it holds", e);
       // The engine is down; the next refused request reads its state.
     }
   }
--- a/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
+++ b/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
@@ -19,6 +19,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.comfreygap.runtime.SharedKey;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The real programs of comfreygap, each in a process of its own.
@@ -29,6 +31,8 @@
  */
 final class ProductFleet {
 
+  private static final Logger LOG = LoggerFactory.getLogger(ProductFleet.class);
+
   private static final String OPERATOR_TOKEN = "measure-operator-token";
   private static final String SHARED_KEY = "measure-shared-key-0123456789abcdef";
   private static final Duration READY_LIMIT = Duration.ofSeconds(60);
@@ -98,7 +102,8 @@
       }
       try {
         leader = admin.status(STATUS_LIMIT).path("leader").asText();
-      } catch (IOException ignored) {
+      } catch (IOException e) {
+        LOG.debug("no instance of control answers yet", e);
         // No instance of control answers yet.
       }
     }
--- a/bench/src/main/java/org/comfreygap/bench/RunningProgram.java
+++ b/bench/src/main/java/org/comfreygap/bench/RunningProgram.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A program that the measurement started as a process of its own.
@@ -16,6 +18,8 @@
  */
 final class RunningProgram {
 
+  private static final Logger LOG = LoggerFactory.getLogger(RunningProgram.class);
+
   private static final long STOP_SECONDS = 40;
 
   private final String id;
@@ -67,7 +71,8 @@
           return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024;
         }
       }
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("the memory of a process cannot be read", e);
       // The process has ended.
     }
     return 0;
--- a/bench/src/main/java/org/comfreygap/bench/SettingsProbe.java
+++ b/bench/src/main/java/org/comfreygap/bench/SettingsProbe.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.comfreygap.bench.Evidence.SettingsReading;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Changes one document once a second and reads it, and the revisions in force, from every control
@@ -17,6 +19,8 @@
  */
 final class SettingsProbe implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(SettingsProbe.class);
+
   private static final long INTERVAL_MILLIS = 500;
   private static final Duration CHANGE_LIMIT = Duration.ofSeconds(5);
   private static final String PATH = "/teams/" + Layout.TEAM;
@@ -94,7 +98,8 @@
             see(process.path("processId").asText() + "-seen-by-" + i, revision);
           }
         }
-      } catch (IOException ignored) {
+      } catch (IOException e) {
+        LOG.debug("a control instance does not answer", e);
         // The instance is down; its next answer is compared with its last one.
       }
     }
--- a/consensus/src/main/java/org/comfreygap/consensus/PeerChannels.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/PeerChannels.java
@@ -12,6 +12,8 @@
 import org.comfreygap.protocol.generated.SnapshotReply;
 import org.comfreygap.protocol.generated.TimeoutNow;
 import org.comfreygap.protocol.generated.VoteRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Two sequences of calls to one peer: one for entries and snapshots, one for heartbeats and votes.
@@ -21,6 +23,8 @@
  */
 final class PeerChannels implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(PeerChannels.class);
+
   private static final int RING_SIZE = 64;
   private static final Duration IDLE = Duration.ofMillis(500);
   private static final Duration CONTROL_TIMEOUT = Duration.ofMillis(300);
@@ -79,7 +83,8 @@
           try {
             var reply = link.requestVote(request);
             core.submit((raft, now) -> raft.onVoteReply(now, request, reply));
-          } catch (TException ignored) {
+          } catch (TException e) {
+            LOG.debug("no answer to a request for a vote; the candidate asks again", e);
             // The candidate asks again after its election timeout.
           }
         });
@@ -90,7 +95,8 @@
         link -> {
           try {
             link.timeoutNow(request);
-          } catch (TException ignored) {
+          } catch (TException e) {
+            LOG.debug("a peer was not told to take over; the leader steps down", e);
             // The leader steps down when the hand-over takes too long.
           }
         });
@@ -137,7 +143,8 @@
           accepted = last.isAccepted();
         }
       }
-    } catch (TException | IOException ignored) {
+    } catch (TException | IOException e) {
+      LOG.debug("a snapshot was not sent; the leader tries again", e);
       // Reported below as not accepted; the leader tries again.
     }
     boolean done = accepted;
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -27,6 +27,8 @@
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 import org.comfreygap.runtime.SuspensionWatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A replica of the log: joins the decisions of {@link RaftCore} with disk, network and threads.
@@ -45,6 +47,8 @@
  */
 public final class RaftLog implements ReplicatedLog {
 
+  private static final Logger LOG = LoggerFactory.getLogger(RaftLog.class);
+
   private static final int CORE_RING_SIZE = 4_096;
   private static final Duration TICK = Duration.ofMillis(15);
   // More batches at the disk would not be written sooner; what waits joins the next batch.
@@ -253,7 +257,8 @@
       transferLeadership().get(HAND_OVER_BOUND.toMillis(), TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (ExecutionException | TimeoutException ignored) {
+    } catch (ExecutionException | TimeoutException e) {
+      LOG.debug("no replica took over; the others elect a leader", e);
       // The others elect a leader after the election timeout.
     }
   }
--- a/control/src/main/java/org/comfreygap/control/CreditController.java
+++ b/control/src/main/java/org/comfreygap/control/CreditController.java
@@ -20,6 +20,8 @@
 import org.comfreygap.protocol.generated.InvalidCall;
 import org.comfreygap.protocol.generated.NotLeader;
 import org.comfreygap.settings.Priority;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Shares out customer credit at the leader and commits the ceilings.
@@ -30,6 +32,8 @@
 @Singleton
 final class CreditController {
 
+  private static final Logger LOG = LoggerFactory.getLogger(CreditController.class);
+
   private static final int MAX_ITEMS = 1_000;
   private static final Duration LONGEST_COMMIT_WAIT = Duration.ofMillis(150);
   private static final long MAX_TOKENS = 10_000_000_000L;
@@ -115,7 +119,8 @@
     }
     try {
       commit.get(LONGEST_COMMIT_WAIT.toMillis(), TimeUnit.MILLISECONDS);
-    } catch (TimeoutException ignored) {
+    } catch (TimeoutException e) {
+      LOG.debug("a commit of ceilings takes long; the exchange goes on under those in force", e);
       // The exchange goes on under the ceilings in force.
     } catch (ExecutionException e) {
       throw leadership.notLeader();
--- a/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
+++ b/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
@@ -15,6 +15,8 @@
 import org.apache.hc.core5.util.Timeout;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the platform's lagging list of live and leaving instances.
@@ -25,6 +27,8 @@
 @Singleton
 final class PlatformListPoller implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(PlatformListPoller.class);
+
   private static final Timeout TIMEOUT = Timeout.ofSeconds(2);
   private static final int MAX_BYTES = 4 << 20;
 
@@ -84,7 +88,8 @@
   public void close() {
     try {
       client.close();
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("the client of the list did not close cleanly", e);
       // The process ends.
     }
   }
--- a/gateway/src/main/java/org/comfreygap/gateway/CompletionResolver.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/CompletionResolver.java
@@ -20,6 +20,8 @@
 import org.comfreygap.settings.Documents.Customer;
 import org.comfreygap.settings.Documents.Key;
 import org.comfreygap.settings.Priority;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Resolves chat and text completions: the adapter version, the tokens to reserve, and the body for
@@ -30,6 +32,8 @@
  */
 final class CompletionResolver {
 
+  private static final Logger LOG = LoggerFactory.getLogger(CompletionResolver.class);
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final ObjectReader READER =
       MAPPER.reader().with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
@@ -87,8 +91,9 @@
       if (READER.readTree(body) instanceof ObjectNode root) {
         return root;
       }
-    } catch (IOException ignored) {
-      // The parser's message quotes the body, so it goes nowhere.
+    } catch (IOException e) {
+      // The parser's message quotes the body, which no log may hold.
+      LOG.debug("a body is no JSON: {}", e.getClass().getSimpleName());
     }
     throw malformed("given a malformed body, expected a JSON object");
   }
--- a/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
@@ -20,6 +20,8 @@
 import org.comfreygap.runtime.MembershipAgent;
 import org.comfreygap.settings.Documents.Key;
 import org.comfreygap.settings.SettingsView;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Runs a request at one endpoint after another until it is complete or given up.
@@ -33,6 +35,8 @@
  */
 final class DispatchFilter implements RequestFilter {
 
+  private static final Logger LOG = LoggerFactory.getLogger(DispatchFilter.class);
+
   // Bounds how long a request waits for an endpoint to become usable before its final answer.
   private static final Duration PLACEMENT_WAIT = Duration.ofMillis(500);
   private static final Duration PLACEMENT_PAUSE = Duration.ofMillis(25);
@@ -228,7 +232,8 @@
           Field.of("cause", refused.getMessage()));
       try {
         relay.fail(refused.outcome(Outcome.UNKNOWN));
-      } catch (CallerGone ignored) {
+      } catch (CallerGone e) {
+        LOG.debug("the caller left before it was told that its answer broke off", e);
         // There is nobody left to tell.
       }
     }
--- a/gateway/src/main/java/org/comfreygap/gateway/FrameStream.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/FrameStream.java
@@ -15,6 +15,8 @@
 import org.comfreygap.protocol.generated.AttemptFrame;
 import org.comfreygap.protocol.generated.FrameBody;
 import org.comfreygap.protocol.generated.FrameData;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The frames of one connection of an attempt.
@@ -25,6 +27,8 @@
  */
 final class FrameStream implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(FrameStream.class);
+
   /** Time without a frame after which a connection is considered silent. */
   static final Duration SILENCE = Duration.ofSeconds(2);
 
@@ -105,7 +109,8 @@
     try {
       input.begin();
       complete = input.read() < 0;
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("the connection of a complete answer is not used again", e);
       complete = false;
     }
   }
@@ -118,7 +123,8 @@
     }
     try {
       response.close();
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("a connection did not close cleanly", e);
       // The connection is closed in any case.
     }
   }
--- a/gateway/src/main/java/org/comfreygap/gateway/Gateway.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/Gateway.java
@@ -19,6 +19,8 @@
 import org.comfreygap.runtime.RuntimeEvent;
 import org.comfreygap.runtime.ServiceShell;
 import org.comfreygap.runtime.Timeline;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A running gateway.
@@ -34,6 +36,8 @@
  */
 public final class Gateway implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
   // Threads beside the workers: they refuse at once what exceeds the workers.
   private static final int REFUSING_THREADS = 32;
 
@@ -101,7 +105,8 @@
     agent.leave();
     try {
       agent.sendHeartbeat();
-    } catch (ControlUnavailable ignored) {
+    } catch (ControlUnavailable e) {
+      LOG.debug("control was not told of the stop; the duty repeats the heartbeat", e);
       // The duty thread repeats the heartbeat.
     }
     try {
--- a/gateway/src/main/java/org/comfreygap/gateway/LedgerFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/LedgerFilter.java
@@ -10,6 +10,8 @@
 import org.comfreygap.protocol.generated.Route;
 import org.comfreygap.protocol.generated.StoredAnswer;
 import org.comfreygap.runtime.ControlUnavailable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Passes service calls that must not be repeated through the request ledger, when the caller gives
@@ -20,6 +22,8 @@
  */
 final class LedgerFilter implements RequestFilter {
 
+  private static final Logger LOG = LoggerFactory.getLogger(LedgerFilter.class);
+
   private static final int MAX_KEY_LENGTH = 200;
 
   private final GatewaySettings settings;
@@ -128,7 +132,8 @@
       context
           .response()
           .send(answer.getStatus(), Map.copyOf(answer.getHeaders()), Outcome.RAN, answer.getBody());
-    } catch (CallerGone ignored) {
+    } catch (CallerGone e) {
+      LOG.debug("the caller left; its answer stays in the ledger", e);
       // The answer stays in the ledger for the caller's next try.
     }
   }
--- a/gateway/src/main/java/org/comfreygap/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/RequestPipeline.java
@@ -11,6 +11,8 @@
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 import org.comfreygap.runtime.MembershipAgent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Handles each request from its arrival to the end of its answer.
@@ -21,6 +23,8 @@
 @Singleton
 final class RequestPipeline {
 
+  private static final Logger LOG = LoggerFactory.getLogger(RequestPipeline.class);
+
   private static final int ID_BYTES = 16;
   private static final int FIRST_SYSTEM_ERROR = 500;
 
@@ -120,7 +124,8 @@
     }
     try {
       context.response().error(refused);
-    } catch (CallerGone ignored) {
+    } catch (CallerGone e) {
+      LOG.debug("the caller left before its refusal", e);
       // There is nobody left to answer.
     }
   }
--- a/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
@@ -34,6 +34,8 @@
 import org.comfreygap.protocol.generated.CancelReply;
 import org.comfreygap.protocol.generated.CancelRequest;
 import org.comfreygap.runtime.SharedKey;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Sends messages to sidecars over HTTP.
@@ -45,6 +47,8 @@
 @Singleton
 final class SidecarClient implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(SidecarClient.class);
+
   private static final String ATTEMPTS = "/attempts";
   private static final String CANCEL = "/attempts/cancel";
   private static final ContentType THRIFT =
@@ -162,7 +166,8 @@
   private static void closeQuietly(ClassicHttpResponse response) {
     try {
       response.close();
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("a connection to a sidecar did not close cleanly", e);
       // The connection is closed in any case.
     }
   }
--- a/runtime/src/main/java/org/comfreygap/runtime/DutyThread.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/DutyThread.java
@@ -93,7 +93,8 @@
   private void pauseAfterFailure() {
     try {
       pause(PAUSE_AFTER_FAILURE);
-    } catch (InterruptedException ignored) {
+    } catch (InterruptedException e) {
+      LOG.debug("a duty was interrupted in its pause after a failure", e);
       // The loop checks closed.
     }
   }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptStream.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptStream.java
@@ -15,6 +15,8 @@
 import org.comfreygap.protocol.generated.FrameBeat;
 import org.comfreygap.protocol.generated.FrameBody;
 import org.comfreygap.sidecar.AttemptOutput.FrameSink;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Writes the frames of one attempt to one connection without blocking: whoever adds to the output
@@ -27,6 +29,8 @@
  */
 final class AttemptStream implements FrameSink, WriteListener, AsyncListener {
 
+  private static final Logger LOG = LoggerFactory.getLogger(AttemptStream.class);
+
   private static final ThreadLocal<TSerializer> SERIALIZER =
       ThreadLocal.withInitial(AttemptStream::serializer);
 
@@ -164,7 +168,8 @@
     }
     try {
       context.complete();
-    } catch (IllegalStateException ignored) {
+    } catch (IllegalStateException e) {
+      LOG.debug("the container had ended the answer before the sidecar did", e);
       // The container has already ended the cycle.
     }
   }
--- a/testkit/src/main/java/org/comfreygap/testkit/WireServer.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/WireServer.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A small HTTP/1.1 server on plain sockets. The fakes use it in place of a library because they
@@ -30,6 +32,8 @@
  */
 public final class WireServer implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(WireServer.class);
+
   private static final int MAX_LINE_BYTES = 65_536;
   private static final int BACKLOG = 512;
 
@@ -126,7 +130,8 @@
           return;
         }
       }
-    } catch (IOException ignored) {
+    } catch (IOException e) {
+      LOG.debug("a connection ended", e);
       // The caller closed the connection, or a fault did.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -333,7 +338,8 @@
     void close() {
       try {
         socket.close();
-      } catch (IOException ignored) {
+      } catch (IOException e) {
+        LOG.debug("a socket did not close cleanly", e);
         // The socket is already closed.
       }
     }
