Trust idle connections less after one was dropped without notice

Where endpoints drop idle connections sooner than they state, a request that must not be repeated is lost on each of them. A break within 100 ms after a request on a connection that was used before, without a byte of an answer, halves the idle time that is trusted, for all endpoints of the pool, for 60 s.

--- /dev/null
+++ b/decisions/src/main/java/org/comfreygap/decisions/IdleTrust.java
@@ -0,0 +1,45 @@
+package org.comfreygap.decisions;
+
+import java.time.Duration;
+
+/**
+ * How long a connection may have been idle and still be used for a request, as far as is known.
+ *
+ * <p>Some endpoints drop idle connections without a word and sooner than they state; what is sent
+ * next is lost, and a request that must not be repeated fails with it. Each such loss shows how
+ * short the time really is.
+ *
+ * <pre>{@code
+ * if (trust.usable(idleNanos, now)) { send(); } else { open(); }
+ * }</pre>
+ *
+ * <p>Invariant: after a loss, connections idle for half as long or longer are not used until {@link
+ * #MEMORY} has passed without another. Thread safety: not thread-safe.
+ *
+ * @since 0.3
+ */
+public final class IdleTrust {
+
+  /** Time after which longer idle times are tried again; above the length of a disruption. */
+  public static final Duration MEMORY = Duration.ofSeconds(60);
+
+  /** Least idle time; below it the connection was used a moment ago. */
+  public static final Duration LEAST = Duration.ofMillis(20);
+
+  private long longestNanos = Long.MAX_VALUE;
+  private long lostNanos;
+
+  /** Returns true when a connection that was idle for the given time may be used. */
+  public boolean usable(long idleNanos, long nowNanos) {
+    if (longestNanos < Long.MAX_VALUE && nowNanos - lostNanos > MEMORY.toNanos()) {
+      longestNanos = Long.MAX_VALUE;
+    }
+    return idleNanos < longestNanos;
+  }
+
+  /** Records that a connection which was idle for the given time broke at its next request. */
+  public void lost(long idleNanos, long nowNanos) {
+    longestNanos = Math.max(LEAST.toNanos(), Math.min(longestNanos, idleNanos / 2));
+    lostNanos = nowNanos;
+  }
+}
--- a/relay/src/main/java/org/comfreygap/relay/Connections.java
+++ b/relay/src/main/java/org/comfreygap/relay/Connections.java
@@ -16,6 +16,7 @@
 import java.util.Deque;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
+import org.comfreygap.decisions.IdleTrust;
 
 /**
  * The connections of this gateway to one endpoint.
@@ -45,12 +46,19 @@
   private final EventLoop loop;
   private final RequestDialect dialect;
   private final InetSocketAddress address;
+  private final IdleTrust trust;
   private final Deque<EndpointConnection> idle = new ArrayDeque<>();
 
-  Connections(EventLoop loop, RequestDialect dialect, InetSocketAddress address) {
+  /**
+   * Creates an empty pool.
+   *
+   * @param trust what is known of idle connections, shared by the endpoints of a pool
+   */
+  Connections(EventLoop loop, RequestDialect dialect, InetSocketAddress address, IdleTrust trust) {
     this.loop = loop;
     this.dialect = dialect;
     this.address = address;
+    this.trust = trust;
   }
 
   /** Passes a usable connection to {@code ready}, or the cause to {@code failed}. */
@@ -64,7 +72,7 @@
       ready.accept(kept);
       return;
     }
-    EndpointConnection connection = new EndpointConnection(dialect);
+    EndpointConnection connection = new EndpointConnection(dialect, trust);
     ChannelFuture future = bootstrap(loop, connection).connect(address);
     future.addListener(
         done -> {
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -15,6 +15,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.comfreygap.decisions.IdleTrust;
 
 /**
  * One connection to an endpoint; it carries one request at a time.
@@ -25,7 +27,11 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+  /** A loss that shows later than this after the request is no dropped idle connection. */
+  private static final long LOSS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private final RequestDialect dialect;
+  private final IdleTrust trust;
   private Channel channel;
   private Optional<Listener> listener = Optional.empty();
   private String requestId = "";
@@ -36,9 +42,13 @@
   private boolean reset;
   private OptionalLong idleMillis = OptionalLong.empty();
   private long idleSinceNanos;
+  private boolean usedBefore;
+  private long idleBeforeNanos;
+  private long sentNanos;
 
-  EndpointConnection(RequestDialect dialect) {
+  EndpointConnection(RequestDialect dialect, IdleTrust trust) {
     this.dialect = dialect;
+    this.trust = trust;
   }
 
   /** What the sender of a request learns. */
@@ -66,7 +76,11 @@
   boolean usable(long nowNanos) {
     boolean fresh =
         idleMillis.isEmpty() || nowNanos - idleSinceNanos < usableIdleNanos(idleMillis.getAsLong());
-    return reusable && fresh && listener.isEmpty() && channel.isActive();
+    return reusable
+        && fresh
+        && trust.usable(nowNanos - idleSinceNanos, nowNanos)
+        && listener.isEmpty()
+        && channel.isActive();
   }
 
   /** Sends a request; its answer goes to {@code receiver}. */
@@ -76,6 +90,8 @@
     foreign = false;
     answering = false;
     written = false;
+    sentNanos = System.nanoTime();
+    idleBeforeNanos = sentNanos - idleSinceNanos;
     ChannelFuture future = channel.writeAndFlush(request);
     future.addListener(
         done -> {
@@ -105,6 +121,7 @@
   /** Notes the beginning of the idle time. */
   void idle(long nowNanos) {
     idleSinceNanos = nowNanos;
+    usedBefore = true;
     channel.config().setAutoRead(true);
   }
 
@@ -195,12 +212,20 @@
     reusable = false;
     channel.close();
     if (listener.isPresent()) {
+      noteLoss();
       Listener receiver = listener.get();
       listener = Optional.empty();
       receiver.broken(reason);
     }
   }
 
+  private void noteLoss() {
+    long now = System.nanoTime();
+    if (usedBefore && !answering && now - sentNanos < LOSS_NANOS) {
+      trust.lost(idleBeforeNanos, now);
+    }
+  }
+
   /**
    * Most of the time that the endpoint states is left unused, since a request that crosses its
    * close may or may not have run.
--- a/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.comfreygap.decisions.IdleTrust;
 import org.comfreygap.protocol.generated.EndpointStatus;
 import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.EventLog;
@@ -38,6 +39,7 @@
   private final EventLog events;
   private final Map<String, Endpoint> byInstance = new LinkedHashMap<>();
   private final Map<String, List<Endpoint>> byPool = new HashMap<>();
+  private final Map<String, IdleTrust> trustByPool = new HashMap<>();
   private final Map<String, ResidencyLink> linksByHost = new HashMap<>();
   private Runnable onChange = () -> {};
   private boolean known;
@@ -117,7 +119,9 @@
 
   private void add(ListedEndpoint entry, boolean engine, long nowNanos) {
     InetSocketAddress address = Addresses.parse(entry.address());
-    Endpoint endpoint = new Endpoint(entry, new Connections(loop, dialect, address), nowNanos);
+    IdleTrust trust = trustByPool.computeIfAbsent(entry.pool(), pool -> new IdleTrust());
+    Endpoint endpoint =
+        new Endpoint(entry, new Connections(loop, dialect, address, trust), nowNanos);
     byInstance.put(key(entry), endpoint);
     byPool.computeIfAbsent(entry.pool(), pool -> new ArrayList<>()).add(endpoint);
     if (engine) {
