Size the control group by the losses it has to bear

Silent members were removed down to three, which bears one loss. With two losses to be borne, a group that shrank to four loses its quorum for good when two disks go. The least number of members is now twice the losses that the settings name, plus one. ReplicaAdmission has no test of its own yet.

--- a/control/src/main/java/org/comfreygap/control/ControlSettings.java
+++ b/control/src/main/java/org/comfreygap/control/ControlSettings.java
@@ -59,6 +59,7 @@
           .optional("initialMembers", FieldRule.listOf(FieldRule.object(MEMBER), 7))
           .required("operators", FieldRule.listOf(FieldRule.object(OPERATOR), 1_000))
           .optional("platformList", FieldRule.object(PLATFORM_LIST))
+          .optional("toleratedLosses", FieldRule.integer(0, 4))
           .build();
 
   private static final Map<String, Integer> BLOCK_PORTS =
@@ -67,6 +68,9 @@
           "replicationAddress", PortBlock.CONTROL_REPLICATION,
           "adminAddress", PortBlock.CONTROL_ADMIN);
 
+  /** The smallest group that bears a loss has three members. */
+  private static final int DEFAULT_TOLERATED_LOSSES = 1;
+
   private static final Duration DEFAULT_POLL = Duration.ofSeconds(2);
 
   private final Optional<Path> path;
@@ -147,6 +151,11 @@
     return identity.map(ReplicaIdentity::replicaId).orElseGet(() -> file.text("replicaId"));
   }
 
+  /** Returns how many control instances may be lost at once, with their disks. */
+  int toleratedLosses() {
+    return file.present("toleratedLosses").map(JsonNode::asInt).orElse(DEFAULT_TOLERATED_LOSSES);
+  }
+
   /** Returns true when the leader takes this replica in without an operator. */
   boolean joinsByItself() {
     return identity.isPresent();
--- a/control/src/main/java/org/comfreygap/control/ReplicaAdmission.java
+++ b/control/src/main/java/org/comfreygap/control/ReplicaAdmission.java
@@ -20,23 +20,21 @@
  *
  * <p>A replica that lost its disk comes back at its old address under a new id; its old self is
  * removed first, since it can never vote again and would only raise the quorum. Further members are
- * removed once they have been silent for {@link #SILENCE} while there are more than {@link
- * #TARGET_MEMBERS}.
+ * removed once they have been silent for {@link #SILENCE}, while there are more than bear the loss
+ * of as many as the settings name: with fewer, the loss of that many disks would leave no quorum.
  *
  * <p>Invariant: one change at a time. Thread safety: all methods are synchronized.
  */
 @Singleton
 final class ReplicaAdmission {
 
-  /** Members that the deployments of today have; it bears the loss of one. */
-  static final int TARGET_MEMBERS = 3;
-
   /** Far above a restart with a slow disk. */
   static final Duration SILENCE = Duration.ofSeconds(6);
 
   private final ReplicatedLog log;
   private final EventLog events;
   private final boolean active;
+  private final int leastMembers;
   private final Map<String, Long> heardNanos = new HashMap<>();
   private final Map<String, ReplicaMember> asking = new HashMap<>();
   private CompletableFuture<Void> change = CompletableFuture.completedFuture(null);
@@ -45,6 +43,7 @@
   @Inject
   ReplicaAdmission(ReplicatedLog log, EventLog events, ControlSettings settings) {
     this.active = settings.joinsByItself();
+    this.leastMembers = 2 * settings.toleratedLosses() + 1;
     this.log = log;
     this.events = events;
   }
@@ -89,7 +88,7 @@
       }
       return;
     }
-    if (members.size() > TARGET_MEMBERS) {
+    if (members.size() > leastMembers) {
       members.stream()
           .map(ReplicaMember::getReplicaId)
           .filter(id -> silent(id, nowNanos))
