--- a/relay/src/main/java/org/comfreygap/relay/residency/EngineWatch.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/EngineWatch.java
@@ -26,7 +26,7 @@
   static final Duration CALM_PERIOD = Duration.ofMillis(100);
 
   /** Time between reports while adapters are on their way, against loads of about 250 ms. */
-  static final Duration BUSY_PERIOD = Duration.ofMillis(20);
+  static final Duration BUSY_PERIOD = Duration.ofMillis(35);
 
   /** An engine on the same machine that does not answer for this long is stopped or stuck. */
   static final Duration TIMEOUT = Duration.ofMillis(500);
