--- a/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
@@ -38,6 +38,9 @@
   /** There and back between zones, and its price, against an equal endpoint in the own zone. */
   public static final double OTHER_ZONE_MILLIS = 4;
 
+  /** The same for an engine, whose streams are long: less than the time to read one prompt. */
+  public static final double ENGINE_OTHER_ZONE_MILLIS = 30;
+
   /** Added when every slot is taken: the request waits for a whole run to end. */
   public static final double FULL_MILLIS = 600;
 
@@ -89,7 +92,7 @@
         load.residency == Residency.HELD || load.homePosition == 0
             ? 0
             : NOT_HOME_MILLIS + load.homePosition * HOME_STEP_MILLIS;
-    return reading * load.slowdown + full(load) + load.residency.millis + home + zone(load);
+    return reading * load.slowdown + full(load) + load.residency.millis + home + engineZone(load);
   }
 
   /**
@@ -118,6 +121,10 @@
     return load.running + load.waiting >= load.slots ? FULL_MILLIS : 0;
   }
 
+  private static double engineZone(Load load) {
+    return load.sameZone ? 0 : ENGINE_OTHER_ZONE_MILLIS;
+  }
+
   private static double zone(Load load) {
     return load.sameZone ? 0 : OTHER_ZONE_MILLIS;
   }
