Avoid engines whose streams are slow, and move streams that stall

Placement took all engines for equally fast, and a stream without a word waited until its caller left.

Change: the pauses between parts of answers are averaged for each engine; one that is over 1.5 times slower than the fastest costs more. A stream that may be repeated and of which nothing came for 1.4 s goes on at another engine, when there is one with a place and the retry budget allows it.

--- a/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
@@ -41,6 +41,15 @@
   /** The same for an engine, whose streams are long: less than the time to read one prompt. */
   public static final double ENGINE_OTHER_ZONE_MILLIS = 30;
 
+  /** Slowdown that comes from a larger batch alone. */
+  public static final double USUAL_SLOWDOWN = 1.5;
+
+  /**
+   * Cost of each further factor by which an engine is slow: at eight times, pauses come near those
+   * that callers notice, and a stream takes as long as its caller waits.
+   */
+  public static final double SLOW_STREAM_MILLIS = 150;
+
   /** Added when every slot is taken: the request waits for a whole run to end. */
   public static final double FULL_MILLIS = 600;
 
@@ -92,7 +101,13 @@
         load.residency == Residency.HELD || load.homePosition == 0
             ? 0
             : NOT_HOME_MILLIS + load.homePosition * HOME_STEP_MILLIS;
-    return reading * load.slowdown + full(load) + load.residency.millis + home + engineZone(load);
+    double slow = Math.max(0, load.slowdown - USUAL_SLOWDOWN) * SLOW_STREAM_MILLIS;
+    return reading * load.slowdown
+        + slow
+        + full(load)
+        + load.residency.millis
+        + home
+        + engineZone(load);
   }
 
   /**
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -23,6 +23,7 @@
   private Optional<EndpointConnection> connection = Optional.empty();
   private Optional<AnswerHead> refusal = Optional.empty();
   private Optional<Runnable> use = Optional.empty();
+  private long partNanos;
   private boolean sent;
   private boolean begun;
   private boolean over;
@@ -119,6 +120,11 @@
       bytes.release();
       return;
     }
+    long now = System.nanoTime();
+    if (partNanos != 0) {
+      endpoint.paced((now - partNanos) / 1e6);
+    }
+    partNanos = now;
     owner.content(bytes);
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -10,6 +10,7 @@
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.AdapterPlaces;
 import org.comfreygap.decisions.EndpointHealth;
+import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.PlacementCost.Residency;
 import org.comfreygap.protocol.generated.EndpointStatus;
 import org.comfreygap.protocol.generated.ResidentAdapter;
@@ -26,7 +27,11 @@
   /** Age at which a status is no longer used: four of the longest times between two. */
   static final long STATUS_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  // Slower ones are avoided as much as these.
+  private static final double MOST_SLOWDOWN = 8;
   private static final double SLOWDOWN_WEIGHT = 0.1;
+  // About the last 100 parts count, which a few streams make in two seconds.
+  private static final double PACE_WEIGHT = 0.01;
   // About the last 20 attempts count, which one gateway sends to an endpoint in a few seconds.
   private static final double RESULT_WEIGHT = 0.05;
 
@@ -50,6 +55,7 @@
   private long statedNanos;
   private double latencyMillis;
   private double failureShare;
+  private double paceMillis;
   private boolean superseded;
   private boolean gone;
 
@@ -227,21 +233,59 @@
     return Math.max(notBegun, known);
   }
 
+  /** Returns how much longer plain requests take here than at the fastest endpoint. */
   double slowdown(double fastestMillis) {
-    return latencyMillis == 0 || fastestMillis == 0
-        ? 1
-        : Math.max(1, Math.min(8, latencyMillis / fastestMillis));
+    return factor(latencyMillis, fastestMillis);
+  }
+
+  /** Returns how much longer the pauses in streams are here than at the fastest engine. */
+  double streamSlowdown(double fastestMillis) {
+    return factor(paceMillis, fastestMillis);
   }
 
   double latencyMillis() {
     return latencyMillis;
   }
 
+  /** Records the time between two parts of an answer. */
+  void paced(double millis) {
+    paceMillis = paceMillis == 0 ? millis : paceMillis + PACE_WEIGHT * (millis - paceMillis);
+  }
+
+  /** Returns the usual time between two parts of an answer; 0 when it is not known. */
+  double paceMillis() {
+    return paceMillis;
+  }
+
   /** Returns the share of the latest attempts here that broke off or failed. */
   double failureShare() {
     return failureShare;
   }
 
+  /**
+   * Takes note of an attempt that failed.
+   *
+   * @return true when the request should not come here again; false when only its adapter is absent
+   */
+  boolean attemptFailed(Attempt.Failure failure, Optional<AdapterPlaces.Name> adapter) {
+    Optional<String> answering = failure.refusal().flatMap(AnswerHead::instanceId);
+    answering.filter(id -> !id.equals(instanceId)).ifPresent(id -> superseded());
+    if (failure.outcome() != Outcome.NOT_RUN) {
+      result(false);
+    }
+    boolean misdirected =
+        failure
+            .refusal()
+            .filter(answer -> answer.verdict() == AnswerHead.Verdict.MISDIRECTED)
+            .isPresent();
+    boolean lacksAdapter =
+        misdirected && adapter.isPresent() && answering.filter(instanceId::equals).isPresent();
+    if (lacksAdapter) {
+      absent(adapter.get());
+    }
+    return !lacksAdapter;
+  }
+
   /** Records whether an attempt got a good answer. */
   void result(boolean good) {
     failureShare += RESULT_WEIGHT * ((good ? 0 : 1) - failureShare);
@@ -291,6 +335,10 @@
         latencyMillis == 0 ? millis : latencyMillis + SLOWDOWN_WEIGHT * (millis - latencyMillis);
   }
 
+  private static double factor(double own, double fastest) {
+    return own == 0 || fastest == 0 ? 1 : Math.max(1, Math.min(MOST_SLOWDOWN, own / fastest));
+  }
+
   private int statedRunning(long nowNanos) {
     return statedFresh(nowNanos) ? stated.get().running() : 0;
   }
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -28,7 +28,6 @@
 import org.comfreygap.decisions.RepeatPolicy;
 import org.comfreygap.protocol.generated.AdapterReply;
 import org.comfreygap.protocol.generated.ColdPermitReply;
-import org.comfreygap.settings.Documents.Pool;
 import org.comfreygap.settings.RequestKind;
 
 /**
@@ -55,6 +54,7 @@
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
   private Optional<Ticket> ticket = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
+  private Optional<SilenceWatch> silence = Optional.empty();
   private AnswerPassing answer;
   private int refusals;
   private int runs;
@@ -131,13 +131,12 @@
     if (!decide(table)) {
       return;
     }
-    Optional<Pool> pool = table.pool(decision.pool());
-    if (pool.isEmpty()) {
+    Optional<Placement.Need> wanted = need(table, now);
+    if (wanted.isEmpty()) {
       refuse(Refusal.NO_ENDPOINT);
       return;
     }
-    Placement.Need need =
-        new Placement.Need(pool.get(), stated.model(), adapter(), leastVersion(table, now));
+    Placement.Need need = wanted.get();
     Placement.Choice choice = relay.placement().choose(need, table, excluded, now);
     if (choice.endpoint().isEmpty()) {
       await(choice.shortage(), now);
@@ -223,6 +222,7 @@
       bytes.release();
       return;
     }
+    silence.ifPresent(watch -> watch.heard(System.nanoTime()));
     answer.content(bytes);
     if (!caller.writable()) {
       attempt.ifPresent(current -> current.reading(false));
@@ -391,21 +391,42 @@
     runCounted = false;
     log.sent(decision, endpoint, now);
     started.start();
-    if (decision.route().kind() == RequestKind.SAFE) {
-      long patience = Waits.silence(endpoint.latencyMillis()).toNanos();
-      relay.loop().schedule(() -> silent(started), patience, TimeUnit.NANOSECONDS);
-    }
+    silence.ifPresent(SilenceWatch::stop);
+    silence =
+        Waits.longestSilence(decision.route(), endpoint.latencyMillis())
+            .map(longest -> new SilenceWatch(relay.loop(), longest, () -> silent(started)));
+    silence.ifPresent(watch -> watch.start(now));
   }
 
   /** An endpoint that hangs must not use up the time of a request that another one can answer. */
   private void silent(Attempt waiting) {
     boolean current = !over && attempt.isPresent() && attempt.get() == waiting;
-    boolean another = runs + 1 < decision.route().maxAttempts();
-    if (current && waiting.sent() && answer.head().isEmpty() && another) {
-      abandonAttempt("no answer for long");
+    boolean another = runs + (runCounted ? 0 : 1) < decision.route().maxAttempts();
+    boolean resumable = !answer.begun() || answer.continuable();
+    if (current && waiting.sent() && another && resumable && hasAnotherPlace()) {
+      abandonAttempt("nothing came for long");
     }
   }
 
+  /** Without another place, or leave to repeat, a silent endpoint is still the best hope. */
+  private boolean hasAnotherPlace() {
+    long now = System.nanoTime();
+    RouteTable table = relay.tables().get();
+    Set<Endpoint> others = new HashSet<>(excluded);
+    attempt.ifPresent(current -> others.add(current.endpoint()));
+    return relay.retries().left(relay.gateways().getAsInt(), now) >= 1
+        && need(table, now)
+            .flatMap(need -> relay.placement().choose(need, table, others, now).endpoint())
+            .isPresent();
+  }
+
+  /** Returns what an endpoint must offer; empty when the pool is gone. */
+  private Optional<Placement.Need> need(RouteTable table, long now) {
+    return table
+        .pool(decision.pool())
+        .map(pool -> new Placement.Need(pool, stated.model(), adapter(), leastVersion(table, now)));
+  }
+
   private void abandonAttempt(String reason) {
     Attempt current = attempt.orElseThrow();
     current.cancel();
@@ -417,6 +438,7 @@
     long now = System.nanoTime();
     boolean notRun = failure.outcome() == Outcome.NOT_RUN;
     attempt = Optional.empty();
+    silence.ifPresent(SilenceWatch::stop);
     answer.drop();
     noteFailure(ended, failure);
     mayHaveRun |= !notRun;
@@ -445,25 +467,8 @@
 
   private void noteFailure(Attempt ended, Attempt.Failure failure) {
     Endpoint endpoint = ended.endpoint();
-    boolean lacksAdapter =
-        failure
-            .refusal()
-            .filter(answer -> answer.verdict() == AnswerHead.Verdict.MISDIRECTED)
-            .flatMap(AnswerHead::instanceId)
-            .filter(endpoint.instanceId()::equals)
-            .isPresent();
-    if (lacksAdapter && adapter().isPresent()) {
-      endpoint.absent(adapter().get());
-    } else {
+    if (endpoint.attemptFailed(failure, adapter())) {
       excluded.add(endpoint);
-      failure
-          .refusal()
-          .flatMap(AnswerHead::instanceId)
-          .filter(id -> !id.equals(endpoint.instanceId()))
-          .ifPresent(id -> endpoint.superseded());
-    }
-    if (failure.outcome() != Outcome.NOT_RUN) {
-      endpoint.result(false);
     }
     relay.metrics().attemptFailed(endpoint.instanceId(), failure.outcome().name());
     log.attemptEnded(decision, endpoint, failure);
@@ -529,6 +534,7 @@
   private void finish(String outcome) {
     over = true;
     relay.waiting().remove(this);
+    silence.ifPresent(SilenceWatch::stop);
     timer.ifPresent(pending -> pending.cancel(false));
     answer.drop();
     body.release();
--- a/relay/src/main/java/org/comfreygap/relay/Placement.java
+++ b/relay/src/main/java/org/comfreygap/relay/Placement.java
@@ -72,9 +72,10 @@
     if (open.isEmpty()) {
       return Choice.none(Shortage.NONE_OPEN);
     }
+    boolean engine = need.pool().engine().isPresent();
     double fastest =
         open.stream()
-            .mapToDouble(Endpoint::latencyMillis)
+            .mapToDouble(engine ? Endpoint::paceMillis : Endpoint::latencyMillis)
             .filter(millis -> millis > 0)
             .min()
             .orElse(0);
@@ -200,7 +201,7 @@
             endpoint.slots(),
             endpoint.running(nowNanos),
             endpoint.waiting(nowNanos),
-            engine ? 1 : endpoint.slowdown(fastestMillis),
+            engine ? endpoint.streamSlowdown(fastestMillis) : endpoint.slowdown(fastestMillis),
             residency,
             home,
             endpoint.zone().equals(zone));
--- a/relay/src/main/java/org/comfreygap/relay/Waits.java
+++ b/relay/src/main/java/org/comfreygap/relay/Waits.java
@@ -1,7 +1,9 @@
 package org.comfreygap.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.comfreygap.settings.Documents.Route;
+import org.comfreygap.settings.RequestKind;
 
 /**
  * How long a request may wait before it is sent, from the time in which its answer should begin.
@@ -31,6 +33,12 @@
    */
   static final Duration STREAM_RUN = Duration.ofSeconds(6);
 
+  /**
+   * Silence of an engine after which a stream goes on at another one. Callers leave after two
+   * seconds, and the other engine needs about 0.3 s to read the prompt.
+   */
+  static final Duration LONGEST_STALL = Duration.ofMillis(1_400);
+
   /** Far above a run of a plain service with its queue, and a part of a caller's second. */
   static final long LEAST_SILENCE_MILLIS = 350;
 
@@ -51,13 +59,19 @@
   }
 
   /**
-   * Returns the time without an answer after which a request that may be repeated is tried
-   * elsewhere.
+   * Returns the time without a word of an endpoint after which a request is tried elsewhere; empty
+   * when it may not be.
    *
-   * @param usualMillis time in which the endpoint usually answers
+   * @param usualMillis time in which the endpoint usually answers a plain request
    */
-  static Duration silence(double usualMillis) {
-    return Duration.ofMillis((long) Math.max(LEAST_SILENCE_MILLIS, usualMillis * SLOW_FACTOR));
+  static Optional<Duration> longestSilence(Route route, double usualMillis) {
+    if (!route.idempotent()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        route.kind() == RequestKind.STREAM
+            ? LONGEST_STALL
+            : Duration.ofMillis((long) Math.max(LEAST_SILENCE_MILLIS, usualMillis * SLOW_FACTOR)));
   }
 
   private static Duration target(Route route) {
