Learn from health checks and the list how long an engine stays cold

Ruled out: the rate of permits (none was ever counted), a list that lags (it was right).

Change: sidecars ask the health check twice a second; gateways take the longer of the list's and the status' time and state it when they ask for a permit; the gate counts the longest time stated.

--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -421,6 +421,8 @@
 /** Asks for leave to send one request to a cold endpoint. */
 struct ColdPermitRequest {
   1: required i64 number
+  /** Time for which the gateway takes the endpoint for cold, milliseconds. */
+  2: optional i64 coldMillis
 }
 
 struct ColdPermitReply {
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -161,9 +161,15 @@
 
   /** Returns true when the endpoint is cold, as far as is known here. */
   boolean cold(long nowNanos) {
+    return coldMillis(nowNanos) > 0;
+  }
+
+  /** Returns for how long the endpoint stays cold: the longer of what list and sidecar say. */
+  long coldMillis(long nowNanos) {
     long listedLeft = listed.coldMillis() - TimeUnit.NANOSECONDS.toMillis(nowNanos - listedNanos);
-    Optional<EndpointStatus> current = fresh(nowNanos);
-    return current.map(known -> known.getColdMillis() > 0).orElse(listedLeft > 0);
+    long stated = fresh(nowNanos).map(EndpointStatus::getColdMillis).orElse(0L);
+    long statedLeft = stated - TimeUnit.NANOSECONDS.toMillis(nowNanos - statusNanos);
+    return Math.max(0, Math.max(listedLeft, stated > 0 ? statedLeft : 0));
   }
 
   /** Returns whether the base model is there; without a status the list is asked. */
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -370,7 +370,8 @@
       place();
       return;
     }
-    endpoint.link().get().permit(reply -> permit(endpoint, reply));
+    long coldMillis = endpoint.coldMillis(System.nanoTime());
+    endpoint.link().get().permit(coldMillis, reply -> permit(endpoint, reply));
   }
 
   private void permit(Endpoint endpoint, ColdPermitReply reply) {
--- a/relay/src/main/java/org/comfreygap/relay/ResidencyLink.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResidencyLink.java
@@ -119,15 +119,21 @@
     expire(request, adapterReplies, () -> refused("the sidecar did not answer in time"));
   }
 
-  /** Asks for leave to send one request to a cold endpoint. */
-  void permit(Consumer<ColdPermitReply> receiver) {
+  /**
+   * Asks for leave to send one request to a cold endpoint.
+   *
+   * @param coldMillis time for which this gateway takes it for cold
+   */
+  void permit(long coldMillis, Consumer<ColdPermitReply> receiver) {
     long request = ++number;
     if (channel.isEmpty()) {
       receiver.accept(new ColdPermitReply(request, false, FIRST_PAUSE.toMillis()));
       return;
     }
     permitReplies.put(request, receiver);
-    send(ResidencyMessage.coldPermitRequest(new ColdPermitRequest(request)));
+    ColdPermitRequest message = new ColdPermitRequest(request);
+    message.setColdMillis(coldMillis);
+    send(ResidencyMessage.coldPermitRequest(message));
     expire(
         request, permitReplies, () -> new ColdPermitReply(request, false, FIRST_PAUSE.toMillis()));
   }
--- /dev/null
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ColdWatch.java
@@ -0,0 +1,79 @@
+package org.comfreygap.relay.residency;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import org.comfreygap.relay.HttpFetch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Asks the engine's health check how long the engine stays cold, which its report does not tell.
+ *
+ * <p>It has a connection of its own, since a health check waits for a slot of the engine while
+ * reports do not. Thread safety: used on the event loop only.
+ */
+final class ColdWatch {
+
+  /** An engine may become cold at any moment; at usual load half a second brings few requests. */
+  static final Duration PERIOD = Duration.ofMillis(500);
+
+  /** A health check of a full engine may take as long. */
+  static final Duration TIMEOUT = Duration.ofMillis(2_000);
+
+  private static final Logger LOG = LoggerFactory.getLogger(ColdWatch.class);
+
+  private final EventLoop loop;
+  private final EngineDialect dialect;
+  private final HttpFetch fetch;
+  private final Supplier<Optional<String>> healthPath;
+  private final LongConsumer onCold;
+  private boolean closed;
+
+  ColdWatch(
+      EventLoop loop,
+      EngineDialect dialect,
+      HttpFetch fetch,
+      Supplier<Optional<String>> healthPath,
+      LongConsumer onCold) {
+    this.loop = loop;
+    this.dialect = dialect;
+    this.fetch = fetch;
+    this.healthPath = healthPath;
+    this.onCold = onCold;
+  }
+
+  void start() {
+    loop.scheduleAtFixedRate(this::ask, 0, PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  void close() {
+    closed = true;
+    fetch.close();
+  }
+
+  private void ask() {
+    Optional<String> path = healthPath.get();
+    if (closed || fetch.busy() || path.isEmpty()) {
+      return;
+    }
+    fetch.call(
+        HttpMethod.GET,
+        path.get(),
+        Map.of(),
+        "",
+        reply -> onCold.accept(dialect.readColdMillis(reply)),
+        this::failed);
+  }
+
+  private void failed(IOException cause) {
+    // Reports tell whether the engine answers at all.
+    LOG.debug("a health check got no answer", cause);
+  }
+}
--- a/relay/src/main/java/org/comfreygap/relay/residency/EngineDialect.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/EngineDialect.java
@@ -64,6 +64,9 @@
   /** Returns the id of the engine's start from the answer of a health check, where stated. */
   Optional<String> readInstance(HttpFetch.Reply reply);
 
+  /** Returns for how long the engine stays cold, from the answer of a health check; 0 if warm. */
+  long readColdMillis(HttpFetch.Reply reply);
+
   /** Returns the call that gives an order. */
   Call write(EngineOrder order);
 
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -20,7 +20,7 @@
 import org.comfreygap.decisions.AdapterPlaces.Action;
 import org.comfreygap.decisions.AdapterPlaces.Name;
 import org.comfreygap.decisions.AdapterPlaces.Order;
-import org.comfreygap.decisions.RateGate;
+import org.comfreygap.decisions.ColdGate;
 import org.comfreygap.protocol.generated.AdapterReply;
 import org.comfreygap.protocol.generated.AdapterRequest;
 import org.comfreygap.protocol.generated.ColdPermitReply;
@@ -68,9 +68,6 @@
   /** Share of the stated bound for cold engines that is used; the rest is for what is late. */
   static final double COLD_SHARE = 0.8;
 
-  /** Requests that may reach a cold engine at once. */
-  static final double COLD_BURST = 3;
-
   /**
    * An engine on the same machine answers an order within a millisecond; one that takes longer will
    * not answer, and the next report tells whether it was accepted.
@@ -97,7 +94,8 @@
   private final Map<Name, Long> announced = new HashMap<>();
   private final Map<Channel, Set<Name>> inUse = new HashMap<>();
   private Optional<EngineReport> report = Optional.empty();
-  private Optional<RateGate> coldGate = Optional.empty();
+  private final ColdGate cold = new ColdGate();
+  private boolean coldBefore;
   private Map<Name, Long> offeredBefore = Map.of();
   private String statusBefore = "";
   private long statusNanos;
@@ -171,6 +169,7 @@
             || report.get().bornMillis() != newest.bornMillis();
     if (anew) {
       places.restarted();
+      cold.restarted();
       if (report.isEmpty()) {
         places.keepUntil(now + USE_UNKNOWN.toNanos());
       }
@@ -181,9 +180,9 @@
           Field.of("models", newest.models()),
           Field.of("adapters", newest.resident().size()));
     }
-    noteCold(newest, now);
     answering = true;
     report = Optional.of(newest);
+    coldStated(newest.coldMillis());
     // A report that was read before the newest order was accepted does not show its effect.
     boolean lagging = now - acceptedNanos < REPORT_LAG.toNanos();
     boolean current = anew || newest.sequence() >= sequence || !lagging;
@@ -273,9 +272,10 @@
   }
 
   private void permit(Channel gateway, ColdPermitRequest asked, long now) {
-    boolean cold = report.map(known -> known.coldMillis() > 0).orElse(true);
-    boolean granted = !cold || coldGate.map(gate -> gate.tryPass(now)).orElse(false);
-    long retry = granted ? 0 : coldGate.map(gate -> gate.retryAfterMillis(now)).orElse(100L);
+    coldStated(asked.getColdMillis());
+    double bound = pool.get().map(Pool::coldRequestsPerSecond).orElse(1.0);
+    boolean granted = report.isPresent() && cold.tryPass(Math.max(1, bound * COLD_SHARE), now);
+    long retry = granted ? 0 : Math.max(1, cold.retryAfterMillis(now));
     PeerMessages.send(
         gateway,
         ResidencyMessage.coldPermitReply(new ColdPermitReply(asked.getNumber(), granted, retry)));
@@ -451,17 +451,15 @@
         Field.of("outcome", outcome));
   }
 
-  private void noteCold(EngineReport newest, long now) {
-    boolean before = report.map(known -> known.coldMillis() > 0).orElse(false);
-    boolean cold = newest.coldMillis() > 0;
-    if (cold && coldGate.isEmpty()) {
-      double bound = pool.get().map(Pool::coldRequestsPerSecond).orElse(1.0);
-      coldGate = Optional.of(new RateGate(Math.max(1, bound * COLD_SHARE), COLD_BURST, now));
-    } else if (!cold) {
-      coldGate = Optional.empty();
-    }
-    if (before != cold) {
-      events.record(ResidencyEvent.ENGINE_COLD, Field.of("millis", newest.coldMillis()));
+  /** A source says that the engine stays cold for {@code millis}. */
+  void coldStated(long millis) {
+    long now = System.nanoTime();
+    cold.stated(millis, now);
+    boolean isCold = cold.leftMillis(now) > 0;
+    if (isCold != coldBefore) {
+      coldBefore = isCold;
+      events.record(ResidencyEvent.ENGINE_COLD, Field.of("millis", cold.leftMillis(now)));
+      tell(now);
     }
   }
 
@@ -478,7 +476,7 @@
             + " "
             + known.waiting()
             + " "
-            + (known.coldMillis() > 0)
+            + coldBefore
             + known.leaving()
             + answering
             + known.instanceId()
@@ -506,7 +504,7 @@
             known.waiting(),
             known.kvTokensUsed(),
             known.kvTokensTotal(),
-            known.coldMillis(),
+            cold.leftMillis(System.nanoTime()),
             known.leaving(),
             new ArrayList<>(known.models()));
     status.setLoadable(places.loadable(System.nanoTime()));
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -117,14 +117,15 @@
             () -> view.pool(settings.pool()).map(pool -> pool.healthPath()),
             controller::reported,
             controller::silent);
+    ColdWatch coldWatch =
+        new ColdWatch(
+            loop,
+            dialect,
+            new HttpFetch(loop, settings.engineAddress(), ColdWatch.TIMEOUT),
+            () -> view.pool(settings.pool()).map(pool -> pool.healthPath()),
+            controller::coldStated);
     listen(security, controller);
-    PlainHttpServer.start(
-        group,
-        settings.adminAddress(),
-        path ->
-            path.startsWith("/metrics")
-                ? PlainHttpServer.Page.text(200, controller.metrics())
-                : PlainHttpServer.Page.notFound());
+    PlainHttpServer.start(group, settings.adminAddress(), path -> page(path, controller));
     ControlClient control = closer.register(new ControlClient(settings.control(), security));
     closer.register(
         SettingsReload.start(
@@ -132,6 +133,17 @@
     join(control, controller);
     loop.execute(watch::start);
     closer.register(watch::close);
+    loop.execute(coldWatch::start);
+    closer.register(coldWatch::close);
+  }
+
+  private PlainHttpServer.Page page(String path, ResidencyController controller) {
+    if (path.startsWith("/timeline")) {
+      return PlainHttpServer.timeline(events.timeline(), path);
+    }
+    return path.startsWith("/metrics")
+        ? PlainHttpServer.Page.text(200, controller.metrics())
+        : PlainHttpServer.Page.notFound();
   }
 
   private void listen(PeerSecurity security, ResidencyController controller) {
--- /dev/null
+++ b/relay/src/test/java/org/comfreygap/relay/EndpointTest.java
@@ -0,0 +1,50 @@
+package org.comfreygap.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.comfreygap.protocol.generated.EndpointStatus;
+import org.junit.jupiter.api.Test;
+
+/** Guards what a gateway concludes from sources that lag behind and contradict each other. */
+class EndpointTest {
+
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  /**
+   * Load pattern: an engine is back after a crash. Guards against a status without a cold time that
+   * hid the one of the list: 28 requests in a second reached a cold engine, which bears 26.
+   */
+  @Test
+  void isColdWhenTheListSaysSoAndTheSidecarDoesNot() {
+    Endpoint endpoint = endpoint(3_000);
+    endpoint.status(status(0), SECOND);
+
+    assertThat(endpoint.cold(SECOND)).isTrue();
+    assertThat(endpoint.cold(4 * SECOND)).isFalse();
+  }
+
+  @Test
+  void isColdWhenTheSidecarSaysSoAndTheListDoesNot() {
+    Endpoint endpoint = endpoint(0);
+    endpoint.status(status(500), SECOND);
+
+    assertThat(endpoint.coldMillis(SECOND)).isEqualTo(500);
+    assertThat(endpoint.cold(SECOND + SECOND * 6 / 10)).isFalse();
+  }
+
+  private static Endpoint endpoint(long coldMillis) {
+    return new Endpoint(
+        new ListedEndpoint(
+            "i-1", "app", "10.0.0.1:80", "a", 64, false, coldMillis, Set.of(), Map.of()),
+        null,
+        0);
+  }
+
+  private static EndpointStatus status(long coldMillis) {
+    return new EndpointStatus("i-1", 1, true, 0, 0, 0, 0, coldMillis, false, List.of());
+  }
+}
