--- a/cli/src/main/java/org/comfreygap/cli/Explanation.java
+++ b/cli/src/main/java/org/comfreygap/cli/Explanation.java
@@ -34,6 +34,9 @@
   private static final Set<Integer> BELIEFS =
       Set.of(1001, 1002, 1011, 1012, 1014, 1015, 3530, 3540, 3541);
 
+  /** Events of endpoints that say nothing about one request: orders for other adapters. */
+  private static final Set<Integer> ORDERS = Set.of(4510);
+
   private static final String LOG_OF_ENDPOINT =
       "the events of the endpoint in the chain; 4502 is a silent engine, 4501 a new start";
 
@@ -224,7 +227,8 @@
     if (!text(fields, "request").isEmpty()) {
       return false;
     }
-    return endpoints.contains(text(fields, "endpoint"))
+    boolean ofEndpoint = endpoints.contains(text(fields, "endpoint"));
+    return ofEndpoint && !ORDERS.contains(event.path("number").asInt())
         || processes.contains(event.path("process").asText())
             && BELIEFS.contains(event.path("number").asInt());
   }
