--- a/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
@@ -38,9 +38,6 @@
   /** There and back between zones, and its price, against an equal endpoint in the own zone. */
   public static final double OTHER_ZONE_MILLIS = 4;
 
-  /** The same for an engine, whose streams are long: less than the time to read one prompt. */
-  public static final double ENGINE_OTHER_ZONE_MILLIS = 30;
-
   /** Slowdown that comes from a larger batch alone. */
   public static final double USUAL_SLOWDOWN = 1.5;
 
@@ -102,12 +99,7 @@
             ? 0
             : NOT_HOME_MILLIS + load.homePosition * HOME_STEP_MILLIS;
     double slow = Math.max(0, load.slowdown - USUAL_SLOWDOWN) * SLOW_STREAM_MILLIS;
-    return reading * load.slowdown
-        + slow
-        + full(load)
-        + load.residency.millis
-        + home
-        + engineZone(load);
+    return reading * load.slowdown + slow + full(load) + load.residency.millis + home + zone(load);
   }
 
   /**
@@ -136,10 +128,6 @@
     return load.running + load.waiting >= load.slots ? FULL_MILLIS : 0;
   }
 
-  private static double engineZone(Load load) {
-    return load.sameZone ? 0 : ENGINE_OTHER_ZONE_MILLIS;
-  }
-
   private static double zone(Load load) {
     return load.sameZone ? 0 : OTHER_ZONE_MILLIS;
   }
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -146,7 +146,6 @@
       askPermit(choice.endpoint().get());
     } else {
       relay.placement().loadNewest(choice.endpoint().get(), need, table, now);
-      relay.placement().loadNear(choice.endpoint().get(), need, table, now);
       send(choice.endpoint().get(), now);
     }
   }
--- a/relay/src/main/java/org/comfreygap/relay/Placement.java
+++ b/relay/src/main/java/org/comfreygap/relay/Placement.java
@@ -1,12 +1,10 @@
 package org.comfreygap.relay;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import org.comfreygap.decisions.AdapterDemand;
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.AdapterPlaces;
 import org.comfreygap.decisions.PlacementCost;
@@ -39,7 +37,6 @@
   private final EndpointDirectory directory;
   private final String zone;
   private final RandomGenerator random;
-  private final AdapterDemand demand = new AdapterDemand();
 
   Placement(EndpointDirectory directory, String zone, RandomGenerator random) {
     this.directory = directory;
@@ -125,34 +122,6 @@
         .ifPresent(link -> link.require(name, newest, reply -> {}));
   }
 
-  /**
-   * Has a popular adapter loaded in this gateway's zone while it is served from another one, whose
-   * bytes cost time and money.
-   */
-  void loadNear(Endpoint serving, Need need, RouteTable table, long nowNanos) {
-    if (need.adapter().isEmpty()) {
-      return;
-    }
-    AdapterPlaces.Name name = need.adapter().get();
-    if (!demand.used(name, nowNanos) || serving.zone().equals(zone)) {
-      return;
-    }
-    List<Endpoint> near = open(need, table, Set.of(), nowNanos);
-    near.removeIf(endpoint -> !endpoint.zone().equals(zone));
-    boolean thereSoon =
-        near.stream()
-            .anyMatch(
-                endpoint -> endpoint.residency(name, need.leastVersion()) != Residency.ABSENT);
-    if (thereSoon) {
-      return;
-    }
-    near.stream()
-        .filter(endpoint -> endpoint.canLoad(nowNanos))
-        .min(Comparator.comparingInt(endpoint -> homePosition(name, endpoint, near)))
-        .flatMap(Endpoint::link)
-        .ifPresent(link -> link.require(name, need.leastVersion(), reply -> {}));
-  }
-
   private List<Endpoint> open(Need need, RouteTable table, Set<Endpoint> excluded, long nowNanos) {
     List<Endpoint> open = new ArrayList<>();
     for (Endpoint endpoint : directory.pool(need.pool().name())) {
