Use the whole stated rate of cold engines, and check calm ones every 2 s

Cold engines bear half as much again as stated and five more; 0.8 of the stated rate was used and is now the whole, since after a loss of power all engines are cold and the rate binds.

--- a/relay/src/main/java/org/comfreygap/relay/residency/ColdWatch.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ColdWatch.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.comfreygap.relay.HttpFetch;
@@ -21,9 +22,12 @@
  */
 final class ColdWatch {
 
-  /** An engine may become cold at any moment; at usual load half a second brings few requests. */
+  /** Time between checks of an engine that has started lately, when it is cold as a rule. */
   static final Duration PERIOD = Duration.ofMillis(500);
 
+  /** Every so many of these times one is made of other engines; checks are charged. */
+  static final int CALM_TIMES = 4;
+
   /** A health check of a full engine may take as long. */
   static final Duration TIMEOUT = Duration.ofMillis(2_000);
 
@@ -33,7 +37,9 @@
   private final EngineDialect dialect;
   private final HttpFetch fetch;
   private final Supplier<Optional<String>> healthPath;
+  private final BooleanSupplier startedLately;
   private final LongConsumer onCold;
+  private int times;
   private boolean closed;
 
   ColdWatch(
@@ -41,11 +47,13 @@
       EngineDialect dialect,
       HttpFetch fetch,
       Supplier<Optional<String>> healthPath,
+      BooleanSupplier startedLately,
       LongConsumer onCold) {
     this.loop = loop;
     this.dialect = dialect;
     this.fetch = fetch;
     this.healthPath = healthPath;
+    this.startedLately = startedLately;
     this.onCold = onCold;
   }
 
@@ -60,7 +68,9 @@
 
   private void ask() {
     Optional<String> path = healthPath.get();
-    if (closed || fetch.busy() || path.isEmpty()) {
+    times++;
+    boolean due = startedLately.getAsBoolean() || times % CALM_TIMES == 0;
+    if (closed || !due || fetch.busy() || path.isEmpty()) {
       return;
     }
     fetch.call(
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -65,8 +65,14 @@
   /** Gateways connect again and tell what they use within this time after a start. */
   static final Duration USE_UNKNOWN = Duration.ofMillis(1_000);
 
-  /** Share of the stated bound for cold engines that is used; the rest is for what is late. */
-  static final double COLD_SHARE = 0.8;
+  /**
+   * Share of the stated rate for cold engines that is used. They bear half as much again and a few
+   * more, which is left for what arrives late and for health checks.
+   */
+  static final double COLD_SHARE = 1.0;
+
+  /** Longer than engines stay cold after a start, 3 s by the sheets. */
+  static final Duration LATELY = Duration.ofSeconds(10);
 
   /**
    * An engine on the same machine answers an order within a millisecond; one that takes longer will
@@ -96,6 +102,7 @@
   private Optional<EngineReport> report = Optional.empty();
   private final ColdGate cold = new ColdGate();
   private boolean coldBefore;
+  private long startSeenNanos;
   private Map<Name, Long> offeredBefore = Map.of();
   private String statusBefore = "";
   private long statusNanos;
@@ -149,6 +156,11 @@
         + "\n";
   }
 
+  /** Returns true when the engine started, or was found, a short time ago. */
+  boolean startedLately() {
+    return report.isPresent() && System.nanoTime() - startSeenNanos < LATELY.toNanos();
+  }
+
   /** Takes the newest settings. */
   void settingsChanged(SettingsView view) {
     announced.clear();
@@ -170,6 +182,7 @@
     if (anew) {
       places.restarted();
       cold.restarted();
+      startSeenNanos = now;
       if (report.isEmpty()) {
         places.keepUntil(now + USE_UNKNOWN.toNanos());
       }
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -123,6 +123,7 @@
             dialect,
             new HttpFetch(loop, settings.engineAddress(), ColdWatch.TIMEOUT),
             () -> view.pool(settings.pool()).map(pool -> pool.healthPath()),
+            controller::startedLately,
             controller::coldStated);
     listen(security, controller);
     PlainHttpServer.start(group, settings.adminAddress(), path -> page(path, controller));
