--- a/bench/src/main/java/org/comfreygap/bench/JournalReport.java
+++ b/bench/src/main/java/org/comfreygap/bench/JournalReport.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.comfreygap.cli.HtmlText;
 
 /**
  * Draws the rounds of the journal as one HTML page that needs no other file, {@code bin/report}.
@@ -128,12 +129,12 @@
         round -> bySite.computeIfAbsent(round.site(), site -> new ArrayList<>()).add(round));
     bySite.forEach((site, ofSite) -> site(html, site, ofSite));
     unreadable.forEach(
-        line -> html.append("<p class=\"bad\">").append(escape(line)).append("</p>"));
+        line -> html.append("<p class=\"bad\">").append(HtmlText.escape(line)).append("</p>"));
     return html.toString();
   }
 
   private static void site(StringBuilder html, String site, List<Round> rounds) {
-    html.append("<h2>").append(escape(site)).append("</h2>\n");
+    html.append("<h2>").append(HtmlText.escape(site)).append("</h2>\n");
     Map<String, List<Double>> lines = new LinkedHashMap<>();
     List<Round> scores = rounds.stream().filter(round -> round.score().isPresent()).toList();
     for (Round round : scores) {
@@ -168,7 +169,7 @@
           .forEachRemaining(
               rule ->
                   broken
-                      .append(escape(name + ": " + rule.getKey() + " " + rule.getValue()))
+                      .append(HtmlText.escape(name + ": " + rule.getKey() + " " + rule.getValue()))
                       .append("<br>"));
       for (JsonNode price : day.path("prices")) {
         processor +=
@@ -176,13 +177,15 @@
       }
       memory = Math.max(memory, day.path("kb_an_instance").asDouble() / 1_024);
     }
-    html.append("<tr><td>").append(escape(round.time())).append("</td><td>");
-    html.append(escape(round.id())).append("<br>").append(escape(shortened(round.head())));
-    html.append("</td><td>").append(escape(round.kind())).append("</td><td>");
+    html.append("<tr><td>").append(HtmlText.escape(round.time())).append("</td><td>");
+    html.append(HtmlText.escape(round.id()))
+        .append("<br>")
+        .append(HtmlText.escape(shortened(round.head())));
+    html.append("</td><td>").append(HtmlText.escape(round.kind())).append("</td><td>");
     html.append(round.score().map(s -> String.format(Locale.ROOT, "%.3f", s)).orElse(""));
     html.append("</td><td>").append(worth).append("</td><td class=\"bad\">").append(broken);
     html.append(String.format(Locale.ROOT, "</td><td>%.0f</td><td>%.0f", processor, memory));
-    html.append("</td><td>").append(escape(round.why())).append("</td></tr>\n");
+    html.append("</td><td>").append(HtmlText.escape(round.why())).append("</td></tr>\n");
   }
 
   private static String plot(Map<String, List<Double>> lines, List<String> entries) {
@@ -222,7 +225,7 @@
               WIDTH + 10,
               MARGIN + 16 * colour,
               stroke,
-              escape(line.getKey())));
+              HtmlText.escape(line.getKey())));
       colour++;
     }
     return svg.append("</svg>\n").toString();
@@ -235,8 +238,4 @@
   private static String shortened(String commit) {
     return commit.length() > 7 ? commit.substring(0, 7) : commit;
   }
-
-  private static String escape(String text) {
-    return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
-  }
 }
--- a/cli/src/main/java/org/comfreygap/cli/TimelineText.java
+++ b/cli/src/main/java/org/comfreygap/cli/TimelineText.java
@@ -59,11 +59,14 @@
     page.append(Instant.ofEpochMilli(last)).append("</p>");
     appendPicture(page, events, lanes, first, last);
     if (!missing.isEmpty()) {
-      page.append("<p>No answer from ").append(escape(String.join(", ", missing))).append("</p>");
+      page.append("<p>No answer from ")
+          .append(HtmlText.escape(String.join(", ", missing)))
+          .append("</p>");
     }
     page.append("<table>");
     events.forEach(
-        event -> page.append("<tr><td>").append(escape(line(event))).append("</td></tr>\n"));
+        event ->
+            page.append("<tr><td>").append(HtmlText.escape(line(event))).append("</td></tr>\n"));
     return page.append("</table>\n").toString();
   }
 
@@ -79,7 +82,7 @@
               Locale.ROOT,
               "<text x=\"0\" y=\"%d\">%s</text><line x1=\"%d\" x2=\"%d\" y1=\"%d\" y2=\"%d\"/>",
               y + 4,
-              escape(lanes.get(i)),
+              HtmlText.escape(lanes.get(i)),
               LEFT,
               LEFT + WIDTH,
               y,
@@ -94,7 +97,7 @@
               "<circle cx=\"%.1f\" cy=\"%d\" r=\"4\"><title>%s</title></circle>",
               x,
               y,
-              escape(line(event))));
+              HtmlText.escape(line(event))));
     }
     page.append("</svg>");
   }
@@ -102,11 +105,4 @@
   private static long millis(JsonNode event) {
     return HybridClock.millis(event.path("hlc").asLong());
   }
-
-  private static String escape(String text) {
-    return text.replace("&", "&amp;")
-        .replace("<", "&lt;")
-        .replace(">", "&gt;")
-        .replace("\"", "&quot;");
-  }
 }
