--- a/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
@@ -24,7 +24,7 @@
  */
 final class RelayMetrics implements AutoCloseable {
 
-  /** Customers, and endpoints, that get a counter of their own; each takes about 1 KB. */
+  /** Customers, and endpoints, that get counters of their own; deployments have fewer of both. */
   static final int MAX_NAMES = 200;
 
   private static final String OTHERS = "others";
@@ -42,8 +42,8 @@
   }
 
   /**
-   * Adds the memory and collections of the virtual machine. Finding them takes a restarted program
-   * a tenth of a second, so this is not done before it serves.
+   * Adds the memory and collections of the virtual machine. Finding them loads many classes, so
+   * this is not done before a restarted program serves.
    */
   void bindMachine() {
     new JvmMemoryMetrics().bindTo(registry);
--- a/relay/src/main/java/org/comfreygap/relay/Waits.java
+++ b/relay/src/main/java/org/comfreygap/relay/Waits.java
@@ -35,7 +35,7 @@
 
   /**
    * Silence of an engine after which a stream goes on at another one. Callers leave after two
-   * seconds, and the other engine needs about 0.3 s to read the prompt.
+   * seconds, and the other engine has to read the prompt first.
    */
   static final Duration LONGEST_STALL = Duration.ofMillis(1_400);
 
--- a/runtime/src/main/java/org/comfreygap/runtime/LineRate.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/LineRate.java
@@ -10,10 +10,7 @@
  */
 final class LineRate {
 
-  /**
-   * Lines a second, and at once. At 0.3 ms of processor time for a line with its write, 20 are
-   * under 1% of a core.
-   */
+  /** Lines a second, and at once: enough to follow a calm day whole, few on an instance's disk. */
   static final int LINES_PER_SECOND = 20;
 
   private static final double NANOS_PER_SECOND = 1e9;
--- a/runtime/src/main/java/org/comfreygap/runtime/StructuredLogging.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/StructuredLogging.java
@@ -18,9 +18,9 @@
  * StructuredLogging.install("INFO");
  * }</pre>
  *
- * <p>It is set up in code, since reading an XML file costs a restarted program a tenth of its
- * start. Invariant: no line holds a thread's diagnostic context, which libraries fill with
- * addresses. Thread safety: used once, before the program's threads start.
+ * <p>It is set up in code, so that a restarted program does not read an XML file before it serves.
+ * Invariant: no line holds a thread's diagnostic context, which libraries fill with addresses.
+ * Thread safety: used once, before the program's threads start.
  *
  * @since 0.3
  */
