--- a/bench/src/main/java/org/comfreygap/bench/LoadModel.java
+++ b/bench/src/main/java/org/comfreygap/bench/LoadModel.java
@@ -10,7 +10,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.ToDoubleFunction;
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.AdapterPlaces;
 import org.comfreygap.decisions.AdapterPlaces.Name;
@@ -222,12 +221,11 @@
       nextTry = now + RETRY_MILLIS;
       Optional<Site> best = Optional.empty();
       double bestCost = Double.MAX_VALUE;
-      ToDoubleFunction<Site> cost = site -> site.cost(request, now);
       for (Site site : sites) {
         if (excluded.contains(site) || pattern.down(site.index, now)) {
           continue;
         }
-        double found = cost.applyAsDouble(site);
+        double found = site.cost(request, now);
         if (found < bestCost) {
           best = Optional.of(site);
           bestCost = found;
