Start a watch for silence before its attempt

An attempt that fails while it starts began the next one, whose watch was then replaced by one for the attempt that had ended; that watch was never stopped and kept the request in memory. Found by reading; no test fails before, since connections fail later than they are asked for in all of them.

--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -390,12 +390,12 @@
     attempt = Optional.of(started);
     runCounted = false;
     log.sent(decision, endpoint, now);
-    started.start();
-    silence.ifPresent(SilenceWatch::stop);
     silence =
         Waits.longestSilence(decision.route(), endpoint.latencyMillis())
             .map(longest -> new SilenceWatch(relay.loop(), longest, () -> silent(started)));
     silence.ifPresent(watch -> watch.start(now));
+    // An attempt may fail while it starts, and the next one has a watch of its own then.
+    started.start();
   }
 
   /** An endpoint that hangs must not use up the time of a request that another one can answer. */
