Tell a customer over its limit from one that control did not answer for

Cause: the first walk in docs/OPERATIONS.md: a customer within its limit got 429 over-limit with a Retry-After of 1 s, 69 ms after it asked, while control elected a leader. The ticket's wait had ended without a word. Change: 429 only when control said that credit is short while the request waited; else 503 no-credit-answer with 0.4 s.

--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -130,7 +130,7 @@
   public Ticket reserve(long tokens, Priority priority, Duration longestWait, long nowNanos) {
     expire(nowNanos);
     noteDemand(tokens, nowNanos);
-    Ticket ticket = new Ticket(tokens, priority, nowNanos + longestWait.toNanos());
+    Ticket ticket = new Ticket(tokens, priority, nowNanos, nowNanos + longestWait.toNanos());
     if (!waitsBefore(priority) && held - debt + overdraft >= tokens) {
       take(tokens, nowNanos);
       ticket.state = State.GRANTED;
@@ -337,6 +337,7 @@
     }
     forget(ticket);
     ticket.state = State.REFUSED;
+    ticket.overLimit = shortage && shortAtNanos - ticket.askedNanos >= 0;
     ticket.retryAfterMillis = retryAfterMillis > 0 ? retryAfterMillis : MAX_WAIT.toMillis();
     decided.addLast(ticket);
     return true;
@@ -446,13 +447,16 @@
 
     private final long tokens;
     private final Priority priority;
+    private final long askedNanos;
     private final long deadlineNanos;
+    private boolean overLimit;
     private State state = State.WAITING;
     private long retryAfterMillis;
 
-    private Ticket(long tokens, Priority priority, long deadlineNanos) {
+    private Ticket(long tokens, Priority priority, long askedNanos, long deadlineNanos) {
       this.tokens = tokens;
       this.priority = priority;
+      this.askedNanos = askedNanos;
       this.deadlineNanos = deadlineNanos;
     }
 
@@ -466,6 +470,14 @@
       return state;
     }
 
+    /**
+     * Returns, for a refused ticket, true when control said while it waited that credit is short;
+     * false when control did not answer, or too many waited.
+     */
+    public boolean overLimit() {
+      return overLimit;
+    }
+
     /** Returns, for a refused ticket, when another try is useful, in milliseconds. */
     public long retryAfterMillis() {
       return retryAfterMillis;
--- a/decisions/src/test/java/org/comfreygap/decisions/CustomerCreditTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/CustomerCreditTest.java
@@ -42,6 +42,24 @@
     assertThat(books.credit.held(books.now)).isZero();
   }
 
+  /** Guards against callers who are told that they are over a limit that nobody could check. */
+  @Test
+  void tellsACustomerOverItsLimitFromOneThatControlDidNotAnswerFor() {
+    CustomerCredit silent = new CustomerCredit(64);
+    Ticket unanswered = silent.reserve(30, Priority.NORMAL, START);
+    silent.advance(START + CustomerCredit.MAX_WAIT.toNanos());
+
+    CustomerCredit answered = new CustomerCredit(64);
+    Ticket refused = answered.reserve(30, Priority.NORMAL, START);
+    answered.granted(0, START, 10, START + 1);
+    answered.advance(START + CustomerCredit.MAX_WAIT.toNanos());
+
+    assertThat(List.of(unanswered.state(), refused.state()))
+        .containsExactly(State.REFUSED, State.REFUSED);
+    assertThat(unanswered.overLimit()).isFalse();
+    assertThat(refused.overLimit()).isTrue();
+  }
+
   /** Guards against a later or less urgent request that overtakes one that waits. */
   @Test
   void servesInOrderWithinAClassAndUrgentFirst() {
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -305,12 +304,16 @@
     } else if (decided.state() == State.GRANTED) {
       place();
     } else {
-      String customer = decision.customer().orElseThrow().id();
-      Duration wait = relay.credit().returnAfter(customer, decided, System.nanoTime());
-      refuse(Refusal.overLimit(wait.toMillis()));
+      refuse(decided.overLimit() ? overLimit(decided) : Refusal.NO_CREDIT_ANSWER);
     }
   }
 
+  private Refusal overLimit(Ticket refused) {
+    String customer = decision.customer().orElseThrow().id();
+    return Refusal.overLimit(
+        relay.credit().returnAfter(customer, refused, System.nanoTime()).toMillis());
+  }
+
   private void await(Placement.Shortage shortage, long now) {
     if (now - placeEndNanos >= 0 || endNanos - now < RepeatPolicy.LEAST_TIME.toNanos()) {
       giveUp(shortage == Placement.Shortage.ALL_FULL ? Refusal.FULL : Refusal.NO_ENDPOINT);
