Name each figure of placement once, with its reason

Found by reading the change as a newcomer: the load model repeated the gateway's waits and costs; two of the policy's costs had no name; comments repeated the log line above them; two comments told a story or were wrong.

--- a/bench/src/main/java/org/comfreygap/bench/ByteCounter.java
+++ b/bench/src/main/java/org/comfreygap/bench/ByteCounter.java
@@ -67,7 +67,6 @@
         run(() -> copy(called, caller));
       } catch (IOException e) {
         LOG.debug("a connection was not forwarded", e);
-        // The target refused, or the counter is closed.
       }
     }
   }
@@ -86,7 +85,6 @@
       }
     } catch (IOException e) {
       LOG.debug("a forwarded connection ended", e);
-      // One side closed the connection.
     }
   }
 
--- a/bench/src/main/java/org/comfreygap/bench/Layout.java
+++ b/bench/src/main/java/org/comfreygap/bench/Layout.java
@@ -139,7 +139,6 @@
           return probe.getLocalPort();
         } catch (IOException e) {
           LOG.debug("a port is in use", e);
-          // Another process uses this port.
         }
       }
       throw new IOException("no free port between " + FIRST_PORT + " and " + LAST_PORT);
--- a/bench/src/main/java/org/comfreygap/bench/LoadModel.java
+++ b/bench/src/main/java/org/comfreygap/bench/LoadModel.java
@@ -1,5 +1,6 @@
 package org.comfreygap.bench;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -42,10 +43,6 @@
   static final long STATUS_MILLIS = 50;
 
   private static final long RETRY_MILLIS = 20;
-  private static final long LONGEST_PLACING_MILLIS = 1_200;
-  private static final long LONGEST_ORDER_WAIT_MILLIS = 400;
-  private static final double PROMPT_MILLIS = 45;
-  private static final double JITTER = 0.08;
   private static final int ADAPTERS = 3_000;
   private static final double SKEW = 1.2;
 
@@ -190,7 +187,8 @@
 
     /** Returns true once the request was sent or given up. */
     boolean settled(long now) {
-      long longest = Math.min(2 * request.kind().targetMillis(), LONGEST_PLACING_MILLIS);
+      Duration target = Duration.ofMillis(request.kind().targetMillis());
+      long longest = PlacementPolicy.longestPlacing(target).toMillis();
       if (now - request.arrivedMillis() >= longest) {
         request.refuse();
         loading.ifPresent(site -> site.forget(request.adapter()));
@@ -209,7 +207,7 @@
       boolean late =
           !site.engine.coming().contains(request.adapter())
               && !site.places.congested()
-              && now - loadingSince >= LONGEST_ORDER_WAIT_MILLIS;
+              && now - loadingSince >= AdapterPlaces.LONGEST_WAIT_FOR_PLACE.toMillis();
       if (late || pattern.down(site.index, now)) {
         excluded.add(site);
         loading = Optional.empty();
@@ -331,7 +329,7 @@
       Seen known = seen[request.gateway()];
       int waits = known.waiting + known.sent;
       if (policy == Policy.NAIVE) {
-        return (known.running + waits) * (1 + JITTER * random.nextDouble());
+        return (known.running + waits) * (1 + PlacementPolicy.JITTER * random.nextDouble());
       }
       PlacementCost.Load load =
           new PlacementCost.Load(
@@ -344,8 +342,8 @@
               (index + request.gateway()) % 3 == 0);
       PlacementPolicy.Candidate candidate =
           new PlacementPolicy.Candidate(load, known.loadable > 0, false, 0);
-      return PlacementPolicy.ENGINE.cost(candidate, PROMPT_MILLIS)
-          * (1 + JITTER * random.nextDouble());
+      return PlacementPolicy.ENGINE.cost(candidate, PlacementPolicy.PROMPT_MILLIS)
+          * (1 + PlacementPolicy.JITTER * random.nextDouble());
     }
 
     private int homePosition(Name adapter, long now) {
--- a/bench/src/main/java/org/comfreygap/bench/NaiveProxy.java
+++ b/bench/src/main/java/org/comfreygap/bench/NaiveProxy.java
@@ -234,7 +234,6 @@
       endpoint.resident(names);
     } catch (IOException e) {
       LOG.debug("an engine does not tell what it holds", e);
-      // The engine is down; the next refused request reads its state.
     }
   }
 
--- a/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
+++ b/bench/src/main/java/org/comfreygap/bench/ProductFleet.java
@@ -104,7 +104,6 @@
         leader = admin.status(STATUS_LIMIT).path("leader").asText();
       } catch (IOException e) {
         LOG.debug("no instance of control answers yet", e);
-        // No instance of control answers yet.
       }
     }
   }
--- a/bench/src/main/java/org/comfreygap/bench/RunningProgram.java
+++ b/bench/src/main/java/org/comfreygap/bench/RunningProgram.java
@@ -73,7 +73,6 @@
       }
     } catch (IOException e) {
       LOG.debug("the memory of a process cannot be read", e);
-      // The process has ended.
     }
     return 0;
   }
--- a/bench/src/main/java/org/comfreygap/bench/SettingsProbe.java
+++ b/bench/src/main/java/org/comfreygap/bench/SettingsProbe.java
@@ -100,7 +100,6 @@
         }
       } catch (IOException e) {
         LOG.debug("a control instance does not answer", e);
-        // The instance is down; its next answer is compared with its last one.
       }
     }
   }
--- a/consensus/src/main/java/org/comfreygap/consensus/PeerChannels.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/PeerChannels.java
@@ -85,7 +85,6 @@
             core.submit((raft, now) -> raft.onVoteReply(now, request, reply));
           } catch (TException e) {
             LOG.debug("no answer to a request for a vote; the candidate asks again", e);
-            // The candidate asks again after its election timeout.
           }
         });
   }
@@ -97,7 +96,6 @@
             link.timeoutNow(request);
           } catch (TException e) {
             LOG.debug("a peer was not told to take over; the leader steps down", e);
-            // The leader steps down when the hand-over takes too long.
           }
         });
   }
@@ -145,7 +143,6 @@
       }
     } catch (TException | IOException e) {
       LOG.debug("a snapshot was not sent; the leader tries again", e);
-      // Reported below as not accepted; the leader tries again.
     }
     boolean done = accepted;
     long seenTerm = peerTerm;
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -259,7 +259,6 @@
       Thread.currentThread().interrupt();
     } catch (ExecutionException | TimeoutException e) {
       LOG.debug("no replica took over; the others elect a leader", e);
-      // The others elect a leader after the election timeout.
     }
   }
 
--- a/control/src/main/java/org/comfreygap/control/CreditController.java
+++ b/control/src/main/java/org/comfreygap/control/CreditController.java
@@ -121,7 +121,6 @@
       commit.get(LONGEST_COMMIT_WAIT.toMillis(), TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
       LOG.debug("a commit of ceilings takes long; the exchange goes on under those in force", e);
-      // The exchange goes on under the ceilings in force.
     } catch (ExecutionException e) {
       throw leadership.notLeader();
     } catch (InterruptedException e) {
--- a/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
+++ b/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
@@ -90,7 +90,6 @@
       client.close();
     } catch (IOException e) {
       LOG.debug("the client of the list did not close cleanly", e);
-      // The process ends.
     }
   }
 }
--- a/decisions/src/main/java/org/comfreygap/decisions/AdapterPlaces.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/AdapterPlaces.java
@@ -44,11 +44,18 @@
    */
   public static final Duration SLOW_LOAD = Duration.ofMillis(400);
 
-  /** By what the loads at once are divided after a slow one, and raised after each other one. */
+  /** Factor of the loads at once after a slow load, the usual one of congestion control. */
   static final double WINDOW_DECREASE = 0.5;
 
+  /** Added to the loads at once after a load that was not slow; four of them allow one more. */
   static final double WINDOW_INCREASE = 0.25;
 
+  /**
+   * A wish that found no place within this time is given up: the adapter can still be loaded
+   * elsewhere in time. While the store is slow it waits on, since elsewhere it would add a load.
+   */
+  public static final Duration LONGEST_WAIT_FOR_PLACE = Duration.ofMillis(400);
+
   /** Time between the last word to gateways and an unload, above a network round trip. */
   public static final Duration RETIRE_NOTICE = Duration.ofMillis(30);
 
@@ -77,10 +84,10 @@
   private final Map<Name, Long> retiredNanos = new HashMap<>();
   private final Map<Name, Wish> wishes = new LinkedHashMap<>();
   private final Map<Name, Long> announced = new HashMap<>();
+  private final Map<Name, Long> orderedNanos = new HashMap<>();
   private Set<Name> inUse = Set.of();
   private long keepUntilNanos;
   private boolean keeps;
-  private final Map<Name, Long> orderedNanos = new HashMap<>();
   private double window = MOST_COMING;
   private long windowLoweredNanos;
   private boolean windowLowered;
--- a/decisions/src/main/java/org/comfreygap/decisions/PlacementPolicy.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PlacementPolicy.java
@@ -1,5 +1,6 @@
 package org.comfreygap.decisions;
 
+import java.time.Duration;
 import org.comfreygap.decisions.PlacementCost.Load;
 import org.comfreygap.decisions.PlacementCost.Residency;
 
@@ -16,29 +17,36 @@
  */
 public enum PlacementPolicy {
   /** Endpoints that run a model, where adapters and prompts count. */
-  ENGINE(1_500) {
+  ENGINE(Costs.ENGINE_FAILURE_MILLIS) {
     @Override
     double load(Candidate candidate, double usualMillis) {
       boolean crowded = candidate.load().residency() == Residency.ABSENT && !candidate.canLoad();
-      return PlacementCost.engine(candidate.load(), usualMillis) + (crowded ? NO_PLACE_MILLIS : 0);
+      return PlacementCost.engine(candidate.load(), usualMillis)
+          + (crowded ? Costs.NO_PLACE_MILLIS : 0);
     }
   },
   /** Endpoints of a plain service. */
-  SERVICE(150) {
+  SERVICE(Costs.SERVICE_FAILURE_MILLIS) {
     @Override
     double load(Candidate candidate, double usualMillis) {
       return PlacementCost.service(candidate.load(), usualMillis);
     }
   };
 
+  /** Time in which an engine reads an average prompt, from the capacity sheets. */
+  public static final double PROMPT_MILLIS = 45;
+
+  /** Endpoints whose costs are this close are chosen by chance, so that gateways spread out. */
+  public static final double JITTER = 0.08;
+
+  /** Bound on {@link #longestPlacing}: callers leave about two seconds after they came. */
+  public static final Duration LONGEST_PLACING = Duration.ofMillis(1_200);
+
   /**
-   * Added where all places for adapters are in use: one becomes free when a run ends, and with 17
-   * places and runs of 1.5 s that takes a few hundred milliseconds when others wait as well.
+   * Longest time until a request is sent, adapter loads included, as a share of the time in which
+   * its answer should begin: an answer that is a little late is still of use.
    */
-  static final double NO_PLACE_MILLIS = 500;
-
-  /** A cold endpoint is slower, and each request needs a permit. */
-  static final double COLD_MILLIS = 120;
+  public static final double PLACING_SHARE_OF_TARGET = 2;
 
   private final double failureMillis;
 
@@ -59,15 +67,42 @@
    */
   public record Candidate(Load load, boolean canLoad, boolean cold, double failureShare) {}
 
+  /**
+   * Returns the longest time until a request is sent, from that in which its answer should begin.
+   */
+  public static Duration longestPlacing(Duration target) {
+    long wanted = (long) (target.toNanos() * PLACING_SHARE_OF_TARGET);
+    return Duration.ofNanos(Math.min(wanted, LONGEST_PLACING.toNanos()));
+  }
+
   /**
    * Returns the cost of a request at an endpoint, in milliseconds.
    *
    * @param usualMillis time to read an average prompt, or that a request to a plain service takes
    */
   public double cost(Candidate candidate, double usualMillis) {
-    double cold = candidate.cold() ? COLD_MILLIS : 0;
+    double cold = candidate.cold() ? Costs.COLD_MILLIS : 0;
     return load(candidate, usualMillis) + cold + candidate.failureShare() * failureMillis;
   }
 
   abstract double load(Candidate candidate, double usualMillis);
+
+  /** Costs in milliseconds; an enum's constants cannot use those that the enum declares itself. */
+  private static final class Costs {
+
+    /** A failed run of a plain service costs its caller a whole run, with its wait. */
+    static final double SERVICE_FAILURE_MILLIS = 150;
+
+    /** The same for an engine, whose runs take about 1.5 s by the capacity sheets. */
+    static final double ENGINE_FAILURE_MILLIS = 1_500;
+
+    /**
+     * Added where all places for adapters are in use: one becomes free when a run ends, and with 17
+     * places and runs of 1.5 s that takes a few hundred milliseconds when others wait as well.
+     */
+    static final double NO_PLACE_MILLIS = 500;
+
+    /** Added for a cold endpoint: less than a load of an adapter, more than a short queue. */
+    static final double COLD_MILLIS = 120;
+  }
 }
--- a/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
@@ -234,7 +234,6 @@
         relay.fail(refused.outcome(Outcome.UNKNOWN));
       } catch (CallerGone e) {
         LOG.debug("the caller left before it was told that its answer broke off", e);
-        // There is nobody left to tell.
       }
     }
 
--- a/gateway/src/main/java/org/comfreygap/gateway/FrameStream.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/FrameStream.java
@@ -125,7 +125,6 @@
       response.close();
     } catch (IOException e) {
       LOG.debug("a connection did not close cleanly", e);
-      // The connection is closed in any case.
     }
   }
 
--- a/gateway/src/main/java/org/comfreygap/gateway/Gateway.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/Gateway.java
@@ -107,7 +107,6 @@
       agent.sendHeartbeat();
     } catch (ControlUnavailable e) {
       LOG.debug("control was not told of the stop; the duty repeats the heartbeat", e);
-      // The duty thread repeats the heartbeat.
     }
     try {
       Thread.sleep(settings.stopLag().toMillis());
--- a/gateway/src/main/java/org/comfreygap/gateway/LedgerFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/LedgerFilter.java
@@ -134,7 +134,6 @@
           .send(answer.getStatus(), Map.copyOf(answer.getHeaders()), Outcome.RAN, answer.getBody());
     } catch (CallerGone e) {
       LOG.debug("the caller left; its answer stays in the ledger", e);
-      // The answer stays in the ledger for the caller's next try.
     }
   }
 
--- a/gateway/src/main/java/org/comfreygap/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/RequestPipeline.java
@@ -126,7 +126,6 @@
       context.response().error(refused);
     } catch (CallerGone e) {
       LOG.debug("the caller left before its refusal", e);
-      // There is nobody left to answer.
     }
   }
 }
--- a/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
@@ -168,7 +168,6 @@
       response.close();
     } catch (IOException e) {
       LOG.debug("a connection to a sidecar did not close cleanly", e);
-      // The connection is closed in any case.
     }
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -27,7 +27,10 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
-  /** A loss that shows later than this after the request is no dropped idle connection. */
+  /**
+   * A reset of a dropped idle connection comes one round trip after the request, of a few
+   * milliseconds; what breaks later than this has another cause.
+   */
   private static final long LOSS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final RequestDialect dialect;
--- a/relay/src/main/java/org/comfreygap/relay/Placement.java
+++ b/relay/src/main/java/org/comfreygap/relay/Placement.java
@@ -19,9 +19,6 @@
  */
 final class Placement {
 
-  /** Time in which an engine reads an average prompt, from the capacity sheets. */
-  static final double PROMPT_MILLIS = 45;
-
   /** Requests that an endpoint may have waiting before this gateway holds more back. */
   static final int WAITING_PER_SLOTS_DIVISOR = 4;
 
@@ -31,9 +28,6 @@
    */
   static final double LONGEST_QUEUE_MILLIS = 1_100;
 
-  /** Endpoints whose costs are this close are chosen by chance, so that gateways spread out. */
-  private static final double JITTER = 0.08;
-
   private final EndpointDirectory directory;
   private final String zone;
   private final RandomGenerator random;
@@ -150,7 +144,7 @@
     PlacementCost.Load load =
         new PlacementCost.Load(slots, running, waiting, 1, Residency.HELD, 0, true);
     return need.pool().engine().isPresent()
-        && PlacementCost.engineQueue(load, PROMPT_MILLIS) > LONGEST_QUEUE_MILLIS;
+        && PlacementCost.engineQueue(load, PlacementPolicy.PROMPT_MILLIS) > LONGEST_QUEUE_MILLIS;
   }
 
   private double cost(
@@ -179,9 +173,9 @@
             load, endpoint.canLoad(nowNanos), endpoint.cold(nowNanos), endpoint.failureShare());
     double cost =
         engine
-            ? PlacementPolicy.ENGINE.cost(candidate, PROMPT_MILLIS)
+            ? PlacementPolicy.ENGINE.cost(candidate, PlacementPolicy.PROMPT_MILLIS)
             : PlacementPolicy.SERVICE.cost(candidate, Math.max(1, fastestMillis));
-    return cost * (1 + JITTER * random.nextDouble());
+    return cost * (1 + PlacementPolicy.JITTER * random.nextDouble());
   }
 
   /** Returns how many endpoints come before this one as the home of an adapter. */
--- a/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
@@ -24,7 +24,7 @@
  */
 final class RelayMetrics implements AutoCloseable {
 
-  /** Customers, and endpoints, that get counters of their own; deployments have fewer of both. */
+  /** Customers, and endpoints, that get counters of their own, so that a page stays readable. */
   static final int MAX_NAMES = 200;
 
   private static final String OTHERS = "others";
--- a/relay/src/main/java/org/comfreygap/relay/Waits.java
+++ b/relay/src/main/java/org/comfreygap/relay/Waits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.comfreygap.decisions.PlacementPolicy;
 import org.comfreygap.settings.Documents.Route;
 import org.comfreygap.settings.RequestKind;
 
@@ -15,22 +16,10 @@
   /** Longest wait for credit, as a share of the time in which the answer should begin. */
   static final double CREDIT_SHARE_OF_TARGET = 0.5;
 
-  /**
-   * Longest time until an attempt is sent, adapter loads included, as a share of the time in which
-   * the answer should begin: an answer that is a little late is still of use.
-   */
-  static final double PLACING_SHARE_OF_TARGET = 2;
-
-  /** Bound on that time: callers leave about two seconds after they came. */
-  static final Duration LONGEST_PLACING = Duration.ofMillis(1_200);
-
   /** Target where the route states none. */
   static final Duration DEFAULT_TARGET = Duration.ofMillis(400);
 
-  /**
-   * Time that a stream may take, with a slow engine: on a hunted day of glasnik-mreza one took 5.4
-   * s and was cut by the end of its gateway's planned stop.
-   */
+  /** Time that a stream may take; at slow engines some took 5.4 s. */
   static final Duration STREAM_RUN = Duration.ofSeconds(6);
 
   /**
@@ -54,8 +43,7 @@
 
   /** Returns the longest time until an attempt is sent. */
   static Duration placing(Route route) {
-    long wanted = (long) (target(route).toNanos() * PLACING_SHARE_OF_TARGET);
-    return Duration.ofNanos(Math.min(wanted, LONGEST_PLACING.toNanos()));
+    return PlacementPolicy.longestPlacing(target(route));
   }
 
   /**
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -53,12 +53,6 @@
   /** A gateway's request for an adapter is refused after this time; it tries elsewhere. */
   static final Duration REQUEST_TIMEOUT = Duration.ofMillis(1_200);
 
-  /**
-   * A request for an adapter that found no place by then is refused: it can still be loaded
-   * elsewhere in time. While the store is slow it waits, since elsewhere it would only add a load.
-   */
-  static final Duration LONGEST_WAIT_FOR_PLACE = Duration.ofMillis(400);
-
   /** Length of most runs: what a lost gateway used counts as in use for so long. */
   static final Duration USE_AFTER_LOSS = Duration.ofSeconds(3);
 
@@ -133,7 +127,7 @@
       Channel gateway, long number, Name name, long leastVersion, long sinceNanos) {
 
     boolean over(long nowNanos, boolean coming) {
-      Duration longest = coming ? REQUEST_TIMEOUT : LONGEST_WAIT_FOR_PLACE;
+      Duration longest = coming ? REQUEST_TIMEOUT : AdapterPlaces.LONGEST_WAIT_FOR_PLACE;
       return nowNanos - sinceNanos >= longest.toNanos();
     }
   }
--- a/runtime/src/main/java/org/comfreygap/runtime/DutyThread.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/DutyThread.java
@@ -95,7 +95,6 @@
       pause(PAUSE_AFTER_FAILURE);
     } catch (InterruptedException e) {
       LOG.debug("a duty was interrupted in its pause after a failure", e);
-      // The loop checks closed.
     }
   }
 
--- a/runtime/src/main/java/org/comfreygap/runtime/EventLog.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/EventLog.java
@@ -49,9 +49,9 @@
   private final RingBuffer<Slot> ring;
   private final AtomicLong dropped = new AtomicLong();
   private final AtomicLong leftOut = new AtomicLong();
+  private final Map<Event, LineRate> rates = new ConcurrentHashMap<>();
   // Used by the writer only.
   private long droppedWritten;
-  private final Map<Event, LineRate> rates = new ConcurrentHashMap<>();
 
   /** Starts the writer thread. */
   public EventLog(String process, HybridClock clock, Timeline timeline) {
--- a/sidecar/src/main/java/org/comfreygap/sidecar/AttemptStream.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/AttemptStream.java
@@ -170,7 +170,6 @@
       context.complete();
     } catch (IllegalStateException e) {
       LOG.debug("the container had ended the answer before the sidecar did", e);
-      // The container has already ended the cycle.
     }
   }
 
--- a/testkit/src/main/java/org/comfreygap/testkit/WireServer.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/WireServer.java
@@ -132,7 +132,6 @@
       }
     } catch (IOException e) {
       LOG.debug("a connection ended", e);
-      // The caller closed the connection, or a fault did.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
@@ -340,7 +339,6 @@
         socket.close();
       } catch (IOException e) {
         LOG.debug("a socket did not close cleanly", e);
-        // The socket is already closed.
       }
     }
   }
