Send callers of control to the leader from instances without a disk

The small HTTP server now reads and drops bodies, since a large configuration was above its 64 KiB and would have got 413, which ends the operator's call.

--- a/control/src/main/java/org/comfreygap/control/ControlMain.java
+++ b/control/src/main/java/org/comfreygap/control/ControlMain.java
@@ -3,6 +3,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 import org.comfreygap.consensus.RaftLog;
 import org.comfreygap.consensus.RaftOptions;
@@ -11,7 +12,9 @@
 import org.comfreygap.runtime.HybridClock;
 import org.comfreygap.runtime.PeerSecurity;
 import org.comfreygap.runtime.Program;
+import org.comfreygap.runtime.SettingsInvalid;
 import org.comfreygap.runtime.Timeline;
+import org.comfreygap.settings.Fault;
 
 /**
  * The program {@code comfreygap-control}: an instance of the replicated log with the settings tree
@@ -45,19 +48,36 @@
    *     used
    */
   public static AutoCloseable start(Path settingsFile) throws Exception {
-    return start(settingsFile, publisher -> List.of());
+    return start(settingsFile, publisher -> List.of(), ControlMain::refuseWithoutFolder);
   }
 
   /**
    * Starts an instance with further HTTP resources.
    *
    * @param resources makes Jersey resources that serve the publisher
+   * @param withoutFolder starts what runs instead where the settings name no data folder: such an
+   *     instance cannot keep a replica and must not vote
    * @throws Exception when the settings are invalid, or an address or the data folder cannot be
    *     used
    */
-  public static AutoCloseable start(Path settingsFile, Function<Publisher, List<Object>> resources)
+  public static AutoCloseable start(
+      Path settingsFile, Function<Publisher, List<Object>> resources, Program.Start withoutFolder)
       throws Exception {
     ControlSettings settings = ControlSettings.load(settingsFile);
+    Optional<Path> dataFolder = settings.dataFolder();
+    return dataFolder.isPresent()
+        ? startReplica(settings, dataFolder.get(), resources)
+        : withoutFolder.from(settingsFile);
+  }
+
+  private static AutoCloseable refuseWithoutFolder(Path settingsFile) throws SettingsInvalid {
+    throw new SettingsInvalid(
+        settingsFile.toString(), List.of(new Fault("dataFolder", "nothing", "a folder to write")));
+  }
+
+  private static AutoCloseable startReplica(
+      ControlSettings settings, Path dataFolder, Function<Publisher, List<Object>> resources)
+      throws Exception {
     PeerSecurity security = PeerSecurity.from(settings.file());
     Closer closer = new Closer();
     try {
@@ -68,13 +88,13 @@
                   new HybridClock(System::currentTimeMillis),
                   new Timeline(Timeline.DEFAULT_CAPACITY)));
       ControlState state = new ControlState();
-      Files.createDirectories(settings.dataFolder());
+      Files.createDirectories(dataFolder);
       RaftLog log =
           closer.register(
               RaftLog.open(
                   RaftOptions.builder()
                       .replicaId(settings.replicaId())
-                      .dataFolder(settings.dataFolder())
+                      .dataFolder(dataFolder)
                       .address(settings.replicationAddress())
                       .initialMembers(settings.initialMembers())
                       .security(security)
--- a/control/src/main/java/org/comfreygap/control/ControlSettings.java
+++ b/control/src/main/java/org/comfreygap/control/ControlSettings.java
@@ -55,7 +55,11 @@
           .required("rpcAddress", FieldRule.ipPort())
           .required("replicationAddress", FieldRule.ipPort())
           .required("httpAddress", FieldRule.ipPort())
-          .required("dataFolder", FieldRule.text(1_000))
+          .required(
+              "dataFolder",
+              FieldRule.text(
+                  "a path of at most 1000 characters, empty on an instance without a disk",
+                  value -> value.length() <= 1_000))
           .optional("initialMembers", FieldRule.listOf(FieldRule.object(MEMBER), 7))
           .required("operators", FieldRule.listOf(FieldRule.object(OPERATOR), 1_000))
           .optional("platformList", FieldRule.object(PLATFORM_LIST))
@@ -110,7 +114,7 @@
    */
   static ControlSettings load(Path path) throws SettingsInvalid, IOException {
     ProcessSettings file = ProcessSettings.load(path, SCHEMA, BLOCK_PORTS);
-    if (file.optionalText("replicaId").isPresent()) {
+    if (file.optionalText("replicaId").isPresent() || file.text("dataFolder").isEmpty()) {
       return new ControlSettings(Optional.of(path), file, Optional.empty());
     }
     ReplicaIdentity identity =
@@ -181,8 +185,9 @@
     return file.text("replicationAddress");
   }
 
-  Path dataFolder() {
-    return Path.of(file.text("dataFolder"));
+  /** Returns where the replica is kept; empty on an instance that can hold none. */
+  Optional<Path> dataFolder() {
+    return Optional.of(file.text("dataFolder")).filter(text -> !text.isEmpty()).map(Path::of);
   }
 
   List<String> controlAddresses() {
--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -196,7 +196,9 @@
     }
     for (MembershipView.Status<ProcessIdentity> status : processes) {
       ProcessIdentity identity = status.identity().description();
+      // An instance that only forwards callers has no address for calls.
       if (identity.getKind() == ProcessKind.CONTROL
+          && !identity.getAddress().isEmpty()
           && status.state() != MembershipView.State.GONE) {
         addresses.add(identity.getAddress());
       }
--- a/control/src/test/java/org/comfreygap/control/InstanceTest.java
+++ b/control/src/test/java/org/comfreygap/control/InstanceTest.java
@@ -25,6 +25,9 @@
 
   private static final long LIMIT_NANOS = 60_000_000_000L;
 
+  /** Several rounds of the leader's membership duty. */
+  private static final Duration MAINTENANCE = Duration.ofMillis(1_000);
+
   /** Guards against a planned stop after which nobody leads until an election (I13). */
   @Test
   void aPlannedStopHandsTheLeadershipOver() throws Exception {
@@ -53,6 +56,23 @@
     }
   }
 
+  /** Guards against processes that try to call an instance which only forwards callers. */
+  @Test
+  void forwardingInstanceIsNoAddressForCalls() throws Exception {
+    try (ControlFixture control = ControlFixture.leader()) {
+      ProcessIdentity forwarder =
+          new ProcessIdentity("control-2", ProcessKind.CONTROL, "start-1", "z1", "", "127.0.0.1:8");
+      control.handler().heartbeat(new HeartbeatRequest(forwarder, 0, false, 0));
+      ProcessIdentity gateway = ControlFixture.process("g1", ProcessKind.GATEWAY, "start-1");
+      Thread.sleep(MAINTENANCE.toMillis());
+
+      HeartbeatReply heartbeat =
+          control.handler().heartbeat(new HeartbeatRequest(gateway, 0, false, 0));
+
+      assertThat(heartbeat.getControlAddresses()).isNotEmpty().doesNotContain("");
+    }
+  }
+
   /** Guards against a withdrawn key that a heartbeat or a watch still reports as valid (I5). */
   @Test
   void anAcceptedWithdrawalIsInTheNextHeartbeatAndWatch() throws Exception {
--- a/relay/src/main/java/org/comfreygap/relay/PlainHttpServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/PlainHttpServer.java
@@ -13,14 +13,16 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -32,7 +34,7 @@
 
 /**
  * A small HTTP server for readiness, metrics and the time line of programs that do not run
- * Dropwizard.
+ * Dropwizard. The body of a request is read and dropped.
  *
  * <pre>{@code
  * PlainHttpServer.start(group, address, path -> Page.text(200, "ready"));
@@ -44,20 +46,39 @@
  */
 public final class PlainHttpServer {
 
-  private static final int MAX_REQUEST_BYTES = 64 * 1024;
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
+  private static final String PLAIN_TEXT = "text/plain; charset=utf-8";
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private PlainHttpServer() {}
 
   /** An answer. */
-  public record Page(int status, String contentType, String body) {
+  public record Page(
+      int status, String contentType, String body, Map<CharSequence, String> headers) {
 
     /** Returns a page of plain text. */
     public static Page text(int status, String body) {
-      return new Page(status, "text/plain; charset=utf-8", body);
+      return new Page(status, PLAIN_TEXT, body, Map.of());
+    }
+
+    /** Returns a page that sends the caller, with method and body unchanged, to {@code url}. */
+    public static Page elsewhere(String url) {
+      return new Page(
+          HttpResponseStatus.TEMPORARY_REDIRECT.code(),
+          PLAIN_TEXT,
+          "",
+          Map.of(HttpHeaderNames.LOCATION, url));
+    }
+
+    /** Returns a page that asks the caller to come back after some seconds. */
+    public static Page unavailable(int retryAfterSeconds, String body) {
+      return new Page(
+          HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+          PLAIN_TEXT,
+          body,
+          Map.of(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryAfterSeconds)));
     }
 
     /** Returns the page for an unknown path. */
@@ -78,7 +99,7 @@
       long since = first(given, "since").map(Long::parseLong).orElse(0L);
       List<Timeline.Entry> found =
           timeline.since(since, first(given, "request"), first(given, "team"));
-      return new Page(OK, "application/json", MAPPER.writeValueAsString(found));
+      return new Page(OK, "application/json", MAPPER.writeValueAsString(found), Map.of());
     } catch (NumberFormatException e) {
       return Page.text(BAD_REQUEST, "since: expected milliseconds\n");
     } catch (JsonProcessingException e) {
@@ -106,7 +127,7 @@
                     .pipeline()
                     .addLast(
                         new HttpServerCodec(),
-                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
+                        new HttpServerExpectContinueHandler(),
                         new Answering(pages));
               }
             })
@@ -119,16 +140,32 @@
     return given.getOrDefault(name, List.of()).stream().findFirst();
   }
 
-  private static final class Answering extends SimpleChannelInboundHandler<FullHttpRequest> {
+  private static final class Answering extends SimpleChannelInboundHandler<HttpObject> {
 
     private final Function<String, Page> pages;
+    private Optional<HttpRequest> head = Optional.empty();
 
     Answering(Function<String, Page> pages) {
       this.pages = pages;
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+      if (part.decoderResult().isFailure()) {
+        ctx.close();
+        return;
+      }
+      if (part instanceof HttpRequest request) {
+        head = Optional.of(request);
+      }
+      // An answer before the end of a body would close the connection on a caller that still sends.
+      if (part instanceof LastHttpContent && head.isPresent()) {
+        answer(ctx, head.get());
+        head = Optional.empty();
+      }
+    }
+
+    private void answer(ChannelHandlerContext ctx, HttpRequest request) {
       Page page = pages.apply(request.uri());
       FullHttpResponse response =
           new DefaultFullHttpResponse(
@@ -136,6 +173,7 @@
               HttpResponseStatus.valueOf(page.status()),
               Unpooled.copiedBuffer(page.body(), StandardCharsets.UTF_8));
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
+      page.headers().forEach(response.headers()::set);
       HttpUtil.setContentLength(response, response.content().readableBytes());
       boolean keep = HttpUtil.isKeepAlive(request);
       HttpUtil.setKeepAlive(response, keep);
