Read the platform's list once in each zone

At 370 gateways it would be 264 calls a second where 44 are allowed. Ruled out: a longer period alone (a leaving endpoint of a plain service is known from the list only, and must get no work 3 s after the list shows it); the list in control's answers (its bytes cross zones to every gateway). Change: the live gateway of a zone with the lowest id reads each 0.9 s; the others of the zone ask it, in the zone, and fall back to the platform at once when it does not answer within 0.3 s or has nothing under 1.4 s old by either clock. A list is passed on only when it is newer than the one before.

--- a/relay/src/main/java/org/comfreygap/relay/ListingPoller.java
+++ b/relay/src/main/java/org/comfreygap/relay/ListingPoller.java
@@ -10,25 +10,34 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.comfreygap.decisions.ZoneReader;
+import org.comfreygap.runtime.ClockReading;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 
 /**
- * Reads the platform's list of endpoints, page by page, again and again.
+ * Reads the list of endpoints, page by page, again and again: at the gateway that reads it for the
+ * zone, or at the platform when there is none or it does not answer.
  *
- * <p>Invariant: a list is passed on only when all its pages were read; one that cannot be read
- * changes nothing. Thread safety: used on the event loop only.
+ * <p>Invariants: a list is passed on only when all its pages were read and it is newer than the one
+ * before; one that cannot be read changes nothing. Thread safety: used on the event loop only.
  */
 final class ListingPoller {
 
-  /** Longest time for one page. */
-  static final Duration TIMEOUT = Duration.ofMillis(800);
-
   /** Pause after a failure or an answer over the rate that all callers share. */
   static final Duration RETRY_PAUSE = Duration.ofMillis(300);
 
+  /** Time for which a gateway that did not pass the list on is not asked; a restart takes less. */
+  static final Duration GATEWAY_PAUSE = Duration.ofSeconds(3);
+
+  /**
+   * Factor on the period while the zone's reader is not asked: all gateways of the zone call the
+   * platform then, within the rate that it allows for all instances.
+   */
+  static final double PERIOD_FACTOR_WITHOUT_READER = 1.5;
+
   /** More pages than any deployment has; ends a list whose tokens go round. */
   private static final int MAX_PAGES = 100;
 
@@ -37,32 +46,62 @@
 
   private final EventLoop loop;
   private final EndpointListing form;
-  private final HttpFetch fetch;
+  private final ListingSource platform;
+  private final Supplier<Optional<ZoneReader.Candidate>> reader;
   private final Duration period;
   private final RandomGenerator random;
   private final EventLog events;
-  private final Consumer<List<ListedEndpoint>> receiver;
+  private final Receiver receiver;
+  private final ListingShare share = new ListingShare();
+  private Optional<ListingSource> gateway = Optional.empty();
+  private long gatewayAskedFromNanos;
+  private ListingSource source;
+  private ClockReading askedAt;
+  private long ageMillis;
+  private List<byte[]> pages = new ArrayList<>();
   private List<ListedEndpoint> read = new ArrayList<>();
-  private int pages;
   private int unreadable;
   private int unreadableBefore;
+  private boolean receivedOnce;
+  private long receivedNanos;
   private boolean closed;
 
+  /**
+   * Creates a poller.
+   *
+   * @param reader the gateway that reads for this one; empty when this one reads itself
+   */
   ListingPoller(
       EventLoop loop,
       InetSocketAddress address,
       EndpointListing form,
+      Supplier<Optional<ZoneReader.Candidate>> reader,
       Duration period,
       RandomGenerator random,
       EventLog events,
-      Consumer<List<ListedEndpoint>> receiver) {
+      Receiver receiver) {
     this.loop = loop;
     this.form = form;
-    this.fetch = new HttpFetch(loop, address, TIMEOUT);
+    this.platform = ListingSource.platform(loop, address, form);
+    this.reader = reader;
     this.period = period;
     this.random = random;
     this.events = events;
     this.receiver = receiver;
+    this.source = platform;
+    this.gatewayAskedFromNanos = System.nanoTime();
+  }
+
+  /** Takes a whole list. */
+  @FunctionalInterface
+  interface Receiver {
+
+    /**
+     * Takes the list.
+     *
+     * @param asOfNanos monotonic time at which the platform was asked for it
+     */
+    void listed(List<ListedEndpoint> endpoints, long asOfNanos);
   }
 
   void start() {
@@ -71,58 +110,117 @@
 
   void close() {
     closed = true;
-    fetch.close();
+    platform.fetch().close();
+    gateway.ifPresent(one -> one.fetch().close());
+  }
+
+  /** Returns the answer to another gateway that asks for a page. */
+  PlainHttpServer.Page page(String path) {
+    return share.page(path, ClockReading.now());
   }
 
   private void begin() {
     if (closed) {
       return;
     }
+    askedAt = ClockReading.now();
+    change(choose(askedAt.nanos()));
+    pages = new ArrayList<>();
     read = new ArrayList<>();
-    pages = 0;
     unreadable = 0;
-    page(Optional.empty());
+    ageMillis = 0;
+    ask(source.firstPath());
   }
 
-  private void page(Optional<String> token) {
-    pages++;
-    fetch.call(HttpMethod.GET, form.path(token), Map.of(), "", this::received, this::failed);
+  private ListingSource choose(long nowNanos) {
+    Optional<ZoneReader.Candidate> chosen =
+        nowNanos - gatewayAskedFromNanos < 0 ? Optional.empty() : reader.get();
+    if (chosen.isEmpty()) {
+      return platform;
+    }
+    ZoneReader.Candidate candidate = chosen.get();
+    if (gateway.isEmpty() || !gateway.get().name().equals(candidate.processId())) {
+      gateway.ifPresent(former -> former.fetch().close());
+      gateway =
+          Optional.of(ListingSource.gateway(loop, candidate.processId(), candidate.address()));
+    }
+    return gateway.get();
   }
 
-  private void received(HttpFetch.Reply reply) {
-    if (reply.status() != OK) {
-      failed(new IOException("the list answered " + reply.status()));
-      return;
+  private void change(ListingSource next) {
+    if (next != source) {
+      source = next;
+      events.record(RelayEvent.LISTING_SOURCE_CHANGED, Field.of("source", next.name()));
     }
-    EndpointListing.Page page;
+  }
+
+  private void ask(String path) {
+    source.fetch().call(HttpMethod.GET, path, Map.of(), "", this::received, this::failed);
+  }
+
+  private void received(HttpFetch.Reply reply) {
+    Optional<String> next;
     try {
-      page = form.read(reply.body());
+      next = take(reply);
     } catch (IOException e) {
       failed(e);
       return;
     }
+    if (next.isPresent() && pages.size() < MAX_PAGES) {
+      ask(next.get());
+    } else {
+      complete();
+    }
+  }
+
+  /** Takes a page and returns the path of the next one. */
+  private Optional<String> take(HttpFetch.Reply reply) throws IOException {
+    if (reply.status() != OK) {
+      throw new IOException("the list answered " + reply.status());
+    }
+    EndpointListing.Page page = form.read(reply.body());
+    ageMillis = Math.max(ageMillis, source.ageMillis(reply));
+    pages.add(reply.body());
     read.addAll(page.endpoints());
     unreadable += page.unreadable();
-    if (page.next().isPresent() && pages < MAX_PAGES) {
-      page(page.next());
-      return;
-    }
+    return source.nextPath(reply, page, pages.size());
+  }
+
+  private void complete() {
     if (unreadable != unreadableBefore) {
       unreadableBefore = unreadable;
       events.record(RelayEvent.LISTING_UNREADABLE, Field.of("entries", unreadable));
     }
-    receiver.accept(read);
-    again(period);
+    boolean first = source == platform;
+    if (first) {
+      share.replace(pages, askedAt);
+    }
+    long asOf = askedAt.nanos() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+    if (!receivedOnce || asOf - receivedNanos > 0) {
+      receivedOnce = true;
+      receivedNanos = asOf;
+      receiver.listed(read, asOf);
+    }
+    boolean avoiding = first && askedAt.nanos() - gatewayAskedFromNanos < 0;
+    again(period, avoiding ? PERIOD_FACTOR_WITHOUT_READER : 1);
   }
 
   private void failed(IOException cause) {
-    events.record(RelayEvent.LISTING_FAILED, Field.of("cause", cause.getMessage()));
-    again(RETRY_PAUSE);
+    events.record(
+        RelayEvent.LISTING_FAILED,
+        Field.of("source", source.name()),
+        Field.of("cause", cause.getMessage()));
+    if (source == platform) {
+      again(RETRY_PAUSE, 1);
+    } else {
+      gatewayAskedFromNanos = System.nanoTime() + GATEWAY_PAUSE.toNanos();
+      begin();
+    }
   }
 
-  private void again(Duration pause) {
+  private void again(Duration pause, double factor) {
     // Gateways that started together must not call together.
-    double factor = 1 + SPREAD * (random.nextDouble() - 0.5);
-    loop.schedule(this::begin, (long) (pause.toMillis() * factor), TimeUnit.MILLISECONDS);
+    double spread = 1 + SPREAD * (random.nextDouble() - 0.5);
+    loop.schedule(this::begin, (long) (pause.toMillis() * factor * spread), TimeUnit.MILLISECONDS);
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -21,6 +21,7 @@
   ENDPOINT_GONE(3512, Level.INFO, "An endpoint is no longer in the platform's list."),
   LISTING_FAILED(3513, Level.WARN, "The platform's list of endpoints could not be read."),
   LISTING_UNREADABLE(3514, Level.INFO, "Entries of the platform's list were left out."),
+  LISTING_SOURCE_CHANGED(3515, Level.INFO, "The list of endpoints is read from another source."),
   SIDECAR_CONNECTED(3520, Level.INFO, "The sidecar beside an endpoint is connected."),
   SIDECAR_LOST(3521, Level.INFO, "The connection to a sidecar ended."),
   CRASH_REPORTED(3522, Level.WARN, "Control was told which requests were at a crashed endpoint."),
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -24,7 +24,10 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.comfreygap.decisions.RetryWindow;
+import org.comfreygap.decisions.ZoneReader;
+import org.comfreygap.protocol.generated.Member;
 import org.comfreygap.protocol.generated.MemberState;
 import org.comfreygap.protocol.generated.ProcessIdentity;
 import org.comfreygap.protocol.generated.ProcessKind;
@@ -88,6 +91,7 @@
   private volatile long stopEndNanos;
   private Optional<MembershipAgent> agent = Optional.empty();
   private Optional<Channel> acceptor = Optional.empty();
+  private volatile Optional<ListingPoller> shared = Optional.empty();
 
   private RelayGateway(RelaySettings settings, EventLog events) {
     this.settings = settings;
@@ -178,14 +182,16 @@
             loop,
             settings.listAddress(),
             listing,
+            this::zoneReader,
             settings.listPeriod(),
             random,
             events,
-            entries -> directory.listed(entries, table.enginePools(), System.nanoTime()));
+            (entries, asOf) -> directory.listed(entries, table.enginePools(), asOf));
     onLoop(
         () -> {
           directory.start();
           poller.start();
+          shared = Optional.of(poller);
           return null;
         });
     loop.scheduleAtFixedRate(
@@ -294,6 +300,9 @@
     if (path.startsWith("/timeline")) {
       return PlainHttpServer.timeline(events.timeline(), path);
     }
+    if (path.startsWith(ListingShare.PATH)) {
+      return shared.map(poller -> poller.page(path)).orElseGet(PlainHttpServer.Page::notFound);
+    }
     return path.startsWith("/ready")
         ? PlainHttpServer.Page.text(ready ? OK : UNAVAILABLE, ready ? "ready\n" : "not ready\n")
         : PlainHttpServer.Page.notFound();
@@ -318,12 +327,27 @@
   }
 
   private int liveGateways() {
-    return (int)
-        agent.stream()
-            .flatMap(joined -> joined.members().stream())
-            .filter(member -> member.getIdentity().getKind() == ProcessKind.GATEWAY)
-            .filter(member -> member.getState() != MemberState.GONE)
-            .count();
+    return (int) gatewayMembers().filter(one -> one.getState() != MemberState.GONE).count();
+  }
+
+  private Optional<ZoneReader.Candidate> zoneReader() {
+    List<ZoneReader.Candidate> gateways =
+        gatewayMembers()
+            .map(
+                member ->
+                    new ZoneReader.Candidate(
+                        member.getIdentity().getProcessId(),
+                        member.getIdentity().getZone(),
+                        member.getState() == MemberState.LIVE,
+                        member.getIdentity().getAdminAddress()))
+            .toList();
+    return ZoneReader.choose(settings.processId(), settings.zone(), gateways);
+  }
+
+  private Stream<Member> gatewayMembers() {
+    return agent.stream()
+        .flatMap(joined -> joined.members().stream())
+        .filter(member -> member.getIdentity().getKind() == ProcessKind.GATEWAY);
   }
 
   private Channel listen(Relay relay) {
--- a/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
@@ -38,9 +38,11 @@
   private static final Map<String, Integer> BLOCK_PORTS =
       Map.of("adminAddress", PortBlock.GATEWAY_ADMIN);
 
-  // Twice in the time that a leaving endpoint may get work, after the list's own lag; calls are
-  // charged, and sidecars tell sooner of engines that leave.
-  private static final Duration DEFAULT_LIST_PERIOD = Duration.ofMillis(1_400);
+  // A gateway that asks the reader of its zone learns of a leaving endpoint within two periods,
+  // well
+  // inside the 3 s after which it must get no work; calls are charged, so one gateway of a zone
+  // reads.
+  private static final Duration DEFAULT_LIST_PERIOD = Duration.ofMillis(900);
   // Four heartbeats fit into the default lease and leave time for an election.
   private static final Duration DEFAULT_HEARTBEAT = Duration.ofMillis(500);
   private static final Duration DEFAULT_KEY_WITHDRAWAL = Duration.ofMillis(5_000);
