--- /dev/null
+++ b/bench/src/main/java/org/comfreygap/bench/RegressionDay.java
@@ -0,0 +1,103 @@
+package org.comfreygap.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * A day of the users' bench that broke a rule once.
+ *
+ * <p>Invariant: it is named by a seed or by a name that the bench gave it. Thread safety:
+ * immutable.
+ *
+ * @param site site file, relative to the folder of the sites
+ * @param day standard day that was varied, or the name of a drawn day
+ * @param seed seed of the variation; empty for a drawn day
+ * @param rule rule that was broken
+ * @param cause what was found, in a line
+ * @since 0.3
+ */
+record RegressionDay(String site, String day, Optional<String> seed, String rule, String cause) {
+
+  private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+
+  /** How a day ended when it was played again. */
+  enum Verdict {
+    /** No rule was broken. */
+    HELD,
+    /** The rule that was broken before was broken again. */
+    BROKEN,
+    /** Another rule was broken. */
+    OTHER_RULE,
+    /** The day was not played to its end. */
+    NOT_PLAYED;
+
+    /** Returns the word that stands in the output. */
+    String word() {
+      return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+  }
+
+  /**
+   * Reads the list of days.
+   *
+   * @throws IOException when the file cannot be read or an entry lacks a field
+   */
+  static List<RegressionDay> read(Path file) throws IOException {
+    List<RegressionDay> days = new ArrayList<>();
+    for (JsonNode entry : YAML.readTree(Files.readString(file))) {
+      boolean drawn = entry.hasNonNull("name");
+      for (String field : List.of("site", drawn ? "name" : "day", "rule", "cause")) {
+        if (!entry.path(field).isTextual()) {
+          throw new IOException(file + ": given " + entry + ", expected text as " + field);
+        }
+      }
+      if (!drawn && !entry.path("seed").canConvertToLong()) {
+        throw new IOException(file + ": given " + entry + ", expected a number as seed");
+      }
+      days.add(
+          new RegressionDay(
+              entry.path("site").asText(),
+              entry.path(drawn ? "name" : "day").asText(),
+              drawn ? Optional.empty() : Optional.of(entry.path("seed").asText()),
+              entry.path("rule").asText(),
+              entry.path("cause").asText()));
+    }
+    return days;
+  }
+
+  /** Returns the arguments of the bench that play the day. */
+  List<String> arguments(Path sites, int jobs) {
+    List<String> arguments = new ArrayList<>();
+    arguments.add(seed.isPresent() ? "run" : "replay");
+    arguments.add(sites.resolve(site).toString());
+    arguments.add(day);
+    seed.ifPresent(given -> arguments.addAll(List.of("--seed", given)));
+    arguments.addAll(List.of("--jobs", String.valueOf(jobs)));
+    arguments.addAll(List.of("--why", "regression: " + rule + ", " + cause));
+    return arguments;
+  }
+
+  /** Returns how the day ended by its entry in the journal; empty when there is no entry. */
+  Verdict verdict(Optional<JsonNode> entry) {
+    JsonNode played =
+        entry.map(node -> node.path("days").path(0)).orElse(MissingNode.getInstance());
+    if (!played.path("rules").isObject()) {
+      return Verdict.NOT_PLAYED;
+    }
+    Iterator<String> broken = played.path("rules").fieldNames();
+    if (!broken.hasNext()) {
+      return Verdict.HELD;
+    }
+    return played.path("rules").has(rule) ? Verdict.BROKEN : Verdict.OTHER_RULE;
+  }
+}
