Forget outages that no request met lately, and bound what is learned from them

Cause, found by reading: the end of an outage of a pool is noticed by the next request sent there. With one request in many seconds the forecast took the pause for the outage, and refused the next short one at once with up to 6 s. Test: OutageForecastTest.outageThatNobodyMetForLongIsForgotten, which the code before does not pass (it expected 20 s).

--- a/decisions/src/main/java/org/comfreygap/decisions/OutageForecast.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/OutageForecast.java
@@ -47,9 +47,17 @@
   /** Multiples of the golden ratio fall evenly between 0 and 1, however many there are. */
   private static final double GOLDEN_RATIO = 0.618_033_988_749_895;
 
+  /** The end of an outage is noticed by the next request only, which may come much later. */
+  private static final double MOST_LEARNED_FACTOR = 2;
+
+  /** An outage that nobody met for so long may have ended, and another one may have begun. */
+  private static final Duration FORGET_AFTER = Duration.ofSeconds(2);
+
+  private final double mostNanos;
   private double usualNanos;
   private boolean lasting;
   private long beganNanos;
+  private long metNanos;
   private long told;
 
   /**
@@ -59,21 +67,25 @@
    */
   public OutageForecast(Duration usual) {
     this.usualNanos = usual.toNanos();
+    this.mostNanos = usualNanos * MOST_LEARNED_FACTOR;
   }
 
   /** Takes note that the outage lasts; the first call of an outage is its beginning. */
   public void began(long nowNanos) {
-    if (!lasting) {
+    boolean forgotten = nowNanos - metNanos > FORGET_AFTER.toNanos();
+    if (!lasting || forgotten) {
       lasting = true;
       beganNanos = nowNanos;
     }
+    metNanos = nowNanos;
   }
 
   /** Takes note that there is no outage. */
   public void ended(long nowNanos) {
     if (lasting) {
       lasting = false;
-      usualNanos += LEARNING_WEIGHT * (nowNanos - beganNanos - usualNanos);
+      double lasted = Math.min(nowNanos - beganNanos, mostNanos);
+      usualNanos += LEARNING_WEIGHT * (lasted - usualNanos);
     }
   }
 
@@ -82,9 +94,12 @@
     return lasting;
   }
 
-  /** Returns the time that the outage is expected to last from now on; zero when there is none. */
+  /**
+   * Returns the time that the outage is expected to last from now on; zero when there is none, or
+   * nobody met it lately.
+   */
   public Duration expected(long nowNanos) {
-    if (!lasting) {
+    if (!lasting || nowNanos - metNanos > FORGET_AFTER.toNanos()) {
       return Duration.ZERO;
     }
     long elapsed = Math.max(0, nowNanos - beganNanos);
