Learn from a broken connection only when it broke within a round trip

An endpoint that loses answers resets after the run, 20 ms or more after the request; any break within 100 ms counted as a dropped idle connection, and one after a short pause kept all connections of the pool from being used again for a minute. Change: only a break within 15 ms counts, and idle times under 0.1 s are always trusted.

--- a/decisions/src/main/java/org/comfreygap/decisions/IdleTrust.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/IdleTrust.java
@@ -24,7 +24,13 @@
   public static final Duration MEMORY = Duration.ofSeconds(60);
 
   /** Least idle time; below it the connection was used a moment ago. */
-  public static final Duration LEAST = Duration.ofMillis(20);
+  public static final Duration LEAST = Duration.ofMillis(100);
+
+  /**
+   * The reset of a dropped connection comes one round trip after the request, 3 ms between zones.
+   * An endpoint that resets after it ran the request, which takes 20 ms or more, shows nothing.
+   */
+  public static final Duration LONGEST_RESET = Duration.ofMillis(15);
 
   private long longestNanos = Long.MAX_VALUE;
   private long lostNanos;
@@ -37,8 +43,18 @@
     return idleNanos < longestNanos;
   }
 
-  /** Records that a connection which was idle for the given time broke at its next request. */
-  public void lost(long idleNanos, long nowNanos) {
+  /**
+   * Records that a connection which was idle for the given time broke before an answer.
+   *
+   * @param afterNanos time between the request and the break
+   */
+  public void broke(long idleNanos, long afterNanos, long nowNanos) {
+    if (afterNanos <= LONGEST_RESET.toNanos()) {
+      lost(idleNanos, nowNanos);
+    }
+  }
+
+  private void lost(long idleNanos, long nowNanos) {
     longestNanos = Math.max(LEAST.toNanos(), Math.min(longestNanos, idleNanos / 2));
     lostNanos = nowNanos;
   }
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -15,7 +15,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import org.comfreygap.decisions.IdleTrust;
 
 /**
@@ -27,12 +26,6 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
-  /**
-   * A reset of a dropped idle connection comes one round trip after the request, of a few
-   * milliseconds; what breaks later than this has another cause.
-   */
-  private static final long LOSS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
   private final RequestDialect dialect;
   private final IdleTrust trust;
   private Channel channel;
@@ -224,8 +217,8 @@
 
   private void noteLoss() {
     long now = System.nanoTime();
-    if (usedBefore && !answering && now - sentNanos < LOSS_NANOS) {
-      trust.lost(idleBeforeNanos, now);
+    if (usedBefore && !answering) {
+      trust.broke(idleBeforeNanos, now - sentNanos, now);
     }
   }
 
