--- a/relay/src/main/java/org/comfreygap/relay/ControlForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ControlForwarder.java
@@ -4,7 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Optional;
+import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.protocol.generated.HeartbeatReply;
@@ -19,10 +19,16 @@
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 import org.comfreygap.runtime.HybridClock;
+import org.comfreygap.runtime.LeaderChanges;
 import org.comfreygap.runtime.PeerSecurity;
+import org.comfreygap.runtime.PortBlock;
+import org.comfreygap.runtime.ProcessSettings;
 import org.comfreygap.runtime.RuntimeEvent;
+import org.comfreygap.runtime.SettingsInvalid;
 import org.comfreygap.runtime.SettingsReload;
 import org.comfreygap.runtime.Timeline;
+import org.comfreygap.settings.FieldRule;
+import org.comfreygap.settings.ObjectSchema;
 
 /**
  * Control on an instance without a disk: it holds no replica and sends every caller to the leader.
@@ -47,26 +53,42 @@
   private static final int RETRY_AFTER_SECONDS = 1;
   private static final int OK = 200;
 
-  private final ForwarderSettings settings;
+  /** The settings of a control instance; what only a replica needs is accepted and not used. */
+  private static final ObjectSchema SCHEMA =
+      ProcessSettings.commonSchema()
+          .required("httpAddress", FieldRule.ipPort())
+          .optional("dataFolder", FieldRule.text("an empty path", String::isEmpty))
+          .optional("createLog", FieldRule.bool())
+          .optional("toleratedLosses", FieldRule.integer(0, 4))
+          .optional("operators", FieldRule.listOf(FieldRule.name(), 0))
+          .build();
+
+  private static final Map<String, Integer> BLOCK_PORTS =
+      Map.of("adminAddress", PortBlock.CONTROL_ADMIN);
+
+  private final ProcessSettings settings;
+  private final InetSocketAddress httpAddress;
   private final ControlClient control;
   private final ProcessIdentity identity;
   private final EventLog events;
+  private final LeaderChanges leaderChanges;
   private final Closer closer = new Closer();
-  private Optional<InetSocketAddress> knownLeader = Optional.empty();
 
-  private ControlForwarder(ForwarderSettings settings, ControlClient control, EventLog events) {
+  private ControlForwarder(ProcessSettings settings, ControlClient control, EventLog events) {
     this.settings = settings;
+    this.httpAddress = settings.address("httpAddress");
     this.control = control;
     this.events = events;
+    this.leaderChanges = new LeaderChanges(events);
     // The empty address tells control that this process serves no calls.
     this.identity =
         new ProcessIdentity(
-            settings.processId(),
+            settings.text("processId"),
             ProcessKind.CONTROL,
             UUID.randomUUID().toString(),
-            settings.zone(),
+            settings.text("zone"),
             "",
-            Addresses.text(settings.adminAddress()));
+            settings.text("adminAddress"));
   }
 
   /**
@@ -75,15 +97,16 @@
    * @throws Exception when the settings are invalid or an address cannot be used
    */
   public static AutoCloseable start(Path settingsFile) throws Exception {
-    ForwarderSettings settings = ForwarderSettings.load(settingsFile);
-    PeerSecurity security = PeerSecurity.from(settings.file());
+    ProcessSettings settings = load(settingsFile);
+    PeerSecurity security = PeerSecurity.from(settings);
     EventLog events =
         new EventLog(
-            settings.processId(),
+            settings.text("processId"),
             new HybridClock(System::currentTimeMillis),
             new Timeline(Timeline.DEFAULT_CAPACITY));
     ControlForwarder forwarder =
-        new ControlForwarder(settings, new ControlClient(settings.control(), security), events);
+        new ControlForwarder(
+            settings, new ControlClient(settings.addresses("control"), security), events);
     forwarder.closer.register(events);
     try {
       forwarder.open(settingsFile);
@@ -105,19 +128,19 @@
   private void open(Path settingsFile) {
     NioEventLoopGroup group = new NioEventLoopGroup(1);
     closer.register(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
-    PlainHttpServer.start(group, settings.httpAddress(), this::forward);
-    PlainHttpServer.start(group, settings.adminAddress(), this::adminPage);
+    PlainHttpServer.start(group, httpAddress, this::forward);
+    PlainHttpServer.start(group, settings.address("adminAddress"), this::adminPage);
     closer.register(control);
     closer.register(
         SettingsReload.start(
-            settingsFile, events, file -> control.seeds(ForwarderSettings.load(file).control())));
+            settingsFile, events, file -> control.seeds(load(file).addresses("control"))));
     closer.register(DutyThread.every("control-heartbeat", HEARTBEAT_PERIOD, this::sendHeartbeat));
   }
 
   private PlainHttpServer.Page forward(String uri) {
     return control
         .leader()
-        .map(leader -> leader.getHostString() + ":" + settings.httpAddress().getPort())
+        .map(leader -> leader.getHostString() + ":" + httpAddress.getPort())
         .map(address -> PlainHttpServer.Page.elsewhere("http://" + address + uri))
         .orElseGet(
             () ->
@@ -146,12 +169,10 @@
     } catch (ControlUnavailable e) {
       events.record(RuntimeEvent.CONTROL_UNREACHABLE, Field.of("cause", e.getMessage()));
     }
-    Optional<InetSocketAddress> leader = control.leader();
-    if (!leader.equals(knownLeader)) {
-      knownLeader = leader;
-      events.record(
-          RuntimeEvent.CONTROL_LEADER_CHANGED,
-          Field.of("leader", leader.map(Addresses::text).orElse("none")));
-    }
+    leaderChanges.observed(control.leader());
+  }
+
+  private static ProcessSettings load(Path file) throws SettingsInvalid {
+    return ProcessSettings.load(file, SCHEMA, BLOCK_PORTS);
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.PortBlock;
 import org.comfreygap.runtime.ProcessSettings;
 import org.comfreygap.runtime.SettingsInvalid;
@@ -96,7 +95,7 @@
   }
 
   List<InetSocketAddress> control() {
-    return file.texts("control").stream().map(Addresses::parse).toList();
+    return file.addresses("control");
   }
 
   /** Returns the port of the sidecars, which is in the block of ports unless it is given. */
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencySettings.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.PortBlock;
 import org.comfreygap.runtime.ProcessSettings;
 import org.comfreygap.runtime.SettingsInvalid;
@@ -70,6 +69,6 @@
   }
 
   List<InetSocketAddress> control() {
-    return file.texts("control").stream().map(Addresses::parse).toList();
+    return file.addresses("control");
   }
 }
--- a/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -86,11 +86,11 @@
   private final Map<String, Member> members = new ConcurrentHashMap<>();
   private final List<Consumer<SettingsView>> listeners = new CopyOnWriteArrayList<>();
   private final Closer closer = new Closer();
+  private final LeaderChanges leaderChanges;
   private volatile SettingsView settings = SettingsView.empty();
   private volatile Map<String, Long> quarantineEnds = Map.of();
   private volatile long membershipVersion;
   private volatile boolean leaving;
-  private Optional<InetSocketAddress> knownLeader = Optional.empty();
   private Optional<InetSocketAddress> watched = Optional.empty();
   private boolean leaseWasValid;
 
@@ -105,6 +105,7 @@
     this.identity = identity;
     this.control = control;
     this.events = events;
+    this.leaderChanges = new LeaderChanges(events);
     this.report = report;
   }
 
@@ -193,7 +194,7 @@
       return;
     }
     lease.heartbeatAnswered(sentAt[0], reply.getCommittedRevision());
-    noteLeader();
+    leaderChanges.observed(control.leader());
     updateMembers(reply);
     control.addresses(reply.getControlAddresses().stream().map(Addresses::parse).toList());
   }
@@ -279,16 +280,6 @@
     membershipVersion = reply.getMembershipVersion();
   }
 
-  private void noteLeader() {
-    Optional<InetSocketAddress> leader = control.leader();
-    if (!leader.equals(knownLeader)) {
-      knownLeader = leader;
-      events.record(
-          RuntimeEvent.CONTROL_LEADER_CHANGED,
-          Field.of("leader", leader.map(Addresses::text).orElse("none")));
-    }
-  }
-
   private void checkLease() throws ControlUnavailable {
     boolean valid = admits();
     if (!valid && leaseWasValid) {
--- a/runtime/src/main/java/org/comfreygap/runtime/ProcessSettings.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ProcessSettings.java
@@ -172,6 +172,11 @@
     return Addresses.parse(text(path));
   }
 
+  /** Returns the list of socket addresses at {@code path}; empty when it is absent. */
+  public List<InetSocketAddress> addresses(String path) {
+    return texts(path).stream().map(Addresses::parse).toList();
+  }
+
   /** Returns how far customers' limits may be exceeded; not at all where nothing is stated. */
   public LimitTolerance limitTolerance() {
     return present("limitTolerance")
