--- a/decisions/src/main/java/org/comfreygap/decisions/StatusPacing.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/StatusPacing.java
@@ -55,11 +55,8 @@
 
     private boolean differs(State other) {
       int step = Math.max(LEAST_RUNNING_STEP, places / RUNNING_PARTS);
-      return running / step != other.running / step || magnitude(waiting) != other.magnitude();
-    }
-
-    private int magnitude() {
-      return magnitude(waiting);
+      return running / step != other.running / step
+          || magnitude(waiting) != magnitude(other.waiting);
     }
 
     /** A queue matters by its order of size: none, one, a few, many. */
