--- a/control/src/main/java/org/comfreygap/control/LedgerController.java
+++ b/control/src/main/java/org/comfreygap/control/LedgerController.java
@@ -121,6 +121,7 @@
     events.record(
         ControlEvent.CRASH_REPORTED,
         Field.of("crash", crashId),
+        Field.of("reporter", report.getReporter()),
         Field.of("suspects", report.getFingerprintsSize()));
     answer
         .quarantined()
--- a/relay/src/main/java/org/comfreygap/relay/CrashReporter.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashReporter.java
@@ -13,9 +13,11 @@
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -49,19 +51,28 @@
   private static final int MAX_OPEN = 64;
   private static final int MAX_FINGERPRINTS = 500;
   private static final int FINGERPRINT_BYTES = 16;
+  // A line of the log stays readable with so many.
+  private static final int MAX_SHOWN = 20;
 
   private final EventLoop loop;
   private final ControlClient control;
   private final EventLog events;
+  private final RelayMetrics metrics;
   private final String gatewayId;
   private final Map<Endpoint, Set<String>> suspects = new HashMap<>();
   private final BlockingQueue<CrashReport> outgoing = new ArrayBlockingQueue<>(MAX_OPEN);
   private final DutyThread duty;
 
-  CrashReporter(EventLoop loop, ControlClient control, EventLog events, String gatewayId) {
+  CrashReporter(
+      EventLoop loop,
+      ControlClient control,
+      EventLog events,
+      RelayMetrics metrics,
+      String gatewayId) {
     this.loop = loop;
     this.control = control;
     this.events = events;
+    this.metrics = metrics;
     this.gatewayId = gatewayId;
     this.duty = DutyThread.continuous("crash-reports", this::reportNext);
   }
@@ -109,13 +120,22 @@
   private void checked(Endpoint endpoint, ChannelFuture connection) {
     Set<String> open = suspects.remove(endpoint);
     connection.channel().close();
-    if (!(connection.cause() instanceof ConnectException)) {
+    boolean refused = connection.cause() instanceof ConnectException;
+    metrics.count("crashes.checked", refused ? "refused" : "not-refused");
+    if (!refused) {
+      events.record(
+          RelayEvent.CRASH_NOT_SEEN,
+          Field.of("endpoint", endpoint.instanceId()),
+          Field.of("suspects", open.size()),
+          Field.of("fingerprints", shown(open)),
+          Field.of("connection", connection.isSuccess() ? "accepted" : connection.cause()));
       return;
     }
     CrashReport report =
         new CrashReport(
             endpoint.instanceId(), endpoint.instanceId(), new ArrayList<>(open), gatewayId);
     if (!outgoing.offer(report)) {
+      metrics.count("crash.reports", "dropped");
       events.record(
           RelayEvent.CRASH_NOT_REPORTED,
           Field.of("endpoint", endpoint.instanceId()),
@@ -123,6 +143,11 @@
     }
   }
 
+  /** Returns the first fingerprints, for the log. */
+  private static List<String> shown(Collection<String> fingerprints) {
+    return fingerprints.stream().limit(MAX_SHOWN).toList();
+  }
+
   /** Runs on the duty's thread. */
   private void reportNext() throws InterruptedException {
     CrashReport report = outgoing.take();
@@ -131,7 +156,8 @@
       events.record(
           RelayEvent.CRASH_REPORTED,
           Field.of("endpoint", report.getEndpoint()),
-          Field.of("suspects", report.getFingerprintsSize()));
+          Field.of("suspects", report.getFingerprintsSize()),
+          Field.of("fingerprints", shown(report.getFingerprints())));
     } catch (ControlUnavailable e) {
       events.record(
           RelayEvent.CRASH_NOT_REPORTED,
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -71,7 +71,7 @@
     this.body = body;
     this.stated = stated;
     this.arrivedNanos = arrivedNanos;
-    this.log = new ExchangeLog(relay, stated.id(), arrivedNanos);
+    this.log = new ExchangeLog(relay, stated.id(), arrivedNanos, this::fingerprint);
   }
 
   /** Returns the urgency, 0 first. */
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.comfreygap.decisions.AdapterPlaces;
 import org.comfreygap.runtime.Field;
 
@@ -17,14 +18,21 @@
   private final Relay relay;
   private final String requestId;
   private final long arrivedNanos;
+  private final Supplier<String> fingerprint;
   private String lastEndpoint = "none";
   private int attempts;
   private long beganNanos;
 
-  ExchangeLog(Relay relay, String requestId, long arrivedNanos) {
+  /**
+   * Creates the log of a request.
+   *
+   * @param fingerprint what equal requests have in common; asked only while the request is open
+   */
+  ExchangeLog(Relay relay, String requestId, long arrivedNanos, Supplier<String> fingerprint) {
     this.relay = relay;
     this.requestId = requestId;
     this.arrivedNanos = arrivedNanos;
+    this.fingerprint = fingerprint;
   }
 
   /** An endpoint was chosen; repeats are always written. */
@@ -126,6 +134,7 @@
             Field.of("endpoint", endpoint.instanceId()),
             Field.of("outcome", failure.outcome()),
             Field.of("reason", failure.reason()),
+            Field.of("fingerprint", fingerprint.get()),
             millis());
   }
 
@@ -152,6 +161,7 @@
         Field.of("customer", decision.customerName().orElse("")),
         Field.of("tokens", decision.tokens()),
         Field.of("rank", decision.rank()),
+        Field.of("fingerprint", fingerprint.get()),
         Field.of("revision", decision.revision()),
         millis());
   }
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -26,6 +26,7 @@
   SIDECAR_LOST(3521, Level.INFO, "The connection to a sidecar ended."),
   CRASH_REPORTED(3522, Level.WARN, "Control was told which requests were at a crashed endpoint."),
   CRASH_NOT_REPORTED(3523, Level.WARN, "Control could not be told about a crashed endpoint."),
+  CRASH_NOT_SEEN(3524, Level.INFO, "Requests broke off at an endpoint that did not crash."),
   CREDIT_EXCHANGE_FAILED(3530, Level.WARN, "Control did not answer an exchange of credit."),
   TABLES_IN_FORCE(3540, Level.INFO, "Routing tables are in force."),
   READINESS_CHANGED(3541, Level.INFO, "The gateway became ready or not ready for new work."),
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -205,7 +205,7 @@
       CreditKeeper credit,
       Random random) {
     CrashReporter crashes =
-        closer.register(new CrashReporter(loop, control, events, settings.processId()));
+        closer.register(new CrashReporter(loop, control, events, metrics, settings.processId()));
     return new Relay(
         loop,
         dialect,
