--- /dev/null
+++ b/relay/src/test/java/org/comfreygap/relay/CrashingEndpoint.java
@@ -0,0 +1,248 @@
+package org.comfreygap.relay;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.comfreygap.runtime.Addresses;
+import org.comfreygap.testkit.FreePorts;
+
+/**
+ * An endpoint that ends when it begins to run a request whose path contains {@link #FATAL}, and
+ * starts again at the same address some time later. It answers every other request.
+ *
+ * <p>Thread safety: all methods are synchronized on this object; each connection has a thread.
+ */
+final class CrashingEndpoint implements AutoCloseable {
+
+  /** Marks the path of a request that ends the endpoint. */
+  static final String FATAL = "fatal";
+
+  // Connections that are not accepted fill the queue of the port, as on an instance without power.
+  private static final int BACKLOG = 1;
+  private static final int FILLING = 4;
+  private static final int FILL_TIMEOUT_MILLIS = 50;
+
+  private final String name;
+  private final InetSocketAddress address;
+  private final Manner manner;
+  private final Identity identity;
+  private final Duration away;
+  private final List<Socket> connections = new ArrayList<>();
+  private final List<Long> crashes = new ArrayList<>();
+  private final List<String> served = new ArrayList<>();
+  private ServerSocket socket;
+  private int start;
+  private boolean down;
+  private boolean closed;
+
+  /** What the gateway sees of the end. */
+  enum Manner {
+    /** Connections end, and the port refuses new ones. */
+    CLOSES,
+    /** Connections stay open without a word, and new ones are not answered. */
+    FALLS_SILENT
+  }
+
+  /** Under which id the endpoint comes back. */
+  enum Identity {
+    NEW,
+    SAME
+  }
+
+  CrashingEndpoint(String name, Manner manner, Identity identity, Duration away)
+      throws IOException {
+    this.name = name;
+    this.manner = manner;
+    this.identity = identity;
+    this.away = away;
+    this.address = FreePorts.address();
+    begin();
+  }
+
+  /** Returns the line of this endpoint in the list. */
+  synchronized String listed() {
+    return instanceId() + " " + Addresses.text(address) + "\n";
+  }
+
+  synchronized String instanceId() {
+    return name + (identity == Identity.NEW ? "-" + start : "");
+  }
+
+  /** Returns the monotonic times at which the endpoint ended. */
+  synchronized List<Long> crashes() {
+    return List.copyOf(crashes);
+  }
+
+  synchronized boolean down() {
+    return down;
+  }
+
+  /** Returns the paths that were answered. */
+  synchronized List<String> served() {
+    return List.copyOf(served);
+  }
+
+  @Override
+  public synchronized void close() throws IOException {
+    closed = true;
+    end();
+  }
+
+  private synchronized void begin() throws IOException {
+    if (closed) {
+      return;
+    }
+    start++;
+    down = false;
+    ServerSocket opened = new ServerSocket();
+    opened.setReuseAddress(true);
+    opened.bind(address, BACKLOG);
+    socket = opened;
+    thread("accept", () -> accept(opened));
+  }
+
+  private synchronized void crash() throws IOException {
+    if (down) {
+      return;
+    }
+    down = true;
+    crashes.add(System.nanoTime());
+    if (manner == Manner.CLOSES) {
+      end();
+    } else {
+      thread("fill", this::fillQueue);
+    }
+    thread("restart", this::restart);
+  }
+
+  private void restart() {
+    try {
+      Thread.sleep(away.toMillis());
+      synchronized (this) {
+        end();
+        begin();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      throw new IllegalStateException("the endpoint cannot start again at " + address, e);
+    }
+  }
+
+  private void end() throws IOException {
+    socket.close();
+    for (Socket connection : connections) {
+      connection.close();
+    }
+    connections.clear();
+  }
+
+  private void fillQueue() {
+    for (int i = 0; i < FILLING; i++) {
+      Socket filling = new Socket();
+      try {
+        filling.connect(address, FILL_TIMEOUT_MILLIS);
+        synchronized (this) {
+          connections.add(filling);
+        }
+      } catch (IOException e) {
+        // The queue is full, as intended.
+        return;
+      }
+    }
+  }
+
+  private void accept(ServerSocket from) {
+    while (!from.isClosed()) {
+      try {
+        Socket connection = from.accept();
+        synchronized (this) {
+          connections.add(connection);
+        }
+        while (down() && !from.isClosed()) {
+          Thread.sleep(5);
+        }
+        thread("serve", () -> serve(connection));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket connection) {
+    try {
+      InputStream in = new BufferedInputStream(connection.getInputStream());
+      Optional<Request> request = Request.read(in);
+      while (request.isPresent() && !down()) {
+        if (request.get().path().contains(FATAL)) {
+          crash();
+          return;
+        }
+        synchronized (this) {
+          served.add(request.get().path());
+        }
+        String answer =
+            "HTTP/1.1 200 OK\r\n"
+                + HeaderDialect.REQUEST
+                + ": "
+                + request.get().id()
+                + "\r\nContent-Length: 4\r\n\r\ngood";
+        connection.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+        request = Request.read(in);
+      }
+    } catch (IOException e) {
+      // The gateway has closed the connection, as it may.
+      return;
+    }
+  }
+
+  private static void thread(String duty, Runnable run) {
+    Thread thread = new Thread(run, "crashing-endpoint-" + duty);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** The head of a request; its body is read and dropped. */
+  private record Request(String path, String id) {
+
+    static Optional<Request> read(InputStream in) throws IOException {
+      String line = line(in);
+      if (line.isEmpty()) {
+        return Optional.empty();
+      }
+      String id = "";
+      int length = 0;
+      for (String header = line(in); !header.isEmpty(); header = line(in)) {
+        String[] parts = header.split(":", 2);
+        String field = parts[0].toLowerCase(Locale.ROOT);
+        id = field.equals(HeaderDialect.REQUEST.toLowerCase(Locale.ROOT)) ? parts[1].strip() : id;
+        length = field.equals("content-length") ? Integer.parseInt(parts[1].strip()) : length;
+      }
+      in.readNBytes(length);
+      return Optional.of(new Request(line.split(" ")[1], id));
+    }
+
+    private static String line(InputStream in) throws IOException {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
+        if (b != '\r') {
+          bytes.write(b);
+        }
+      }
+      return bytes.toString(StandardCharsets.US_ASCII);
+    }
+  }
+}
--- /dev/null
+++ b/relay/src/test/java/org/comfreygap/relay/HeaderDialect.java
@@ -0,0 +1,54 @@
+package org.comfreygap.relay;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Plain headers for tests of the request path: the id, the key and the caller's patience, and an
+ * answer that counts as one of a run unless its status is 421.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class HeaderDialect implements RequestDialect {
+
+  static final String REQUEST = "Request";
+  static final String KEY = "Key";
+  static final String PATIENCE_MILLIS = "Patience-Millis";
+  static final String ENDPOINT = "Endpoint";
+  private static final int MISDIRECTED = 421;
+
+  @Override
+  public CallerRequest readRequest(HttpRequest head) throws RequestMalformed {
+    String patience = head.headers().get(PATIENCE_MILLIS);
+    return new CallerRequest(
+        head.headers().get(REQUEST),
+        Optional.ofNullable(head.headers().get(KEY)),
+        Optional.empty(),
+        Optional.empty(),
+        OptionalLong.empty(),
+        OptionalLong.empty(),
+        patience == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(patience)));
+  }
+
+  @Override
+  public void write(HttpHeaders fromCaller, Dispatch dispatch, HttpHeaders toEndpoint) {
+    toEndpoint.set(REQUEST, fromCaller.get(REQUEST));
+    toEndpoint.set(ENDPOINT, dispatch.instanceId());
+  }
+
+  @Override
+  public AnswerHead readAnswer(HttpResponse head) {
+    return new AnswerHead(
+        Optional.ofNullable(head.headers().get(REQUEST)),
+        head.status().code() == MISDIRECTED
+            ? AnswerHead.Verdict.MISDIRECTED
+            : AnswerHead.Verdict.RAN,
+        true,
+        Optional.ofNullable(head.headers().get(ENDPOINT)),
+        Optional.empty(),
+        OptionalLong.empty());
+  }
+}
--- /dev/null
+++ b/relay/src/test/java/org/comfreygap/relay/LineListing.java
@@ -0,0 +1,42 @@
+package org.comfreygap.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A list of endpoints of one pool in one page: a line {@code ID ADDRESS} for each.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class LineListing implements EndpointListing {
+
+  static final String PATH = "/endpoints";
+  private static final int SLOTS = 8;
+  private final String pool;
+
+  LineListing(String pool) {
+    this.pool = pool;
+  }
+
+  @Override
+  public String path(Optional<String> token) {
+    return PATH;
+  }
+
+  @Override
+  public Page read(byte[] body) {
+    List<ListedEndpoint> endpoints =
+        new String(body, StandardCharsets.UTF_8)
+            .lines()
+            .map(line -> line.split(" "))
+            .map(
+                parts ->
+                    new ListedEndpoint(
+                        parts[0], pool, parts[1], "a", SLOTS, false, 0, Set.of(), Map.of()))
+            .toList();
+    return new Page(endpoints, 0, Optional.empty());
+  }
+}
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.apache.thrift.TException;
+import org.comfreygap.decisions.Quarantine;
 import org.comfreygap.protocol.generated.BeginReply;
 import org.comfreygap.protocol.generated.BeginRequest;
 import org.comfreygap.protocol.generated.Change;
@@ -73,6 +74,7 @@
   private final List<CrashReport> crashes = new ArrayList<>();
   private final List<FinishRequest> finished = new ArrayList<>();
   private final Map<String, LedgerEntry> ledger = new HashMap<>();
+  private final Quarantine quarantine = new Quarantine(Quarantine.Bounds.DEFAULT);
   private final Map<String, Long> quarantined = new HashMap<>();
   private final Map<String, Long> quarantineSeen = new HashMap<>();
   private SettingsView settings = SettingsView.empty();
@@ -281,7 +283,11 @@
   public synchronized CrashReply reportCrash(CrashReport report) throws TException {
     checkLeader(false);
     crashes.add(report);
-    return new CrashReply(List.of());
+    String crashId = report.getEndpoint() + "/" + report.getEndedBootId();
+    List<String> banned = quarantine.crashed(crashId, report.getFingerprints(), System.nanoTime());
+    Duration lasts = Duration.ofNanos(Quarantine.Bounds.DEFAULT.quarantineNanos());
+    banned.forEach(fingerprint -> quarantine(fingerprint, lasts));
+    return new CrashReply(banned);
   }
 
   @Override
