Count a later crash of an endpoint that came back under its id

Callers saw endpoints end one after the other under one request. A crash was named by the instance id alone, so that a second crash of an endpoint that starts again under its id counted for nothing: CrashingRequestTest. stopsRequestThatCrashesTheSameEndpointAgainAndAgain had 9 crashes in 9 sends. A crash is now an endpoint and a time: reports within 2.5 s are one crash, whoever sends them and however late, since a report states the crash's age.

--- a/control/src/main/java/org/comfreygap/control/Command.java
+++ b/control/src/main/java/org/comfreygap/control/Command.java
@@ -138,8 +138,14 @@
   /** Closes the ledger entries in progress of a gateway process that is gone. */
   record OwnerGone(long logMillis, RequestLedger.Owner owner) implements Command {}
 
-  /** Records a crash with the requests that were in flight. */
-  record RecordCrash(long logMillis, String crashId, List<String> fingerprints)
+  /**
+   * Records a crash with the requests that were in flight.
+   *
+   * @param crashId the endpoint that ended, with its start
+   * @param crashedMillisAgo time from the crash to this command
+   */
+  record RecordCrash(
+      long logMillis, String crashId, List<String> fingerprints, long crashedMillisAgo)
       implements Command {}
 
   /** Makes the addresses of a control instance known to the others. */
--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -281,7 +281,8 @@
 
   private CrashAnswer crash(Command.RecordCrash crash, long now) {
     List<Quarantine.Banned> before = List.copyOf(quarantine.banned());
-    List<String> banned = quarantine.crashed(crash.crashId(), crash.fingerprints(), now);
+    long at = now - TimeUnit.MILLISECONDS.toNanos(crash.crashedMillisAgo());
+    List<String> banned = quarantine.crashed(crash.crashId(), at, crash.fingerprints(), now);
     if (!before.equals(List.copyOf(quarantine.banned()))) {
       quarantineVersion++;
       notifyAll();
--- a/control/src/main/java/org/comfreygap/control/LedgerController.java
+++ b/control/src/main/java/org/comfreygap/control/LedgerController.java
@@ -113,15 +113,17 @@
       Limits.name("fingerprint", fingerprint);
     }
     String crashId = report.getEndpoint() + "/" + report.getEndedBootId();
+    long millisAgo = Math.max(0, report.getCrashedMillisAgo());
     ControlState.CrashAnswer answer =
         commit(
             leadership.require(),
-            millis -> new Command.RecordCrash(millis, crashId, report.getFingerprints()),
+            millis -> new Command.RecordCrash(millis, crashId, report.getFingerprints(), millisAgo),
             ControlState.CrashAnswer.class);
     events.record(
         ControlEvent.CRASH_REPORTED,
         Field.of("crash", crashId),
         Field.of("reporter", report.getReporter()),
+        Field.of("millisAgo", millisAgo),
         Field.of("suspects", report.getFingerprintsSize()));
     answer
         .quarantined()
--- a/decisions/src/main/java/org/comfreygap/decisions/Quarantine.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/Quarantine.java
@@ -1,5 +1,6 @@
 package org.comfreygap.decisions;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
@@ -7,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -14,17 +16,29 @@
  * is a suspect; a fingerprint that is in flight at a second crash is quarantined.
  *
  * <pre>{@code
- * List<String> banned = quarantine.crashed("e1/boot7", fingerprints, now);
+ * List<String> banned = quarantine.crashed("e1/boot7", crashNanos, fingerprints, now);
  * }</pre>
  *
- * <p>Invariants: one crash counts once for a fingerprint, however often it is reported; suspicion
- * and quarantine end by themselves; all parts are bounded, the oldest is forgotten first. Time is
- * in nanoseconds of a clock that does not jump. Not thread-safe.
+ * <p>A crash is named by the endpoint that ended and the time of the end: an endpoint may come back
+ * under the id that it had, and not every reporter knows its start.
+ *
+ * <p>Invariants: one crash counts once for a fingerprint, however often and late it is reported;
+ * suspicion and quarantine end by themselves; all parts are bounded, the oldest is forgotten first.
+ * Time is in nanoseconds of a clock that does not jump. Not thread-safe.
  *
  * @since 0.1
  */
 public final class Quarantine {
 
+  /**
+   * Ends of one endpoint that are reported within this time are one crash: gateways learn of it up
+   * to two seconds apart, and an endpoint that crashed takes seconds to be back.
+   */
+  public static final Duration SAME_CRASH = Duration.ofMillis(2_500);
+
+  /** Crashes after which a fingerprint is banned. */
+  public static final int CRASHES_TO_BAN = 2;
+
   private final Bounds bounds;
   private final Map<String, Suspect> suspects = new LinkedHashMap<>();
   private final Map<String, Long> bannedUntil = new LinkedHashMap<>();
@@ -48,8 +62,27 @@
     public static final Bounds DEFAULT = new Bounds(5_000, 500, 900_000_000_000L, 900_000_000_000L);
   }
 
-  /** A fingerprint seen at one crash, as written to a snapshot. */
-  public record Suspect(String fingerprint, String crashId, long atNanos) {}
+  /** An end of an endpoint. */
+  public record Crash(String endpoint, long atNanos) {
+
+    boolean same(Crash other) {
+      return endpoint.equals(other.endpoint)
+          && Math.abs(atNanos - other.atNanos) < SAME_CRASH.toNanos();
+    }
+  }
+
+  /** A fingerprint with the crashes that it was seen at, as written to a snapshot. */
+  public record Suspect(String fingerprint, List<Crash> crashes) {
+
+    /** Keeps a snapshot readable that was written before crashes had a time. */
+    public Suspect {
+      crashes = crashes == null ? List.of() : List.copyOf(crashes);
+    }
+
+    private long newestNanos() {
+      return crashes.stream().mapToLong(Crash::atNanos).max().orElse(Long.MIN_VALUE);
+    }
+  }
 
   /** A quarantined fingerprint, as written to a snapshot. */
   public record Banned(String fingerprint, long untilNanos) {}
@@ -57,23 +90,18 @@
   /**
    * Records a crash.
    *
-   * @param crashId identifies the crash: endpoint and the boot that ended
+   * @param endpoint the endpoint that ended, with its start where that is known
+   * @param crashNanos when it ended; reports may be late
    * @param fingerprints requests in flight
    * @return those of {@code fingerprints} that are in quarantine now
    */
-  public List<String> crashed(String crashId, Collection<String> fingerprints, long now) {
+  public List<String> crashed(
+      String endpoint, long crashNanos, Collection<String> fingerprints, long now) {
     expire(now);
+    Crash crash = new Crash(endpoint, crashNanos);
     Set<String> distinct = new LinkedHashSet<>(fingerprints);
     for (String fingerprint : distinct) {
-      Suspect earlier = suspects.get(fingerprint);
-      if (earlier == null) {
-        suspects.put(fingerprint, new Suspect(fingerprint, crashId, now));
-      } else if (!earlier.crashId.equals(crashId)) {
-        suspects.remove(fingerprint);
-        suspects.put(fingerprint, new Suspect(fingerprint, crashId, now));
-        bannedUntil.remove(fingerprint);
-        bannedUntil.put(fingerprint, now + bounds.quarantineNanos);
-      }
+      suspect(fingerprint, crash, now);
     }
     trim(suspects, bounds.suspects);
     trim(bannedUntil, bounds.banned);
@@ -92,6 +120,17 @@
     return remaining;
   }
 
+  /** Returns the nanoseconds for which a fingerprint stays in quarantine; empty when it is not. */
+  public OptionalLong remaining(String fingerprint, long now) {
+    Long until = bannedUntil.get(fingerprint);
+    return until == null || until - now <= 0 ? OptionalLong.empty() : OptionalLong.of(until - now);
+  }
+
+  /** Returns true when any fingerprint is in quarantine, or was lately. */
+  public boolean any() {
+    return !bannedUntil.isEmpty();
+  }
+
   /** Returns the suspects, oldest first, for a snapshot. */
   public Collection<Suspect> suspects() {
     return new ArrayList<>(suspects.values());
@@ -104,7 +143,9 @@
 
   /** Adds a suspect of a snapshot. */
   public void restore(Suspect suspect) {
-    suspects.put(suspect.fingerprint, suspect);
+    if (!suspect.crashes.isEmpty()) {
+      suspects.put(suspect.fingerprint, suspect);
+    }
   }
 
   /** Adds a quarantined fingerprint of a snapshot. */
@@ -112,11 +153,25 @@
     bannedUntil.put(banned.fingerprint, banned.untilNanos);
   }
 
-  private void expire(long now) {
-    Iterator<Suspect> oldest = suspects.values().iterator();
-    while (oldest.hasNext() && now - oldest.next().atNanos >= bounds.suspicionNanos) {
-      oldest.remove();
+  private void suspect(String fingerprint, Crash crash, long now) {
+    Suspect earlier = suspects.remove(fingerprint);
+    List<Crash> crashes = new ArrayList<>(earlier == null ? List.of() : earlier.crashes);
+    if (crashes.stream().noneMatch(crash::same)) {
+      crashes.add(crash);
+      if (crashes.size() >= CRASHES_TO_BAN) {
+        bannedUntil.remove(fingerprint);
+        bannedUntil.put(fingerprint, now + bounds.quarantineNanos);
+      }
     }
+    // Enough for the next crash to ban again once a quarantine is over.
+    int kept = Math.min(crashes.size(), CRASHES_TO_BAN);
+    suspects.put(
+        fingerprint,
+        new Suspect(fingerprint, crashes.subList(crashes.size() - kept, crashes.size())));
+  }
+
+  private void expire(long now) {
+    suspects.values().removeIf(suspect -> now - suspect.newestNanos() >= bounds.suspicionNanos);
     bannedUntil.values().removeIf(until -> until - now <= 0);
   }
 
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -343,11 +343,13 @@
 }
 
 struct CrashReport {
-  /** Identifies the crash: endpoint and the boot id that ended. */
+  /** Identifies the crash, with its time: endpoint and the boot id that ended. */
   1: required string endpoint
   2: required string endedBootId
   3: required list<string> fingerprints
   4: required string reporter
+  /** Milliseconds since the endpoint ended, when the report is sent. */
+  5: optional i64 crashedMillisAgo = 0
 }
 
 struct CrashReply {
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TException;
 import org.comfreygap.decisions.Quarantine;
 import org.comfreygap.protocol.generated.BeginReply;
@@ -284,7 +285,9 @@
     checkLeader(false);
     crashes.add(report);
     String crashId = report.getEndpoint() + "/" + report.getEndedBootId();
-    List<String> banned = quarantine.crashed(crashId, report.getFingerprints(), System.nanoTime());
+    long now = System.nanoTime();
+    long at = now - TimeUnit.MILLISECONDS.toNanos(report.getCrashedMillisAgo());
+    List<String> banned = quarantine.crashed(crashId, at, report.getFingerprints(), now);
     Duration lasts = Duration.ofNanos(Quarantine.Bounds.DEFAULT.quarantineNanos());
     banned.forEach(fingerprint -> quarantine(fingerprint, lasts));
     return new CrashReply(banned);
