Report a crash until control has it, and count what one gateway saw

A report that control did not take within 2 s was dropped by the relay gateway with one event, and the gateway decided nothing itself, so a request that crashed endpoints while there was no leader was sent on. CrashReports keeps reports for five minutes, sends them with the age of the crash, says when it gives one up, and quarantines by itself what this process saw at two crashes. The gateway of the product's own interface has the same class of fault in part (it sent again, without the age, and decided nothing alone) and uses the same code.

--- a/gateway/src/main/java/org/comfreygap/gateway/CrashController.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/CrashController.java
@@ -2,15 +2,11 @@
 
 import com.google.inject.Inject;
 import com.google.inject.Singleton;
-import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
+import java.util.Optional;
 import org.comfreygap.decisions.CrashSuspects;
-import org.comfreygap.protocol.generated.CrashReport;
 import org.comfreygap.runtime.ControlClient;
-import org.comfreygap.runtime.ControlUnavailable;
-import org.comfreygap.runtime.DutyThread;
+import org.comfreygap.runtime.CrashReports;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 
@@ -24,15 +20,12 @@
 final class CrashController implements AutoCloseable {
 
   private static final int MAX_SUSPECTS = 4_096;
-  private static final int MAX_REPORTS = 256;
-  private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
   private final GatewaySettings settings;
   private final ControlClient control;
   private final EventLog events;
   private final CrashSuspects suspects = new CrashSuspects(MAX_SUSPECTS);
-  private final BlockingQueue<CrashReport> reports = new ArrayBlockingQueue<>(MAX_REPORTS);
-  private DutyThread duty;
+  private Optional<CrashReports> reports = Optional.empty();
 
   @Inject
   CrashController(GatewaySettings settings, ControlClient control, EventLog events) {
@@ -43,7 +36,21 @@
 
   /** Starts to send reports. */
   void start() {
-    duty = DutyThread.continuous("crash-reports", this::sendOne);
+    reports =
+        Optional.of(
+            CrashReports.start(
+                control,
+                settings.processId(),
+                delivered ->
+                    events.record(
+                        GatewayEvent.CRASH_REPORTED,
+                        Field.of("endpoint", delivered.getEndpoint()),
+                        Field.of("millisAgo", delivered.getCrashedMillisAgo())),
+                (report, cause) ->
+                    events.record(
+                        GatewayEvent.CRASH_REPORT_FAILED,
+                        Field.of("endpoint", report.getEndpoint()),
+                        Field.of("cause", cause))));
   }
 
   /** Records that an attempt is sent; returns true when it must run in isolation. */
@@ -68,34 +75,19 @@
         Field.of("endpoint", endpoint),
         Field.of("bootId", endedBootId),
         Field.of("suspects", fingerprints.size()));
-    CrashReport report = new CrashReport(endpoint, endedBootId, fingerprints, settings.processId());
-    if (!fingerprints.isEmpty() && !reports.offer(report)) {
-      reportFailed(endpoint, "the queue of reports is full");
+    if (!fingerprints.isEmpty()) {
+      long now = System.nanoTime();
+      reports.ifPresent(running -> running.add(endpoint, endedBootId, fingerprints, now));
     }
   }
 
-  @Override
-  public void close() {
-    if (duty != null) {
-      duty.close();
-    }
+  /** Returns true when a request was at enough crashes that this gateway saw. */
+  boolean quarantined(String fingerprint, long nowNanos) {
+    return reports.flatMap(running -> running.quarantineLeft(fingerprint, nowNanos)).isPresent();
   }
 
-  private void sendOne() throws InterruptedException {
-    CrashReport report = reports.take();
-    try {
-      control.callLeader(TIMEOUT, client -> client.reportCrash(report));
-    } catch (ControlUnavailable e) {
-      reportFailed(report.getEndpoint(), e.getMessage());
-      // Kept for the next try, unless newer reports fill the queue.
-      if (!reports.offer(report)) {
-        reportFailed(report.getEndpoint(), "the queue of reports is full");
-      }
-    }
-  }
-
-  private void reportFailed(String endpoint, String cause) {
-    events.record(
-        GatewayEvent.CRASH_REPORT_FAILED, Field.of("endpoint", endpoint), Field.of("cause", cause));
+  @Override
+  public void close() {
+    reports.ifPresent(CrashReports::close);
   }
 }
--- a/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
@@ -276,7 +276,7 @@
       } else if (now.service(work.target()).filter(service -> service.open()).isEmpty()) {
         throw refused(CallerError.INVALID_KEY, "the service is no longer open");
       }
-      QuarantineFilter.check(agent, context);
+      QuarantineFilter.check(agent, crashes, context);
       if (System.nanoTime() - context.deadlineNanos() > 0) {
         throw refused(CallerError.DEADLINE_EXCEEDED, "the time for the request is over");
       }
--- a/gateway/src/main/java/org/comfreygap/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/GatewayEvent.java
@@ -25,6 +25,7 @@
   ENDPOINT_UNREACHABLE(3013, Level.WARN, "No connection to a sidecar could be opened."),
   ENDPOINT_CRASHED(3020, Level.WARN, "Requests in flight at a crash are suspects and isolated."),
   CRASH_REPORT_FAILED(3021, Level.WARN, "A crash could not be reported to control."),
+  CRASH_REPORTED(3022, Level.INFO, "Control was told about a crash."),
   CREDIT_EXCHANGE_FAILED(3030, Level.WARN, "Control did not answer a credit exchange."),
   LEDGER_UNAVAILABLE(3040, Level.WARN, "The request ledger did not answer."),
   DRAIN_STARTED(3050, Level.INFO, "The gateway is no longer ready and finishes its requests."),
--- a/gateway/src/main/java/org/comfreygap/gateway/QuarantineFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/QuarantineFilter.java
@@ -11,25 +11,30 @@
 final class QuarantineFilter implements RequestFilter {
 
   private final MembershipAgent agent;
+  private final CrashController crashes;
 
   @Inject
-  QuarantineFilter(MembershipAgent agent) {
+  QuarantineFilter(MembershipAgent agent, CrashController crashes) {
     this.agent = agent;
+    this.crashes = crashes;
   }
 
   @Override
   public void filter(RequestContext context, FilterChain chain) throws RequestRefused {
-    check(agent, context);
+    check(agent, crashes, context);
     chain.next(context);
   }
 
   /**
-   * Checks the quarantine list in force now.
+   * Checks the quarantine list in force now, and what this gateway saw alone.
    *
-   * @throws RequestRefused when the request is on it
+   * @throws RequestRefused when the request is quarantined
    */
-  static void check(MembershipAgent agent, RequestContext context) throws RequestRefused {
-    if (agent.quarantined(context.work().fingerprint(), System.nanoTime())) {
+  static void check(MembershipAgent agent, CrashController crashes, RequestContext context)
+      throws RequestRefused {
+    long now = System.nanoTime();
+    String fingerprint = context.work().fingerprint();
+    if (agent.quarantined(fingerprint, now) || crashes.quarantined(fingerprint, now)) {
       throw RequestRefused.of(
           CallerError.REQUEST_QUARANTINED,
           "the request is quarantined since endpoints crashed while they ran it",
--- /dev/null
+++ b/runtime/src/test/java/org/comfreygap/runtime/CrashReportsTest.java
@@ -0,0 +1,115 @@
+package org.comfreygap.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import org.apache.thrift.TException;
+import org.comfreygap.protocol.generated.ControlService;
+import org.comfreygap.protocol.generated.CrashReply;
+import org.comfreygap.protocol.generated.CrashReport;
+import org.comfreygap.protocol.generated.NotLeader;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against crashes that are forgotten because control could not be told of them at once. */
+class CrashReportsTest {
+
+  private static final PeerSecurity SECURITY =
+      PeerSecurity.of(SharedKey.of("0123456789abcdef".getBytes(StandardCharsets.UTF_8)));
+  private static final Duration WAIT = Duration.ofSeconds(10);
+
+  private final Closer closer = new Closer();
+  private final List<CrashReport> taken = new CopyOnWriteArrayList<>();
+  private final List<String> causes = new CopyOnWriteArrayList<>();
+  private volatile boolean leading = true;
+  private CrashReports reports;
+
+  @BeforeEach
+  void start() throws Exception {
+    ControlService.Iface control =
+        (ControlService.Iface)
+            Proxy.newProxyInstance(
+                CrashReportsTest.class.getClassLoader(),
+                new Class<?>[] {ControlService.Iface.class},
+                (proxy, method, arguments) -> answer(method.getName(), arguments));
+    ThriftServer server =
+        closer.register(
+            ThriftServer.start(
+                "stub-control",
+                new InetSocketAddress("127.0.0.1", 0),
+                SECURITY,
+                new ControlService.Processor<>(control)));
+    ControlClient client = closer.register(new ControlClient(List.of(server.address()), SECURITY));
+    reports =
+        closer.register(
+            CrashReports.start(
+                client, "gateway-1", delivered -> {}, (report, cause) -> causes.add(cause)));
+  }
+
+  @AfterEach
+  void stop() {
+    closer.close();
+  }
+
+  @Test
+  void tellsControlOfACrashOnceThereIsALeader() throws Exception {
+    leading = false;
+    reports.add("e1", "boot1", List.of("bad"), System.nanoTime());
+    await(() -> !causes.isEmpty());
+    leading = true;
+
+    await(() -> !taken.isEmpty());
+
+    assertThat(taken.get(0).getFingerprints()).containsExactly("bad");
+    // One call to control lasted that long; the crash counts at its own time.
+    assertThat(taken.get(0).getCrashedMillisAgo()).isBetween(1_900L, WAIT.toMillis());
+  }
+
+  @Test
+  void quarantinesWhatThisProcessSawAtTwoCrashes() {
+    leading = false;
+    long now = System.nanoTime();
+    reports.add("e1", "boot1", List.of("bad", "innocent"), now);
+    assertThat(reports.anyQuarantined()).isFalse();
+    reports.add("e2", "boot1", List.of("bad"), now);
+
+    assertThat(reports.quarantineLeft("bad", System.nanoTime())).isPresent();
+    assertThat(reports.quarantineLeft("innocent", System.nanoTime())).isEmpty();
+  }
+
+  @Test
+  void saysSoWhenItGivesReportsUp() throws Exception {
+    leading = false;
+    for (int i = 0; i < 2 * CrashReports.MAX_WAITING; i++) {
+      reports.add("e" + i, "boot1", List.of("f" + i), System.nanoTime());
+    }
+
+    assertThat(causes).anyMatch(cause -> cause.startsWith("given up"));
+  }
+
+  private Object answer(String call, Object[] arguments) throws TException {
+    if (!call.equals("reportCrash")) {
+      throw new TException(call + " is not used here");
+    }
+    if (!leading) {
+      throw new NotLeader();
+    }
+    taken.add((CrashReport) arguments[0]);
+    return new CrashReply(List.of());
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + WAIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(end);
+      Thread.sleep(10);
+    }
+  }
+}
