Keep a quarantine that a lagging replica does not know

A process replaced its list by that of the replica it watched last; one that lagged behind lifted quarantines until it caught up. A quarantine now ends by its time only. Test: MembershipAgentTest.keepsQuarantineThatAnotherReplicaDoesNotKnow, which fails without the merge since the older list replaces the entry.

--- a/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -74,6 +74,8 @@
   private static final Duration WATCH_SLACK = Duration.ofSeconds(1);
   // Spaces tries while no replica answers, so that a stopped control is not flooded.
   private static final Duration WATCH_RETRY_PAUSE = Duration.ofMillis(100);
+  // Twice what control keeps, so that an entry that it dropped for a newer one stays a while.
+  private static final int MAX_QUARANTINED = 1_000;
   private static final Duration LEASE_CHECK_PERIOD = Duration.ofMillis(250);
 
   private final ProcessIdentity identity;
@@ -148,8 +150,14 @@
 
   /** Returns true when {@code fingerprint} is quarantined at {@code nowNanos} (monotonic). */
   public boolean quarantined(String fingerprint, long nowNanos) {
-    Long end = quarantineEnds.get(fingerprint);
-    return end != null && end - nowNanos > 0;
+    return quarantineLeft(fingerprint, nowNanos).isPresent();
+  }
+
+  /** Returns how long {@code fingerprint} stays quarantined; empty when it is not. */
+  public Optional<Duration> quarantineLeft(String fingerprint, long nowNanos) {
+    return Optional.ofNullable(quarantineEnds.get(fingerprint))
+        .map(end -> Duration.ofNanos(end - nowNanos))
+        .filter(left -> !left.isNegative() && !left.isZero());
   }
 
   /** Returns true when any request is quarantined, or was lately. */
@@ -263,6 +271,13 @@
         .forEach(
             (fingerprint, millis) ->
                 ends.put(fingerprint, now + Duration.ofMillis(millis).toNanos()));
+    // A quarantine ends by its time only; an instance that lags may not know it yet.
+    quarantineEnds.forEach(
+        (fingerprint, end) -> {
+          if (end - now > 0 && ends.size() < MAX_QUARANTINED) {
+            ends.putIfAbsent(fingerprint, end);
+          }
+        });
     quarantineEnds = ends;
   }
 
--- a/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
+++ b/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
@@ -93,6 +93,22 @@
     assertThat(agent.settings().customer("blue/c9")).isPresent();
   }
 
+  /** Guards against a request that is let through since a replica lags behind the others. */
+  @Test
+  void keepsQuarantineThatAnotherReplicaDoesNotKnow() throws Exception {
+    start();
+    control.quarantined = Map.of("bad", 60_000L);
+    await(() -> agent.quarantined("bad", System.nanoTime()));
+    int asked = control.watches.size();
+    control.quarantined = Map.of("other", 60_000L);
+    await(() -> control.watches.size() >= asked + 2);
+    await(() -> agent.quarantined("other", System.nanoTime()));
+
+    assertThat(agent.quarantined("bad", System.nanoTime())).isTrue();
+    assertThat(agent.quarantineLeft("bad", System.nanoTime()).orElseThrow())
+        .isLessThanOrEqualTo(Duration.ofSeconds(60));
+  }
+
   @Test
   void keepsQuarantineForItsTimeAndMembersUntilTheyAreGone() throws Exception {
     start();
