Suspect every request that ended at an endpoint before it did

What callers saw: endpoints ended one after the other under one request, which was sent on. Cause: a gateway took a request for a suspect in one case only, a body and a connection that broke off and an address that refused connections 60 ms later. A request without a body, and one that ended by its time, its caller or the watch for silence at an endpoint that fell silent, left nothing.

Now every request that was sent and ended without its whole answer is a suspect until the endpoint is heard from again. The endpoint has ended when its address refuses connections, when another start answers, is reported by the sidecar (also under the same id) or has the address, or when the list drops it although it was not leaving. Requests cut off by a planned stop do not count, nor those equal to one that was served within the last minute: that is what replaces the exception for requests without a body. The quarantine is checked before each send, and its refusal states the time that is left instead of a minute.

Exchange's first decision moves to Admission. CrashReporter becomes CrashWatch.

--- /dev/null
+++ b/relay/src/main/java/org/comfreygap/relay/Admission.java
@@ -0,0 +1,56 @@
+package org.comfreygap.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.comfreygap.settings.RequestKind;
+
+/**
+ * Decides whether a request is taken, before anything is done for it.
+ *
+ * <p>Invariant: a request that is refused here has not run and never will. Thread safety: used on
+ * the event loop only.
+ */
+final class Admission {
+
+  private final Relay relay;
+  private final CallerRequest stated;
+  private final long nowNanos;
+
+  Admission(Relay relay, CallerRequest stated, long nowNanos) {
+    this.relay = relay;
+    this.stated = stated;
+    this.nowNanos = nowNanos;
+  }
+
+  /** Returns why a request is not taken; empty when it is. */
+  Optional<Refusal> refusal(RouteTable table, RouteDecision decision, WatchedRequest watched) {
+    boolean confirmed = relay.admits().getAsBoolean();
+    if (decision.refusal().isPresent()) {
+      // Tables that are not confirmed may lack a route or key that is there by now.
+      boolean uncertain = table.published() && !confirmed;
+      Refusal refusal = uncertain ? Refusal.UNCONFIRMED : decision.refusal().get();
+      return Optional.of(confirmed && table.published() ? refusal : untilControl(refusal));
+    }
+    if (decision.customer().isPresent() && !confirmed) {
+      return Optional.of(untilControl(Refusal.UNCONFIRMED));
+    }
+    Optional<Duration> quarantine = watched.quarantineLeft(nowNanos);
+    if (quarantine.isPresent()) {
+      return quarantine.map(Refusal::quarantined);
+    }
+    return outlivesStop(decision) ? Optional.of(Refusal.STOPPING) : Optional.empty();
+  }
+
+  private Refusal untilControl(Refusal refusal) {
+    return relay.outages().untilControl(refusal, stated.model().isPresent(), nowNanos);
+  }
+
+  /** Returns true for a stream that might not be complete when this gateway's planned stop ends. */
+  private boolean outlivesStop(RouteDecision decision) {
+    OptionalLong end = relay.stopEnd().get();
+    return end.isPresent()
+        && decision.route().kind() == RequestKind.STREAM
+        && end.getAsLong() - nowNanos < Waits.STREAM_RUN.toNanos();
+  }
+}
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -106,6 +106,7 @@
     long now = System.nanoTime();
     stated.load().ifPresent(load -> endpoint.stated(load, now));
     endpoint.health().succeeded();
+    endpoint.heard(now);
     if (stated.verdict() != AnswerHead.Verdict.RAN) {
       refusal = Optional.of(stated);
       return;
@@ -121,6 +122,7 @@
       return;
     }
     long now = System.nanoTime();
+    endpoint.heard(now);
     if (partNanos != 0) {
       endpoint.paced((now - partNanos) / 1e6);
     }
@@ -166,6 +168,7 @@
       return;
     }
     connection = Optional.of(opened);
+    endpoint.connected();
     use = endpoint.link().flatMap(link -> owner.adapter().map(link::using));
     sent = true;
     opened.send(owner.requestId(), request.get(), this);
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -10,6 +10,7 @@
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.AdapterPlaces;
 import org.comfreygap.decisions.EndpointHealth;
+import org.comfreygap.decisions.EndpointSuspects;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.PlacementCost.Residency;
 import org.comfreygap.protocol.generated.EndpointStatus;
@@ -56,6 +57,10 @@
   private double latencyMillis;
   private double failureShare;
   private double paceMillis;
+  private final EndpointSuspects suspects = new EndpointSuspects();
+  private OptionalLong bornMillis = OptionalLong.empty();
+  private Optional<CrashWatch.Sign> endedBy = Optional.empty();
+  private long endedNanos;
   private boolean superseded;
   private boolean gone;
 
@@ -119,12 +124,61 @@
     return gone;
   }
 
-  /** Takes a status of the sidecar; one of another start of the endpoint is not for this object. */
-  void status(EndpointStatus newest, long nowNanos) {
+  /** Returns the requests that may have crashed the endpoint. */
+  EndpointSuspects suspects() {
+    return suspects;
+  }
+
+  /**
+   * Records that this start has ended; the first sign counts until the endpoint is heard from.
+   *
+   * @return when it ended, by this machine's monotonic clock
+   */
+  long markEnded(CrashWatch.Sign sign, long nowNanos) {
+    if (endedBy.isEmpty()) {
+      endedBy = Optional.of(sign);
+      endedNanos = nowNanos;
+    }
+    return endedNanos;
+  }
+
+  /** Returns by what this start is known to have ended. */
+  Optional<CrashWatch.Sign> endedBy() {
+    return endedBy;
+  }
+
+  /** A connection is open: an address that refused connections is served again. */
+  void connected() {
+    endedBy = endedBy.filter(sign -> sign != CrashWatch.Sign.REFUSES_CONNECTIONS);
+  }
+
+  /** A part of an answer came. */
+  void heard(long nowNanos) {
+    suspects.heard(nowNanos);
+    // What was on its way at the end may still arrive.
+    if (endedBy.isPresent() && nowNanos - endedNanos > EndpointSuspects.SIGN_OF_LIFE.toNanos()) {
+      endedBy = Optional.empty();
+    }
+  }
+
+  /** Returns true when another start of the endpoint has its address. */
+  boolean isSuperseded() {
+    return superseded;
+  }
+
+  /**
+   * Takes a status of the sidecar; one of another start of the endpoint is not for this object.
+   *
+   * @return true when it shows that this start has ended
+   */
+  boolean status(EndpointStatus newest, long nowNanos) {
     if (!newest.getInstanceId().equals(instanceId)) {
       superseded |= newest.isAnswering();
-      return;
+      return newest.isAnswering();
     }
+    boolean startedAgain =
+        bornMillis.isPresent() && bornMillis.getAsLong() != newest.getBornMillis();
+    bornMillis = OptionalLong.of(newest.getBornMillis());
     status = Optional.of(newest);
     statusNanos = nowNanos;
     sentSinceStatus = 0;
@@ -136,6 +190,7 @@
       resident = held;
       absent.clear();
     }
+    return startedAgain;
   }
 
   /** Another start of an endpoint has the address now; the list will show it. */
--- a/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.comfreygap.decisions.IdleTrust;
 import org.comfreygap.protocol.generated.EndpointStatus;
 import org.comfreygap.runtime.Addresses;
@@ -42,6 +43,7 @@
   private final Map<String, IdleTrust> trustByPool = new HashMap<>();
   private final Map<String, ResidencyLink> linksByHost = new HashMap<>();
   private Runnable onChange = () -> {};
+  private BiConsumer<Endpoint, CrashWatch.Sign> onEnded = (endpoint, sign) -> {};
   private boolean known;
 
   /**
@@ -63,6 +65,11 @@
     onChange = listener;
   }
 
+  /** Calls {@code listener} when a start of an endpoint is known to have ended. */
+  void onEnded(BiConsumer<Endpoint, CrashWatch.Sign> listener) {
+    onEnded = listener;
+  }
+
   void start() {
     loop.scheduleAtFixedRate(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -137,6 +144,7 @@
 
   private void remove(Endpoint endpoint) {
     endpoint.gone();
+    onEnded.accept(endpoint, CrashWatch.Sign.NOT_LISTED);
     endpoint.connections().closeIdle();
     byInstance.remove(endpoint.instanceId() + "@" + endpoint.address());
     byPool.get(endpoint.pool()).remove(endpoint);
@@ -166,7 +174,11 @@
 
   private void status(String host, EndpointStatus status) {
     long now = System.nanoTime();
-    at(host).forEach(endpoint -> endpoint.status(status, now));
+    for (Endpoint endpoint : at(host)) {
+      if (endpoint.status(status, now)) {
+        onEnded.accept(endpoint, CrashWatch.Sign.NEW_START);
+      }
+    }
     onChange.run();
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -43,6 +44,7 @@
   private final CallerRequest stated;
   private final long arrivedNanos;
   private final ExchangeLog log;
+  private final WatchedRequest watched;
   private final Set<Endpoint> excluded = new HashSet<>();
   private RouteDecision decision;
   private long endNanos;
@@ -71,7 +73,8 @@
     this.body = body;
     this.stated = stated;
     this.arrivedNanos = arrivedNanos;
-    this.log = new ExchangeLog(relay, stated.id(), arrivedNanos, this::fingerprint);
+    this.watched = new WatchedRequest(relay.crashes(), head, body, this::customerId);
+    this.log = new ExchangeLog(relay, stated.id(), arrivedNanos, watched::fingerprint);
   }
 
   /** Returns the urgency, 0 first. */
@@ -83,24 +86,10 @@
   void begin() {
     RouteTable table = relay.tables().get();
     decision = RouteDecision.of(table, head, stated);
-    boolean confirmed = relay.admits().getAsBoolean();
-    if (decision.refusal().isPresent()) {
-      // Tables that are not confirmed may lack a route or key that is there by now.
-      boolean uncertain = table.published() && !confirmed;
-      Refusal refusal = uncertain ? Refusal.UNCONFIRMED : decision.refusal().get();
-      reject(confirmed && table.published() ? refusal : untilControl(refusal));
-      return;
-    }
-    if (decision.customer().isPresent() && !confirmed) {
-      reject(untilControl(Refusal.UNCONFIRMED));
-      return;
-    }
-    if (body.isReadable() && relay.quarantined().test(this::fingerprint)) {
-      reject(Refusal.QUARANTINED);
-      return;
-    }
-    if (outlivesStop()) {
-      reject(Refusal.STOPPING);
+    Optional<Refusal> refusal =
+        new Admission(relay, stated, arrivedNanos).refusal(table, decision, watched);
+    if (refusal.isPresent()) {
+      reject(refusal.get());
       return;
     }
     relay.retries().requested(arrivedNanos);
@@ -125,7 +114,7 @@
     }
     long now = System.nanoTime();
     RouteTable table = relay.tables().get();
-    if (!decide(table)) {
+    if (!decide(table) || endsAsQuarantined(now)) {
       return;
     }
     Optional<Placement.Need> wanted = need(table, now);
@@ -152,6 +141,7 @@
     if (over) {
       return;
     }
+    watched.givenUp(attempt);
     finish("abandoned");
     attempt.ifPresent(Attempt::cancel);
     log.abandoned(attempt, answer);
@@ -175,7 +165,10 @@
   @Override
   public Optional<FullHttpRequest> request(Endpoint endpoint, long nowNanos) {
     RouteTable table = relay.tables().get();
-    if (over || !decide(table) || !servesVersion(table, endpoint, nowNanos)) {
+    if (over
+        || !decide(table)
+        || endsAsQuarantined(nowNanos)
+        || !servesVersion(table, endpoint, nowNanos)) {
       return Optional.empty();
     }
     long left = TimeUnit.NANOSECONDS.toMillis(endNanos - nowNanos);
@@ -233,6 +226,9 @@
     } else {
       boolean good = response.status().codeClass() != HttpStatusClass.SERVER_ERROR;
       attempt.ifPresent(current -> current.endpoint().result(good));
+      if (good) {
+        watched.served();
+      }
       answer.complete();
       log.served(decision, response.status().code(), answer, System.nanoTime());
       finish("served");
@@ -246,14 +242,6 @@
     }
   }
 
-  /** Returns true for a stream that might not be complete when this gateway's planned stop ends. */
-  private boolean outlivesStop() {
-    OptionalLong end = relay.stopEnd().get();
-    return end.isPresent()
-        && decision.route().kind() == RequestKind.STREAM
-        && end.getAsLong() - arrivedNanos < Waits.STREAM_RUN.toNanos();
-  }
-
   private boolean decide(RouteTable table) {
     if (table.revision() == decision.revision()) {
       return true;
@@ -299,10 +287,6 @@
     }
   }
 
-  private Refusal untilControl(Refusal refusal) {
-    return relay.outages().untilControl(refusal, stated.model().isPresent(), arrivedNanos);
-  }
-
   private void await(Placement.Shortage shortage, long now) {
     boolean late = now - placeEndNanos >= 0 || endNanos - now < RepeatPolicy.LEAST_TIME.toNanos();
     boolean hopeless =
@@ -442,8 +426,8 @@
     answer.drop();
     noteFailure(ended, failure);
     mayHaveRun |= !notRun;
-    if (failure.outcome() == Outcome.UNKNOWN && body.isReadable()) {
-      relay.crashes().broken(ended.endpoint(), fingerprint());
+    if (failure.outcome() == Outcome.UNKNOWN) {
+      watched.brokeOff(ended.endpoint());
     }
     refusals += notRun ? 1 : 0;
     runs += !notRun && !runCounted ? 1 : 0;
@@ -470,6 +454,9 @@
     if (endpoint.attemptFailed(failure, adapter())) {
       excluded.add(endpoint);
     }
+    if (endpoint.isSuperseded()) {
+      relay.crashes().ended(endpoint, CrashWatch.Sign.NEW_START);
+    }
     relay.metrics().attemptFailed(endpoint.instanceId(), failure.outcome().name());
     log.attemptEnded(decision, endpoint, failure);
   }
@@ -480,6 +467,7 @@
     }
     boolean sent = attempt.map(Attempt::sent).orElse(false);
     mayHaveRun |= sent;
+    watched.givenUp(attempt);
     attempt.ifPresent(Attempt::cancel);
     if (mayHaveRun) {
       fail("the time was over", "timeout");
@@ -548,6 +536,10 @@
             System.nanoTime() - arrivedNanos);
   }
 
+  private String customerId() {
+    return decision.customer().map(known -> known.id()).orElse("");
+  }
+
   private void settle() {
     if (ticket.isEmpty()) {
       return;
@@ -589,8 +581,10 @@
     return serves;
   }
 
-  private String fingerprint() {
-    String customer = decision.customer().map(known -> known.id()).orElse("");
-    return CrashReporter.fingerprint(customer, head, body);
+  /** A quarantine may have begun since the request arrived. */
+  private boolean endsAsQuarantined(long nowNanos) {
+    Optional<Duration> left = watched.quarantineLeft(nowNanos);
+    left.ifPresent(time -> giveUp(Refusal.quarantined(time)));
+    return left.isPresent();
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/Refusal.java
+++ b/relay/src/main/java/org/comfreygap/relay/Refusal.java
@@ -43,14 +43,6 @@
       new Refusal(
           HttpResponseStatus.SERVICE_UNAVAILABLE, "full", "every endpoint is fully used", 400);
 
-  /** The quarantine lasts for minutes, far beyond what a caller waits. */
-  static final Refusal QUARANTINED =
-      new Refusal(
-          HttpResponseStatus.SERVICE_UNAVAILABLE,
-          "quarantined",
-          "this request crashed several endpoints",
-          60_000);
-
   /** Control did not answer in time whether the customer has credit. */
   static final Refusal NO_CREDIT_ANSWER =
       new Refusal(
@@ -78,6 +70,15 @@
         Math.max(1, retryMillis));
   }
 
+  /** A request that crashed endpoints is not sent again until its quarantine is over. */
+  static Refusal quarantined(Duration left) {
+    return new Refusal(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        "quarantined",
+        "endpoints crashed while they ran this request",
+        Math.max(1, left.toMillis()));
+  }
+
   /** Returns this refusal with the time after which another try is useful. */
   Refusal returning(Duration after) {
     return new Refusal(status, reason, text, Math.max(1, after.toMillis()));
--- a/relay/src/main/java/org/comfreygap/relay/Relay.java
+++ b/relay/src/main/java/org/comfreygap/relay/Relay.java
@@ -4,7 +4,6 @@
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.comfreygap.decisions.RetryWindow;
 import org.comfreygap.runtime.EventLog;
@@ -14,8 +13,6 @@
  *
  * <p>Thread safety: used on the event loop only; the suppliers may be backed by other threads.
  *
- * @param quarantined true for the fingerprint of a request that crashed endpoints; the fingerprint
- *     is made only while there are any
  * @param tables routing tables in force
  * @param admits true while the settings are confirmed recently enough for requests with a key
  * @param stopEnd monotonic time at which a planned stop that has begun ends, in nanoseconds
@@ -28,8 +25,7 @@
     Placement placement,
     WaitingRoom waiting,
     CreditKeeper credit,
-    CrashReporter crashes,
-    Predicate<Supplier<String>> quarantined,
+    CrashWatch crashes,
     RetryWindow retries,
     Outages outages,
     EventLog events,
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -23,7 +23,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.comfreygap.decisions.RetryWindow;
 import org.comfreygap.decisions.ZoneReader;
@@ -204,8 +203,10 @@
       ControlClient control,
       CreditKeeper credit,
       Random random) {
-    CrashReporter crashes =
-        closer.register(new CrashReporter(loop, control, events, metrics, settings.processId()));
+    CrashWatch crashes =
+        closer.register(
+            new CrashWatch(loop, control, events, metrics, settings.processId(), () -> agent));
+    directory.onEnded(crashes::ended);
     return new Relay(
         loop,
         dialect,
@@ -214,7 +215,6 @@
         new WaitingRoom(loop),
         credit,
         crashes,
-        this::quarantined,
         new RetryWindow(settings.retryRatio(), settings.retryExtra(), settings.retryWindow()),
         outages,
         events,
@@ -265,13 +265,6 @@
     return joined;
   }
 
-  private boolean quarantined(Supplier<String> fingerprint) {
-    return agent
-        .filter(MembershipAgent::anyQuarantined)
-        .map(joined -> joined.quarantined(fingerprint.get(), System.nanoTime()))
-        .orElse(false);
-  }
-
   private void inForce(SettingsView view) {
     RouteTable next = RouteTable.of(view, table, System.nanoTime());
     table = next;
--- a/relay/src/test/java/org/comfreygap/relay/CrashingRequestTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CrashingRequestTest.java
@@ -25,7 +25,6 @@
 import org.comfreygap.testkit.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -84,7 +83,6 @@
   }
 
   /** Guards against requests without a body that are never suspected. */
-  @Tag("known-red")
   @ParameterizedTest
   @CsvSource({"CLOSES, NEW", "CLOSES, SAME", "FALLS_SILENT, NEW"})
   void stopsRepeatableRequestWithoutBody(
@@ -97,7 +95,6 @@
   }
 
   /** Guards against requests that are not noted when they end by their time. */
-  @Tag("known-red")
   @ParameterizedTest
   @CsvSource({"CLOSES, NEW", "CLOSES, SAME", "FALLS_SILENT, NEW"})
   void stopsRequestThatMustNotBeRepeated(
@@ -110,7 +107,6 @@
   }
 
   /** Guards against streams that are noted only when their connection ends. */
-  @Tag("known-red")
   @ParameterizedTest
   @CsvSource({"CLOSES, NEW", "CLOSES, SAME", "FALLS_SILENT, NEW"})
   void stopsStream(CrashingEndpoint.Manner manner, CrashingEndpoint.Identity identity)
@@ -123,7 +119,6 @@
   }
 
   /** Guards against crashes of one endpoint that comes back under its id and are counted once. */
-  @Tag("known-red")
   @Test
   void stopsRequestThatCrashesTheSameEndpointAgainAndAgain() throws Exception {
     endpointCount = 1;
