Suspect a given-up request for as long as it may still begin to run

Some endpoints do not notice that a request was given up and run it when its turn comes. A request whose caller had left was no suspect any more once the endpoint had sent another answer's next part, 200 ms later. Test: CrashEvidenceTest.keepsWhatTheEndpointMayStillBegin, which the class before could not pass, since it had one time for both.

--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointSuspects.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointSuspects.java
@@ -11,18 +11,18 @@
  * reason, until it is known whether the endpoint survived them.
  *
  * <pre>{@code
- * suspects.unanswered(fingerprint, now);
+ * suspects.brokeOff(fingerprint, now);
  * suspects.heard(later);                        // the endpoint still answers others
  * List<String> reported = suspects.taken(now);  // it has ended
  * }</pre>
  *
  * <p>An endpoint may fall silent instead of closing its connections, and is known to have ended
  * only once it is back or missing in a list. So a request that was given up counts as much as one
- * whose connection broke.
+ * whose connection broke; some endpoints even begin to run it later.
  *
  * <p>Invariants: a suspect is forgotten once the endpoint was heard from {@link #SIGN_OF_LIFE}
- * after the request had ended, after {@link #MEMORY}, or when newer ones need its place. Not
- * thread-safe.
+ * after the request broke off, or {@link #LONGEST_QUEUE} after it was given up, after {@link
+ * #MEMORY}, or when newer ones need its place. Not thread-safe.
  *
  * @since 0.2
  */
@@ -34,44 +34,55 @@
   /** Bytes sent before the end arrive within a round trip between regions. */
   public static final Duration SIGN_OF_LIFE = Duration.ofMillis(200);
 
+  /** An endpoint that does not notice that a request was given up begins to run it within this. */
+  public static final Duration LONGEST_QUEUE = Duration.ofSeconds(2);
+
   /** More requests than one gateway has open at an endpoint. */
   public static final int CAPACITY = 500;
 
-  private final Map<String, Long> unansweredAtNanos = new LinkedHashMap<>();
+  private final Map<String, Unanswered> unanswered = new LinkedHashMap<>();
 
-  /** Records that a request was sent here and ended without the whole answer. */
-  public void unanswered(String fingerprint, long nowNanos) {
-    expire(nowNanos, MEMORY);
-    unansweredAtNanos.remove(fingerprint);
-    unansweredAtNanos.put(fingerprint, nowNanos);
-    if (unansweredAtNanos.size() > CAPACITY) {
-      Iterator<Long> oldest = unansweredAtNanos.values().iterator();
-      oldest.next();
-      oldest.remove();
-    }
+  private record Unanswered(long atNanos, Duration survivedAfter) {}
+
+  /** Records that the connection of a request that was sent here ended. */
+  public void brokeOff(String fingerprint, long nowNanos) {
+    add(fingerprint, new Unanswered(nowNanos, SIGN_OF_LIFE));
+  }
+
+  /** Records that a request that was sent here ended by its time, its caller or its sender. */
+  public void givenUp(String fingerprint, long nowNanos) {
+    add(fingerprint, new Unanswered(nowNanos, LONGEST_QUEUE));
   }
 
   /** Records that the endpoint sent a part of an answer. */
   public void heard(long nowNanos) {
-    expire(nowNanos, SIGN_OF_LIFE);
+    if (!unanswered.isEmpty()) {
+      unanswered.values().removeIf(one -> nowNanos - one.atNanos >= one.survivedAfter.toNanos());
+    }
   }
 
   /** Returns the suspects, and forgets them: the endpoint has ended. */
   public List<String> taken(long nowNanos) {
-    expire(nowNanos, MEMORY);
-    List<String> taken = List.copyOf(unansweredAtNanos.keySet());
-    unansweredAtNanos.clear();
+    expire(nowNanos);
+    List<String> taken = List.copyOf(unanswered.keySet());
+    unanswered.clear();
     return taken;
   }
 
-  /** Returns true when there are none. */
-  public boolean isEmpty() {
-    return unansweredAtNanos.isEmpty();
+  private void add(String fingerprint, Unanswered added) {
+    expire(added.atNanos);
+    unanswered.remove(fingerprint);
+    unanswered.put(fingerprint, added);
+    if (unanswered.size() > CAPACITY) {
+      Iterator<Unanswered> oldest = unanswered.values().iterator();
+      oldest.next();
+      oldest.remove();
+    }
   }
 
-  private void expire(long nowNanos, Duration age) {
-    Iterator<Long> oldest = unansweredAtNanos.values().iterator();
-    while (oldest.hasNext() && nowNanos - oldest.next() >= age.toNanos()) {
+  private void expire(long nowNanos) {
+    Iterator<Unanswered> oldest = unanswered.values().iterator();
+    while (oldest.hasNext() && nowNanos - oldest.next().atNanos >= MEMORY.toNanos()) {
       oldest.remove();
     }
   }
--- a/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
@@ -110,16 +110,17 @@
 
   /** A request that was sent to an endpoint broke off there. */
   void brokeOff(Endpoint endpoint, String fingerprint) {
-    givenUp(endpoint, fingerprint);
-    if (!endpoint.suspects().isEmpty() && checking.add(endpoint)) {
+    endpoint.suspects().brokeOff(fingerprint, System.nanoTime());
+    if (endpoint.endedBy().isPresent()) {
+      ended(endpoint, endpoint.endedBy().get());
+    } else if (checking.add(endpoint)) {
       loop.schedule(() -> check(endpoint), CHECK_AFTER.toMillis(), TimeUnit.MILLISECONDS);
     }
   }
 
   /** A request that was sent to an endpoint ended by its time, its caller or the gateway. */
   void givenUp(Endpoint endpoint, String fingerprint) {
-    long now = System.nanoTime();
-    endpoint.suspects().unanswered(fingerprint, now);
+    endpoint.suspects().givenUp(fingerprint, System.nanoTime());
     endpoint.endedBy().ifPresent(sign -> ended(endpoint, sign));
   }
 
