Count one start of an endpoint as one crash whenever it is reported

Since a crash was named by time also where the start is known: a sidecar and a gateway that report one crash more than 2.5 s apart, the sidecar's without its age, would have counted twice and banned innocent requests after one crash. The time counts only where no start is known, as in the relay gateway. Found by looking for other senders of reports; test: FleetPoliciesTest.quarantineCountsOneStartOnce, which a name by time alone cannot pass.

--- a/control/src/main/java/org/comfreygap/control/Command.java
+++ b/control/src/main/java/org/comfreygap/control/Command.java
@@ -1,5 +1,6 @@
 package org.comfreygap.control;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -141,11 +142,16 @@
   /**
    * Records a crash with the requests that were in flight.
    *
-   * @param crashId the endpoint that ended, with its start
+   * @param endpoint the endpoint that ended
+   * @param start its start; empty where it is not known, null in a log of before starts were kept
    * @param crashedMillisAgo time from the crash to this command
    */
   record RecordCrash(
-      long logMillis, String crashId, List<String> fingerprints, long crashedMillisAgo)
+      long logMillis,
+      @JsonProperty("crashId") String endpoint,
+      String start,
+      List<String> fingerprints,
+      long crashedMillisAgo)
       implements Command {}
 
   /** Makes the addresses of a control instance known to the others. */
--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -282,7 +283,10 @@
   private CrashAnswer crash(Command.RecordCrash crash, long now) {
     List<Quarantine.Banned> before = List.copyOf(quarantine.banned());
     long at = now - TimeUnit.MILLISECONDS.toNanos(crash.crashedMillisAgo());
-    List<String> banned = quarantine.crashed(crash.crashId(), at, crash.fingerprints(), now);
+    String start = Objects.requireNonNullElse(crash.start(), "");
+    List<String> banned =
+        quarantine.crashed(
+            new Quarantine.Crash(crash.endpoint(), start, at), crash.fingerprints(), now);
     if (!before.equals(List.copyOf(quarantine.banned()))) {
       quarantineVersion++;
       notifyAll();
--- a/control/src/main/java/org/comfreygap/control/LedgerController.java
+++ b/control/src/main/java/org/comfreygap/control/LedgerController.java
@@ -101,7 +101,9 @@
 
   CrashReply crash(CrashReport report) throws NotLeader, InvalidCall {
     Limits.name("endpoint", report.getEndpoint());
-    Limits.name("endedBootId", report.getEndedBootId());
+    if (!report.getEndedBootId().isEmpty()) {
+      Limits.name("endedBootId", report.getEndedBootId());
+    }
     if (report.getFingerprintsSize() > MAX_FINGERPRINTS) {
       throw new InvalidCall(
           "given "
@@ -112,16 +114,22 @@
     for (String fingerprint : report.getFingerprints()) {
       Limits.name("fingerprint", fingerprint);
     }
-    String crashId = report.getEndpoint() + "/" + report.getEndedBootId();
     long millisAgo = Math.max(0, report.getCrashedMillisAgo());
     ControlState.CrashAnswer answer =
         commit(
             leadership.require(),
-            millis -> new Command.RecordCrash(millis, crashId, report.getFingerprints(), millisAgo),
+            millis ->
+                new Command.RecordCrash(
+                    millis,
+                    report.getEndpoint(),
+                    report.getEndedBootId(),
+                    report.getFingerprints(),
+                    millisAgo),
             ControlState.CrashAnswer.class);
     events.record(
         ControlEvent.CRASH_REPORTED,
-        Field.of("crash", crashId),
+        Field.of("endpoint", report.getEndpoint()),
+        Field.of("start", report.getEndedBootId()),
         Field.of("reporter", report.getReporter()),
         Field.of("millisAgo", millisAgo),
         Field.of("suspects", report.getFingerprintsSize()));
--- a/control/src/test/java/org/comfreygap/control/SettingsStateTest.java
+++ b/control/src/test/java/org/comfreygap/control/SettingsStateTest.java
@@ -173,8 +173,8 @@
   void aJumpOfTheWallClockEndsNothing() {
     ControlState state = new ControlState();
     SettingsAnswer first = change(state, "first", "/teams/t", "{}");
-    state.apply(1, Codec.encode(new Command.RecordCrash(0, "e/1", List.of("bad"), 0)));
-    state.apply(1, Codec.encode(new Command.RecordCrash(0, "e/2", List.of("bad"), 0)));
+    state.apply(1, Codec.encode(new Command.RecordCrash(0, "e", "1", List.of("bad"), 0)));
+    state.apply(1, Codec.encode(new Command.RecordCrash(0, "e", "2", List.of("bad"), 0)));
     long tenYears = 10 * 365 * 24 * 3_600_000L;
     Author later = new Author("later", "root", System.currentTimeMillis() + tenYears);
     List<DocumentChange> changes = List.of(new DocumentChange("/teams/u", "{}"));
--- a/decisions/src/main/java/org/comfreygap/decisions/Quarantine.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/Quarantine.java
@@ -16,11 +16,12 @@
  * is a suspect; a fingerprint that is in flight at a second crash is quarantined.
  *
  * <pre>{@code
- * List<String> banned = quarantine.crashed("e1/boot7", crashNanos, fingerprints, now);
+ * Quarantine.Crash crash = new Quarantine.Crash("e1", "boot7", crashNanos);
+ * List<String> banned = quarantine.crashed(crash, fingerprints, now);
  * }</pre>
  *
- * <p>A crash is named by the endpoint that ended and the time of the end: an endpoint may come back
- * under the id that it had, and not every reporter knows its start.
+ * <p>Where the start that ended is not known, a crash is named by the endpoint and the time of the
+ * end: the endpoint may come back under the id that it had.
  *
  * <p>Invariants: one crash counts once for a fingerprint, however often and late it is reported;
  * suspicion and quarantine end by themselves; all parts are bounded, the oldest is forgotten first.
@@ -31,8 +32,9 @@
 public final class Quarantine {
 
   /**
-   * Ends of one endpoint that are reported within this time are one crash: gateways learn of it up
-   * to two seconds apart, and an endpoint that crashed takes seconds to be back.
+   * Ends of an endpoint, its start not known, that are reported within this time are one crash:
+   * gateways learn of it up to two seconds apart, and an endpoint that crashed takes seconds to be
+   * back.
    */
   public static final Duration SAME_CRASH = Duration.ofMillis(2_500);
 
@@ -62,12 +64,19 @@
     public static final Bounds DEFAULT = new Bounds(5_000, 500, 900_000_000_000L, 900_000_000_000L);
   }
 
-  /** An end of an endpoint. */
-  public record Crash(String endpoint, long atNanos) {
+  /**
+   * An end of an endpoint.
+   *
+   * @param start the start that ended; empty where it is not known
+   * @param atNanos when it ended
+   */
+  public record Crash(String endpoint, String start, long atNanos) {
 
     boolean same(Crash other) {
+      boolean near = Math.abs(atNanos - other.atNanos) < SAME_CRASH.toNanos();
       return endpoint.equals(other.endpoint)
-          && Math.abs(atNanos - other.atNanos) < SAME_CRASH.toNanos();
+          && start.equals(other.start)
+          && (near || !start.isEmpty());
     }
   }
 
@@ -90,15 +99,12 @@
   /**
    * Records a crash.
    *
-   * @param endpoint the endpoint that ended, with its start where that is known
-   * @param crashNanos when it ended; reports may be late
+   * @param crash what ended; reports of it may be late
    * @param fingerprints requests in flight
    * @return those of {@code fingerprints} that are in quarantine now
    */
-  public List<String> crashed(
-      String endpoint, long crashNanos, Collection<String> fingerprints, long now) {
+  public List<String> crashed(Crash crash, Collection<String> fingerprints, long now) {
     expire(now);
-    Crash crash = new Crash(endpoint, crashNanos);
     Set<String> distinct = new LinkedHashSet<>(fingerprints);
     for (String fingerprint : distinct) {
       suspect(fingerprint, crash, now);
--- a/decisions/src/test/java/org/comfreygap/decisions/FleetPoliciesTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/FleetPoliciesTest.java
@@ -43,7 +43,9 @@
       now += random.nextInt(40_000) * SECOND / 1_000;
       final long present = now;
       String endpoint = "e" + random.nextInt(3);
+      String start = random.nextBoolean() ? "" : "s" + random.nextInt(2);
       long at = now - random.nextInt(4) * SECOND;
+      Quarantine.Crash crash = new Quarantine.Crash(endpoint, start, at);
       Set<String> fingerprints = new HashSet<>();
       for (int i = 0; i < 3; i++) {
         fingerprints.add("f" + random.nextInt(8));
@@ -51,24 +53,23 @@
       bannedUntil.values().removeIf(until -> until <= present);
       for (String f : fingerprints) {
         List<Quarantine.Crash> seen = crashes.computeIfAbsent(f, k -> new ArrayList<>());
-        if (seen.stream().allMatch(crash -> present - crash.atNanos() >= 60 * SECOND)) {
+        if (seen.stream().allMatch(one -> present - one.atNanos() >= 60 * SECOND)) {
           seen.clear();
         }
         boolean known =
             seen.stream()
                 .skip(Math.max(0, seen.size() - 2))
+                .filter(one -> one.endpoint().equals(endpoint) && one.start().equals(start))
                 .anyMatch(
-                    crash ->
-                        crash.endpoint().equals(endpoint)
-                            && Math.abs(crash.atNanos() - at) < 5 * SECOND / 2);
+                    one -> start.length() > 0 || Math.abs(one.atNanos() - at) < 5 * SECOND / 2);
         if (!known) {
-          seen.add(new Quarantine.Crash(endpoint, at));
+          seen.add(crash);
           if (seen.size() > 1) {
             bannedUntil.put(f, now + 100 * SECOND);
           }
         }
       }
-      List<String> answer = quarantine.crashed(endpoint, at, fingerprints, now);
+      List<String> answer = quarantine.crashed(crash, fingerprints, now);
       assertThat(answer)
           .containsExactlyInAnyOrderElementsOf(
               fingerprints.stream().filter(bannedUntil::containsKey).toList());
@@ -81,9 +82,23 @@
   void quarantineCountsLaterCrashOfTheSameEndpoint() {
     Quarantine quarantine = new Quarantine(Quarantine.Bounds.DEFAULT);
 
-    assertThat(quarantine.crashed("e1", 0, List.of("f"), 0)).isEmpty();
-    assertThat(quarantine.crashed("e1", 2 * SECOND, List.of("f"), 9 * SECOND)).isEmpty();
-    assertThat(quarantine.crashed("e1", 5 * SECOND, List.of("f"), 9 * SECOND)).containsExactly("f");
+    assertThat(crashed(quarantine, "", 0)).isEmpty();
+    assertThat(crashed(quarantine, "", 2 * SECOND)).isEmpty();
+    assertThat(crashed(quarantine, "", 5 * SECOND)).containsExactly("f");
+  }
+
+  /** Guards against one crash that two processes report at different times and is counted twice. */
+  @Example
+  void quarantineCountsOneStartOnce() {
+    Quarantine quarantine = new Quarantine(Quarantine.Bounds.DEFAULT);
+
+    assertThat(crashed(quarantine, "boot1", 0)).isEmpty();
+    assertThat(crashed(quarantine, "boot1", 9 * SECOND)).isEmpty();
+    assertThat(crashed(quarantine, "boot2", 9 * SECOND)).containsExactly("f");
+  }
+
+  private static List<String> crashed(Quarantine quarantine, String start, long at) {
+    return quarantine.crashed(new Quarantine.Crash("e1", start, at), List.of("f"), 10 * SECOND);
   }
 
   /** Guards against lists that grow with every crash. */
@@ -91,8 +106,8 @@
   void quarantineIsBounded() {
     Quarantine quarantine = new Quarantine(new Quarantine.Bounds(10, 5, 1_000, 1_000));
     for (int i = 0; i < 100; i++) {
-      quarantine.crashed("a" + i, 0, List.of("f" + i), 0);
-      quarantine.crashed("b" + i, 0, List.of("f" + i), 0);
+      quarantine.crashed(new Quarantine.Crash("a" + i, "", 0), List.of("f" + i), 0);
+      quarantine.crashed(new Quarantine.Crash("b" + i, "", 0), List.of("f" + i), 0);
     }
     assertThat(quarantine.suspects()).hasSize(10);
     assertThat(quarantine.banned()).hasSize(5);
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -343,7 +343,7 @@
 }
 
 struct CrashReport {
-  /** Identifies the crash, with its time: endpoint and the boot id that ended. */
+  /** Identifies the crash: endpoint and the boot id that ended, or its time where that is empty. */
   1: required string endpoint
   2: required string endedBootId
   3: required list<string> fingerprints
--- a/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
@@ -51,6 +51,7 @@
   /** A process that crashed refuses connections at once; one that restarts takes seconds. */
   static final Duration CHECK_AFTER = Duration.ofMillis(60);
 
+  private static final String UNKNOWN_START = "";
   // More than a gateway serves in the memory's time on an ordinary day.
   private static final int SERVED_CAPACITY = 4_000;
   private static final int FINGERPRINT_BYTES = 16;
@@ -150,7 +151,8 @@
         Field.of("servedLately", taken.size() - suspects.size()),
         Field.of("fingerprints", shown(suspects)));
     if (!suspects.isEmpty()) {
-      reports.add(endpoint.instanceId(), endpoint.instanceId(), suspects, at);
+      // Not every gateway knows the start, and it must not have two names.
+      reports.add(endpoint.instanceId(), UNKNOWN_START, suspects, at);
     }
   }
 
--- a/runtime/src/main/java/org/comfreygap/runtime/CrashReports.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/CrashReports.java
@@ -81,15 +81,16 @@
    * Adds a crash.
    *
    * @param endpoint the endpoint that ended
-   * @param endedBootId its start
+   * @param start its start; empty where it is not known
    * @param fingerprints requests that were there
    * @param crashNanos when it ended, by this machine's monotonic clock
    */
-  public void add(String endpoint, String endedBootId, List<String> fingerprints, long crashNanos) {
+  public void add(String endpoint, String start, List<String> fingerprints, long crashNanos) {
     synchronized (own) {
-      own.crashed(endpoint + "/" + endedBootId, crashNanos, fingerprints, System.nanoTime());
+      own.crashed(
+          new Quarantine.Crash(endpoint, start, crashNanos), fingerprints, System.nanoTime());
     }
-    CrashReport report = new CrashReport(endpoint, endedBootId, fingerprints, reporter);
+    CrashReport report = new CrashReport(endpoint, start, fingerprints, reporter);
     Waiting added = new Waiting(report, crashNanos);
     while (!waiting.offerLast(added)) {
       Waiting oldest = waiting.pollFirst();
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
@@ -284,10 +284,11 @@
   public synchronized CrashReply reportCrash(CrashReport report) throws TException {
     checkLeader(false);
     crashes.add(report);
-    String crashId = report.getEndpoint() + "/" + report.getEndedBootId();
     long now = System.nanoTime();
     long at = now - TimeUnit.MILLISECONDS.toNanos(report.getCrashedMillisAgo());
-    List<String> banned = quarantine.crashed(crashId, at, report.getFingerprints(), now);
+    Quarantine.Crash crash =
+        new Quarantine.Crash(report.getEndpoint(), report.getEndedBootId(), at);
+    List<String> banned = quarantine.crashed(crash, report.getFingerprints(), now);
     Duration lasts = Duration.ofNanos(Quarantine.Bounds.DEFAULT.quarantineNanos());
     banned.forEach(fingerprint -> quarantine(fingerprint, lasts));
     return new CrashReply(banned);
