Keep the sidecar's crash reports until control has them

The same class as in the relay gateway: a report was dropped without a line after 30 tries, or when 256 messages waited, and permit releases held it up by seconds each while control was away. ControlReports uses CrashReports, and says so when a permit is not given back.

--- a/sidecar/src/main/java/org/comfreygap/sidecar/ControlReports.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/ControlReports.java
@@ -4,11 +4,12 @@
 import jakarta.inject.Singleton;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import org.comfreygap.protocol.generated.CrashReport;
 import org.comfreygap.runtime.ControlClient;
 import org.comfreygap.runtime.ControlUnavailable;
+import org.comfreygap.runtime.CrashReports;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 
@@ -16,78 +17,85 @@
  * Tells control of crashes and of load permits no longer needed, without holding up the duty that
  * found out.
  *
- * <p>Invariant: a crash report is sent until control has taken it; a permit release that cannot be
- * sent is dropped, since the permit ends by itself. Thread safety: any thread may add; one duty
- * sends.
+ * <p>Invariant: a permit release that cannot be sent is dropped with an event, since the permit
+ * ends by itself; it does not hold up reports of crashes. Thread safety: any thread may add; one
+ * duty each sends.
  */
 @Singleton
-final class ControlReports {
+final class ControlReports implements AutoCloseable {
 
   private static final int CAPACITY = 256;
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
 
-  private final String endpoint;
-  private final String processId;
+  private final SidecarSettings settings;
   private final ControlClient control;
   private final EventLog events;
-  private final BlockingQueue<Message> messages = new ArrayBlockingQueue<>(CAPACITY);
+  private final BlockingQueue<String> permits = new ArrayBlockingQueue<>(CAPACITY);
+  private Optional<CrashReports> crashes = Optional.empty();
 
   @Inject
   ControlReports(SidecarSettings settings, ControlClient control, EventLog events) {
-    this.endpoint = settings.endpoint();
-    this.processId = settings.processId();
+    this.settings = settings;
     this.control = control;
     this.events = events;
   }
 
+  /** Starts to send reports of crashes. */
+  ControlReports start() {
+    crashes =
+        Optional.of(
+            CrashReports.start(
+                control,
+                settings.processId(),
+                delivered ->
+                    events.record(
+                        SidecarEvent.CRASH_REPORTED,
+                        Field.of("boot", delivered.getEndedBootId()),
+                        Field.of("requests", delivered.getFingerprintsSize()),
+                        Field.of("millisAgo", delivered.getCrashedMillisAgo())),
+                (report, cause) ->
+                    events.record(
+                        SidecarEvent.CRASH_NOT_REPORTED,
+                        Field.of("boot", report.getEndedBootId()),
+                        Field.of("cause", cause))));
+    return this;
+  }
+
   /** Reports the requests that were in flight when the boot {@code bootId} ended. */
   void crashed(String bootId, List<String> fingerprints) {
-    CrashReport report = new CrashReport(endpoint, bootId, fingerprints, processId);
-    messages.offer(
-        () -> {
-          control.callLeader(CALL_TIMEOUT, client -> client.reportCrash(report));
-          events.record(
-              SidecarEvent.CRASH_REPORTED,
-              Field.of("boot", bootId),
-              Field.of("requests", fingerprints.size()));
-          return true;
-        });
+    long now = System.nanoTime();
+    crashes.ifPresent(running -> running.add(settings.endpoint(), bootId, fingerprints, now));
   }
 
   /** Gives a load permit back. */
   void release(String permitId) {
-    messages.offer(
-        () -> {
-          try {
-            control.callLeader(
-                CALL_TIMEOUT,
-                client -> {
-                  client.releaseLoadPermit(permitId);
-                  return permitId;
-                });
-          } catch (ControlUnavailable e) {
-            return false;
-          }
-          return true;
-        });
+    if (!permits.offer(permitId)) {
+      notReleased(permitId, "too many releases wait");
+    }
   }
 
-  /** Sends the next message, again and again until control has taken it. */
+  /** Sends the next release. */
   void step() throws InterruptedException {
-    Message message = messages.take();
-    for (int i = 0; i < 30; i++) {
-      try {
-        message.send();
-        return;
-      } catch (ControlUnavailable e) {
-        Thread.sleep(1_000);
-      }
+    String permitId = permits.take();
+    try {
+      control.callLeader(
+          CALL_TIMEOUT,
+          client -> {
+            client.releaseLoadPermit(permitId);
+            return permitId;
+          });
+    } catch (ControlUnavailable e) {
+      notReleased(permitId, String.valueOf(e.getMessage()));
     }
   }
 
-  /** A message that may throw to be sent again. */
-  private interface Message {
+  @Override
+  public void close() {
+    crashes.ifPresent(CrashReports::close);
+  }
 
-    boolean send() throws ControlUnavailable;
+  private void notReleased(String permitId, String cause) {
+    events.record(
+        SidecarEvent.PERMIT_NOT_RELEASED, Field.of("permit", permitId), Field.of("cause", cause));
   }
 }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/Sidecar.java
@@ -176,7 +176,8 @@
     duty("endpoint-lease", injector.getInstance(LeaseKeeper.class)::step);
     duty("endpoint-state", injector.getInstance(EndpointWatch.class)::step);
     duty("adapter-loader", injector.getInstance(AdapterLoader.class)::step);
-    duty("control-reports", injector.getInstance(ControlReports.class)::step);
+    ControlReports reports = closer.register(injector.getInstance(ControlReports.class).start());
+    duty("permit-releases", reports::step);
     closer.register(DutyThread.every("attempt-timer", TICK, attempts::tick));
     closer.register(DutyThread.every("attempt-beats", AttemptStreams.CHECK_PERIOD, streams::beat));
   }
