Explain a refusal by quarantine from the crashes that led to it

3501 names the fingerprint when its reason is quarantined, and comfreygap explain adds to the chain the crashes, broken attempts and the quarantine of equal requests, however long ago. Test: ExplainCommandTest.leadsFromAQuarantineToTheCrashesBeforeIt.

--- a/cli/src/main/java/org/comfreygap/cli/Explanation.java
+++ b/cli/src/main/java/org/comfreygap/cli/Explanation.java
@@ -40,6 +40,9 @@
   private static final String LOG_OF_ENDPOINT =
       "the events of the endpoint in the chain; 4502 is a silent engine, 4501 a new start";
 
+  /** Events that tell what equal requests did, however long ago: they led to a quarantine. */
+  private static final Set<Integer> CRASHES = Set.of(2040, 3502, 3522, 3525);
+
   /** What an end of a request means. */
   private enum Ending {
     OVER_LIMIT(3501, "over-limit") {
@@ -85,6 +88,22 @@
             + " gives the engine's state";
       }
     },
+    QUARANTINED(3501, "quarantined") {
+      @Override
+      String cause(JsonNode fields) {
+        return "refused: endpoints crashed while they ran an equal request, fingerprint "
+            + text(fields, "fingerprint")
+            + "; quarantined for another "
+            + text(fields, "retryMillis")
+            + " ms";
+      }
+
+      @Override
+      String next() {
+        return "3525 in the chain names the endpoints that ended and by which sign, 3502 the"
+            + " requests that were there";
+      }
+    },
     REFUSED(3501, "") {
       @Override
       String cause(JsonNode fields) {
@@ -191,12 +210,19 @@
       endpoints.add(text(event.path("fields"), "endpoint"));
     }
     endpoints.removeAll(Set.of("", "none"));
+    String fingerprint =
+        Ending.of(own.get(own.size() - 1))
+            .filter(ending -> ending == Ending.QUARANTINED)
+            .map(ending -> text(own.get(own.size() - 1).path("fields"), "fingerprint"))
+            .orElse("");
     long from = millis(own.get(0)) - BEFORE_MILLIS;
     long to = millis(own.get(own.size() - 1)) + AFTER_MILLIS;
     List<JsonNode> chain = new ArrayList<>();
     for (JsonNode event : events) {
       boolean inTime = millis(event) >= from && millis(event) <= to;
-      if (own.contains(event) || inTime && around(event, processes, endpoints)) {
+      if (own.contains(event)
+          || inTime && around(event, processes, endpoints)
+          || ofEqualRequest(event, fingerprint)) {
         chain.add(event);
       }
     }
@@ -233,6 +259,14 @@
             && BELIEFS.contains(event.path("number").asInt());
   }
 
+  private static boolean ofEqualRequest(JsonNode event, String fingerprint) {
+    JsonNode fields = event.path("fields");
+    return !fingerprint.isEmpty()
+        && CRASHES.contains(event.path("number").asInt())
+        && (text(fields, "fingerprint").equals(fingerprint)
+            || text(fields, "fingerprints").contains(fingerprint));
+  }
+
   private static String text(JsonNode fields, String name) {
     return fields.path(name).asText("");
   }
--- a/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
@@ -77,6 +77,38 @@
         .doesNotContain("sidecar.y");
   }
 
+  @Test
+  void leadsFromAQuarantineToTheCrashesBeforeIt() throws IOException {
+    Path log =
+        log(
+            line("gateway.a", 5_000, 3525, "ENDPOINT_CRASHED", "fingerprints", "[f0, f1]"),
+            line("gateway.b", 9_000, 3502, "ATTEMPT_ENDED", "request", "r1", "fingerprint", "f1"),
+            line("gateway.b", 9_060, 3525, "ENDPOINT_CRASHED", "fingerprints", "[f2]"),
+            line("control", 9_070, 2040, "REQUEST_QUARANTINED", "fingerprint", "f1"),
+            line(
+                "gateway.c",
+                60_000,
+                3501,
+                "REQUEST_REJECTED",
+                "request",
+                "r3",
+                "reason",
+                "quarantined",
+                "fingerprint",
+                "f1",
+                "retryMillis",
+                "849000"));
+
+    assertThat(run("explain", "r3", "--log", log.toString())).isEqualTo(ExitCode.OK);
+
+    assertThat(text(out))
+        .contains("3525 ENDPOINT_CRASHED fingerprints=[f0, f1]")
+        .contains("3502 ATTEMPT_ENDED request=r1")
+        .contains("2040 REQUEST_QUARANTINED")
+        .contains("fingerprint f1; quarantined for another 849000 ms")
+        .doesNotContain("[f2]");
+  }
+
   @Test
   void saysWhenNothingIsKnownOfARequest() throws IOException {
     Path log = log(line("gateway.a", 5_000, 3507, "REQUEST_SENT", "request", "r2"));
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -1,5 +1,6 @@
 package org.comfreygap.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -74,22 +75,25 @@
   }
 
   void refused(RouteDecision decision, Refusal refusal) {
-    relay
-        .events()
-        .record(
-            RelayEvent.REQUEST_REJECTED,
-            id(),
-            Field.of("route", decision.routeName()),
-            Field.of("status", refusal.status().code()),
-            Field.of("reason", refusal.reason()),
-            Field.of("retryMillis", refusal.retryMillis()),
-            Field.of("customer", decision.customerName().orElse("")),
-            Field.of("tokens", decision.tokens()),
-            Field.of("credit", relay.credit().describe(decision.customer(), System.nanoTime())),
-            Field.of("waiting", relay.waiting().size()),
-            Field.of("lastEndpoint", lastEndpoint),
-            Field.of("revision", decision.revision()),
-            millis());
+    List<Field> fields =
+        new ArrayList<>(
+            List.of(
+                id(),
+                Field.of("route", decision.routeName()),
+                Field.of("status", refusal.status().code()),
+                Field.of("reason", refusal.reason()),
+                Field.of("retryMillis", refusal.retryMillis()),
+                Field.of("customer", decision.customerName().orElse("")),
+                Field.of("tokens", decision.tokens()),
+                Field.of("credit", relay.credit().describe(decision.customer(), System.nanoTime())),
+                Field.of("waiting", relay.waiting().size()),
+                Field.of("lastEndpoint", lastEndpoint),
+                Field.of("revision", decision.revision()),
+                millis()));
+    if (refusal.isQuarantine()) {
+      fields.add(Field.of("fingerprint", fingerprint.get()));
+    }
+    relay.events().record(RelayEvent.REQUEST_REJECTED, fields.toArray(Field[]::new));
   }
 
   void failed(RouteDecision decision, String reason, AnswerPassing answer) {
--- a/relay/src/main/java/org/comfreygap/relay/Refusal.java
+++ b/relay/src/main/java/org/comfreygap/relay/Refusal.java
@@ -60,6 +60,7 @@
       new Refusal(
           HttpResponseStatus.SERVICE_UNAVAILABLE, "time-over", "not begun in the given time", 100);
 
+  private static final String QUARANTINED = "quarantined";
   private static final double MILLIS_PER_SECOND = 1_000;
 
   static Refusal overLimit(long retryMillis) {
@@ -74,11 +75,16 @@
   static Refusal quarantined(Duration left) {
     return new Refusal(
         HttpResponseStatus.SERVICE_UNAVAILABLE,
-        "quarantined",
+        QUARANTINED,
         "endpoints crashed while they ran this request",
         Math.max(1, left.toMillis()));
   }
 
+  /** Returns true when the request is refused for what equal ones did. */
+  boolean isQuarantine() {
+    return reason.equals(QUARANTINED);
+  }
+
   /** Returns this refusal with the time after which another try is useful. */
   Refusal returning(Duration after) {
     return new Refusal(status, reason, text, Math.max(1, after.toMillis()));
