Count delivered crash reports on the event loop, and name those that a stop leaves

The metrics of the relay gateway are for one thread, and reports end on the thread that sends them. A report that waited when the process stopped was dropped without a line. Test: CrashReportsTest.saysSoWhenItStopsBeforeControlKnows.

--- a/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
@@ -206,7 +206,7 @@
   }
 
   private void delivered(CrashReport report) {
-    metrics.count("crash.reports", "delivered");
+    loop.execute(() -> metrics.count("crash.reports", "delivered"));
     events.record(
         RelayEvent.CRASH_REPORTED,
         Field.of("endpoint", report.getEndpoint()),
@@ -216,7 +216,7 @@
   }
 
   private void notDelivered(CrashReport report, String cause) {
-    metrics.count("crash.reports", "not-delivered");
+    loop.execute(() -> metrics.count("crash.reports", "not-delivered"));
     events.record(
         RelayEvent.CRASH_NOT_REPORTED,
         Field.of("endpoint", report.getEndpoint()),
--- a/runtime/src/main/java/org/comfreygap/runtime/CrashReports.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/CrashReports.java
@@ -115,9 +115,12 @@
     }
   }
 
+  /** Stops to send; reports that still wait are given up. */
   @Override
   public void close() {
     duty.close();
+    waiting.forEach(left -> onFailed.accept(left.report, "given up: the process stops"));
+    waiting.clear();
   }
 
   private void sendNext() throws InterruptedException {
--- a/runtime/src/test/java/org/comfreygap/runtime/CrashReportsTest.java
+++ b/runtime/src/test/java/org/comfreygap/runtime/CrashReportsTest.java
@@ -94,6 +94,17 @@
     assertThat(causes).anyMatch(cause -> cause.startsWith("given up"));
   }
 
+  @Test
+  void saysSoWhenItStopsBeforeControlKnows() throws Exception {
+    leading = false;
+    reports.add("e1", "boot1", List.of("bad"), System.nanoTime());
+    await(() -> !causes.isEmpty());
+
+    reports.close();
+
+    assertThat(causes).last().isEqualTo("given up: the process stops");
+  }
+
   private Object answer(String call, Object[] arguments) throws TException {
     if (!call.equals("reportCrash")) {
       throw new TException(call + " is not used here");
