--- a/gateway/src/test/java/org/comfreygap/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/GatewayFixture.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,6 +22,7 @@
 import org.comfreygap.runtime.SharedKey;
 import org.comfreygap.testkit.FakeControl;
 import org.comfreygap.testkit.FakeSidecar;
+import org.comfreygap.testkit.FreePorts;
 
 /** A gateway with a fake control instance and fake sidecars in one process. */
 final class GatewayFixture implements AutoCloseable {
@@ -201,9 +201,7 @@
   }
 
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
+    return FreePorts.address().getPort();
   }
 
   private static String zone(int number) {
--- a/relay/src/test/java/org/comfreygap/relay/ControlForwarderTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/ControlForwarderTest.java
@@ -2,8 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,6 +13,7 @@
 import org.comfreygap.runtime.PeerSecurity;
 import org.comfreygap.runtime.SharedKey;
 import org.comfreygap.testkit.FakeControl;
+import org.comfreygap.testkit.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -44,7 +43,7 @@
     control =
         FakeControl.start(
             PeerSecurity.of(SharedKey.of(SHARED_KEY.getBytes(StandardCharsets.UTF_8))));
-    port = freePort();
+    port = FreePorts.address().getPort();
     Path key = Files.writeString(folder.resolve("key"), SHARED_KEY);
     String settings =
         String.join(
@@ -54,7 +53,7 @@
             "control: [\"127.0.0.1:" + control.address().getPort() + "\"]",
             "security: {sharedKeyFile: \"" + key + "\"}",
             "httpAddress: \"127.0.0.1:" + port + "\"",
-            "adminAddress: \"127.0.0.1:" + freePort() + "\"",
+            "adminAddress: \"127.0.0.1:" + FreePorts.address().getPort() + "\"",
             "dataFolder: \"\"",
             "createLog: true",
             "operators: []",
@@ -104,11 +103,4 @@
             .build();
     return http.send(request, HttpResponse.BodyHandlers.ofString());
   }
-
-  private static int freePort() throws Exception {
-    try (ServerSocket socket = new ServerSocket()) {
-      socket.bind(new InetSocketAddress("127.0.0.1", 0));
-      return socket.getLocalPort();
-    }
-  }
 }
--- a/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -13,6 +12,7 @@
 import org.comfreygap.testkit.FakeEndpoint;
 import org.comfreygap.testkit.FakeEngine;
 import org.comfreygap.testkit.FakePlainService;
+import org.comfreygap.testkit.FreePorts;
 
 /** A sidecar with a control stub, a test gateway and a fake endpoint. */
 final class SidecarFixture implements AutoCloseable {
@@ -86,9 +86,7 @@
   }
 
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
+    return FreePorts.address().getPort();
   }
 
   /** Starts a sidecar and waits until it serves. */
