Suspect a request that the gateway dropped for as long as one that was given up

A request dropped after silence, or for an answer without proof, counted as broken off: an endpoint that did not notice and began to run it a second later was heard from in between, and the request was no suspect any more. Found by reading the change.

--- a/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashWatch.java
@@ -112,14 +112,16 @@
   /** A request that was sent to an endpoint broke off there. */
   void brokeOff(Endpoint endpoint, String fingerprint) {
     endpoint.suspects().brokeOff(fingerprint, System.nanoTime());
-    if (endpoint.endedBy().isPresent()) {
-      ended(endpoint, endpoint.endedBy().get());
-    } else if (checking.add(endpoint)) {
-      loop.schedule(() -> check(endpoint), CHECK_AFTER.toMillis(), TimeUnit.MILLISECONDS);
-    }
+    checkSoon(endpoint);
+  }
+
+  /** The gateway dropped a request at its endpoint: nothing came for long, or no proper answer. */
+  void dropped(Endpoint endpoint, String fingerprint) {
+    endpoint.suspects().givenUp(fingerprint, System.nanoTime());
+    checkSoon(endpoint);
   }
 
-  /** A request that was sent to an endpoint ended by its time, its caller or the gateway. */
+  /** A request that was sent to an endpoint ended by its time or its caller. */
   void givenUp(Endpoint endpoint, String fingerprint) {
     endpoint.suspects().givenUp(fingerprint, System.nanoTime());
     endpoint.endedBy().ifPresent(sign -> ended(endpoint, sign));
@@ -178,6 +180,14 @@
     reports.close();
   }
 
+  private void checkSoon(Endpoint endpoint) {
+    if (endpoint.endedBy().isPresent()) {
+      ended(endpoint, endpoint.endedBy().get());
+    } else if (checking.add(endpoint)) {
+      loop.schedule(() -> check(endpoint), CHECK_AFTER.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void check(Endpoint endpoint) {
     new Bootstrap()
         .group(loop)
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -237,9 +237,13 @@
 
   @Override
   public void failed(Attempt ended, Attempt.Failure failure) {
-    if (!over) {
-      attemptFailed(ended, failure);
+    if (over) {
+      return;
+    }
+    if (failure.outcome() == Outcome.UNKNOWN) {
+      watched.brokeOff(ended.endpoint());
     }
+    attemptFailed(ended, failure);
   }
 
   private boolean decide(RouteTable table) {
@@ -413,6 +417,7 @@
 
   private void abandonAttempt(String reason) {
     Attempt current = attempt.orElseThrow();
+    watched.dropped(current.endpoint());
     current.cancel();
     current.endpoint().health().failed(System.nanoTime());
     attemptFailed(current, new Attempt.Failure(Outcome.UNKNOWN, reason, Optional.empty()));
@@ -426,9 +431,6 @@
     answer.drop();
     noteFailure(ended, failure);
     mayHaveRun |= !notRun;
-    if (failure.outcome() == Outcome.UNKNOWN) {
-      watched.brokeOff(ended.endpoint());
-    }
     refusals += notRun ? 1 : 0;
     runs += !notRun && !runCounted ? 1 : 0;
     RepeatPolicy.History history =
--- a/relay/src/main/java/org/comfreygap/relay/WatchedRequest.java
+++ b/relay/src/main/java/org/comfreygap/relay/WatchedRequest.java
@@ -50,6 +50,11 @@
     crashes.brokeOff(endpoint, fingerprint());
   }
 
+  /** The gateway dropped the request at its endpoint. */
+  void dropped(Endpoint endpoint) {
+    crashes.dropped(endpoint, fingerprint());
+  }
+
   /** The request is given up; an endpoint that is silent may have crashed by it. */
   void givenUp(Optional<Attempt> attempt) {
     attempt
--- a/relay/src/test/java/org/comfreygap/relay/CrashWatchTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CrashWatchTest.java
@@ -80,6 +80,15 @@
     assertThat(reported("e1").getFingerprints()).containsExactly("fatal");
   }
 
+  @Test
+  void checksTheAddressOfAnEndpointThatFellSilent() throws Exception {
+    Endpoint endpoint = listed("e1", false);
+
+    onLoop(() -> watch.dropped(endpoint, "fatal"));
+
+    assertThat(reported("e1").getFingerprints()).containsExactly("fatal");
+  }
+
   /** A silent endpoint breaks nothing off; the sidecar tells that it has started again. */
   @Test
   void reportsWhatWasGivenUpWhenTheSidecarReportsAnotherStart() throws Exception {
