--- a/testkit/src/main/java/org/comfreygap/testkit/FakeEngine.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeEngine.java
@@ -426,13 +426,14 @@
       record.step(batch);
       List<EngineRun> ended = new ArrayList<>();
       for (EngineRun run : running) {
-        if (run.step()) {
-          ended.add(run);
+        // Nobody reads the end of the answer before the record shows it.
+        synchronized (run) {
+          if (run.step()) {
+            record.finish(run.entry, run.complete() ? "finished" : "failed", run.count());
+            ended.add(run);
+          }
         }
       }
-      for (EngineRun run : ended) {
-        record.finish(run.entry, run.complete() ? "finished" : "failed", run.count());
-      }
       running.removeAll(ended);
       while (running.size() < bound() && !waiting.isEmpty()) {
         running.add(waiting.remove(0));
--- a/testkit/src/test/java/org/comfreygap/testkit/FakeEngineTest.java
+++ b/testkit/src/test/java/org/comfreygap/testkit/FakeEngineTest.java
@@ -38,6 +38,20 @@
     }
   }
 
+  /**
+   * Guards against tests that read the record right after an answer and find its run still open.
+   */
+  @Test
+  void runIsRecordedAsFinishedBeforeItsAnswerEnds() throws Exception {
+    try (FakeEngine engine = FakeEngine.builder("e").loadMillis(1).start()) {
+      load(engine, ADAPTER, 1);
+      for (int i = 0; i < 300; i++) {
+        complete(engine, "r" + i, ADAPTER, 1, false);
+        assertThat(engine.record().runs()).extracting(run -> run.state()).containsOnly("finished");
+      }
+    }
+  }
+
   @Test
   void adapterThatIsNotResidentIsRefusedAndLoadsAreBoundedBySlots() throws Exception {
     try (FakeEngine engine = FakeEngine.builder("e").slots(1).loadMillis(1).start()) {
