Tell callers that a connection closes whose request was not read

A refusal before the body is read makes the server close the connection when the body has not arrived yet, and the answer did not say so, so the client's next request went to a connection that closed. The gateway of the product's own interface now sends Connection: close then. CallerFaultTest.saysThatItClosesTheConnectionOfARequestWithABodyThatItDidNotRead failed before.

--- a/gateway/src/main/java/org/comfreygap/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/CallerResponse.java
@@ -16,6 +16,8 @@
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.util.BufferUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The answer to one caller.
@@ -36,6 +38,7 @@
   /** Total time for which a caller may delay its own answer by not reading it. */
   static final Duration WRITE_LIMIT = Duration.ofSeconds(30);
 
+  private static final Logger LOG = LoggerFactory.getLogger(CallerResponse.class);
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int PIPELINED_BYTES = 1_024;
 
@@ -85,7 +88,7 @@
     headers.forEach(response::setHeader);
     response.setHeader(REQUEST_ID_HEADER, requestId);
     response.setHeader(OUTCOME_HEADER, outcome.headerValue());
-    if (closing.getAsBoolean()) {
+    if (closing.getAsBoolean() || bodyUnread()) {
       response.setHeader("Connection", "close");
     }
     if (contentLength >= 0) {
@@ -93,6 +96,18 @@
     }
   }
 
+  /** The server closes a connection whose request was not read to its end. */
+  private boolean bodyUnread() {
+    boolean hasBody =
+        request.getContentLengthLong() > 0 || request.getHeader("Transfer-Encoding") != null;
+    try {
+      return hasBody && !request.getInputStream().isFinished();
+    } catch (IOException e) {
+      LOG.debug("the body of a request cannot be read, so its connection closes", e);
+      return true;
+    }
+  }
+
   /**
    * Sends bytes of the body now.
    *
--- a/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/CallerFaultTest.java
@@ -60,6 +60,22 @@
     GatewayFixture.await(() -> engine.cancels().size() == 1);
   }
 
+  /** Guards against a refusal that does not tell that its connection is about to close. */
+  @Test
+  void saysThatItClosesTheConnectionOfARequestWithABodyThatItDidNotRead() throws Exception {
+    fixture = GatewayFixture.start(1);
+    try (Socket caller = new Socket("127.0.0.1", fixture.settings.httpAddress().getPort())) {
+      String head =
+          "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer sk-unknown\r\n"
+              + "Content-Type: application/json\r\nContent-Length: 5\r\n\r\n";
+      caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+
+      String answer = readUntil(caller.getInputStream(), "\r\n\r\n");
+
+      assertThat(answer).startsWith("HTTP/1.1 401").containsIgnoringCase("Connection: close");
+    }
+  }
+
   /** Guards against a second request on the connection that the check for the caller swallows. */
   @Test
   void keepsAPipelinedRequestWhileItWaits() throws Exception {
