Take an endpoint for back under its id once a connection to it is open

An engine that its sidecar reported as started again under its id kept the time of its first end until it sent a part of an answer, so that a second crash before that counted as the first. Found by reading the change. Test: EndpointTest.isNoLongerKnownAsEndedOnceItIsBackUnderItsId; before, only the sign of a refused connection was reset.

--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -147,9 +147,9 @@
     return endedBy;
   }
 
-  /** A connection is open: an address that refused connections is served again. */
+  /** A connection is open: unless another start has the address, this one is back under its id. */
   void connected() {
-    endedBy = endedBy.filter(sign -> sign != CrashWatch.Sign.REFUSES_CONNECTIONS);
+    endedBy = endedBy.filter(sign -> superseded || gone);
   }
 
   /** A part of an answer came. */
--- a/relay/src/test/java/org/comfreygap/relay/EndpointTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/EndpointTest.java
@@ -36,6 +36,23 @@
     assertThat(endpoint.cold(SECOND + SECOND * 6 / 10)).isFalse();
   }
 
+  /** Guards against a second crash under one id that counts as the first. */
+  @Test
+  void isNoLongerKnownAsEndedOnceItIsBackUnderItsId() {
+    for (CrashWatch.Sign sign : CrashWatch.Sign.values()) {
+      Endpoint endpoint = endpoint(0);
+      assertThat(endpoint.markEnded(sign, SECOND)).isEqualTo(SECOND);
+      assertThat(endpoint.markEnded(sign, 2 * SECOND)).isEqualTo(SECOND);
+      endpoint.connected();
+      assertThat(endpoint.markEnded(sign, 3 * SECOND)).isEqualTo(3 * SECOND);
+    }
+    Endpoint replaced = endpoint(0);
+    replaced.superseded();
+    replaced.markEnded(CrashWatch.Sign.NEW_START, SECOND);
+    replaced.connected();
+    assertThat(replaced.markEnded(CrashWatch.Sign.NEW_START, 2 * SECOND)).isEqualTo(SECOND);
+  }
+
   private static Endpoint endpoint(long coldMillis) {
     return new Endpoint(
         new ListedEndpoint(
