Decode the request limit of endpoints and log its changes

Cause: nothing read the limit that an endpoint states, so that neither logs nor metrics could show that there was one. Change: the platform's header becomes StatedLimit; EndpointLimit keeps the newest statement of one start by the times at which requests were sent and responses read; 3516 and 3517, comfreygap_endpoints_with_limit and comfreygap_endpoint_limits_invalid_total. Placement does not use it yet.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -23,6 +23,7 @@
   private Optional<EndpointConnection> connection = Optional.empty();
   private Optional<ResponseHead> refusal = Optional.empty();
   private Optional<Runnable> endUse = Optional.empty();
+  private long sentNanos;
   private long lastPartNanos;
   private boolean sent;
   private boolean responseBegun;
@@ -105,6 +106,7 @@
   public void onHead(HttpResponse response, ResponseHead stated) {
     long now = System.nanoTime();
     stated.load().ifPresent(load -> endpoint.recordLoad(load, now));
+    relay.limits().responseRead(endpoint, stated, sentNanos, now);
     endpoint.health().succeeded();
     endpoint.responseReceived(now);
     if (stated.verdict() != ResponseHead.Verdict.RAN) {
@@ -171,6 +173,7 @@
     endpoint.connectionOpened();
     endUse = endpoint.sidecar().flatMap(link -> owner.adapter().map(link::beginUse));
     sent = true;
+    sentNanos = System.nanoTime();
     opened.send(owner.requestId(), request.get(), this);
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -10,6 +10,7 @@
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.AdapterSlots;
 import org.comfreygap.decisions.EndpointHealth;
+import org.comfreygap.decisions.EndpointLimit;
 import org.comfreygap.decisions.EndpointSuspects;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.PlacementCost.Residency;
@@ -57,6 +58,7 @@
   private double latencyMillis;
   private double failureRate;
   private double partIntervalMillis;
+  private final EndpointLimit limit = new EndpointLimit();
   private final EndpointSuspects suspects = new EndpointSuspects();
   private OptionalLong bornMillis = OptionalLong.empty();
   private Optional<CrashDetector.Detection> endedBy = Optional.empty();
@@ -183,6 +185,9 @@
     boolean startedAgain =
         bornMillis.isPresent() && bornMillis.getAsLong() != newest.getBornMillis();
     bornMillis = OptionalLong.of(newest.getBornMillis());
+    if (startedAgain) {
+      limit.restarted();
+    }
     status = Optional.of(newest);
     statusNanos = nowNanos;
     sentSinceStatus = 0;
@@ -383,6 +388,11 @@
     loadReportedNanos = nowNanos;
   }
 
+  /** Returns the request limit that the endpoint states. */
+  EndpointLimit limit() {
+    return limit;
+  }
+
   /** Returns the known load and the age of its sources, for the log. */
   String describe(long nowNanos) {
     return "running:"
@@ -396,7 +406,8 @@
         + ",listMillisAgo:"
         + TimeUnit.NANOSECONDS.toMillis(nowNanos - listedNanos)
         + ",cold:"
-        + isCold(nowNanos);
+        + isCold(nowNanos)
+        + (limit.isLimited() ? ",limit:" + limit.perSecond().getAsDouble() : "");
   }
 
   /** Records the latency of a plain request. */
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -27,6 +27,7 @@
     WaitQueue waitQueue,
     CreditManager credit,
     CrashDetector crashes,
+    EndpointLimits limits,
     RetryWindow retryBudget,
     Outages outages,
     EventLog events,
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -22,6 +22,8 @@
   LISTING_FAILED(3513, Level.WARN, "The platform's list of endpoints could not be read."),
   LISTING_UNREADABLE(3514, Level.INFO, "The number of unreadable entries of the list changed."),
   LISTING_SOURCE_CHANGED(3515, Level.INFO, "The list of endpoints is read from another source."),
+  ENDPOINT_LIMIT_CHANGED(3516, Level.INFO, "An endpoint's stated request limit changed."),
+  ENDPOINT_LIMIT_INVALID(3517, Level.WARN, "An endpoint stated a request limit that is not valid."),
   SIDECAR_CONNECTED(3520, Level.INFO, "The sidecar beside an endpoint is connected."),
   SIDECAR_LOST(3521, Level.INFO, "The connection to a sidecar ended."),
   CRASH_REPORTED(3522, Level.WARN, "The requests at a crashed endpoint were reported."),
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -216,6 +216,7 @@
         new WaitQueue(loop),
         credit,
         crashes,
+        new EndpointLimits(events, metrics),
         new RetryWindow(settings.retryRatio(), settings.retryExtra(), settings.retryWindow()),
         outages,
         events,
@@ -233,6 +234,9 @@
     metrics.gauge("gateways.sharing.the.retry.budget", gateways::get);
     metrics.gauge(
         "retries.left", () -> relay.retryBudget().remaining(gateways.get(), System.nanoTime()));
+    metrics.gauge(
+        "endpoints.with.limit",
+        () -> relay.directory().all().stream().filter(one -> one.limit().isLimited()).count());
     metrics.gauge("settings.revision", () -> table.revision());
     metrics.gauge("settings.confirmed", () -> relay.settingsConfirmed().getAsBoolean() ? 1 : 0);
     metrics.gauge("events.dropped", events::dropped);
--- a/relay/src/main/java/org/comfreygap/relay/ResponseHead.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.comfreygap.decisions.StatedLimit;
 
 /**
  * The metadata in the head of an endpoint's response.
@@ -13,6 +14,7 @@
  * @param signed true when the response carries the endpoint's proof of origin
  * @param instanceId id of the responding endpoint, where stated
  * @param load the endpoint's load, where stated
+ * @param limit the request limit that the endpoint states
  * @param idleMillis time for which the endpoint keeps an idle connection open, where stated
  * @since 0.2
  */
@@ -22,6 +24,7 @@
     boolean signed,
     Optional<String> instanceId,
     Optional<ReportedLoad> load,
+    StatedLimit limit,
     OptionalLong idleMillis) {
 
   /** Whether the request ran, according to the response. */
--- a/relay/src/test/java/org/comfreygap/relay/HeaderDialect.java
+++ b/relay/src/test/java/org/comfreygap/relay/HeaderDialect.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.comfreygap.decisions.StatedLimit;
 
 /**
  * Plain headers for tests of the request path: the id, the key and the caller's timeout, and a
@@ -18,6 +19,7 @@
   static final String KEY = "Key";
   static final String PATIENCE_MILLIS = "Patience-Millis";
   static final String ENDPOINT = "Endpoint";
+  static final String LIMIT = "Limit";
   private static final int MISDIRECTED = 421;
 
   @Override
@@ -49,6 +51,7 @@
         true,
         Optional.ofNullable(head.headers().get(ENDPOINT)),
         Optional.empty(),
+        StatedLimit.parse(head.headers().getAll(LIMIT)),
         OptionalLong.empty());
   }
 }
