--- /dev/null
+++ b/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
@@ -0,0 +1,170 @@
+package org.comfreygap.relay;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.comfreygap.runtime.Addresses;
+import org.comfreygap.runtime.Closer;
+import org.comfreygap.runtime.PeerSecurity;
+import org.comfreygap.runtime.SharedKey;
+import org.comfreygap.testkit.FakeControl;
+import org.comfreygap.testkit.FreePorts;
+
+/**
+ * Gateways of one pool with a stand-in of control and a list of endpoints.
+ *
+ * <p>Thread safety: requests may be sent from any thread; all else is for the test's thread.
+ */
+final class GatewayFleet implements AutoCloseable {
+
+  static final String POOL = "app";
+  private static final String SHARED_KEY = "a shared key for tests only";
+  private static final Duration WAIT = Duration.ofSeconds(10);
+
+  private final Path folder;
+  private final Closer closer = new Closer();
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final List<InetSocketAddress> gateways = new ArrayList<>();
+  private final List<AutoCloseable> running = new ArrayList<>();
+  private final FakeControl control;
+  private final HttpServer list;
+
+  /**
+   * Creates a fleet without gateways, whose routes are {@code /safe/}, {@code /unsafe/} and {@code
+   * /stream/}.
+   *
+   * @param listed current text of the list
+   */
+  GatewayFleet(Path folder, Supplier<String> listed) throws IOException {
+    this.folder = folder;
+    this.control =
+        closer.register(
+            FakeControl.start(
+                PeerSecurity.of(SharedKey.of(SHARED_KEY.getBytes(StandardCharsets.UTF_8)))));
+    control.put("/routing/pools/" + POOL, "{\"healthPath\":\"/health\",\"maxConnections\":50}");
+    control.put("/routing/publication", "{\"version\":1}");
+    for (String kind : List.of("safe", "unsafe", "stream")) {
+      control.put("/routing/routes/" + kind, route(kind));
+    }
+    list = HttpServer.create(FreePorts.address(), 0);
+    list.createContext(
+        LineListing.PATH,
+        exchange -> {
+          byte[] bytes = listed.get().getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(200, bytes.length);
+          exchange.getResponseBody().write(bytes);
+          exchange.close();
+        });
+    list.start();
+    closer.register(() -> list.stop(0));
+  }
+
+  FakeControl control() {
+    return control;
+  }
+
+  int size() {
+    return gateways.size();
+  }
+
+  /** Starts gateways and waits until they are ready. */
+  void open(int count) throws Exception {
+    Path key = Files.writeString(folder.resolve("key"), SHARED_KEY);
+    for (int i = 0; i < count; i++) {
+      InetSocketAddress callers = FreePorts.address();
+      InetSocketAddress readiness = FreePorts.address();
+      String settings =
+          String.join(
+              "\n",
+              "processId: gateway-" + i,
+              "zone: a",
+              "callerAddress: \"" + Addresses.text(callers) + "\"",
+              "readyAddress: \"" + Addresses.text(readiness) + "\"",
+              "adminAddress: \"" + Addresses.text(FreePorts.address()) + "\"",
+              "listAddress: \"" + Addresses.text(list.getAddress()) + "\"",
+              "control: [\"" + Addresses.text(control.address()) + "\"]",
+              "security: {sharedKeyFile: \"" + key + "\"}",
+              "sidecarPort: 1",
+              "listPeriodMillis: 100",
+              "stopLagMillis: 50",
+              "graceMillis: 2000",
+              "");
+      Path file = Files.writeString(folder.resolve("gateway-" + i + ".yaml"), settings);
+      running.add(
+          closer.register(RelayGateway.start(file, new HeaderDialect(), new LineListing(POOL))));
+      gateways.add(callers);
+      await(() -> ready(readiness));
+    }
+  }
+
+  /** Sends a request through the gateway whose number it has, modulo their number. */
+  HttpResponse<String> send(int number, String method, String path, String body)
+      throws IOException, InterruptedException {
+    InetSocketAddress gateway = gateways.get(number % gateways.size());
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + Addresses.text(gateway) + path))
+            .header(HeaderDialect.REQUEST, UUID.randomUUID().toString())
+            .timeout(WAIT)
+            .method(
+                method,
+                body.isEmpty()
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  @Override
+  public void close() {
+    // A watch call that waits for a change would delay the stop.
+    control.endLongPolls();
+    closer.close();
+  }
+
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + WAIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - end > 0) {
+        throw new AssertionError("the condition did not hold within " + WAIT);
+      }
+      Thread.sleep(10);
+    }
+  }
+
+  private boolean ready(InetSocketAddress readiness) {
+    try {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + Addresses.text(readiness) + "/")).build();
+      return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    } catch (IOException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private static String route(String kind) {
+    return "{\"host\":\"127.0.0.1\",\"pathPrefix\":\"/"
+        + kind
+        + "/\",\"kind\":\""
+        + kind
+        + "\",\"timeoutMillis\":1000,\"targetLatencyMillis\":300,\"open\":true,\"maxAttempts\":2,"
+        + "\"resumable\":false,\"targets\":[{\"pool\":\""
+        + POOL
+        + "\",\"weight\":1}]}";
+  }
+}
