--- a/decisions/src/main/java/org/comfreygap/decisions/LimiterChoice.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/LimiterChoice.java
@@ -102,7 +102,7 @@
       }
     }
     lastSeen.values().removeIf(seen -> nowNanos - seen > ABSENCE_GRACE.toNanos());
-    if (!new HashSet<>(next).equals(new HashSet<>(view))) {
+    if (!next.equals(view) && !new HashSet<>(next).equals(new HashSet<>(view))) {
       past.addLast(new PastView(view, nowNanos));
       view = List.copyOf(next);
     }
@@ -111,6 +111,11 @@
     }
   }
 
+  /** Returns the gateways of the present view. */
+  public List<Candidate> candidates() {
+    return view;
+  }
+
   /** Returns the gateway to ask for sends; empty while none is known. */
   public Optional<Candidate> limiter(long endpointHash, String zone) {
     return Optional.ofNullable(choose(view, endpointHash, zone));
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -447,10 +447,11 @@
   3: required i64 retryAfterMillis
 }
 
-/** Tells the gateway that grants sends to an endpoint that the endpoint's limit has changed. */
+/** Tells the gateway that grants sends to an endpoint of a changed limit, or all others from there. */
 struct LimitReport {
   1: required string instanceId
-  2: required LimitStatement statement
+  2: required string zone
+  3: required LimitStatement statement
 }
 
 /** Asks the gateway that grants sends to an endpoint with a request limit for one send. */
--- a/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
@@ -87,6 +87,13 @@
     return byInstance.values();
   }
 
+  /** Returns the listed endpoint with an id. */
+  Optional<Endpoint> find(String instanceId) {
+    return byInstance.values().stream()
+        .filter(endpoint -> endpoint.instanceId().equals(instanceId))
+        .findFirst();
+  }
+
   /** Replaces the endpoints by those of a complete list. */
   void updateListing(List<ListedEndpoint> entries, Set<String> enginePools, long nowNanos) {
     isKnown = true;
--- a/relay/src/main/java/org/comfreygap/relay/EndpointLimits.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointLimits.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.EndpointLimit;
@@ -47,6 +48,9 @@
   /** Time without use after which connections and grants are dropped. */
   static final Duration IDLE_LIFETIME = Duration.ofSeconds(60);
 
+  /** Time between two announcements, for gateways that started since or missed the last one. */
+  static final Duration ANNOUNCEMENT_PERIOD = Duration.ofSeconds(5);
+
   private static final long MILLI_REQUESTS = 1_000;
 
   private final EventLoop loop;
@@ -54,6 +58,7 @@
   private final LimiterChoice choice;
   private final String ownId;
   private final IntSupplier gatewayCount;
+  private final Function<String, Optional<Endpoint>> lookup;
   private final EventLog events;
   private final RelayMetrics metrics;
   private final Map<String, Grants> grantsByInstance = new HashMap<>();
@@ -64,6 +69,7 @@
    * Creates the limits of a gateway.
    *
    * @param handover longest time for which a gateway trusts a membership that is not confirmed
+   * @param lookup finds a listed endpoint by its id
    */
   EndpointLimits(
       EventLoop loop,
@@ -71,6 +77,7 @@
       String ownId,
       Duration handover,
       IntSupplier gatewayCount,
+      Function<String, Optional<Endpoint>> lookup,
       EventLog events,
       RelayMetrics metrics) {
     this.loop = loop;
@@ -78,6 +85,7 @@
     this.choice = new LimiterChoice(ownId, handover);
     this.ownId = ownId;
     this.gatewayCount = gatewayCount;
+    this.lookup = lookup;
     this.events = events;
     this.metrics = metrics;
   }
@@ -92,8 +100,14 @@
   /** The sends that this gateway grants to one endpoint. */
   private static final class Grants {
     private final EndpointLimit limit = new EndpointLimit();
+    private final String zone;
     private Optional<SendSlots> slots = Optional.empty();
     private long lastUsedNanos;
+    private long announcedNanos;
+
+    Grants(String zone) {
+      this.zone = zone;
+    }
   }
 
   /** Applies the present membership and drops what is idle. */
@@ -103,6 +117,7 @@
       boolean confirmed,
       long nowNanos) {
     choice.update(live, departed, confirmed, nowNanos);
+    refreshAnnouncements(nowNanos);
     long idleSince = nowNanos - IDLE_LIFETIME.toNanos();
     grantsByInstance.values().removeIf(grants -> grants.lastUsedNanos - idleSince < 0);
     for (String address : List.copyOf(connections.keySet())) {
@@ -192,8 +207,7 @@
   public void received(Channel channel, ResidencyMessage message) {
     long now = System.nanoTime();
     if (message.isSetLimitReport()) {
-      LimitReport report = message.getLimitReport();
-      grants(report.getInstanceId(), now).limit.apply(toStatement(report.getStatement(), now));
+      reported(message.getLimitReport(), now);
     } else if (message.isSetSendPermitRequest()) {
       SendPermitReply reply = grant(message.getSendPermitRequest(), now);
       PeerMessages.send(channel, ResidencyMessage.sendPermitReply(reply));
@@ -209,9 +223,65 @@
     connections.values().forEach(LimiterConnection::close);
   }
 
+  /** Applies the report of another gateway, be it to this limiter or by the limiter. */
+  private void reported(LimitReport report, long nowNanos) {
+    Statement statement = toStatement(report.getStatement(), nowNanos);
+    lookup.apply(report.getInstanceId()).ifPresent(one -> apply(one, statement, "report"));
+    if (isLimiter(report.getInstanceId(), report.getZone())) {
+      applyAsLimiter(report.getInstanceId(), report.getZone(), statement, nowNanos);
+    }
+  }
+
+  private boolean isLimiter(String instanceId, String zone) {
+    return choice
+        .limiter(AdapterHomes.hash(instanceId), zone)
+        .filter(limiter -> limiter.processId().equals(ownId))
+        .isPresent();
+  }
+
+  private Grants applyAsLimiter(
+      String instanceId, String zone, Statement statement, long nowNanos) {
+    Grants grants = grantsByInstance.computeIfAbsent(instanceId, id -> new Grants(zone));
+    grants.lastUsedNanos = nowNanos;
+    if (grants.limit.apply(statement)) {
+      announce(instanceId, grants, nowNanos);
+    }
+    return grants;
+  }
+
+  /** Tells all gateways a limit, since those that send little would hear of it late. */
+  private void announce(String instanceId, Grants grants, long nowNanos) {
+    if (!isLimiter(instanceId, grants.zone)) {
+      return;
+    }
+    grants.announcedNanos = nowNanos;
+    LimitReport report =
+        new LimitReport(
+            instanceId, grants.zone, toMessage(grants.limit.newest().orElseThrow(), nowNanos));
+    for (LimiterChoice.Candidate other : choice.candidates()) {
+      if (!other.processId().equals(ownId)) {
+        connection(other, nowNanos).report(report, nowNanos);
+      }
+    }
+  }
+
+  private void refreshAnnouncements(long nowNanos) {
+    grantsByInstance.forEach(
+        (instanceId, grants) -> {
+          long age = nowNanos - grants.announcedNanos;
+          if (grants.limit.isLimited() && age >= ANNOUNCEMENT_PERIOD.toNanos()) {
+            announce(instanceId, grants, nowNanos);
+          }
+        });
+  }
+
   private SendPermitReply grant(SendPermitRequest request, long nowNanos) {
-    Grants grants = grants(request.getInstanceId(), nowNanos);
-    grants.limit.apply(toStatement(request.getStatement(), nowNanos));
+    Grants grants =
+        applyAsLimiter(
+            request.getInstanceId(),
+            request.getZone(),
+            toStatement(request.getStatement(), nowNanos),
+            nowNanos);
     SendPermitReply reply = new SendPermitReply(request.getNumber(), true, 0);
     grants.limit.newest().ifPresent(newest -> reply.setNewest(toMessage(newest, nowNanos)));
     OptionalDouble perSecond = grants.limit.perSecond();
@@ -276,11 +346,13 @@
       return;
     }
     if (limiter.get().processId().equals(ownId)) {
-      grants(endpoint.instanceId(), nowNanos).limit.apply(newest);
+      applyAsLimiter(endpoint.instanceId(), endpoint.zone(), newest, nowNanos);
       return;
     }
     connection(limiter.get(), nowNanos)
-        .report(new LimitReport(endpoint.instanceId(), toMessage(newest, nowNanos)), nowNanos);
+        .report(
+            new LimitReport(endpoint.instanceId(), endpoint.zone(), toMessage(newest, nowNanos)),
+            nowNanos);
   }
 
   private void recordInvalid(Endpoint endpoint, long nowNanos) {
@@ -295,12 +367,6 @@
                 Field.of("inForce", text(endpoint.limit().perSecond()))));
   }
 
-  private Grants grants(String instanceId, long nowNanos) {
-    Grants grants = grantsByInstance.computeIfAbsent(instanceId, id -> new Grants());
-    grants.lastUsedNanos = nowNanos;
-    return grants;
-  }
-
   private LimiterConnection connection(LimiterChoice.Candidate limiter, long nowNanos) {
     return connections.computeIfAbsent(
         limiter.address(),
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -180,6 +180,7 @@
             settings.processId(),
             settings.lease(),
             gateways::get,
+            directory::find,
             events,
             metrics);
     closer.register(() -> onLoop(limits::close));
