Take the limit from the sidecar, pace its health checks, explain held back requests

Cause: an engine may state its limit in a report, a health check or the response to a command, which only its sidecar reads; health checks of the sidecar count against the limit, two a second after a start. Change: the sidecar puts the limit into its status, 4505; health checks of an engine with a limit come each 8 s. A response without proof of a run ends no limit. comfreygap explain names the limits that refused a request (3508, 3516).

--- a/bench/src/main/java/org/comfreygap/bench/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/comfreygap/bench/DecisionBenchmarks.java
@@ -11,6 +11,8 @@
 import org.comfreygap.decisions.CustomerCredit;
 import org.comfreygap.decisions.EndpointSelector;
 import org.comfreygap.decisions.FairQueue;
+import org.comfreygap.decisions.LimiterChoice;
+import org.comfreygap.decisions.SendSlots;
 import org.comfreygap.settings.Priority;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
@@ -66,6 +68,12 @@
     return queue.offerAndPoll();
   }
 
+  /** Checks an endpoint's request limit at its limiter among 300 gateways, and reserves a send. */
+  @Benchmark
+  public long reserveSend(Limiter limiter) {
+    return limiter.reserve();
+  }
+
   /** Pins and unpins a resident adapter. */
   @Benchmark
   public boolean pinResident(Residency residency) {
@@ -88,6 +96,43 @@
     return drawn;
   }
 
+  /** The limiter of an endpoint that takes 1.5 requests a second. */
+  @State(Scope.Thread)
+  public static class Limiter {
+
+    private static final int GATEWAYS = 300;
+    private static final double PER_SECOND = 1.5;
+    private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    private final long endpoint = AdapterHomes.hash("i-1");
+    private final LimiterChoice choice = new LimiterChoice("gateway-0", Duration.ofSeconds(3));
+    private final SendSlots slots = new SendSlots(PER_SECOND, 0);
+    private long nowNanos;
+    private int customer;
+
+    /** Fills the view of the membership. */
+    @Setup
+    public void fill() {
+      List<LimiterChoice.Candidate> gateways = new ArrayList<>();
+      for (int i = 0; i < GATEWAYS; i++) {
+        String zone = i == 0 ? "zone-own" : "zone-" + i % 3;
+        gateways.add(new LimiterChoice.Candidate("gateway-" + i, zone, "10.0.0.1:7606"));
+      }
+      for (; nowNanos <= TimeUnit.SECONDS.toNanos(4); nowNanos += 20 * STEP_NANOS) {
+        choice.update(gateways, List.of(), true, nowNanos);
+      }
+    }
+
+    long reserve() {
+      nowNanos += STEP_NANOS;
+      customer = (customer + 1) % 5;
+      boolean granting = choice.mayGrant(endpoint, "zone-own", nowNanos);
+      long wait = slots.reserve(PER_SECOND, MAX_WAIT_NANOS, customer, nowNanos);
+      return granting ? wait : SendSlots.NONE;
+    }
+  }
+
   /** A gateway's selector in steady state. */
   @State(Scope.Thread)
   public static class Routing {
--- a/cli/src/main/java/org/comfreygap/cli/Explanation.java
+++ b/cli/src/main/java/org/comfreygap/cli/Explanation.java
@@ -88,6 +88,22 @@
             + " of that sidecar gives the engine's state";
       }
     },
+    ENDPOINTS_LIMITED(3501, "endpoints-limited") {
+      @Override
+      String cause(JsonNode fields) {
+        return "refused: the request limits of all endpoints of the pool admitted no send in time;"
+            + " retry after "
+            + text(fields, "retryMillis")
+            + " ms";
+      }
+
+      @Override
+      String next() {
+        return "event 3508 in the chain names the endpoint that held the request back and its"
+            + " limit, event 3516 when that limit was stated; 1011 and 1015 of the gateway show"
+            + " that it had no confirmed view of the limiter";
+      }
+    },
     QUARANTINED(3501, "quarantined") {
       @Override
       String cause(JsonNode fields) {
--- a/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
@@ -109,6 +109,52 @@
         .doesNotContain("[f2]");
   }
 
+  /** Guards against a held back request whose endpoint and limit do not appear. */
+  @Test
+  void namesTheLimitThatHeldARequestBack() throws IOException {
+    Path log =
+        log(
+            line(
+                "gateway.a",
+                4_000,
+                3516,
+                "ENDPOINT_LIMIT_CHANGED",
+                "endpoint",
+                "e1",
+                "perSecond",
+                "1.5"),
+            line(
+                "gateway.a",
+                5_000,
+                3508,
+                "SEND_HELD_BACK",
+                "request",
+                "r1",
+                "endpoint",
+                "e1",
+                "perSecond",
+                "1.5"),
+            line(
+                "gateway.a",
+                5_001,
+                3501,
+                "REQUEST_REJECTED",
+                "request",
+                "r1",
+                "reason",
+                "endpoints-limited",
+                "retryMillis",
+                "640"));
+
+    assertThat(run("explain", "r1", "--log", log.toString())).isEqualTo(ExitCode.OK);
+
+    assertThat(text(out))
+        .contains("3516 ENDPOINT_LIMIT_CHANGED")
+        .contains("3508 SEND_HELD_BACK")
+        .contains("request limits of all endpoints")
+        .contains("retry after 640 ms");
+  }
+
   @Test
   void reportsRequestWithoutEvents() throws IOException {
     Path log = log(line("gateway.a", 5_000, 3507, "REQUEST_SENT", "request", "r2"));
--- a/decisions/src/test/java/org/comfreygap/decisions/EndpointLimitFleetTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/EndpointLimitFleetTest.java
@@ -5,7 +5,6 @@
 import java.util.Locale;
 import org.comfreygap.decisions.EndpointLimitFleet.Sharing;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.TestReporter;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -34,11 +33,11 @@
 
   @ParameterizedTest
   @CsvSource({"4, 1", "4, 2", "30, 1", "30, 2", "300, 1"})
-  void holdsTheLimitAndUsesMostOfIt(int gateways, long seed, TestReporter reporter) {
+  void holdsTheLimitAndUsesMostOfIt(int gateways, long seed) {
     EndpointLimitFleet fleet = overloaded(gateways, Sharing.LIMITER, seed);
     fleet.play(END);
 
-    report(reporter, Sharing.LIMITER.name(), gateways, fleet);
+    report(Sharing.LIMITER.name(), gateways, fleet);
     assertThat(most(fleet)).isLessThanOrEqualTo(ALLOWED);
     assertThat(used(fleet)).isBetween(MIN_USED_SHARE, 1.0 + 2.0 / 40);
   }
@@ -56,11 +55,11 @@
     "30, ONE_SENDER",
     "300, ONE_SENDER"
   })
-  void otherWaysExceedTheLimitOrWasteIt(int gateways, Sharing way, TestReporter reporter) {
+  void otherWaysExceedTheLimitOrWasteIt(int gateways, Sharing way) {
     EndpointLimitFleet fleet = overloaded(gateways, way, 1);
     fleet.play(END);
 
-    report(reporter, way.name(), gateways, fleet);
+    report(way.name(), gateways, fleet);
     assertThat(most(fleet) > ALLOWED || used(fleet) < MIN_USED_SHARE).isTrue();
   }
 
@@ -137,17 +136,19 @@
     return fleet.arrived(20 * SECOND, END) / (LIMIT * ENDPOINTS * 40);
   }
 
-  private static void report(
-      TestReporter reporter, String way, int gateways, EndpointLimitFleet fleet) {
-    reporter.publishEntry(
-        way + " at " + gateways,
-        String.format(
-            Locale.ROOT,
-            "used %.2f, most in 4 s %d of %d, mean wait %.0f ms, %.0f messages a second",
-            used(fleet),
-            most(fleet),
-            ALLOWED,
-            fleet.meanWaitMillis(),
-            fleet.messagesPerSecond(END)));
+  private static void report(String way, int gateways, EndpointLimitFleet fleet) {
+    System.out.println(
+        way
+            + " at "
+            + gateways
+            + ": "
+            + String.format(
+                Locale.ROOT,
+                "used %.2f, most in 4 s %d of %d, mean wait %.0f ms, %.0f messages a second",
+                used(fleet),
+                most(fleet),
+                ALLOWED,
+                fleet.meanWaitMillis(),
+                fleet.messagesPerSecond(END)));
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
@@ -16,6 +16,7 @@
 import java.util.function.BiConsumer;
 import org.comfreygap.decisions.IdleConnectionLimit;
 import org.comfreygap.protocol.generated.EndpointStatus;
+import org.comfreygap.protocol.generated.LimitStatement;
 import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
@@ -44,6 +45,7 @@
   private final Map<String, SidecarConnection> sidecarsByHost = new HashMap<>();
   private Runnable onChange = () -> {};
   private BiConsumer<Endpoint, CrashDetector.Detection> onEnded = (endpoint, sign) -> {};
+  private BiConsumer<Endpoint, LimitStatement> onLimit = (endpoint, statement) -> {};
   private boolean isKnown;
 
   /**
@@ -70,6 +72,11 @@
     onEnded = listener;
   }
 
+  /** Calls {@code listener} with a request limit that an endpoint stated to its sidecar. */
+  void onLimit(BiConsumer<Endpoint, LimitStatement> listener) {
+    onLimit = listener;
+  }
+
   void start() {
     loop.scheduleAtFixedRate(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -188,6 +195,9 @@
       if (endpoint.updateStatus(status, now)) {
         onEnded.accept(endpoint, CrashDetector.Detection.NEW_START);
       }
+      if (status.isSetLimit() && status.getInstanceId().equals(endpoint.instanceId())) {
+        onLimit.accept(endpoint, status.getLimit());
+      }
     }
     onChange.run();
   }
--- a/relay/src/main/java/org/comfreygap/relay/EndpointLimits.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointLimits.java
@@ -142,11 +142,18 @@
       recordInvalid(endpoint, nowNanos);
       return;
     }
-    if (apply(endpoint, new Statement(head.limit(), sentNanos, nowNanos), "response")) {
-      reportChange(endpoint, nowNanos);
+    boolean ofRun = head.signed() && head.verdict() == ResponseHead.Verdict.RAN;
+    if (head.limit().isLimit() || ofRun) {
+      // Refusals may lack what responses of runs state, so they end no limit.
+      applyAndReport(endpoint, new Statement(head.limit(), sentNanos, nowNanos), "response");
     }
   }
 
+  /** Records what an endpoint stated to its sidecar. */
+  void reportedBySidecar(Endpoint endpoint, LimitStatement statement, long nowNanos) {
+    applyAndReport(endpoint, toStatement(statement, nowNanos), "sidecar");
+  }
+
   /**
    * Asks the limiter for a send to an endpoint with a limit.
    *
@@ -339,6 +346,12 @@
     return changed;
   }
 
+  private void applyAndReport(Endpoint endpoint, Statement statement, String source) {
+    if (apply(endpoint, statement, source)) {
+      reportChange(endpoint, System.nanoTime());
+    }
+  }
+
   private void reportChange(Endpoint endpoint, long nowNanos) {
     Statement newest = endpoint.limit().newest().orElseThrow();
     Optional<LimiterChoice.Candidate> limiter = choice.limiter(endpoint.hash(), endpoint.zone());
--- a/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
+++ b/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
@@ -51,6 +51,7 @@
   private final Duration timeout;
   private Optional<Channel> channel = Optional.empty();
   private Optional<Call> current = Optional.empty();
+  private ResponseObserver observer = (response, sentNanos) -> {};
 
   /** Creates a client of {@code address} whose calls fail after {@code timeout}. */
   public HttpPeerClient(EventLoop loop, InetSocketAddress address, Duration timeout) {
@@ -62,6 +63,22 @@
   /** A response. */
   public record Response(int status, HttpHeaders headers, byte[] body) {}
 
+  /** Calls {@code observer} with each response, before the call ends. */
+  public void onResponse(ResponseObserver observer) {
+    this.observer = observer;
+  }
+
+  /** Observes the responses to all calls. */
+  public interface ResponseObserver {
+
+    /**
+     * Called with a response.
+     *
+     * @param sentNanos time at which the call was sent
+     */
+    void received(Response response, long sentNanos);
+  }
+
   /** Returns true while a call is in progress. */
   public boolean busy() {
     return current.isPresent();
@@ -96,7 +113,7 @@
       request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
       HttpUtil.setContentLength(request, request.content().readableBytes());
     }
-    Call call = new Call(done, failed);
+    Call call = new Call(done, failed, System.nanoTime());
     current = Optional.of(call);
     loop.schedule(
         () -> failCall(call, "no response within " + timeout),
@@ -153,7 +170,7 @@
     }
   }
 
-  private record Call(Consumer<Response> done, Consumer<IOException> failed) {}
+  private record Call(Consumer<Response> done, Consumer<IOException> failed, long sentNanos) {}
 
   private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
@@ -173,11 +190,13 @@
         return;
       }
       current = Optional.empty();
-      call.done.accept(
+      Response read =
           new Response(
               response.status().code(),
               response.headers(),
-              ByteBufUtil.getBytes(response.content())));
+              ByteBufUtil.getBytes(response.content()));
+      observer.received(read, call.sentNanos);
+      call.done.accept(read);
     }
 
     @Override
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -173,23 +173,12 @@
                 startId,
                 gateways::get,
                 settings.file().limitTolerance()));
-    EndpointLimits limits =
-        new EndpointLimits(
-            loop,
-            security.sharedKey(),
-            settings.processId(),
-            settings.lease(),
-            gateways::get,
-            directory::find,
-            events,
-            metrics);
-    closer.register(() -> onLoop(limits::close));
+    EndpointLimits limits = openLimits(directory, security);
     Random random = new Random(startId.hashCode());
     RelayContext relay = createContext(dialect, directory, control, credit, limits, random);
     directory.onChange(relay.waitQueue()::retryPlacement);
     registerGauges(relay);
     serveReadiness();
-    listenToPeers(security, limits);
     acceptor = Optional.of(listen(relay));
     agent = Optional.of(join(control, startId));
     ListingPoller poller =
@@ -215,6 +204,24 @@
         () -> checkReadiness(directory), 0, READINESS_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
   }
 
+  private EndpointLimits openLimits(EndpointDirectory directory, PeerSecurity security) {
+    EndpointLimits limits =
+        new EndpointLimits(
+            loop,
+            security.sharedKey(),
+            settings.processId(),
+            settings.lease(),
+            gateways::get,
+            directory::find,
+            events,
+            metrics);
+    closer.register(() -> onLoop(limits::close));
+    directory.onLimit(
+        (endpoint, statement) -> limits.reportedBySidecar(endpoint, statement, System.nanoTime()));
+    listenToPeers(security, limits);
+    return limits;
+  }
+
   private RelayContext createContext(
       RequestDialect dialect,
       EndpointDirectory directory,
--- a/relay/src/main/java/org/comfreygap/relay/residency/ColdStatePoller.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ColdStatePoller.java
@@ -28,6 +28,9 @@
   /** Periods between checks of other engines, as checks are charged. */
   static final int WARM_POLL_INTERVAL = 4;
 
+  /** Periods between checks of an engine with a request limit, against which checks count. */
+  static final int LIMITED_POLL_INTERVAL = 16;
+
   /** Timeout of a health check, which may take that long at a full engine. */
   static final Duration TIMEOUT = Duration.ofMillis(2_000);
 
@@ -38,6 +41,7 @@
   private final HttpPeerClient client;
   private final Supplier<Optional<String>> healthPath;
   private final BooleanSupplier startedRecently;
+  private final BooleanSupplier limited;
   private final LongConsumer onCold;
   private int ticks;
   private boolean closed;
@@ -48,12 +52,14 @@
       HttpPeerClient client,
       Supplier<Optional<String>> healthPath,
       BooleanSupplier startedRecently,
+      BooleanSupplier limited,
       LongConsumer onCold) {
     this.loop = loop;
     this.dialect = dialect;
     this.client = client;
     this.healthPath = healthPath;
     this.startedRecently = startedRecently;
+    this.limited = limited;
     this.onCold = onCold;
   }
 
@@ -69,7 +75,10 @@
   private void poll() {
     Optional<String> path = healthPath.get();
     ticks++;
-    boolean due = startedRecently.getAsBoolean() || ticks % WARM_POLL_INTERVAL == 0;
+    boolean due =
+        limited.getAsBoolean()
+            ? ticks % LIMITED_POLL_INTERVAL == 0
+            : startedRecently.getAsBoolean() || ticks % WARM_POLL_INTERVAL == 0;
     if (closed || !due || client.busy() || path.isEmpty()) {
       return;
     }
--- a/relay/src/main/java/org/comfreygap/relay/residency/EngineDialect.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/EngineDialect.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.comfreygap.decisions.StatedLimit;
 import org.comfreygap.relay.HttpPeerClient;
 
 /**
@@ -67,6 +68,9 @@
   /** Returns the remaining cold time from the response to a health check; 0 if warm. */
   long readColdMillis(HttpPeerClient.Response response);
 
+  /** Returns the request limit that any response states. */
+  StatedLimit readLimit(HttpPeerClient.Response response);
+
   /** Returns the call that sends a command. */
   Call writeCommand(EngineCommand command);
 
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -27,6 +27,7 @@
 import org.comfreygap.protocol.generated.ColdPermitReply;
 import org.comfreygap.protocol.generated.ColdPermitRequest;
 import org.comfreygap.protocol.generated.EndpointStatus;
+import org.comfreygap.protocol.generated.LimitStatement;
 import org.comfreygap.protocol.generated.ResidencyMessage;
 import org.comfreygap.protocol.generated.ResidentAdapter;
 import org.comfreygap.relay.HttpPeerClient;
@@ -88,6 +89,7 @@
   private final HttpPeerClient commandClient;
   private final String holder;
   private final Supplier<Optional<Pool>> pool;
+  private final EngineLimit limit;
   private final EventLog events;
   private final AdapterSlots places = new AdapterSlots(DEFAULT_ADAPTER_SLOTS);
   private final Set<Channel> gateways = new HashSet<>();
@@ -114,13 +116,17 @@
       HttpPeerClient commandClient,
       String holder,
       Supplier<Optional<Pool>> pool,
+      EngineLimit limit,
       EventLog events) {
     this.loop = loop;
     this.dialect = dialect;
     this.commandClient = commandClient;
     this.holder = holder;
     this.pool = pool;
+    this.limit = limit;
     this.events = events;
+    limit.observe(commandClient);
+    limit.onChange(() -> sendStatus(System.nanoTime()));
   }
 
   /** A gateway's open request for an adapter. */
@@ -177,6 +183,7 @@
     if (restarted) {
       places.restarted();
       cold.restarted();
+      limit.restarted();
       startSeenNanos = now;
       if (report.isEmpty()) {
         places.suspendEvictionUntil(now + STARTUP_USE_GRACE.toNanos());
@@ -483,7 +490,15 @@
     Map<Name, Long> offered = places.offered();
     boolean residentChanged = !offered.equals(lastOffered);
     String urgent =
-        lastCold + " " + known.leaving() + " " + answering + " " + known.instanceId().orElse("");
+        lastCold
+            + " "
+            + known.leaving()
+            + " "
+            + answering
+            + " "
+            + limit.message(now).map(LimitStatement::getPerSecond)
+            + " "
+            + known.instanceId().orElse("");
     StatusPacing.State state =
         new StatusPacing.State(
             urgent,
@@ -514,6 +529,7 @@
             known.leaving(),
             new ArrayList<>(known.models()));
     status.setLoadable(places.loadable(System.nanoTime()));
+    limit.message(System.nanoTime()).ifPresent(status::setLimit);
     if (withResident) {
       List<ResidentAdapter> resident = new ArrayList<>();
       places
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyEvent.java
@@ -13,6 +13,7 @@
   ENGINE_SILENT(4502, Level.WARN, "The engine does not respond to its sidecar."),
   ENGINE_BACK(4503, Level.INFO, "The engine responds to its sidecar again."),
   ENGINE_COLD(4504, Level.INFO, "The engine became cold or is no longer cold."),
+  ENGINE_LIMITED(4505, Level.INFO, "The engine stated another request limit to its sidecar."),
   ORDER_GIVEN(4510, Level.INFO, "The engine accepted a command."),
   ORDER_FAILED(4511, Level.WARN, "A command was refused or got no response."),
   ADAPTER_NOT_LOADED(4512, Level.INFO, "A requested adapter was not loaded in time."),
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -99,6 +99,13 @@
   private void open(Path settingsFile, EngineDialect dialect) throws Exception {
     PeerSecurity security = PeerSecurity.from(settings.file());
     closer.register(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
+    EngineLimit limit = new EngineLimit(dialect, events);
+    HttpPeerClient reportClient =
+        new HttpPeerClient(loop, settings.engineAddress(), EngineReportPoller.TIMEOUT);
+    limit.observe(reportClient);
+    HttpPeerClient healthClient =
+        new HttpPeerClient(loop, settings.engineAddress(), ColdStatePoller.TIMEOUT);
+    limit.observe(healthClient);
     ResidencyController controller =
         new ResidencyController(
             loop,
@@ -106,12 +113,13 @@
             new HttpPeerClient(loop, settings.engineAddress(), ResidencyController.COMMAND_TIMEOUT),
             settings.processId(),
             () -> view.pool(settings.pool()),
+            limit,
             events);
     EngineReportPoller watch =
         new EngineReportPoller(
             loop,
             dialect,
-            new HttpPeerClient(loop, settings.engineAddress(), EngineReportPoller.TIMEOUT),
+            reportClient,
             events,
             controller::busy,
             () -> view.pool(settings.pool()).map(pool -> pool.healthPath()),
@@ -121,9 +129,10 @@
         new ColdStatePoller(
             loop,
             dialect,
-            new HttpPeerClient(loop, settings.engineAddress(), ColdStatePoller.TIMEOUT),
+            healthClient,
             () -> view.pool(settings.pool()).map(pool -> pool.healthPath()),
             controller::startedRecently,
+            limit::isLimited,
             controller::updateColdState);
     listen(security, controller);
     PlainHttpServer.start(group, settings.adminAddress(), path -> page(path, controller));
