Divide the retry budget by the largest fleet size of the last 5 s

What callers saw: nothing reported; found while looking for bounds of the fleet that each gateway enforces alone. Cause: after an election the new leader reports only the gateways whose heartbeats it has received, and each gateway divided the fleet's extra retries, and what it may borrow of a customer's limit, by that number. Change: FleetSize holds the largest number reported within 5 s. Evidence: FleetSizeTest with the number as reported: 360 retries at 30 gateways where 60 are allowed; 60 at most with FleetSize.

--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
+import org.comfreygap.decisions.FleetSize;
 import org.comfreygap.decisions.LimiterChoice;
 import org.comfreygap.decisions.RetryWindow;
 import org.comfreygap.decisions.ZoneReader;
@@ -86,6 +87,7 @@
   private final EventLoop loop = group.next();
   private final Set<CallerConnection> callers = new HashSet<>();
   private final AtomicInteger gateways = new AtomicInteger(1);
+  private final FleetSize fleetSize = new FleetSize();
   private final Outages outages = new Outages();
   private volatile RouteTable table = RouteTable.empty();
   private volatile boolean ready;
@@ -340,7 +342,8 @@
     outages.updateControl(admits && table.published(), System.nanoTime());
     boolean able = !stopping && admits && table.published() && directory.isKnown();
     int live = liveGateways();
-    gateways.set(Math.max(1, live));
+    fleetSize.reported(live, System.nanoTime());
+    gateways.set(fleetSize.divisor());
     if (able != ready) {
       ready = able;
       events.record(
