Do not let reports between gateways make a statement of a limit newer

Cause: each message adds its delay to the time that it carries, and a gateway and its limiter report the same statement to each other with each request, so that a withdrawn limit might never end in a busy fleet. Found by reading. Change: only a response that was read here extends the time for which a statement holds. Evidence: EndpointLimitTest.endsAfterManyReportsOfTheSameStatement failed before.

--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointLimit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointLimit.java
@@ -36,8 +36,14 @@
    *
    * @param sentNanos time at which the request was sent
    * @param readNanos time at which the response was read
+   * @param reported true when another process read the response
    */
-  public record Statement(StatedLimit limit, long sentNanos, long readNanos) {
+  public record Statement(StatedLimit limit, long sentNanos, long readNanos, boolean reported) {
+
+    /** Creates the statement of a response that this process has read. */
+    public Statement(StatedLimit limit, long sentNanos, long readNanos) {
+      this(limit, sentNanos, readNanos, false);
+    }
 
     /** Returns a statement that another process reported, with the ages that it gave. */
     public static Statement reported(
@@ -45,7 +51,8 @@
       return new Statement(
           limit,
           nowNanos - sentAgo.toNanos() - REPORT_UNCERTAINTY.toNanos(),
-          nowNanos - readAgo.toNanos());
+          nowNanos - readAgo.toNanos(),
+          true);
     }
 
     private boolean isAfter(Statement other) {
@@ -70,8 +77,9 @@
     Statement last = newest.get();
     boolean same = last.limit().equals(statement.limit());
     if (same) {
-      // Extends the time for which the statement is known to hold.
-      if (statement.readNanos() - last.readNanos() > 0) {
+      // Extends the time for which the statement is known to hold. A report does not, since each
+      // message adds its own delay to the times that it carries.
+      if (!statement.reported() && statement.readNanos() - last.readNanos() > 0) {
         newest = Optional.of(statement);
       }
       return false;
--- a/decisions/src/test/java/org/comfreygap/decisions/EndpointLimitTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/EndpointLimitTest.java
@@ -104,6 +104,33 @@
     assertThat(limit.isLimited()).isTrue();
   }
 
+  /**
+   * Two gateways that report the same statement to each other must not make it newer each time, or
+   * the limit never ends.
+   */
+  @Test
+  void endsAfterManyReportsOfTheSameStatement() {
+    EndpointLimit other = new EndpointLimit();
+    apply(StatedLimit.of(1), 0, 10);
+    EndpointLimit from = limit;
+    EndpointLimit to = other;
+    long now = 10 * MILLI;
+    for (int i = 0; i < 1_000; i++) {
+      Statement newest = from.newest().orElseThrow();
+      Duration sentAgo = Duration.ofNanos(now - newest.sentNanos());
+      Duration readAgo = Duration.ofNanos(now - newest.readNanos());
+      now += 2 * MILLI;
+      to.apply(Statement.reported(newest.limit(), sentAgo, readAgo, now));
+      EndpointLimit next = from;
+      from = to;
+      to = next;
+    }
+
+    assertThat(limit.newest().orElseThrow().readNanos()).isEqualTo(10 * MILLI);
+    assertThat(other.newest().orElseThrow().readNanos()).isLessThanOrEqualTo(20 * MILLI);
+    assertThat(apply(StatedLimit.NONE, 200, 210)).isTrue();
+  }
+
   private boolean apply(StatedLimit stated, long sentMillis, long readMillis) {
     return limit.apply(new Statement(stated, sentMillis * MILLI, readMillis * MILLI));
   }
