State an honest Retry-After while no gateway grants sends

Cause: without a known limiter the wait for an endpoint stayed zero, so that a refused caller was told to return within milliseconds. Change: the wait is 500 ms, as for a limiter that does not reply.

--- a/relay/src/main/java/org/comfreygap/relay/EndpointLimits.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointLimits.java
@@ -165,6 +165,7 @@
     long now = System.nanoTime();
     Optional<LimiterChoice.Candidate> limiter = choice.limiter(endpoint.hash(), endpoint.zone());
     if (limiter.isEmpty()) {
+      endpoint.recordSendWait(NO_LIMITER_PAUSE.toNanos(), now);
       receiver.accept(decided(new Permit(false, NO_LIMITER_PAUSE.toNanos()), "no-limiter"));
       return;
     }
