Count reserved slots in a long

Cause: the counter of SendSlots would overflow after 2^31 sends, 25 days at 1,000 a second, and then index an array with a negative number. Found by reading. Measured: SendSlotsTest and EndpointLimitFleetTest hold as before.

--- a/decisions/src/main/java/org/comfreygap/decisions/SendSlots.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/SendSlots.java
@@ -41,7 +41,7 @@
 
   private final long[] pendingSlots = new long[MAX_AHEAD];
   private final long[] pendingCustomers = new long[MAX_AHEAD];
-  private int reserved;
+  private long reserved;
   private long lastSlotNanos;
   private long nextSlotNanos;
   private long intervalNanos;
@@ -86,7 +86,7 @@
     long earliestNext = nowNanos - intervalNanos;
     nextSlotNanos = Math.max(nextSlotNanos, earliestNext) + intervalNanos;
     lastSlotNanos = slot;
-    int index = reserved++ % MAX_AHEAD;
+    int index = (int) (reserved++ % MAX_AHEAD);
     pendingSlots[index] = slot;
     pendingCustomers[index] = customer;
     return wait;
@@ -104,7 +104,7 @@
 
   private int pendingOf(long customer, long nowNanos) {
     int pending = 0;
-    for (int i = 0; i < Math.min(reserved, MAX_AHEAD); i++) {
+    for (int i = 0; i < MAX_AHEAD && i < reserved; i++) {
       boolean ahead = pendingSlots[i] - nowNanos > 0;
       pending += ahead && pendingCustomers[i] == customer ? 1 : 0;
     }
