--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointLimit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointLimit.java
@@ -13,7 +13,7 @@
  * sent. Where the order is not certain, the lower limit applies.
  *
  * <pre>{@code
- * if (limit.stated(heard)) { log(limit.perSecond()); }
+ * if (limit.apply(statement)) { log(limit.perSecond()); }
  * }</pre>
  *
  * <p>Invariants: a limit ends or rises only by a response that is certainly newer than the last one
