Log how responses are framed and count how they end

The bookkeeping of attempts moves from Exchange to AttemptHistory, without a change of what it decides.

--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -18,7 +18,7 @@
 import org.comfreygap.decisions.CustomerCredit.Ticket;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.PlacementCost.Residency;
-import org.comfreygap.decisions.RepeatPolicy;
+import org.comfreygap.decisions.ResponseEnd;
 import org.comfreygap.protocol.generated.AdapterReply;
 import org.comfreygap.settings.RequestKind;
 
@@ -46,16 +46,13 @@
   private final RequestCredit credit;
   private final StreamContinuity continuity;
   private final EndpointSearch search;
+  private final AttemptHistory history = new AttemptHistory();
   private RouteDecision decision;
   private long deadlineNanos;
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
   private Optional<InactivityTimer> inactivity = Optional.empty();
   private ResponseForwarder forwarder;
-  private int refusals;
-  private int runs;
-  private boolean mayHaveRun;
-  private boolean runCounted;
   private boolean finished;
 
   Exchange(
@@ -192,9 +189,7 @@
 
   @Override
   public void onHead(HttpResponse response, ResponseHead metadata) {
-    mayHaveRun = true;
-    runCounted = true;
-    runs++;
+    history.responseBegan();
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (success && !metadata.signed()) {
       abandonAttempt("a successful response without the endpoint's proof");
@@ -374,8 +369,7 @@
       relay.metrics().count("adapter.refusals", String.valueOf(reply.getReason()));
       log.adapterRefused(endpoint, name, reply.getReason());
       search.exclude(endpoint);
-      refusals++;
-      if (refusals > RepeatPolicy.MAX_REFUSALS) {
+      if (history.refusedBeforeSend()) {
         failOrRefuse(Refusal.FULL);
         return;
       }
@@ -407,7 +401,7 @@
   private void send(Endpoint endpoint, long now) {
     Attempt started = new Attempt(relay, endpoint, this, now);
     attempt = Optional.of(started);
-    runCounted = false;
+    history.begin();
     log.sent(decision, endpoint, now);
     relay.outages().requestSent(decision.pool(), now);
     inactivity =
@@ -424,7 +418,7 @@
    */
   private void attemptInactive(Attempt waiting) {
     boolean current = !finished && attempt.isPresent() && attempt.get() == waiting;
-    boolean attemptsLeft = runs + (runCounted ? 0 : 1) < decision.route().maxAttempts();
+    boolean attemptsLeft = history.runsLeftBesideCurrent(decision.route());
     boolean resumable = !forwarder.started() || forwarder.resumable();
     if (current
         && waiting.sent()
@@ -445,35 +439,27 @@
 
   private void attemptFailed(Attempt ended, Attempt.Failure failure) {
     long now = System.nanoTime();
-    boolean notRun = failure.outcome() == Outcome.NOT_RUN;
     attempt = Optional.empty();
     inactivity.ifPresent(InactivityTimer::stop);
+    Optional<ResponseEnd.Framing> framing = forwarder.framing();
     forwarder.discardUnsent();
     continuity.discardHeld();
-    recordFailure(ended, failure);
-    mayHaveRun |= !notRun;
-    refusals += notRun ? 1 : 0;
-    runs += !notRun && !runCounted ? 1 : 0;
-    RepeatPolicy.History history =
-        new RepeatPolicy.History(
-            failure.outcome(),
-            decision.route().idempotent(),
-            refusals,
-            runs,
-            decision.route().maxAttempts(),
-            forwarder.started(),
-            forwarder.resumable());
-    boolean allowed = RepeatPolicy.allows(history, deadlineNanos, now);
+    recordFailure(ended, failure, framing);
+    history.ended(failure.outcome());
+    boolean allowed =
+        history.allowsAnother(failure.outcome(), decision.route(), forwarder, deadlineNanos, now);
     if (allowed
         && (!ended.sent() || relay.retryBudget().tryRetry(relay.gatewayCount().getAsInt(), now))) {
       startPlacement(now);
       place();
     } else {
+      boolean notRun = failure.outcome() == Outcome.NOT_RUN;
       failOrRefuse(notRun ? Refusal.FULL : Refusal.attemptFailed(failure.reason()));
     }
   }
 
-  private void recordFailure(Attempt ended, Attempt.Failure failure) {
+  private void recordFailure(
+      Attempt ended, Attempt.Failure failure, Optional<ResponseEnd.Framing> framing) {
     Endpoint endpoint = ended.endpoint();
     if (endpoint.recordFailure(failure, adapter())) {
       search.exclude(endpoint);
@@ -482,7 +468,7 @@
       relay.crashes().endpointEnded(endpoint, CrashDetector.Detection.NEW_START);
     }
     relay.metrics().attemptFailed(endpoint.instanceId(), failure.outcome().name());
-    log.attemptEnded(decision, endpoint, failure);
+    log.attemptEnded(decision, endpoint, failure, framing);
   }
 
   private void timedOut() {
@@ -490,10 +476,12 @@
       return;
     }
     boolean sent = attempt.map(Attempt::sent).orElse(false);
-    mayHaveRun |= sent;
+    if (sent) {
+      history.abandoned();
+    }
     tracked.abandoned(attempt, forwarder.eventReceived());
     attempt.ifPresent(Attempt::cancel);
-    if (mayHaveRun) {
+    if (history.mayHaveRun()) {
       fail("the request timed out", "timeout");
     } else {
       refuse(Refusal.TIMED_OUT);
@@ -502,7 +490,7 @@
 
   /** Ends the request without another attempt. */
   private void failOrRefuse(Refusal refusal) {
-    if (mayHaveRun) {
+    if (history.mayHaveRun()) {
       fail(refusal.reason(), "broken");
     } else {
       refuse(refusal);
@@ -567,7 +555,7 @@
 
   private void settleCredit() {
     boolean sent = attempt.map(Attempt::sent).orElse(false);
-    credit.settle(decision, mayHaveRun || sent, System.nanoTime());
+    credit.settle(decision, history.mayHaveRun() || sent, System.nanoTime());
   }
 
   private void responseBegins() {
@@ -579,7 +567,7 @@
     return response.status().codeClass() == HttpStatusClass.SERVER_ERROR
         && !forwarder.started()
         && decision.route().idempotent()
-        && runs < decision.route().maxAttempts();
+        && history.runsLeft(decision.route());
   }
 
   /** Places the request again if a newer version became due while the connection was opened. */
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.decisions.AdapterSlots;
+import org.comfreygap.decisions.ResponseEnd;
 import org.comfreygap.decisions.StreamOrigins.Origin;
 import org.comfreygap.relay.CallerRequest.TakeUp;
 import org.comfreygap.runtime.Field;
@@ -55,6 +56,7 @@
   }
 
   void served(RouteDecision decision, int status, ResponseForwarder response, long nowNanos) {
+    response.framing().ifPresent(framing -> relay.metrics().responseEnded(framing, "whole"));
     relay
         .events()
         .recordRateLimited(
@@ -68,6 +70,7 @@
                     Field.of("endpoint", lastEndpoint),
                     Field.of("attempts", attempts),
                     Field.of("lastEvent", response.lastEventId().orElse("")),
+                    Field.of("framing", label(response.framing())),
                     Field.of("beganMillis", beganMillis()),
                     millis()));
   }
@@ -130,7 +133,17 @@
             millis());
   }
 
-  void attemptEnded(RouteDecision decision, Endpoint endpoint, Attempt.Failure failure) {
+  /**
+   * Logs an attempt that gave no response to forward.
+   *
+   * @param framing what would have marked the end of its response, if one began
+   */
+  void attemptEnded(
+      RouteDecision decision,
+      Endpoint endpoint,
+      Attempt.Failure failure,
+      Optional<ResponseEnd.Framing> framing) {
+    framing.ifPresent(known -> relay.metrics().responseEnded(known, "broken-off"));
     relay
         .events()
         .record(
@@ -140,6 +153,7 @@
             Field.of("endpoint", endpoint.instanceId()),
             Field.of("outcome", failure.outcome()),
             Field.of("reason", failure.reason()),
+            Field.of("framing", label(framing)),
             Field.of("fingerprint", tracked.fingerprint()),
             millis());
   }
@@ -192,6 +206,10 @@
     return beganNanos == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(beganNanos - arrivedNanos);
   }
 
+  private static String label(Optional<ResponseEnd.Framing> framing) {
+    return framing.map(ResponseEnd.Framing::label).orElse("");
+  }
+
   private Field id() {
     return Field.of("request", request.id());
   }
--- a/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.comfreygap.decisions.ResponseEnd;
 
 /**
  * Counters and timers of the request path.
@@ -97,6 +98,11 @@
     increment("attempts.failed", "endpoint", nameOrOthers(endpoints, endpoint), "outcome", outcome);
   }
 
+  /** Counts the end of an endpoint's response, {@code whole} or {@code broken-off}. */
+  void responseEnded(ResponseEnd.Framing framing, String end) {
+    increment("responses.ended", "framing", framing.label(), "end", end);
+  }
+
   /** Increments a counter by reason. */
   void count(String name, String reason) {
     increment(name, "reason", reason);
--- a/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.comfreygap.decisions.ResponseEnd;
 
 /**
  * Forwards an endpoint's response to the caller.
@@ -57,6 +58,11 @@
     return head;
   }
 
+  /** Returns what marks the end of the response in progress. */
+  Optional<ResponseEnd.Framing> framing() {
+    return head.map(ResponseForwarder::framingOf);
+  }
+
   /** Returns the id of the last event sent to the caller. */
   Optional<String> lastEventId() {
     return events.lastId();
@@ -78,11 +84,7 @@
    */
   boolean brokeOff() {
     boolean endsWithConnection =
-        head.filter(
-                response ->
-                    !HttpUtil.isTransferEncodingChunked(response)
-                        && !HttpUtil.isContentLengthSet(response))
-            .isPresent();
+        framing().filter(ResponseEnd.Framing.CONNECTION::equals).isPresent();
     return isStream() && endsWithConnection && (events.isInsideEvent() || !eventReceived);
   }
 
@@ -166,6 +168,15 @@
             || head.filter(r -> r.status().codeClass() == HttpStatusClass.SUCCESS).isPresent());
   }
 
+  private static ResponseEnd.Framing framingOf(HttpResponse response) {
+    if (HttpUtil.isTransferEncodingChunked(response)) {
+      return ResponseEnd.Framing.CHUNKS;
+    }
+    return HttpUtil.isContentLengthSet(response)
+        ? ResponseEnd.Framing.LENGTH
+        : ResponseEnd.Framing.CONNECTION;
+  }
+
   private static HttpHeaders headers(HttpResponse response) {
     HttpHeaders headers = new DefaultHttpHeaders(false);
     headers.set(response.headers());
