--- a/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
+++ b/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
@@ -84,6 +84,11 @@
     return gateways.size();
   }
 
+  /** Returns the address at which a gateway takes requests. */
+  InetSocketAddress address(int number) {
+    return gateways.get(number);
+  }
+
   /** Starts gateways and waits until they are ready. */
   void open(int count) throws Exception {
     Path key = Files.writeString(folder.resolve("key"), SHARED_KEY);
--- a/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
@@ -23,7 +23,7 @@
 final class StreamingEndpoint implements AutoCloseable {
 
   static final int EVENTS = 10;
-  private static final int EVENT_MILLIS = 10;
+  private static final int DEFAULT_EVENT_MILLIS = 10;
 
   private final String instanceId;
   private final String version;
@@ -32,15 +32,31 @@
   private final List<RawRequest> requests = new CopyOnWriteArrayList<>();
   private volatile Framing framing = Framing.CHUNKED;
   private volatile int breakAfter = Integer.MAX_VALUE;
+  private volatile Break howToBreak = Break.INSIDE_EVENT;
+  private volatile int eventMillis = DEFAULT_EVENT_MILLIS;
+  private volatile boolean closingAfterResponse;
   private volatile boolean leaving;
 
   /** How the end of a response is marked. */
   enum Framing {
     CHUNKED,
+    LENGTH,
     /** Neither a length nor chunks: the response ends with its connection. */
     UNTIL_CLOSE
   }
 
+  /** How the endpoint breaks off a response. */
+  enum Break {
+    /** Closes the connection inside an event. */
+    INSIDE_EVENT,
+    /** Closes the connection after a whole event. */
+    BETWEEN_EVENTS,
+    /** Resets the connection after a whole event. */
+    RESET_BETWEEN_EVENTS,
+    /** Ends after a whole event, so that all connections are closed and new ones are refused. */
+    CRASH
+  }
+
   /** Starts an endpoint on a free port. */
   StreamingEndpoint(String instanceId, String version) throws IOException {
     this.instanceId = instanceId;
@@ -70,20 +86,36 @@
     return this;
   }
 
-  /**
-   * Makes the endpoint close the connection inside the event after the given number of events of a
-   * response.
-   */
+  /** Makes the endpoint break off each response after the given number of events. */
   StreamingEndpoint breakAfter(int events) {
     breakAfter = events;
     return this;
   }
 
+  /** Sets how responses break off. */
+  StreamingEndpoint breakBy(Break next) {
+    howToBreak = next;
+    return this;
+  }
+
+  /** Sets the time before each event, in milliseconds. */
+  StreamingEndpoint eventMillis(int millis) {
+    eventMillis = millis;
+    return this;
+  }
+
+  /** Makes the endpoint end as soon as it has written a whole response. */
+  StreamingEndpoint closeAfterResponse() {
+    closingAfterResponse = true;
+    return this;
+  }
+
   /** Shows in the list that the endpoint accepts no new requests. */
   void leave() {
     leaving = true;
   }
 
+  /** Ends the endpoint: closes its connections and refuses new ones. */
   @Override
   public void close() throws IOException {
     socket.close();
@@ -126,6 +158,7 @@
     requests.add(request);
     Framing used = framing;
     OutputStream out = connection.getOutputStream();
+    int last = request.lastEventId().map(Integer::parseInt).orElse(0);
     write(
         out,
         "HTTP/1.1 200 OK\r\n"
@@ -133,19 +166,48 @@
             + ": "
             + request.id()
             + "\r\nContent-Type: text/event-stream\r\n"
-            + (used == Framing.CHUNKED ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
-    int last = request.lastEventId().map(Integer::parseInt).orElse(0);
+            + framingHeader(used, last)
+            + "\r\n");
     for (int id = last + 1; id <= EVENTS; id++) {
-      Thread.sleep(EVENT_MILLIS);
-      String event = "id: " + id + "\ndata: " + version + "\n\n";
+      Thread.sleep(eventMillis);
+      String event = event(id);
       if (id - last > breakAfter) {
-        writePart(out, used, event.substring(0, event.length() / 2));
+        breakOff(connection, used, event);
         return false;
       }
       writePart(out, used, event);
     }
     write(out, used == Framing.CHUNKED ? "0\r\n\r\n" : "");
-    return used == Framing.CHUNKED;
+    if (closingAfterResponse) {
+      close();
+    }
+    return used != Framing.UNTIL_CLOSE;
+  }
+
+  private String framingHeader(Framing used, int last) {
+    int length = 0;
+    for (int id = last + 1; id <= EVENTS; id++) {
+      length += event(id).length();
+    }
+    return switch (used) {
+      case CHUNKED -> "Transfer-Encoding: chunked\r\n";
+      case LENGTH -> "Content-Length: " + length + "\r\n";
+      case UNTIL_CLOSE -> "";
+    };
+  }
+
+  private String event(int id) {
+    return "id: " + id + "\ndata: " + version + "\n\n";
+  }
+
+  private void breakOff(Socket connection, Framing used, String event) throws IOException {
+    switch (howToBreak) {
+      case INSIDE_EVENT ->
+          writePart(connection.getOutputStream(), used, event.substring(0, event.length() / 2));
+      case RESET_BETWEEN_EVENTS -> connection.setSoLinger(true, 0);
+      case CRASH -> close();
+      default -> connection.shutdownOutput();
+    }
   }
 
   private static void writePart(OutputStream out, Framing framing, String text) throws IOException {
