Drop what arrives of a failed call of HttpPeerClient

Seen in a test: a call of a peer whose response has neither a length nor chunks times out; its connection is closed, which ends the response as if it were whole, and the client gave it to the next call. HttpPeerClient serves the list, the shared list and the sidecar's calls. The test failed before with the text of the first response.

Change: a response counts only on the connection of the call in progress.

--- a/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
+++ b/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
@@ -176,6 +176,12 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      // Closing the connection of a failed call ends a response without length, as if it were
+      // whole.
+      if (channel.isEmpty() || channel.get() != ctx.channel()) {
+        ctx.close();
+        return;
+      }
       if (!HttpUtil.isKeepAlive(response) || response.decoderResult().isFailure()) {
         channel = Optional.empty();
         ctx.close();
--- /dev/null
+++ b/relay/src/test/java/org/comfreygap/relay/HttpPeerClientTest.java
@@ -0,0 +1,94 @@
+package org.comfreygap.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.comfreygap.testkit.FreePorts;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a response that is taken for the one to another call. */
+class HttpPeerClientTest {
+
+  private static final Duration TIMEOUT = Duration.ofMillis(300);
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private ServerSocket server;
+  private HttpPeerClient client;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = new ServerSocket();
+    server.bind(FreePorts.address());
+    client =
+        new HttpPeerClient(
+            group.next(), (java.net.InetSocketAddress) server.getLocalSocketAddress(), TIMEOUT);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  /** A response without length that timed out seems to end when its connection is closed. */
+  @Test
+  void doesNotTakeTheRestOfAFailedCallForTheNextResponse() throws Exception {
+    CompletableFuture<String> second = new CompletableFuture<>();
+    group
+        .next()
+        .execute(
+            () ->
+                client.call(
+                    HttpMethod.GET,
+                    "/first",
+                    Map.of(),
+                    "",
+                    response -> second.completeExceptionally(new AssertionError("no timeout")),
+                    cause -> callAgain(second)));
+    server.setSoTimeout(5_000);
+    try (Socket first = server.accept()) {
+      respond(first, "HTTP/1.1 200 OK\r\n\r\nfirst, not who");
+      try (Socket next = server.accept()) {
+        Thread.sleep(100);
+        respond(next, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+
+        assertThat(second.get(5, TimeUnit.SECONDS)).isEqualTo("second");
+      }
+    }
+  }
+
+  private void callAgain(CompletableFuture<String> result) {
+    client.call(
+        HttpMethod.GET,
+        "/second",
+        Map.of(),
+        "",
+        response -> result.complete(new String(response.body(), StandardCharsets.US_ASCII)),
+        result::completeExceptionally);
+  }
+
+  private static void respond(Socket connection, String text) throws IOException {
+    InputStream in = connection.getInputStream();
+    StringBuilder read = new StringBuilder();
+    for (int b = in.read(); b >= 0; b = in.read()) {
+      read.append((char) b);
+      if (read.indexOf("\r\n\r\n") >= 0) {
+        break;
+      }
+    }
+    connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    connection.getOutputStream().flush();
+  }
+}
