Do not write a refusal into a response that has begun

Callers saw: a stream that broke off after its pool had been removed stayed open without its end until the caller's timeout; the gateway had tried to write a 503 inside the body. For a request that may have run, the 503 would also have been untrue.

Cause: placement refused without asking whether a response had begun. It now ends the request as other shortages do, by breaking the response off, or with 502 when nothing was sent. The listed test of BrokenResponseTest holds.

--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -120,7 +120,7 @@
     }
     Optional<Placement.Requirements> needed = search.requirements(decision, table, now);
     if (needed.isEmpty()) {
-      refuse(relay.outages().noEndpoint(table.pool(decision.pool()), now));
+      failOrRefuse(relay.outages().noEndpoint(table.pool(decision.pool()), now));
       return;
     }
     Placement.Requirements need = needed.get();
--- a/relay/src/test/java/org/comfreygap/relay/BrokenResponseTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/BrokenResponseTest.java
@@ -22,7 +22,6 @@
 import org.comfreygap.testkit.FakeControl;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -150,7 +149,6 @@
 
   /** Guards against a refusal that is written into a response that has begun. */
   @Test
-  @Tag("known-red")
   void breaksOffStreamWhosePoolWasRemovedBeforeItCouldGoOn() throws Exception {
     add(Framing.CHUNKED, Break.INSIDE_EVENT).eventMillis(60);
     add(Framing.CHUNKED, Break.INSIDE_EVENT).eventMillis(60);
