Do not start another attempt while a complete response is held back

While the origin of a stream is being recorded, its response is held back. Once the response was complete the attempt counted as ended, so that a late reply of a sidecar or limiter could have started a second attempt, whose parts would have followed those held back. Found by reading; no test reaches it.

--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -109,8 +109,7 @@
   /** Chooses an endpoint and sends the request there, waits for one, or ends the request. */
   void place() {
     // A late reply of a sidecar must not start a second attempt while one is in progress.
-    boolean placed = attempt.map(Attempt::inProgress).orElse(false);
-    if (finished || placed || continuity.isResolving() || credit.isWaiting()) {
+    if (finished || hasAttempt() || continuity.isResolving() || credit.isWaiting()) {
       return;
     }
     long now = System.nanoTime();
@@ -261,6 +260,11 @@
     attemptFailed(ended, failure);
   }
 
+  /** Returns true while an attempt is in progress, or its response is held back. */
+  private boolean hasAttempt() {
+    return continuity.holds() || attempt.map(Attempt::inProgress).orElse(false);
+  }
+
   private boolean refreshDecision(RouteTable table) {
     if (table.revision() == decision.revision()) {
       return true;
@@ -383,7 +387,7 @@
   }
 
   private void clearanceDecided(Endpoint endpoint, boolean cleared) {
-    if (finished || attempt.map(Attempt::inProgress).orElse(false)) {
+    if (finished || hasAttempt()) {
       return;
     }
     long now = System.nanoTime();
