Know all line ends of event streams, and do not count comments as events

An event stream may end its lines with CR alone; the splitter knew LF and CR LF only, so that such a stream was held back to its end and, without a length, taken for broken off. A block of comments counted as an event, so that a stream without length that ended after one passed as whole without any event.

The new tests use a new method, so they were not run on the old code.

--- a/relay/src/main/java/org/comfreygap/relay/EventSplitter.java
+++ b/relay/src/main/java/org/comfreygap/relay/EventSplitter.java
@@ -9,7 +9,8 @@
  * Splits the bytes of an event stream after its last complete event and records that event's id.
  *
  * <p>An endpoint may fail in the middle of an event; only whole events are forwarded, so that a
- * stream can resume at another endpoint after the last one.
+ * stream can resume at another endpoint after the last one. Lines end with LF, CR LF or CR, as the
+ * format allows; the CR of an empty line that may become CR LF is not the end of an event yet.
  *
  * <p>Invariant: every byte is returned exactly once and in order. Thread safety: not thread-safe.
  */
@@ -19,22 +20,32 @@
 
   private ByteBuf partialEvent = Unpooled.EMPTY_BUFFER;
   private Optional<String> lastId = Optional.empty();
+  private Optional<String> partialEventId = Optional.empty();
+  private boolean partialEventHasField;
+  private int completeEvents;
+  // Offset in the partial event at which the current line begins.
+  private int lineStart;
+  private boolean lineIsEmpty = true;
+  private boolean afterCr;
+  private boolean previousLineEndedWithCr;
+  private boolean emptyLineEndedWithCr;
 
   /** Adds bytes and returns those up to the end of the last complete event. */
   ByteBuf add(ByteBuf bytes) {
-    ByteBuf all = partialEvent.isReadable() ? Unpooled.wrappedBuffer(partialEvent, bytes) : bytes;
+    int scanned = partialEvent.readableBytes();
+    ByteBuf all = scanned > 0 ? Unpooled.wrappedBuffer(partialEvent, bytes) : bytes;
     partialEvent = Unpooled.EMPTY_BUFFER;
-    int end = endOfEvents(all);
+    int end = scan(all, scanned);
     if (end == 0) {
       partialEvent = all;
       return Unpooled.EMPTY_BUFFER;
     }
-    recordLastId(all, end);
     if (end < all.readableBytes()) {
       partialEvent =
           Unpooled.copiedBuffer(all.slice(all.readerIndex() + end, all.readableBytes() - end));
       all.writerIndex(all.readerIndex() + end);
     }
+    lineStart -= end;
     return all;
   }
 
@@ -43,10 +54,22 @@
     return partialEvent.isReadable();
   }
 
+  /** Returns the number of complete events; a block of comments is none. */
+  int completeEvents() {
+    return completeEvents;
+  }
+
   /** Returns the bytes of an unfinished event, at the end of the stream. */
   ByteBuf remainder() {
     ByteBuf left = partialEvent;
     partialEvent = Unpooled.EMPTY_BUFFER;
+    partialEventId = Optional.empty();
+    partialEventHasField = false;
+    lineStart = 0;
+    lineIsEmpty = true;
+    afterCr = false;
+    previousLineEndedWithCr = false;
+    emptyLineEndedWithCr = false;
     return left;
   }
 
@@ -60,30 +83,82 @@
     return lastId;
   }
 
-  /** Returns the number of readable bytes up to and including the last empty line. */
-  private static int endOfEvents(ByteBuf bytes) {
-    int start = bytes.readerIndex();
-    for (int i = bytes.writerIndex() - 1; i > start; i--) {
-      if (bytes.getByte(i) == '\n') {
-        byte before = bytes.getByte(i - 1);
-        boolean emptyLine =
-            before == '\n' || (before == '\r' && i - 2 >= start && bytes.getByte(i - 2) == '\n');
-        if (emptyLine) {
-          return i + 1 - start;
+  /**
+   * Scans the bytes after the first {@code from} ones, and returns the number of bytes up to the
+   * end of the last complete event.
+   */
+  private int scan(ByteBuf bytes, int from) {
+    int end = 0;
+    for (int at = from; at < bytes.readableBytes(); at++) {
+      byte next = bytes.getByte(bytes.readerIndex() + at);
+      if (afterCr) {
+        afterCr = false;
+        if (next == '\n') {
+          previousLineEndedWithCr = false;
+          lineStart = at + 1;
+          if (emptyLineEndedWithCr) {
+            emptyLineEndedWithCr = false;
+            end = endEvent(at + 1);
+          } else if (end == at) {
+            // The event ended with the CR before this byte.
+            end = at + 1;
+          }
+          continue;
+        }
+        previousLineEndedWithCr = true;
+        if (emptyLineEndedWithCr) {
+          emptyLineEndedWithCr = false;
+          end = endEvent(at);
         }
       }
+      if (next == '\n' || next == '\r') {
+        end = Math.max(end, endLine(bytes, at, next == '\r'));
+      } else {
+        lineIsEmpty = false;
+      }
     }
-    return 0;
+    return end;
   }
 
-  private void recordLastId(ByteBuf bytes, int length) {
-    String text = bytes.toString(bytes.readerIndex(), length, StandardCharsets.UTF_8);
-    int at = text.lastIndexOf("\n" + ID_FIELD);
-    int value = at >= 0 ? at + 1 + ID_FIELD.length() : ID_FIELD.length();
-    if (at < 0 && !text.startsWith(ID_FIELD)) {
-      return;
+  /** Ends a line, and returns the end of the event if the line ends one; 0 otherwise. */
+  private int endLine(ByteBuf bytes, int at, boolean cr) {
+    int end = 0;
+    if (!lineIsEmpty) {
+      readLine(bytes, at);
+    } else if (cr && !previousLineEndedWithCr) {
+      emptyLineEndedWithCr = true;
+    } else {
+      end = endEvent(at + 1);
+    }
+    afterCr = cr;
+    if (!cr) {
+      previousLineEndedWithCr = false;
+    }
+    lineIsEmpty = true;
+    lineStart = at + 1;
+    return end;
+  }
+
+  private int endEvent(int end) {
+    completeEvents += partialEventHasField ? 1 : 0;
+    lastId = partialEventId.or(() -> lastId);
+    partialEventId = Optional.empty();
+    partialEventHasField = false;
+    return end;
+  }
+
+  private void readLine(ByteBuf bytes, int lineEnd) {
+    int first = bytes.readerIndex() + lineStart;
+    int length = lineEnd - lineStart;
+    partialEventHasField |= bytes.getByte(first) != ':';
+    boolean id = length >= ID_FIELD.length();
+    for (int i = 0; id && i < ID_FIELD.length(); i++) {
+      id = bytes.getByte(first + i) == ID_FIELD.charAt(i);
+    }
+    if (id) {
+      int value = ID_FIELD.length();
+      String text = bytes.toString(first + value, length - value, StandardCharsets.UTF_8);
+      partialEventId = Optional.of(text.strip());
     }
-    int lineEnd = text.indexOf('\n', value);
-    lastId = Optional.of(text.substring(value, lineEnd < 0 ? text.length() : lineEnd).strip());
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
@@ -34,7 +34,7 @@
   private Optional<HttpResponse> head = Optional.empty();
   private Optional<CompositeByteBuf> buffered = Optional.empty();
   private boolean started;
-  private boolean eventReceived;
+  private int eventsOfEarlierAttempts;
 
   /**
    * Creates the forwarder of one request's response.
@@ -75,14 +75,14 @@
 
   /** Returns true when the response in progress has brought a complete event. */
   boolean eventReceived() {
-    return eventReceived;
+    return events.completeEvents() > eventsOfEarlierAttempts;
   }
 
   /** Returns how the response in progress ended, given what is known of its endpoint now. */
   ResponseEnd end(ResponseEnd.Endpoint endpoint) {
     Optional<ResponseEnd.Stream> stream =
         isStream()
-            ? Optional.of(new ResponseEnd.Stream(eventReceived, events.isInsideEvent()))
+            ? Optional.of(new ResponseEnd.Stream(eventReceived(), events.isInsideEvent()))
             : Optional.empty();
     return ResponseEnd.of(framing().orElseThrow(), stream, endpoint);
   }
@@ -94,9 +94,7 @@
 
   void appendBody(ByteBuf bytes) {
     if (isStream()) {
-      ByteBuf complete = events.add(bytes);
-      eventReceived |= complete.isReadable();
-      forwardEvents(complete);
+      forwardEvents(events.add(bytes));
       return;
     }
     if (started) {
@@ -130,7 +128,7 @@
   /** Discards the received parts of a response that were not sent to the caller. */
   void discardUnsent() {
     head = Optional.empty();
-    eventReceived = false;
+    eventsOfEarlierAttempts = events.completeEvents();
     buffered.ifPresent(ByteBuf::release);
     buffered = Optional.empty();
     events.dropRemainder();
--- a/relay/src/test/java/org/comfreygap/relay/EventSplitterTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/EventSplitterTest.java
@@ -42,6 +42,49 @@
     assertThat(passed + text(splitter.remainder())).isEqualTo(STREAM);
   }
 
+  /** Guards against a stream with other line ends that counts as broken off, or is held back. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\n", "\r\n", "\r"})
+  void recognizesWholeEventsAtEveryCut(String lineEnd) {
+    String event = "id: 7" + lineEnd + "data: \u017eab" + lineEnd + lineEnd;
+    byte[] stream = (event + event + event).getBytes(StandardCharsets.UTF_8);
+    int length = stream.length / 3;
+    for (int cut = 0; cut <= stream.length; cut++) {
+      for (int part = 1; part <= 5; part++) {
+        EventSplitter splitter = new EventSplitter();
+        int forwarded = 0;
+        for (int at = 0; at < cut; at += part) {
+          int size = Math.min(part, cut - at);
+          forwarded += splitter.add(Unpooled.copiedBuffer(stream, at, size)).readableBytes();
+        }
+        assertThat(forwarded).isEqualTo(cut - cut % length);
+        assertThat(splitter.isInsideEvent()).isEqualTo(cut % length != 0);
+        assertThat(splitter.completeEvents()).isEqualTo(cut / length);
+      }
+    }
+  }
+
+  @Test
+  void doesNotCountCommentsAsEvents() {
+    EventSplitter splitter = new EventSplitter();
+
+    assertThat(text(splitter.add(bytes(": wait\n\n")))).isEqualTo(": wait\n\n");
+
+    assertThat(splitter.completeEvents()).isZero();
+    assertThat(splitter.isInsideEvent()).isFalse();
+  }
+
+  @Test
+  void forgetsUnfinishedEventThatWasDropped() {
+    EventSplitter splitter = new EventSplitter();
+    splitter.add(bytes("id: 1\ndata: a\n\nid: 2\r"));
+    splitter.dropRemainder();
+
+    assertThat(text(splitter.add(bytes("\nid: 2\ndata: b\n\n")))).endsWith("data: b\n\n");
+    assertThat(splitter.lastId()).contains("2");
+    assertThat(splitter.completeEvents()).isEqualTo(2);
+  }
+
   private static ByteBuf bytes(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
   }
