--- a/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
+++ b/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.Closer;
@@ -41,7 +42,8 @@
   private final List<InetSocketAddress> gateways = new ArrayList<>();
   private final List<AutoCloseable> running = new ArrayList<>();
   private final FakeControl control;
-  private final HttpServer list;
+  private final IntFunction<String> listed;
+  private final boolean ownLists;
 
   /**
    * Creates a fleet without gateways, whose routes are {@code /safe/}, {@code /unsafe/}, {@code
@@ -51,7 +53,14 @@
    * @param listed current text of the list
    */
   GatewayFleet(Path folder, Supplier<String> listed) throws IOException {
+    this(folder, gateway -> listed.get(), false);
+  }
+
+  private GatewayFleet(Path folder, IntFunction<String> listed, boolean ownLists)
+      throws IOException {
     this.folder = folder;
+    this.listed = listed;
+    this.ownLists = ownLists;
     this.control =
         closer.register(
             FakeControl.start(
@@ -63,17 +72,15 @@
     }
     control.put("/routing/routes/resumable", route("resumable", "stream", true, 2));
     control.put("/routing/routes/once", route("once", "stream", true, 1));
-    list = HttpServer.create(FreePorts.address(), 0);
-    list.createContext(
-        LineListing.PATH,
-        exchange -> {
-          byte[] bytes = listed.get().getBytes(StandardCharsets.UTF_8);
-          exchange.sendResponseHeaders(200, bytes.length);
-          exchange.getResponseBody().write(bytes);
-          exchange.close();
-        });
-    list.start();
-    closer.register(() -> list.stop(0));
+  }
+
+  /**
+   * Creates a fleet whose gateways are in zones of their own and read a list of their own.
+   *
+   * @param listed current text of the list by number of the gateway
+   */
+  static GatewayFleet withOwnLists(Path folder, IntFunction<String> listed) throws IOException {
+    return new GatewayFleet(folder, listed, true);
   }
 
   FakeControl control() {
@@ -93,18 +100,19 @@
   void open(int count) throws Exception {
     Path key = Files.writeString(folder.resolve("key"), SHARED_KEY);
     for (int i = 0; i < count; i++) {
+      InetSocketAddress list = serveList(i);
       InetSocketAddress callers = FreePorts.address();
       InetSocketAddress readiness = FreePorts.address();
       String settings =
           String.join(
               "\n",
               "processId: gateway-" + i,
-              "zone: a",
+              "zone: " + (ownLists ? "zone-" + i : "a"),
               "callerAddress: \"" + Addresses.text(callers) + "\"",
               "readyAddress: \"" + Addresses.text(readiness) + "\"",
               "adminAddress: \"" + Addresses.text(FreePorts.address()) + "\"",
               "linkAddress: \"" + Addresses.text(FreePorts.address()) + "\"",
-              "listAddress: \"" + Addresses.text(list.getAddress()) + "\"",
+              "listAddress: \"" + Addresses.text(list) + "\"",
               "control: [\"" + Addresses.text(control.address()) + "\"]",
               "security: {sharedKeyFile: \"" + key + "\"}",
               "sidecarPort: 1",
@@ -170,6 +178,21 @@
     }
   }
 
+  private InetSocketAddress serveList(int gateway) throws IOException {
+    HttpServer list = HttpServer.create(FreePorts.address(), 0);
+    list.createContext(
+        LineListing.PATH,
+        exchange -> {
+          byte[] bytes = listed.apply(gateway).getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(200, bytes.length);
+          exchange.getResponseBody().write(bytes);
+          exchange.close();
+        });
+    list.start();
+    closer.register(() -> list.stop(0));
+    return list.getAddress();
+  }
+
   private boolean ready(InetSocketAddress readiness) {
     try {
       HttpRequest request =
