Rely on a base by the time of day as well

Callers could see: streams joined from two software versions, through a gateway that had stood still for minutes while the base of a route changed and changed back. Its monotonic clock had not counted that time, so it began streams without a record at what it took for the base.

Change: KnownBase, which StreamRegister uses, is relied on for its lifetime by either clock. A time of day that jumps ahead costs one record.

--- a/relay/src/main/java/org/comfreygap/relay/StreamContinuity.java
+++ b/relay/src/main/java/org/comfreygap/relay/StreamContinuity.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.comfreygap.decisions.StreamOrigins.Origin;
+import org.comfreygap.runtime.ClockReading;
 import org.comfreygap.settings.Documents.Route;
 import org.comfreygap.settings.Documents.RouteTarget;
 import org.comfreygap.settings.RequestKind;
@@ -102,7 +103,7 @@
     Origin origin = endpoint.origin();
     attempted = Optional.of(origin);
     recording = Recording.DONE;
-    if (everRecorded || !relay.streams().isBase(route.name(), origin, System.nanoTime())) {
+    if (everRecorded || !relay.streams().isBase(route.name(), origin, ClockReading.now())) {
       // An earlier record of this request would outlive an attempt that needs none.
       everRecorded = true;
       recording = Recording.PENDING;
--- a/relay/src/main/java/org/comfreygap/relay/StreamRegister.java
+++ b/relay/src/main/java/org/comfreygap/relay/StreamRegister.java
@@ -15,13 +15,14 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
-import org.comfreygap.decisions.StreamOrigins;
+import org.comfreygap.decisions.KnownBase;
 import org.comfreygap.decisions.StreamOrigins.Origin;
 import org.comfreygap.protocol.generated.StreamBatch;
 import org.comfreygap.protocol.generated.StreamBatchReply;
 import org.comfreygap.protocol.generated.StreamLookup;
 import org.comfreygap.protocol.generated.StreamOrigin;
 import org.comfreygap.protocol.generated.StreamRecord;
+import org.comfreygap.runtime.ClockReading;
 import org.comfreygap.runtime.ControlClient;
 import org.comfreygap.runtime.ControlUnavailableException;
 import org.comfreygap.runtime.EventLog;
@@ -33,7 +34,7 @@
  * callers take up again. Streams at the base version of their route are not recorded.
  *
  * <p>Invariants: records and lookups reach control in the order of the calls; a base is relied on
- * for {@link StreamOrigins#BASE_LIFETIME} after the call that learned it began. Thread safety:
+ * while {@link KnownBase} allows, from the start of the call that learned it. Thread safety:
  * methods are called on the event loop, which also runs the callbacks; one thread sends.
  */
 final class StreamRegister implements AutoCloseable {
@@ -76,8 +77,6 @@
     this.sender = RepeatingTask.continuous("stream-register", this::sendNext);
   }
 
-  private record KnownBase(Origin origin, long sinceNanos) {}
-
   /**
    * A record or lookup.
    *
@@ -94,11 +93,9 @@
       BiConsumer<Boolean, Optional<Origin>> decided) {}
 
   /** Returns true when streams that begin at {@code origin} need no record. */
-  boolean isBase(String route, Origin origin, long nowNanos) {
+  boolean isBase(String route, Origin origin, ClockReading now) {
     KnownBase known = bases.get(route);
-    return known != null
-        && known.origin.equals(origin)
-        && nowNanos - known.sinceNanos < StreamOrigins.BASE_LIFETIME.toNanos();
+    return known != null && known.covers(origin, now.nanos(), now.wallMillis());
   }
 
   /**
@@ -155,12 +152,12 @@
       items.add(queue.take());
     }
     queue.drainTo(items, Math.max(0, MAX_BATCH - items.size()));
-    long sentNanos = System.nanoTime();
+    ClockReading sent = ClockReading.now();
     try {
       StreamBatch batch = toBatch(items);
       StreamBatchReply reply =
           control.callLeader(CALL_TIMEOUT, ATTEMPT_TIMEOUT, client -> client.recordStreams(batch));
-      loop.execute(() -> applyReply(items, reply, sentNanos));
+      loop.execute(() -> applyReply(items, reply, sent));
     } catch (ControlUnavailableException e) {
       keepOrFail(items, e.getMessage());
       Thread.sleep(RETRY_PAUSE.toMillis());
@@ -186,10 +183,12 @@
     return batch;
   }
 
-  private void applyReply(List<Item> items, StreamBatchReply reply, long sentNanos) {
+  private void applyReply(List<Item> items, StreamBatchReply reply, ClockReading sent) {
     reply
         .getBases()
-        .forEach((route, base) -> bases.put(route, new KnownBase(toOrigin(base), sentNanos)));
+        .forEach(
+            (route, base) ->
+                bases.put(route, new KnownBase(toOrigin(base), sent.nanos(), sent.wallMillis())));
     for (int i = 0; i < items.size(); i++) {
       Item item = items.get(i);
       Optional<Origin> found =
