--- a/relay/src/test/java/org/comfreygap/relay/ListingPollerTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/ListingPollerTest.java
@@ -26,6 +26,7 @@
 import org.comfreygap.runtime.Timeline;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -47,24 +48,28 @@
   private final ListServer reader = new ListServer("from-reader");
   private final List<String> received = new CopyOnWriteArrayList<>();
   private final List<Long> asOfTimes = new CopyOnWriteArrayList<>();
+  private volatile String readerAddress;
+  private volatile String failure = "";
   private ListingPoller poller;
 
   ListingPollerTest() throws IOException {}
 
   @BeforeEach
   void start() {
-    ZoneReader.Candidate other =
-        new ZoneReader.Candidate("gateway-1", "a", true, "127.0.0.1:" + reader.port());
+    readerAddress = "127.0.0.1:" + reader.port();
     poller =
         new ListingPoller(
             group.next(),
             new InetSocketAddress("127.0.0.1", platform.port()),
             new LinesFormat(),
-            () -> Optional.of(other),
+            () -> Optional.of(new ZoneReader.Candidate("gateway-1", "a", true, readerAddress)),
             PERIOD,
             new Random(1),
             events,
             (entries, asOf) -> {
+              if (!failure.isEmpty()) {
+                throw new IllegalArgumentException(failure);
+              }
               entries.forEach(entry -> received.add(entry.instanceId()));
               asOfTimes.add(asOf);
             });
@@ -123,6 +128,45 @@
     assertThat(asOfTimes).isSorted();
   }
 
+  /** Guards against a poll that is the last one because its list could not be used. */
+  @Tag("known-red")
+  @Test
+  void pollsOnWhenAListCannotBeUsed() throws Exception {
+    reader.status(503);
+    failure = "the entry cannot be used";
+
+    group.next().execute(poller::start);
+    await(() -> platform.calls() > 2);
+    failure = "";
+
+    await(() -> received.contains("from-platform"));
+  }
+
+  /** Guards against a poll that is the last one because a page broke its reader. */
+  @Tag("known-red")
+  @Test
+  void pollsOnWhenAPageBreaksItsFormat() throws Exception {
+    reader.status(503);
+    platform.pages("broken");
+
+    group.next().execute(poller::start);
+    await(() -> platform.calls() > 2);
+    platform.pages("from-platform");
+
+    await(() -> received.contains("from-platform"));
+  }
+
+  /** Guards against an odd address of another gateway that ends the polling. */
+  @Tag("known-red")
+  @Test
+  void pollsOnWhenTheReaderOfTheZoneHasNoAddress() throws Exception {
+    readerAddress = "nowhere";
+
+    group.next().execute(poller::start);
+
+    await(() -> received.contains("from-platform"));
+  }
+
   @Test
   void doesNotServeAListThatIsOldByTheWallClock() {
     SharedListing share = new SharedListing();
@@ -152,6 +196,9 @@
 
     @Override
     public Page read(byte[] body) {
+      if (new String(body, StandardCharsets.UTF_8).equals("broken")) {
+        throw new IllegalStateException("the page cannot be read");
+      }
       List<ListedEndpoint> entries = new ArrayList<>();
       for (String id : new String(body, StandardCharsets.UTF_8).split("\n")) {
         entries.add(
