Share pages of the list byte for byte

A page that a gateway read for its zone went through a string, so that bytes that are not UTF-8 became other ones, and the gateways of the zone could have read an entry that the reader had skipped.

--- a/relay/src/main/java/org/comfreygap/relay/PlainHttpServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/PlainHttpServer.java
@@ -56,11 +56,11 @@
 
   /** A response. */
   public record Page(
-      int status, String contentType, String body, Map<CharSequence, String> headers) {
+      int status, String contentType, byte[] body, Map<CharSequence, String> headers) {
 
     /** Returns a page of plain text. */
     public static Page text(int status, String body) {
-      return new Page(status, PLAIN_TEXT, body, Map.of());
+      return new Page(status, PLAIN_TEXT, body.getBytes(StandardCharsets.UTF_8), Map.of());
     }
 
     /** Returns a redirect to {@code url} that keeps the method and body of the request. */
@@ -68,7 +68,7 @@
       return new Page(
           HttpResponseStatus.TEMPORARY_REDIRECT.code(),
           PLAIN_TEXT,
-          "",
+          new byte[0],
           Map.of(HttpHeaderNames.LOCATION, url));
     }
 
@@ -77,7 +77,7 @@
       return new Page(
           HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
           PLAIN_TEXT,
-          body,
+          body.getBytes(StandardCharsets.UTF_8),
           Map.of(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryAfterSeconds)));
     }
 
@@ -99,7 +99,7 @@
       long since = first(given, "since").map(Long::parseLong).orElse(0L);
       List<Timeline.Entry> found =
           timeline.eventsSince(since, first(given, "request"), first(given, "team"));
-      return new Page(OK, "application/json", MAPPER.writeValueAsString(found), Map.of());
+      return new Page(OK, "application/json", MAPPER.writeValueAsBytes(found), Map.of());
     } catch (NumberFormatException e) {
       return Page.text(BAD_REQUEST, "since: expected milliseconds\n");
     } catch (JsonProcessingException e) {
@@ -171,7 +171,7 @@
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
               HttpResponseStatus.valueOf(page.status()),
-              Unpooled.copiedBuffer(page.body(), StandardCharsets.UTF_8));
+              Unpooled.wrappedBuffer(page.body()));
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
       page.headers().forEach(response.headers()::set);
       HttpUtil.setContentLength(response, response.content().readableBytes());
--- a/relay/src/main/java/org/comfreygap/relay/SharedListing.java
+++ b/relay/src/main/java/org/comfreygap/relay/SharedListing.java
@@ -2,7 +2,6 @@
 
 import io.netty.util.AsciiString;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -81,7 +80,7 @@
     return new PlainHttpServer.Page(
         OK,
         JSON,
-        new String(pages.get(number), StandardCharsets.UTF_8),
+        pages.get(number),
         Map.of(
             PAGES, String.valueOf(pages.size()),
             AGE_MILLIS, String.valueOf(ageMillis)));
--- a/relay/src/test/java/org/comfreygap/relay/ListingPollerTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/ListingPollerTest.java
@@ -163,6 +163,18 @@
     await(() -> received.contains("from-platform"));
   }
 
+  /**
+   * Guards against gateways of a zone that read another list than the one that reads it for them.
+   */
+  @Test
+  void sharesAPageByteForByte() {
+    byte[] page = {'{', (byte) 0xff, 0, '}'};
+    SharedListing share = new SharedListing();
+    share.replace(List.of(page), new ClockReading(0, 0));
+
+    assertThat(share.page("/listing/0", new ClockReading(0, 0)).body()).isEqualTo(page);
+  }
+
   @Test
   void doesNotServeAListThatIsOldByTheWallClock() {
     SharedListing share = new SharedListing();
