Match responses by what a kept connection has carried

Callers saw (in systems like ours): 'not run, try again' for a request that ran, or two runs, when a faulty endpoint writes an earlier refusal once more.

Change: ResponseMatch (pure) skips a response without an id where the endpoint has stated ids on the connection, and does not trust a refusal without one on a connection with earlier responses; that request counts as one that may have run. A request is not sent over a connection that brought its refusal; after 32 refusals a connection is closed.

ConnectionPoolTest: the failing version let the endpoint write the copy on the connection of the second attempt; on a new connection there is nothing to copy, so the test now asks for the new connection itself. RepeatedRefusalTest, ConnectionPoolTest, ResponseMatchTest, RelayPathTest, BrokenResponseTest, StreamVersionTest hold.

--- a/decisions/src/main/java/org/comfreygap/decisions/KnownBase.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/KnownBase.java
@@ -20,7 +20,8 @@
   /** Returns true when a stream that begins at {@code begun} now needs no record. */
   public boolean covers(Origin begun, long nowNanos, long nowWallMillis) {
     long lifetime = StreamOrigins.BASE_LIFETIME.toMillis();
-    return origin.equals(begun) && TimeUnit.NANOSECONDS.toMillis(nowNanos - askedNanos) < lifetime
+    return origin.equals(begun)
+        && TimeUnit.NANOSECONDS.toMillis(nowNanos - askedNanos) < lifetime
         && nowWallMillis - askedWallMillis < lifetime;
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -8,6 +8,8 @@
 import org.comfreygap.decisions.AdapterSlots;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.ResponseEnd;
+import org.comfreygap.decisions.ResponseMatch;
+import org.comfreygap.runtime.Field;
 
 /**
  * One attempt to have a request served by one endpoint.
@@ -113,7 +115,9 @@
   void start() {
     endpoint.attemptStarted();
     endpoint.health().dispatched(startNanos);
-    endpoint.connections().acquire(startNanos, this::connectionReady, this::connectionFailed);
+    endpoint
+        .connections()
+        .acquire(startNanos, owner.requestId(), this::connectionReady, this::connectionFailed);
   }
 
   /** Cancels the attempt; its owner gets no further callbacks. */
@@ -145,6 +149,19 @@
     owner.onHead(response, stated);
   }
 
+  @Override
+  public void onMismatch(HttpResponse response, ResponseMatch match) {
+    relay.metrics().count("responses.distrusted", match.label());
+    relay
+        .events()
+        .record(
+            RelayEvent.RESPONSE_DISTRUSTED,
+            Field.of("request", owner.requestId()),
+            Field.of("endpoint", endpoint.instanceId()),
+            Field.of("status", response.status().code()),
+            Field.of("match", match.label()));
+  }
+
   @Override
   public void onContent(ByteBuf bytes) {
     if (refusal.isPresent()) {
--- a/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
+++ b/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
@@ -14,6 +14,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
+import java.util.Optional;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 import org.comfreygap.decisions.IdleConnectionLimit;
@@ -66,15 +68,18 @@
     this.trust = trust;
   }
 
-  /** Passes a usable connection to {@code ready}, or the cause to {@code failed}. */
-  void acquire(long nowNanos, Consumer<EndpointConnection> ready, Consumer<Throwable> failed) {
-    EndpointConnection kept = idle.pollFirst();
-    while (kept != null && !kept.usable(nowNanos)) {
-      kept.close();
-      kept = idle.pollFirst();
-    }
-    if (kept != null) {
-      ready.accept(kept);
+  /**
+   * Passes a connection that may carry the request {@code requestId} to {@code ready}, or the cause
+   * to {@code failed}.
+   */
+  void acquire(
+      long nowNanos,
+      String requestId,
+      Consumer<EndpointConnection> ready,
+      Consumer<Throwable> failed) {
+    Optional<EndpointConnection> kept = takeIdle(nowNanos, requestId);
+    if (kept.isPresent()) {
+      ready.accept(kept.get());
       return;
     }
     EndpointConnection connection = new EndpointConnection(dialect, trust);
@@ -120,6 +125,21 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis());
   }
 
+  private Optional<EndpointConnection> takeIdle(long nowNanos, String requestId) {
+    Iterator<EndpointConnection> all = idle.iterator();
+    while (all.hasNext()) {
+      EndpointConnection kept = all.next();
+      if (!kept.usable(nowNanos)) {
+        all.remove();
+        kept.close();
+      } else if (kept.mayCarry(requestId)) {
+        all.remove();
+        return Optional.of(kept);
+      }
+    }
+    return Optional.empty();
+  }
+
   private static Bootstrap bootstrap(EventLoop loop, EndpointConnection connection) {
     return withKeepAlive(new Bootstrap().group(loop).channel(NioSocketChannel.class))
         .handler(
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -13,21 +13,28 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.comfreygap.decisions.IdleConnectionLimit;
+import org.comfreygap.decisions.ResponseMatch;
 
 /**
  * A connection to an endpoint, which carries one request at a time.
  *
  * <p>Invariants: bytes that belong to no request in progress close the connection; a response to
- * another request is read and discarded; a connection that was reset never completes a response.
- * Thread safety: used on the event loop only.
+ * another request is read and discarded; a request that was refused here is not sent here again; a
+ * connection that was reset never completes a response. Thread safety: used on the event loop only.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+  /** Refused requests after which a connection is not used any more, which bounds their ids. */
+  private static final int MAX_REFUSED = 32;
+
   private final RequestDialect dialect;
   private final IdleConnectionLimit trust;
+  private final Set<String> refused = new HashSet<>();
   private Channel channel;
   private Optional<Listener> listener = Optional.empty();
   private String requestId = "";
@@ -39,6 +46,9 @@
   private OptionalLong idleMillis = OptionalLong.empty();
   private long idleSinceNanos;
   private boolean usedBefore;
+  private boolean refusal;
+  private int responses;
+  private boolean idsStated;
   private long idleBeforeNanos;
   private long sentNanos;
 
@@ -53,6 +63,9 @@
     /** Called with the head of the response. */
     void onHead(HttpResponse response, ResponseHead stated);
 
+    /** Called with the head of a response that is skipped, or ends the request unproved. */
+    void onMismatch(HttpResponse response, ResponseMatch match);
+
     /** Called with a part of the body, which the listener releases. */
     void onContent(ByteBuf bytes);
 
@@ -82,12 +95,21 @@
         && channel.isActive();
   }
 
+  /**
+   * Returns true when a request may be sent over this connection: not after its own refusal, of
+   * which a copy may still arrive.
+   */
+  boolean mayCarry(String id) {
+    return !refused.contains(id);
+  }
+
   /** Sends a request; {@code receiver} gets its response. */
   void send(String id, FullHttpRequest request, Listener receiver) {
     listener = Optional.of(receiver);
     requestId = id;
     skipResponse = false;
     responseBegun = false;
+    refusal = false;
     requestWritten = false;
     sentNanos = System.nanoTime();
     idleBeforeNanos = sentNanos - idleSinceNanos;
@@ -169,12 +191,25 @@
       return;
     }
     ResponseHead stated = dialect.readResponse(response);
-    skipResponse = stated.requestId().isPresent() && !stated.requestId().get().equals(requestId);
+    refusal = stated.verdict() != ResponseHead.Verdict.RAN;
+    ResponseMatch match =
+        ResponseMatch.of(
+            stated.requestId(),
+            requestId,
+            refusal,
+            new ResponseMatch.History(responses, idsStated));
+    skipResponse = match != ResponseMatch.EXPECTED;
     if (skipResponse) {
-      // A late response to an earlier request; the expected one may follow, but no other request.
+      // The expected response may follow, but no other request.
       reusable = false;
+      listener.get().onMismatch(response, match);
+      if (match == ResponseMatch.UNPROVED) {
+        fail("a refusal that does not name its request, on a connection with earlier ones");
+      }
       return;
     }
+    responses++;
+    idsStated |= stated.requestId().isPresent();
     responseBegun = true;
     idleMillis = stated.idleMillis();
     if (!HttpUtil.isKeepAlive(response)) {
@@ -200,6 +235,10 @@
     }
     Listener receiver = listener.get();
     listener = Optional.empty();
+    if (refusal) {
+      refused.add(requestId);
+      reusable &= refused.size() < MAX_REFUSED;
+    }
     if (!requestWritten) {
       // The endpoint responded before it had read the request; the rest is still being written.
       reusable = false;
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -17,6 +17,7 @@
   REQUEST_SERVED(3506, Level.INFO, "A request was served by an endpoint."),
   REQUEST_SENT(3507, Level.INFO, "An endpoint was chosen for a request, which is sent there."),
   SEND_HELD_BACK(3508, Level.INFO, "An endpoint's request limit held back a request."),
+  RESPONSE_DISTRUSTED(3509, Level.INFO, "A response was not taken for that to the open request."),
   ENDPOINT_LISTED(3510, Level.INFO, "An endpoint appeared in the platform's list."),
   ENDPOINT_CHANGED(3511, Level.INFO, "An endpoint started or stopped leaving."),
   ENDPOINT_GONE(3512, Level.INFO, "An endpoint is no longer in the platform's list."),
