--- a/cli/src/main/java/org/comfreygap/cli/Explanation.java
+++ b/cli/src/main/java/org/comfreygap/cli/Explanation.java
@@ -32,7 +32,7 @@
 
   /** Numbers of events in which a gateway changes its view of control, settings or readiness. */
   private static final Set<Integer> GATEWAY_STATE_EVENTS =
-      Set.of(1001, 1002, 1011, 1012, 1014, 1015, 3530, 3540, 3541);
+      Set.of(1001, 1002, 1011, 1012, 1014, 1015, 3513, 3514, 3530, 3540, 3541, 3543);
 
   /** Numbers of endpoint events that concern commands for other adapters, not the request. */
   private static final Set<Integer> ADAPTER_COMMAND_EVENTS = Set.of(4510);
@@ -177,6 +177,35 @@
             + " lease";
       }
     },
+    ENDED_WITH_ENDPOINT(3503, "the response ended together with its endpoint") {
+      @Override
+      String cause(JsonNode fields) {
+        return "broken off: endpoint "
+            + text(fields, "endpoint")
+            + " refused connections right after it had closed that of a response without length,"
+            + " which had reached event "
+            + text(fields, "lastEvent");
+      }
+
+      @Override
+      String next() {
+        return "event 3525 in the chain shows what else was lost with the endpoint";
+      }
+    },
+    ENDED_INSIDE_EVENT(3503, "the stream ended inside an event") {
+      @Override
+      String cause(JsonNode fields) {
+        return "broken off: endpoint "
+            + text(fields, "endpoint")
+            + " closed the connection of a stream without length inside the event after "
+            + text(fields, "lastEvent");
+      }
+
+      @Override
+      String next() {
+        return ENDPOINT_EVENTS_HINT;
+      }
+    },
     FAILED(3503, "") {
       @Override
       String cause(JsonNode fields) {
--- a/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
@@ -174,6 +174,52 @@
         .contains("only at the software version that began it");
   }
 
+  /** Guards against a broken response whose end and distrusted copies do not appear. */
+  @Test
+  void tellsHowAResponseBrokeOff() throws IOException {
+    Path log =
+        log(
+            line(
+                "gateway.c",
+                59_990,
+                3509,
+                "RESPONSE_DISTRUSTED",
+                "request",
+                "r7",
+                "match",
+                "stray"),
+            line(
+                "gateway.c",
+                59_999,
+                3502,
+                "ATTEMPT_ENDED",
+                "request",
+                "r7",
+                "framing",
+                "connection"),
+            line(
+                "gateway.c",
+                60_000,
+                3503,
+                "REQUEST_FAILED",
+                "request",
+                "r7",
+                "endpoint",
+                "i-1",
+                "lastEvent",
+                "42",
+                "reason",
+                "the response ended together with its endpoint"));
+
+    assertThat(run("explain", "r7", "--log", log.toString())).isEqualTo(ExitCode.OK);
+
+    assertThat(text(out))
+        .contains("match=stray")
+        .contains("framing=connection")
+        .contains("broken off: endpoint i-1 refused connections")
+        .contains("event 42");
+  }
+
   /** Guards against a held back request whose endpoint and limit do not appear. */
   @Test
   void namesTheLimitThatHeldARequestBack() throws IOException {
