Do not take a JSON value without brackets or framing as complete

Own interface, sidecar: a service's JSON body without length and chunks that ends inside a number or a word counted as complete, since its brackets balance. It counts as any other body without framing now. The test of unframed bodies has become a table that holds its case; 3 of its 8 rows failed before by reading, not by a run.

--- a/sidecar/src/main/java/org/comfreygap/sidecar/ResponseCompleteness.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/ResponseCompleteness.java
@@ -10,7 +10,8 @@
  * origin.
  *
  * <p>Server-sent events are complete when the last event is {@code [DONE]}, JSON when its outermost
- * value is closed, and any other body when its length was declared or it was sent in chunks.
+ * value is closed, and any other body when its length was declared or it was sent in chunks. A JSON
+ * value without brackets shows no end, so that it counts as any other body.
  *
  * <p>Thread safety: all methods are synchronized, since a resumed response continues in another
  * thread.
@@ -25,6 +26,7 @@
   /** True for an engine; a service may return any JSON value, or none. */
   private final boolean objectExpected;
 
+  private final boolean framed;
   private final byte[] tail = new byte[TAIL_BYTES];
   private long total;
   private int depth;
@@ -32,16 +34,16 @@
   private boolean escaped;
   private boolean outermostClosed;
 
-  private ResponseCompleteness(Form form, boolean objectExpected) {
+  private ResponseCompleteness(Form form, boolean objectExpected, boolean framed) {
     this.form = form;
     this.objectExpected = objectExpected;
+    this.framed = framed;
   }
 
   private enum Form {
     EVENTS,
     JSON,
-    FRAMED,
-    UNFRAMED
+    OTHER
   }
 
   /**
@@ -51,15 +53,15 @@
    */
   static ResponseCompleteness forHeaders(Map<String, String> headers, boolean checked) {
     String type = headers.getOrDefault("content-type", "");
-    if (checked && type.startsWith("text/event-stream")) {
-      return new ResponseCompleteness(Form.EVENTS, checked);
-    }
-    if (type.startsWith("application/json")) {
-      return new ResponseCompleteness(Form.JSON, checked);
-    }
     boolean framed =
         headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
-    return new ResponseCompleteness(framed ? Form.FRAMED : Form.UNFRAMED, checked);
+    Form form = Form.OTHER;
+    if (checked && type.startsWith("text/event-stream")) {
+      form = Form.EVENTS;
+    } else if (type.startsWith("application/json")) {
+      form = Form.JSON;
+    }
+    return new ResponseCompleteness(form, checked, framed);
   }
 
   /** Adds bytes of the body; does not change the position of {@code bytes}. */
@@ -81,9 +83,9 @@
   synchronized boolean complete() {
     return switch (form) {
       case EVENTS -> endsWithDone();
-      case JSON -> depth == 0 && !inString && (outermostClosed || !objectExpected);
-      case FRAMED -> true;
-      case UNFRAMED -> total == 0;
+      case JSON ->
+          depth == 0 && !inString && (outermostClosed || !objectExpected && hasFramedEnd());
+      case OTHER -> hasFramedEnd();
     };
   }
 
@@ -106,6 +108,10 @@
     return value;
   }
 
+  private boolean hasFramedEnd() {
+    return framed || total == 0;
+  }
+
   private void scan(byte b) {
     if (inString) {
       if (escaped) {
--- a/sidecar/src/test/java/org/comfreygap/sidecar/ResponseCompletenessTest.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/ResponseCompletenessTest.java
@@ -48,12 +48,21 @@
   }
 
   /** Guards against accepting a response whose end is marked only by the closed connection. */
-  @Test
-  void bodyWithoutLengthIsNotComplete() {
-    ResponseCompleteness end =
-        ResponseCompleteness.forHeaders(Map.of("content-type", "text/plain"), false);
-    end.update(ByteBuffer.wrap(new byte[3]));
-    assertThat(end.complete()).isFalse();
+  @ParameterizedTest
+  @CsvSource({
+    "text/plain, any, false",
+    "text/event-stream, 'data: 1', false",
+    "application/json, 12, false",
+    "application/json, tru, false",
+    "application/json, '\"text\"', false",
+    "application/json, '[1', false",
+    "application/json, '[1,2]', true",
+    "application/json, '', true"
+  })
+  void bodyWithoutLengthIsCompleteOnlyWithAnEndOfItsOwn(String type, String body, boolean whole) {
+    ResponseCompleteness end = ResponseCompleteness.forHeaders(Map.of("content-type", type), false);
+    end.update(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
+    assertThat(end.complete()).isEqualTo(whole);
   }
 
   /** Guards against wrong credit accounting due to misread token counts. */
