Know no origin of a stream whose earlier record returns

A record whose call timed out may be applied after that of the next attempt of the same request, and would name the version of the attempt before, at which a take-up would go on: joined. Records carry no number, so that a delayed one looks like another attempt. Now an origin that was recorded before, and replaced, makes the origin unknown when it returns, and the take-up is refused; a repeated call changes nothing.

--- a/decisions/src/main/java/org/comfreygap/decisions/StreamOrigins.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/StreamOrigins.java
@@ -66,8 +66,33 @@
    */
   public record Origin(String pool, String version) {}
 
-  /** A recorded stream, as written to a snapshot. */
-  public record Entry(String requestId, String route, Origin origin, long atNanos) {}
+  /**
+   * A recorded stream, as written to a snapshot.
+   *
+   * @param earlier origins recorded before for the same request; an older snapshot has none
+   */
+  public record Entry(
+      String requestId, String route, Origin origin, long atNanos, List<Origin> earlier) {
+
+    /** Copies the list. */
+    public Entry {
+      earlier = earlier == null ? List.of() : List.copyOf(earlier);
+    }
+
+    /** Returns the entry after another record of the same request. */
+    private Entry recordedAgain(String newRoute, Origin newest, long now) {
+      List<Origin> before = new ArrayList<>(earlier);
+      if (!newest.equals(origin)) {
+        before.add(origin);
+      }
+      return new Entry(requestId, newRoute, newest, now, before);
+    }
+
+    /** Returns false when the last record may be a delayed one of an earlier attempt. */
+    private boolean isCertain() {
+      return !earlier.contains(origin);
+    }
+  }
 
   /** An origin with the time at which it was last in service, as written to a snapshot. */
   public record Seen(Origin origin, long atNanos) {}
@@ -85,12 +110,20 @@
     }
   }
 
-  /** Records the origin of a stream, which replaces an earlier one of the same request. */
+  /**
+   * Records the origin of a stream, which replaces an earlier one of the same request. When an
+   * earlier one returns, a delayed call cannot be told from another attempt, and the origin is not
+   * known.
+   */
   public void record(String requestId, String route, Origin origin, long now) {
     expire(now);
     inService(route, List.of(origin), now);
-    entries.remove(requestId);
-    entries.put(requestId, new Entry(requestId, route, origin, now));
+    Entry former = entries.remove(requestId);
+    entries.put(
+        requestId,
+        former == null
+            ? new Entry(requestId, route, origin, now, List.of())
+            : former.recordedAgain(route, origin, now));
     while (entries.size() > maxRecords) {
       Entry oldest = entries.values().iterator().next();
       entries.remove(oldest.requestId);
@@ -131,7 +164,8 @@
   public Optional<Origin> resolve(String requestId, String route, long now) {
     Entry entry = entries.get(requestId);
     if (entry != null) {
-      return Optional.of(entry.origin).filter(origin -> entry.route.equals(route));
+      return Optional.of(entry.origin)
+          .filter(origin -> entry.route.equals(route) && entry.isCertain());
     }
     boolean mayBeDropped = dropped && now - droppedNanos < RETENTION.toNanos();
     return mayBeDropped ? Optional.empty() : base(route);
--- a/decisions/src/test/java/org/comfreygap/decisions/StreamOriginsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/StreamOriginsTest.java
@@ -39,6 +39,29 @@
     assertThat(origins.resolve("request", "route", 3 * SECOND)).contains(OLD);
   }
 
+  /**
+   * Guards against a record whose call was delayed: applied after that of the attempt which brought
+   * the first event, it would name the version of the attempt before.
+   */
+  @Example
+  void knowsNoOriginWhenAnEarlierRecordOfTheRequestReturns() {
+    origins.record("request", "route", OLD, 0);
+    origins.record("request", "route", NEW, SECOND);
+    origins.record("request", "route", OLD, 2 * SECOND);
+
+    assertThat(origins.resolve("request", "route", 3 * SECOND)).isEmpty();
+  }
+
+  /** Guards against repeated calls that make a known origin unknown. */
+  @Example
+  void keepsAnOriginThatIsRecordedAgain() {
+    origins.record("request", "route", OLD, 0);
+    origins.record("request", "route", NEW, SECOND);
+    origins.record("request", "route", NEW, 2 * SECOND);
+
+    assertThat(origins.resolve("request", "route", 3 * SECOND)).contains(NEW);
+  }
+
   /** Guards against a base that changes while a stream of the earlier one may be taken up. */
   @Example
   void changesBaseOnlyWhenItWasLongOutOfService() {
