Let ended endpoints of tests refuse connections at once

The stand-in closed its listening socket while another thread waited in accept; until that thread has left, the port takes connections. An ended process has no such thread. The stand-ins now wait for it before they close their connections; the checks stay as they are.

--- a/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
@@ -28,6 +28,7 @@
   private final String instanceId;
   private final String version;
   private final ServerSocket socket;
+  private final Thread acceptor;
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final List<RawRequest> requests = new CopyOnWriteArrayList<>();
   private volatile Framing framing = Framing.CHUNKED;
@@ -63,7 +64,7 @@
     this.version = version;
     this.socket = new ServerSocket();
     socket.bind(FreePorts.address());
-    thread(this::accept);
+    acceptor = thread(this::accept);
   }
 
   /** Returns this endpoint's line in the list. */
@@ -119,6 +120,12 @@
   @Override
   public void close() throws IOException {
     socket.close();
+    try {
+      // The port refuses connections only once no thread waits for one.
+      acceptor.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     for (Socket connection : connections) {
       connection.close();
     }
@@ -220,9 +227,10 @@
     out.flush();
   }
 
-  private static void thread(Runnable run) {
+  private static Thread thread(Runnable run) {
     Thread thread = new Thread(run, "streaming-endpoint");
     thread.setDaemon(true);
     thread.start();
+    return thread;
   }
 }
