Take an endpoint that keeps other connections open for a serving one

An endpoint refuses connections beyond the number that it takes, so that a sound response without length could have counted as broken off under load. A refusal now counts only when no connection of this gateway to the endpoint is open 20 ms later; an ended endpoint has closed them all. Sound responses wait for nothing more; broken ones end 20 ms later.

--- a/decisions/src/main/java/org/comfreygap/decisions/ResponseEnd.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/ResponseEnd.java
@@ -54,13 +54,23 @@
 
   /** What is known of the endpoint after the connection has ended. */
   public enum Endpoint {
-    /** It accepts connections, so that it goes on serving. */
+    /** It accepts connections, or keeps others open, so that it goes on serving. */
     ACCEPTS,
-    /** It refuses connections: it has ended. */
+    /** It refuses connections and has closed all others: it has ended. */
     REFUSES,
     /** It was leaving, or did not reply, so that nothing can be concluded. */
     UNKNOWN;
 
+    /**
+     * Returns the state of an endpoint that refused a connection. It may do so because it takes no
+     * more than it has.
+     *
+     * @param openConnections connections to it that stayed open
+     */
+    public static Endpoint ofRefusal(int openConnections) {
+      return openConnections > 0 ? ACCEPTS : REFUSES;
+    }
+
     /** Returns the name for logs and metrics. */
     public String label() {
       return name().toLowerCase(Locale.ROOT);
--- a/decisions/src/test/java/org/comfreygap/decisions/ResponseEndTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/ResponseEndTest.java
@@ -51,6 +51,13 @@
     assertThat(ResponseEnd.needsCheck(framing, false)).isFalse();
   }
 
+  /** Guards against an endpoint with as many connections as it takes that counts as ended. */
+  @Test
+  void takesEndpointThatKeepsOtherConnectionsForAServingOne() {
+    assertThat(Endpoint.ofRefusal(0)).isEqualTo(Endpoint.REFUSES);
+    assertThat(Endpoint.ofRefusal(1)).isEqualTo(Endpoint.ACCEPTS);
+  }
+
   @Test
   void needsNoCheckOfAnEndpointThatLeaves() {
     assertThat(ResponseEnd.needsCheck(Framing.CONNECTION, false)).isTrue();
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.comfreygap.decisions.AdapterSlots;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.ResponseEnd;
@@ -26,6 +27,9 @@
    */
   static final Duration END_CHECK_TIMEOUT = Duration.ofMillis(200);
 
+  /** Time in which all connections of an ended endpoint are seen to be closed. */
+  static final Duration REFUSAL_DELAY = Duration.ofMillis(20);
+
   private final RelayContext relay;
   private final Endpoint endpoint;
   private final Owner owner;
@@ -214,7 +218,22 @@
     if (finished) {
       return;
     }
-    endpointState = result.state();
+    if (result.state() == ResponseEnd.Endpoint.REFUSES) {
+      // By then the ends of the other connections, which came with this one, are handled.
+      relay.loop().schedule(this::endpointRefused, REFUSAL_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+    } else {
+      endWith(result.state());
+    }
+  }
+
+  private void endpointRefused() {
+    if (!finished) {
+      endWith(ResponseEnd.Endpoint.ofRefusal(endpoint.connections().open()));
+    }
+  }
+
+  private void endWith(ResponseEnd.Endpoint state) {
+    endpointState = state;
     relay.metrics().count("response.end.checks", endpointState.label());
     finish();
     owner.onComplete();
--- a/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
+++ b/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
@@ -51,6 +51,7 @@
   private final InetSocketAddress address;
   private final IdleConnectionLimit trust;
   private final Deque<EndpointConnection> idle = new ArrayDeque<>();
+  private int open;
 
   /**
    * Creates an empty pool.
@@ -87,6 +88,8 @@
     future.addListener(
         done -> {
           if (done.isSuccess()) {
+            open++;
+            future.channel().closeFuture().addListener(closed -> open--);
             ready.accept(connection);
           } else {
             failed.accept(done.cause());
@@ -94,6 +97,11 @@
         });
   }
 
+  /** Returns the number of open connections, idle or not. */
+  int open() {
+    return open;
+  }
+
   /** Returns a connection to the pool after a complete response. */
   void release(EndpointConnection connection, long nowNanos) {
     connection.markIdle(nowNanos);
--- a/relay/src/test/java/org/comfreygap/relay/BrokenResponseTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/BrokenResponseTest.java
@@ -106,6 +106,22 @@
     assertWhole(response.get(10, TimeUnit.SECONDS));
   }
 
+  /** Guards against sound streams that count as broken off at an endpoint that is full. */
+  @Test
+  void forwardsStreamOfAnEndpointThatTakesNoMoreConnections() throws Exception {
+    StreamingEndpoint full = add(Framing.UNTIL_CLOSE, Break.CRASH);
+    full.breakAfter(Integer.MAX_VALUE).eventMillis(90);
+    fleet.open(1);
+    sendLater("/stream/1", Map.of());
+    GatewayFleet.await(() -> full.requests().size() == 1);
+    full.eventMillis(20);
+    CompletableFuture<HttpResponse<String>> second = sendLater("/stream/2", Map.of());
+    GatewayFleet.await(() -> full.requests().size() == 2);
+    full.refuseConnections();
+
+    assertWhole(second.get(10, TimeUnit.SECONDS));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"UNTIL_CLOSE", "CHUNKED", "LENGTH"})
   void breaksOffStreamWhoseConnectionIsReset(Framing framing) throws Exception {
--- a/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
@@ -99,7 +99,7 @@
     return this;
   }
 
-  /** Sets the time before each event, in milliseconds. */
+  /** Sets the time before each event of the next responses, in milliseconds. */
   StreamingEndpoint eventMillis(int millis) {
     eventMillis = millis;
     return this;
@@ -111,6 +111,13 @@
     return this;
   }
 
+  /** Refuses new connections from now on, and keeps those that are open. */
+  void refuseConnections() throws IOException, InterruptedException {
+    socket.close();
+    // The port refuses connections only once no thread waits for one.
+    acceptor.join();
+  }
+
   /** Shows in the list that the endpoint accepts no new requests. */
   void leave() {
     leaving = true;
@@ -119,10 +126,8 @@
   /** Ends the endpoint: closes its connections and refuses new ones. */
   @Override
   public void close() throws IOException {
-    socket.close();
     try {
-      // The port refuses connections only once no thread waits for one.
-      acceptor.join();
+      refuseConnections();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -164,6 +169,7 @@
       throws IOException, InterruptedException {
     requests.add(request);
     Framing used = framing;
+    int pauseMillis = eventMillis;
     OutputStream out = connection.getOutputStream();
     int last = request.lastEventId().map(Integer::parseInt).orElse(0);
     write(
@@ -176,7 +182,7 @@
             + framingHeader(used, last)
             + "\r\n");
     for (int id = last + 1; id <= EVENTS; id++) {
-      Thread.sleep(eventMillis);
+      Thread.sleep(pauseMillis);
       String event = event(id);
       if (id - last > breakAfter) {
         breakOff(connection, used, event);
