Skip every response of the platform's servers that names no request

Cause, shown by RelayPathTest.skipsRefusalThatNamesNoRequestOnNewConnection, which failed before: a refusal without an id was trusted as the first response of a connection, where the soak's servers write copies of earlier refusals as well.

--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -197,7 +197,7 @@
             stated.requestId(),
             requestId,
             refusal,
-            new ResponseMatch.History(responses, idsStated));
+            new ResponseMatch.History(responses, idsStated || dialect.statesRequestIds()));
     skipResponse = match != ResponseMatch.EXPECTED;
     if (skipResponse) {
       // The expected response may follow, but no other request.
--- a/relay/src/main/java/org/comfreygap/relay/RequestDialect.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestDialect.java
@@ -28,4 +28,12 @@
 
   /** Reads the metadata in the head of an endpoint's response. */
   ResponseHead readResponse(HttpResponse head);
+
+  /**
+   * Returns true when endpoints state the id of the request in every response, so that a response
+   * without one belongs to no request.
+   */
+  default boolean statesRequestIds() {
+    return false;
+  }
 }
