--- a/review/stand-in/Deployment.java
+++ b/review/stand-in/Deployment.java
@@ -124,9 +124,16 @@
     return order("PUT", "/config", json, seconds);
   }
 
-  /** Returns a configuration with one route for orders, which must not be repeated. */
+  /** Returns a configuration with one tenant and one route, whose requests must not be repeated. */
   static String orderConfig(String key) {
-    return "{\"version\":3,\"routes\":[{\"name\":\"place-order\",\"host\":\"orders.example\","
+    return orderConfig(3, tenant("desk", key));
+  }
+
+  /** Returns a configuration with a list of tenants. */
+  static String orderConfig(int version, String tenants) {
+    return "{\"version\":"
+        + version
+        + ",\"routes\":[{\"name\":\"place-order\",\"host\":\"orders.example\","
         + "\"path-prefix\":\"/orders/\",\"kind\":\"unsafe\",\"timeout-ms\":2000,"
         + "\"target-latency-ms\":121,\"priority\":1,\"service\":\"order-app\","
         + "\"max-attempts\":2,\"public\":false,\"sticky\":false,\"resumable\":false}],"
@@ -134,10 +141,19 @@
         + "\"max-conns\":130,\"protocol\":\"h1\",\"tls\":false,\"cold-s\":0.0,"
         + "\"cold-per-s\":0.0}],\"limits\":{\"max-header-bytes\":16384,"
         + "\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,"
-        + "\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"desk\",\"api-keys\":[\""
+        + "\"idle-timeout-ms\":15000},\"tenants\":["
+        + tenants
+        + "]}";
+  }
+
+  /** Returns a tenant without a limit. */
+  static String tenant(String name, String key) {
+    return "{\"name\":\""
+        + name
+        + "\",\"api-keys\":[\""
         + key
         + "\"],\"priority\":1,\"unit\":\"tokens\",\"plain-tokens\":200,"
-        + "\"rate-per-s\":0,\"burst\":0}]}";
+        + "\"rate-per-s\":0,\"burst\":0}";
   }
 
   /** Sends an order of the operator to one machine after the other, until it is acknowledged. */
