--- a/review/stand-in/Deployment.java
+++ b/review/stand-in/Deployment.java
@@ -1,6 +1,5 @@
 import java.io.File;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -221,13 +220,6 @@
     new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
   }
 
-  /** Returns the lines of a program's log that contain the text. */
-  List<String> log(String name, String text) throws IOException {
-    try (Stream<String> lines = Files.lines(programs.get(name).log())) {
-      return lines.filter(line -> line.contains(text)).toList();
-    }
-  }
-
   @Override
   public void close() {
     List<Process> all;
--- a/review/stand-in/Runner.java
+++ b/review/stand-in/Runner.java
@@ -6,6 +6,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.ZoneOffset;
+import java.time.ZonedDateTime;
+import java.time.format.DateTimeFormatter;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -140,8 +143,7 @@
             + "\r\n"
             + extra
             + "Date: "
-            + java.time.format.DateTimeFormatter.RFC_1123_DATE_TIME.format(
-                java.time.ZonedDateTime.now(java.time.ZoneOffset.UTC))
+            + DateTimeFormatter.RFC_1123_DATE_TIME.format(ZonedDateTime.now(ZoneOffset.UTC))
             + "\r\nContent-Type: application/octet-stream\r\nX-Server-Load: "
             + Math.min(slots, present.get())
             + ","
--- a/review/stand-in/TruncatedCopy.java
+++ b/review/stand-in/TruncatedCopy.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -69,7 +70,8 @@
     List<Thread> callers = new ArrayList<>();
     for (int i = 0; i < CALLERS; i++) {
       int machine = i % 3 + 1;
-      Thread thread = new Thread(() -> callUntil(end, deployment.ip(machine), next, answers, record));
+      Thread thread =
+          new Thread(() -> callUntil(end, deployment.ip(machine), next, answers, record));
       thread.start();
       callers.add(thread);
     }
@@ -160,7 +162,7 @@
     private final AtomicInteger spoilt = new AtomicInteger();
     private final boolean spoils;
     private final Random random = new Random();
-    private final java.util.concurrent.Semaphore running = new java.util.concurrent.Semaphore(2);
+    private final Semaphore running = new Semaphore(2);
 
     OrderRunner(
         String id, String ip, Record record, Map<String, AtomicInteger> runs, boolean spoils)
@@ -189,7 +191,8 @@
       }
       byte[] body = ("done " + requestId).getBytes(StandardCharsets.UTF_8);
       ByteArrayOutputStream answer = new ByteArrayOutputStream();
-      answer.write(head("200 OK", requestId, "X-Response-Stamp: s." + requestId + "\r\n", body.length));
+      String extra = "X-Response-Stamp: s." + requestId + "\r\n";
+      answer.write(head("200 OK", requestId, extra, body.length));
       answer.write(body);
       write(answer.toByteArray(), out);
       return true;
