Log each change of a gateway's part of the fixed number of retries

The logs of the incident do not show which gateway retried with which part: a gateway that divides by too few, one that was cut off and one that has just started look the same.

--- a/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
@@ -73,7 +73,13 @@
         .orElse(0);
   }
 
-  private double part(OptionalInt gateways, long nowNanos) {
+  /**
+   * Returns this gateway's part of the fixed number, which it may use at each pool.
+   *
+   * @param gateways gateways among which the fixed number is divided; empty when not known
+   * @since 0.7
+   */
+  public double part(OptionalInt gateways, long nowNanos) {
     boolean entitled = gateways.isPresent() && nowNanos - extraSinceNanos >= 0;
     return entitled ? extra / Math.max(1, gateways.getAsInt()) : 0;
   }
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -91,6 +91,7 @@
   private final FleetSize fleetSize = new FleetSize(FleetSize.HOLD);
   private final FleetSize retryFleetSize = new FleetSize(FleetSize.RETRY_HOLD);
   private volatile OptionalInt knownGateways = OptionalInt.empty();
+  private double retryPart;
   private final Outages outages = new Outages();
   private volatile RouteTable table = RouteTable.empty();
   private volatile boolean ready;
@@ -218,6 +219,13 @@
         Duration.ZERO,
         READINESS_PERIOD,
         () -> checkReadiness(directory));
+    LoopTasks.repeat(
+        loop,
+        events,
+        "retry-part",
+        Duration.ZERO,
+        READINESS_PERIOD,
+        () -> recordRetryPart(relay.retryBudgets()));
   }
 
   private EndpointLimits openLimits(EndpointDirectory directory, PeerSecurity security) {
@@ -394,6 +402,18 @@
     }
   }
 
+  private void recordRetryPart(RetryBudgets budgets) {
+    OptionalInt known = knownGateways;
+    double part = budgets.part(known, System.nanoTime());
+    if (part != retryPart) {
+      retryPart = part;
+      events.record(
+          RelayEvent.RETRY_PART_CHANGED,
+          Field.of("part", part),
+          Field.of("gateways", known.orElse(0)));
+    }
+  }
+
   private int liveGateways() {
     return (int) gatewayMembers().filter(one -> one.getState() != MemberState.GONE).count();
   }
