Take a part of the fixed number of retries only in contact with control

Callers' requests were retried beyond the bound of the fleet when gateways divided the fixed number by different sizes. Three ways, each shown by a model of 4, 30 and 300 gateways on the code before (KnownFleetTest):

- Cut off from control for longer than the largest size is remembered (60 s): the rest divides by fewer, while the cut-off gateways go on with their part, since an old report never ended: 12 of 8 retries in 10 s with 4 gateways, 74 of 63 with 30, 671 of 639 with 300.
A window longer than 60 s makes it worse: 80 of 63.
- Suspended while the monotonic clock stands still: on return the old part is used until the next heartbeat, and no earlier retry is missing: 10 of 8.

KnownFleet lets a gateway take its part only while control has reported the fleet within 10 s, by either clock, and only after reports have followed each other for a window and those 10 s. A gateway that does not yet count a new one has stopped by then, and what it spent has left the window. The larger size is remembered for at least a window and those 10 s, so that a cut-off gateway has stopped for a window before others divide by fewer. A reply of a new leader whose view is not settled is no report (MembershipAgent.membersConfirmedAt). The share of a gateway's own requests stays allowed at any time.

The model of RetryBudgetsTest asks KnownFleet instead of FleetSize.known, which is gone; its bound is unchanged.

--- a/decisions/src/main/java/org/comfreygap/decisions/FleetSize.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/FleetSize.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 
 /**
  * The number of gateways among which a bound of the whole fleet is divided.
@@ -33,13 +31,9 @@
    */
   public static final Duration RETRY_HOLD = Duration.ofSeconds(60);
 
-  /** Time after the first report in which all gateways of a fleet that starts register. */
-  public static final Duration SETTLE = Duration.ofSeconds(5);
-
   private final Deque<Report> reports = new ArrayDeque<>();
 
   private final long holdNanos;
-  private OptionalLong firstNanos = OptionalLong.empty();
 
   /**
    * Creates a size without reports.
@@ -54,9 +48,6 @@
 
   /** Records the number of gateways that are not gone, as far as control reports. */
   public void reported(int gateways, long nowNanos) {
-    if (gateways > 0 && firstNanos.isEmpty()) {
-      firstNanos = OptionalLong.of(nowNanos);
-    }
     while (!reports.isEmpty() && reports.getLast().gateways() <= gateways) {
       reports.removeLast();
     }
@@ -66,16 +57,6 @@
     }
   }
 
-  /**
-   * Returns the number to divide by once a fleet that starts is complete; empty before, when each
-   * gateway may know only itself.
-   */
-  public OptionalInt known(long nowNanos) {
-    boolean settled =
-        firstNanos.isPresent() && nowNanos - firstNanos.getAsLong() >= SETTLE.toNanos();
-    return settled ? OptionalInt.of(divisor()) : OptionalInt.empty();
-  }
-
   /** Returns the number to divide by. */
   public int divisor() {
     return reports.isEmpty() ? 1 : Math.max(1, reports.getFirst().gateways());
--- a/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
@@ -15,7 +15,7 @@
  *
  * <pre>{@code
  * budgets.requested("app", now);
- * if (budgets.tryRetry("app", fleetSize.known(now), now)) { sendAgain(); }
+ * if (budgets.tryRetry("app", fleet.known(now, wallNow), now)) { sendAgain(); }
  * }</pre>
  *
  * <p>Invariant: in any window the retries at a pool, summed over all gateways, stay within the
--- a/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
@@ -19,6 +19,7 @@
 class RetryBudgetsTest {
 
   private static final long SECOND = 1_000_000_000L;
+  private static final long MILLI = 1_000_000L;
   private static final long STEP = SECOND / 20;
   private static final Duration WINDOW = Duration.ofSeconds(10);
   private static final double RATIO = 0.2;
@@ -79,13 +80,13 @@
           fleet.set(i, new Gateway(random.nextInt(20) * STEP));
         }
         Gateway gateway = fleet.get(i);
-        gateway.size.reported(back, now);
+        gateway.fleet.reported(back, now, now / MILLI, now);
         for (String pool : requests.keySet()) {
           if (random.nextInt(gateways) == 0 || (pool.equals("engines") && i % 2 == 0)) {
             gateway.budgets.requested(pool, now);
             requests.get(pool).addLast(now);
           }
-          if (gateway.budgets.tryRetry(pool, gateway.size.known(now), now)) {
+          if (gateway.budgets.tryRetry(pool, gateway.fleet.known(now, now / MILLI), now)) {
             retries.get(pool).addLast(now);
           }
         }
@@ -96,7 +97,7 @@
         // Requests of the window before may be counted as well.
         requests.get(pool).removeIf(at -> at <= begin - WINDOW.toNanos());
         assertThat((double) retries.get(pool).size())
-            .as("retries at %s at %s ms", pool, now / 1_000_000)
+            .as("retries at %s at %s ms", pool, now / MILLI)
             .isLessThanOrEqualTo(RATIO * requests.get(pool).size() + EXTRA);
       }
     }
@@ -113,7 +114,7 @@
   private static final class Gateway {
 
     private final RetryBudgets budgets;
-    private final FleetSize size = new FleetSize(FleetSize.RETRY_HOLD);
+    private final KnownFleet fleet = new KnownFleet(WINDOW);
 
     Gateway(long startNanos) {
       budgets = new RetryBudgets(RATIO, EXTRA, WINDOW, startNanos);
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.comfreygap.decisions.FleetSize;
+import org.comfreygap.decisions.KnownFleet;
 import org.comfreygap.decisions.LimiterChoice;
 import org.comfreygap.decisions.RetryBudgets;
 import org.comfreygap.decisions.ZoneReader;
@@ -35,6 +36,7 @@
 import org.comfreygap.protocol.generated.ProcessIdentity;
 import org.comfreygap.protocol.generated.ProcessKind;
 import org.comfreygap.runtime.Addresses;
+import org.comfreygap.runtime.ClockReading;
 import org.comfreygap.runtime.Closer;
 import org.comfreygap.runtime.ControlClient;
 import org.comfreygap.runtime.ControlUnavailableException;
@@ -89,8 +91,7 @@
   private final Set<CallerConnection> callers = new HashSet<>();
   private final AtomicInteger gateways = new AtomicInteger(1);
   private final FleetSize fleetSize = new FleetSize(FleetSize.HOLD);
-  private final FleetSize retryFleetSize = new FleetSize(FleetSize.RETRY_HOLD);
-  private volatile OptionalInt knownGateways = OptionalInt.empty();
+  private final KnownFleet retryFleet;
   private double retryPart;
   private final Outages outages = new Outages();
   private volatile RouteTable table = RouteTable.empty();
@@ -104,6 +105,7 @@
   private RelayGateway(RelaySettings settings, EventLog events) {
     this.settings = settings;
     this.events = events;
+    this.retryFleet = new KnownFleet(settings.retryWindow());
   }
 
   /**
@@ -282,7 +284,7 @@
         () -> table,
         () -> agent.map(MembershipAgent::admits).orElse(false),
         () -> stopping ? OptionalLong.of(stopEndNanos) : OptionalLong.empty(),
-        () -> knownGateways);
+        this::knownGateways);
   }
 
   private void surplusReceived(String instanceId, int responses) {
@@ -297,9 +299,9 @@
     closer.register(metrics);
     metrics.gauge("requests.waiting", relay.waitQueue()::size);
     metrics.gauge("connections.of.callers", callers::size);
-    metrics.gauge("gateways.sharing.the.retry.budget", () -> knownGateways.orElse(0));
+    metrics.gauge("gateways.sharing.the.retry.budget", () -> knownGateways().orElse(0));
     metrics.gauge(
-        "retries.left", () -> relay.retryBudgets().lowest(knownGateways, System.nanoTime()));
+        "retries.left", () -> relay.retryBudgets().lowest(knownGateways(), System.nanoTime()));
     metrics.gauge(
         "endpoints.with.limit",
         () -> relay.directory().all().stream().filter(one -> one.limit().isLimited()).count());
@@ -385,11 +387,7 @@
     boolean admits = agent.map(MembershipAgent::admits).orElse(false);
     outages.updateControl(admits && table.published(), System.nanoTime());
     boolean able = !stopping && admits && table.published() && directory.isKnown();
-    int live = liveGateways();
-    fleetSize.reported(live, System.nanoTime());
-    gateways.set(fleetSize.divisor());
-    retryFleetSize.reported(live, System.nanoTime());
-    knownGateways = retryFleetSize.known(System.nanoTime());
+    countGateways(System.nanoTime());
     if (able != ready) {
       ready = able;
       events.record(
@@ -402,15 +400,31 @@
     }
   }
 
+  private void countGateways(long now) {
+    Optional<ClockReading> confirmed = agent.flatMap(MembershipAgent::membersConfirmedAt);
+    int live = liveGateways();
+    fleetSize.reported(live, now);
+    gateways.set(fleetSize.divisor());
+    confirmed.ifPresent(at -> retryFleet.reported(live, at.nanos(), at.wallMillis(), now));
+  }
+
+  private OptionalInt knownGateways() {
+    ClockReading now = ClockReading.now();
+    return retryFleet.known(now.nanos(), now.wallMillis());
+  }
+
   private void recordRetryPart(RetryBudgets budgets) {
-    OptionalInt known = knownGateways;
+    OptionalInt known = knownGateways();
     double part = budgets.part(known, System.nanoTime());
     if (part != retryPart) {
       retryPart = part;
       events.record(
           RelayEvent.RETRY_PART_CHANGED,
           Field.of("part", part),
-          Field.of("gateways", known.orElse(0)));
+          Field.of("gateways", known.orElse(0)),
+          Field.of(
+              "reportAgeMillis",
+              retryFleet.reportAge(System.nanoTime()).map(Duration::toMillis).orElse(-1L)));
     }
   }
 
--- a/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -98,6 +98,8 @@
   private volatile Set<String> watchedParts = Set.of();
   private long partsVersion = -1;
   private volatile long membershipVersion;
+  private volatile Optional<ClockReading> membersConfirmedAt = Optional.empty();
+  private long membersTerm = -1;
   private volatile boolean leaving;
   private Optional<InetSocketAddress> watchedReplica = Optional.empty();
   private boolean leaseWasValid;
@@ -194,6 +196,16 @@
     return members.values();
   }
 
+  /**
+   * Returns when the heartbeat was sent whose reply last confirmed {@link #members}; empty before
+   * the first full view. Members that are read later are at least as recent.
+   *
+   * @since 0.7
+   */
+  public Optional<ClockReading> membersConfirmedAt() {
+    return membersConfirmedAt;
+  }
+
   /** Calls {@code listener} immediately with the current settings, and after each change. */
   public void onSettings(Consumer<SettingsView> listener) {
     listeners.add(listener);
@@ -210,7 +222,7 @@
     HeartbeatRequest request =
         new HeartbeatRequest(identity, settings.revision(), leaving, membershipVersion);
     report.get().ifPresent(request::setReport);
-    long[] sentAt = new long[1];
+    ClockReading[] sentAt = new ClockReading[1];
     HeartbeatReply reply;
     try {
       reply =
@@ -218,16 +230,16 @@
               timing.heartbeatTimeout(),
               timing.maxAttemptTime(),
               client -> {
-                sentAt[0] = System.nanoTime();
+                sentAt[0] = ClockReading.now();
                 return client.heartbeat(request);
               });
     } catch (ControlUnavailableException e) {
       events.record(RuntimeEvent.CONTROL_UNREACHABLE, Field.of("cause", e.getMessage()));
       return;
     }
-    lease.heartbeatAcknowledged(sentAt[0], reply.getCommittedRevision());
+    lease.heartbeatAcknowledged(sentAt[0].nanos(), reply.getCommittedRevision());
     leaderChanges.observe(control.leader());
-    updateMembers(reply);
+    updateMembers(reply, sentAt[0]);
     control.addresses(reply.getControlAddresses().stream().map(Addresses::parse).toList());
   }
 
@@ -327,9 +339,10 @@
     return true;
   }
 
-  private void updateMembers(HeartbeatReply reply) {
+  private void updateMembers(HeartbeatReply reply, ClockReading sentAt) {
     if (reply.isFull()) {
       members.clear();
+      membersTerm = reply.getTerm();
     }
     for (Member member : reply.getMembers()) {
       String id = member.getIdentity().getProcessId();
@@ -339,6 +352,10 @@
       }
     }
     membershipVersion = reply.getMembershipVersion();
+    // A new leader says nothing of the members until its view is settled.
+    if (reply.getTerm() == membersTerm) {
+      membersConfirmedAt = Optional.of(sentAt);
+    }
   }
 
   private void checkLease() throws ControlUnavailableException {
--- a/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
+++ b/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
@@ -127,6 +127,27 @@
     await(() -> agent.members().isEmpty());
   }
 
+  /** A new leader that knows few members must not confirm those that the one before reported. */
+  @Test
+  void confirmsMembersOnlyByAViewOfTheLeaderThatReplies() throws Exception {
+    control.full = true;
+    start();
+    await(() -> agent.membersConfirmedAt().isPresent());
+    control.full = false;
+    ClockReading first = agent.membersConfirmedAt().orElseThrow();
+    await(() -> agent.membersConfirmedAt().orElseThrow().nanos() > first.nanos());
+
+    control.term = 2;
+    int before = control.heartbeats.size();
+    await(() -> control.heartbeats.size() >= before + 2);
+    ClockReading last = agent.membersConfirmedAt().orElseThrow();
+    await(() -> control.heartbeats.size() >= before + 4);
+    assertThat(agent.membersConfirmedAt()).hasValue(last);
+
+    control.full = true;
+    await(() -> agent.membersConfirmedAt().orElseThrow().nanos() > last.nanos());
+  }
+
   @Test
   void reportsThatItIsLeaving() throws Exception {
     start();
@@ -214,6 +235,8 @@
     private volatile long watchRevision;
     private volatile Map<String, Long> quarantined = Map.of();
     private volatile Optional<MemberState> member = Optional.empty();
+    private volatile long term = 1;
+    private volatile boolean full;
 
     @Override
     public HeartbeatReply heartbeat(HeartbeatRequest request) throws NotLeader {
@@ -227,7 +250,7 @@
             ProcessIdentity identity = request.getIdentity().deepCopy().setProcessId("sidecar-1");
             changed.add(new Member(identity, state, 0));
           });
-      return new HeartbeatReply(committed, 1, 1, changed, false, List.of(address));
+      return new HeartbeatReply(committed, term, 1, changed, full, List.of(address));
     }
 
     @Override
