Count a retry when it is written, not only when it is allowed

Endpoints received more retries in a window than the bound when retries that had waited for an endpoint, a grant or a connection were written together with those that were allowed later: a retry left the window counted from the time at which its budget allowed it.

A retry is now counted once more, at the pool and the time of the write, and is refused if the budget allows it no longer. This holds too for retries that wait while the process is suspended and lose their part of the fixed number.

--- a/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
@@ -18,6 +18,9 @@
  * if (budgets.tryRetry("app", fleet.known(now, wallNow), now)) { sendAgain(); }
  * }</pre>
  *
+ * <p>A retry that waits after it was allowed is counted again when it is written, since the bound
+ * is on arrivals.
+ *
  * <p>Invariant: in any window the retries at a pool, summed over all gateways, stay within the
  * fleet's bound, as long as no gateway knows too small a fleet. Thread safety: not thread-safe.
  *
@@ -60,6 +63,17 @@
     return window(pool).tryRetry(part(gateways, nowNanos), nowNanos);
   }
 
+  /**
+   * Counts a retry that was counted at {@code countedNanos} now instead, if the budget still allows
+   * it; otherwise it is no longer counted.
+   *
+   * @param gateways gateways among which the fixed number is divided; empty when not known
+   * @since 0.7
+   */
+  public boolean recount(String pool, long countedNanos, OptionalInt gateways, long nowNanos) {
+    return window(pool).recount(countedNanos, part(gateways, nowNanos), nowNanos);
+  }
+
   /** Returns how many retries are allowed at {@code pool} now; may have a fraction. */
   public double remaining(String pool, OptionalInt gateways, long nowNanos) {
     return window(pool).remaining(part(gateways, nowNanos), nowNanos);
--- a/decisions/src/main/java/org/comfreygap/decisions/RetryWindow.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryWindow.java
@@ -59,6 +59,22 @@
     return true;
   }
 
+  /**
+   * Counts a retry that was counted at {@code countedNanos} now instead, if the bound still allows
+   * it; otherwise it is no longer counted.
+   *
+   * @param extra retries allowed beyond the share of the requests
+   * @since 0.7
+   */
+  public boolean recount(long countedNanos, double extra, long nowNanos) {
+    advance(nowNanos);
+    long counted = Math.floorDiv(countedNanos, bucketNanos);
+    if (bucket - counted < BUCKETS) {
+      retries[(int) Math.floorMod(counted, (long) BUCKETS)]--;
+    }
+    return tryRetry(extra, nowNanos);
+  }
+
   /** Returns how many retries are allowed now; may have a fraction. */
   public double remaining(double extra, long nowNanos) {
     advance(nowNanos);
--- a/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
@@ -9,11 +9,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against retries at one pool of endpoints beyond the bound of the fleet. */
 class RetryBudgetsTest {
@@ -57,6 +59,44 @@
     assertThat(retries(budgets, "app", OptionalInt.empty(), 30 * SECOND)).isZero();
   }
 
+  /** Retries that waited for an endpoint must not be written together with those allowed later. */
+  @ParameterizedTest
+  @ValueSource(longs = {1_200, 9_000, 30_000})
+  void countsARetryWhenItIsWritten(long longestWaitMillis) {
+    Random random = new Random(longestWaitMillis);
+    RetryBudgets budgets = new RetryBudgets(0, EXTRA, WINDOW, -60 * SECOND);
+    Map<Long, List<Long>> waiting = new HashMap<>();
+    Deque<Long> written = new ArrayDeque<>();
+    int most = 0;
+    for (long now = 0; now < 300 * SECOND; now += STEP) {
+      while (random.nextInt(20) > 0 && budgets.tryRetry("app", OptionalInt.of(1), now)) {
+        long wait = (long) (random.nextDouble() * longestWaitMillis * MILLI / STEP) * STEP;
+        waiting.computeIfAbsent(now + wait, at -> new ArrayList<>()).add(now);
+      }
+      for (long counted : Optional.ofNullable(waiting.remove(now)).orElse(List.of())) {
+        if (budgets.recount("app", counted, OptionalInt.of(1), now)) {
+          written.addLast(now);
+        }
+      }
+      long begin = now - WINDOW.toNanos();
+      written.removeIf(at -> at <= begin);
+      most = Math.max(most, written.size());
+    }
+    assertThat(most).isPositive().isLessThanOrEqualTo((int) EXTRA);
+  }
+
+  /** A retry that was allowed before a suspension must not be written after the part is lost. */
+  @Test
+  void refusesAWaitingRetryWhenThePartIsLost() {
+    RetryBudgets budgets = new RetryBudgets(0, 2, WINDOW, -60 * SECOND);
+    assertThat(budgets.tryRetry("app", OptionalInt.of(1), 0)).isTrue();
+    assertThat(budgets.tryRetry("app", OptionalInt.of(1), 0)).isTrue();
+
+    assertThat(budgets.recount("app", 0, OptionalInt.empty(), SECOND)).isFalse();
+    assertThat(budgets.recount("app", 0, OptionalInt.of(1), SECOND)).isTrue();
+    assertThat(budgets.remaining("app", OptionalInt.of(1), SECOND)).isEqualTo(1);
+  }
+
   /**
    * Load pattern: all requests for one pool fail, a second pool is busy, all gateways are killed at
    * once, and control knows the gateways that are back one by one.
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -96,6 +96,11 @@
     static Failure unknown(String reason) {
       return new Failure(Outcome.UNKNOWN, reason, Optional.empty());
     }
+
+    /** Returns what the caller is told when no other attempt is made. */
+    Refusal lastRefusal() {
+      return outcome == Outcome.NOT_RUN ? Refusal.FULL : Refusal.attemptFailed(reason);
+    }
   }
 
   Endpoint endpoint() {
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -43,6 +43,7 @@
   private final SendClearance clearance;
   private final RequestCredit credit;
   private final StreamContinuity continuity;
+  private final RetryAllowance retry;
   private final EndpointSearch search;
   private final AttemptHistory history = new AttemptHistory();
   private RouteDecision decision;
@@ -72,6 +73,7 @@
     this.clearance = new SendClearance(relay);
     this.credit = new RequestCredit(relay.credit());
     this.continuity = new StreamContinuity(relay, request);
+    this.retry = new RetryAllowance(relay);
     this.search = new EndpointSearch(relay, request, continuity);
     this.log = new ExchangeLog(relay, request, arrivedNanos, tracked);
   }
@@ -176,6 +178,7 @@
         || !refreshDecision(table)
         || endIfQuarantined(nowNanos)
         || !servesVersion(table, endpoint, nowNanos)
+        || !retry.use(decision.pool(), nowNanos, () -> failOrRefuse(Refusal.FULL))
         || !clearance.use(endpoint, this::place)) {
       return Optional.empty();
     }
@@ -427,11 +430,10 @@
    */
   private void attemptInactive(Attempt waiting) {
     boolean current = !finished && attempt.isPresent() && attempt.get() == waiting;
-    boolean attemptsLeft = history.runsLeftBesideCurrent(decision.route());
     boolean resumable = !forwarder.started() || forwarder.resumable();
     if (current
         && waiting.awaitsData()
-        && attemptsLeft
+        && history.runsLeftBesideCurrent(decision.route())
         && resumable
         && search.hasAlternative(decision, attempt, System.nanoTime())) {
       abandonAttempt("no data within the inactivity timeout");
@@ -457,12 +459,11 @@
     history.ended(failure.outcome());
     boolean allowed =
         history.allowsAnother(failure.outcome(), decision.route(), forwarder, deadlineNanos, now);
-    if (allowed && (!ended.sent() || relay.tryRetry(decision.pool(), now))) {
+    if (allowed && (!ended.sent() || retry.obtain(decision.pool(), now))) {
       startPlacement(now);
       place();
     } else {
-      boolean notRun = failure.outcome() == Outcome.NOT_RUN;
-      failOrRefuse(notRun ? Refusal.FULL : Refusal.attemptFailed(failure.reason()));
+      failOrRefuse(failure.lastRefusal());
     }
   }
 
@@ -487,8 +488,7 @@
 
   /** Ends the request with a refusal if it has not run, and otherwise as one that may have. */
   private void endNow(Refusal refusal, String reason, String outcome) {
-    boolean sent = attempt.map(Attempt::sent).orElse(false);
-    if (sent) {
+    if (attempt.map(Attempt::sent).orElse(false)) {
       history.abandoned();
     }
     tracked.abandoned(attempt, forwarder.eventReceived());
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -45,6 +45,15 @@
     return allowed;
   }
 
+  /** Counts a retry that was allowed earlier at the time at which it is written. */
+  boolean recountRetry(String pool, long countedNanos, long nowNanos) {
+    boolean allowed = retryBudgets.recount(pool, countedNanos, knownGateways.get(), nowNanos);
+    if (!allowed) {
+      metrics.count("retries.refused", pool);
+    }
+    return allowed;
+  }
+
   /** Returns true when the budget of a pool allows a retry. */
   boolean hasRetry(String pool, long nowNanos) {
     return retryBudgets.remaining(pool, knownGateways.get(), nowNanos) >= 1;
