Forget the retry windows of pools that get no requests

A gateway kept a window for each name of a pool that ever had a request, so that pools that are renamed with each publication grow its memory without bound: 1,000 names left 1,000 windows. When a pool is added, windows that count nothing are now dropped; at most 12 remain in the same test.

--- a/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
@@ -22,7 +22,8 @@
  * is on arrivals.
  *
  * <p>Invariant: in any window the retries at a pool, summed over all gateways, stay within the
- * fleet's bound, as long as no gateway knows too small a fleet. Thread safety: not thread-safe.
+ * fleet's bound, as long as no gateway knows too small a fleet; a window is kept only while it
+ * counts something or no pool is added. Thread safety: not thread-safe.
  *
  * @since 0.6
  */
@@ -51,7 +52,7 @@
 
   /** Counts the first attempt of a request for {@code pool}. */
   public void requested(String pool, long nowNanos) {
-    window(pool).requested(nowNanos);
+    window(pool, nowNanos).requested(nowNanos);
   }
 
   /**
@@ -60,7 +61,7 @@
    * @param gateways gateways among which the fixed number is divided; empty when not known
    */
   public boolean tryRetry(String pool, OptionalInt gateways, long nowNanos) {
-    return window(pool).tryRetry(part(gateways, nowNanos), nowNanos);
+    return window(pool, nowNanos).tryRetry(part(gateways, nowNanos), nowNanos);
   }
 
   /**
@@ -71,12 +72,12 @@
    * @since 0.7
    */
   public boolean recount(String pool, long countedNanos, OptionalInt gateways, long nowNanos) {
-    return window(pool).recount(countedNanos, part(gateways, nowNanos), nowNanos);
+    return window(pool, nowNanos).recount(countedNanos, part(gateways, nowNanos), nowNanos);
   }
 
   /** Returns how many retries are allowed at {@code pool} now; may have a fraction. */
   public double remaining(String pool, OptionalInt gateways, long nowNanos) {
-    return window(pool).remaining(part(gateways, nowNanos), nowNanos);
+    return window(pool, nowNanos).remaining(part(gateways, nowNanos), nowNanos);
   }
 
   /** Returns the lowest number of retries that any pool has left; 0 before the first request. */
@@ -98,7 +99,16 @@
     return entitled ? extra / Math.max(1, gateways.getAsInt()) : 0;
   }
 
-  private RetryWindow window(String pool) {
-    return byPool.computeIfAbsent(pool, name -> new RetryWindow(ratio, window));
+  /** Returns the number of pools with a window. */
+  int size() {
+    return byPool.size();
+  }
+
+  private RetryWindow window(String pool, long nowNanos) {
+    if (!byPool.containsKey(pool)) {
+      byPool.values().removeIf(known -> known.isEmpty(nowNanos));
+      byPool.put(pool, new RetryWindow(ratio, window));
+    }
+    return byPool.get(pool);
   }
 }
--- a/decisions/src/main/java/org/comfreygap/decisions/RetryWindow.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryWindow.java
@@ -82,6 +82,16 @@
     return allowed - Arrays.stream(retries).sum();
   }
 
+  /**
+   * Returns true when the window counts nothing.
+   *
+   * @since 0.7
+   */
+  public boolean isEmpty(long nowNanos) {
+    advance(nowNanos);
+    return Arrays.stream(requests).sum() + Arrays.stream(retries).sum() == 0;
+  }
+
   private int slot() {
     return (int) Math.floorMod(bucket, (long) BUCKETS);
   }
--- a/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
@@ -59,6 +59,18 @@
     assertThat(retries(budgets, "app", OptionalInt.empty(), 30 * SECOND)).isZero();
   }
 
+  /** Pools that are renamed again and again must not fill the memory with windows. */
+  @Test
+  void forgetsPoolsWithoutRequests() {
+    RetryBudgets budgets = new RetryBudgets(RATIO, EXTRA, WINDOW, 0);
+    for (int i = 0; i < 1_000; i++) {
+      budgets.requested("pool-" + i, i * SECOND);
+    }
+
+    assertThat(budgets.size()).isLessThanOrEqualTo(12);
+    assertThat(budgets.remaining("pool-999", OptionalInt.empty(), 1_000 * SECOND)).isPositive();
+  }
+
   /** Retries that waited for an endpoint must not be written together with those allowed later. */
   @ParameterizedTest
   @ValueSource(longs = {1_200, 9_000, 30_000})
