--- a/decisions/src/main/java/org/comfreygap/decisions/KnownFleet.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/KnownFleet.java
@@ -12,8 +12,8 @@
  * other gateway that takes one has learnt of it:
  *
  * <ul>
- *   <li>A gateway that is cut off stops before the others divide by fewer: {@code window} later
- *       nothing that it spent counts, and they hold the larger number for longer than that.
+ *   <li>A gateway that is cut off stops after {@link #REPORT_LIFETIME}. The others hold the larger
+ *       number for at least a window longer, after which nothing counts that it spent.
  *   <li>A gateway that joins, or returns, waits for {@link #REPORT_LIFETIME}, after which whoever
  *       takes a part counts it, and for a window, after which nothing counts that was spent by a
  *       smaller number.
@@ -69,7 +69,7 @@
     if (gateways < 1) {
       return;
     }
-    if (!everReported || isOld(this.askedNanos, this.askedWallMillis, askedNanos, askedWallMillis)) {
+    if (!everReported || isOld(askedNanos, askedWallMillis)) {
       sinceNanos = nowNanos;
     }
     everReported = true;
@@ -83,7 +83,7 @@
     boolean entitled =
         everReported
             && nowNanos - sinceNanos >= waitNanos
-            && !isOld(askedNanos, askedWallMillis, nowNanos, nowWallMillis);
+            && !isOld(nowNanos, nowWallMillis);
     return entitled ? OptionalInt.of(size.divisor()) : OptionalInt.empty();
   }
 
@@ -92,8 +92,8 @@
     return everReported ? Optional.of(Duration.ofNanos(nowNanos - askedNanos)) : Optional.empty();
   }
 
-  private static boolean isOld(long nanos, long wallMillis, long thenNanos, long thenWallMillis) {
-    return thenNanos - nanos > REPORT_LIFETIME.toNanos()
-        || thenWallMillis - wallMillis > REPORT_LIFETIME.toMillis();
+  private boolean isOld(long thenNanos, long thenWallMillis) {
+    return thenNanos - askedNanos > REPORT_LIFETIME.toNanos()
+        || thenWallMillis - askedWallMillis > REPORT_LIFETIME.toMillis();
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -41,7 +41,7 @@
   CALLER_REJECTED(3542, Level.INFO, "A caller's connection failed or sent an invalid request."),
   TASK_FAILED(3543, Level.WARN, "A task on the event loop failed; those after it are run."),
   SURPLUS_RECEIVED(3544, Level.INFO, "An endpoint sent bytes that belong to no request."),
-  RETRY_PART_CHANGED(3545, Level.INFO, "The gateway's part of the fixed number of retries changed.");
+  RETRY_PART_CHANGED(3545, Level.INFO, "A gateway's part of the fixed number of retries changed.");
 
   private final int number;
   private final Level level;
--- a/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
+++ b/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
@@ -40,6 +40,7 @@
   private final Closer closer = new Closer();
   private final HttpClient http = HttpClient.newHttpClient();
   private final List<InetSocketAddress> gateways = new ArrayList<>();
+  private final List<InetSocketAddress> admin = new ArrayList<>();
   private final List<AutoCloseable> running = new ArrayList<>();
   private final FakeControl control;
   private final IntFunction<String> listed;
@@ -96,13 +97,19 @@
     return gateways.get(number);
   }
 
-  /** Starts gateways and waits until they are ready. */
-  void open(int count) throws Exception {
+  /** Returns the address of the metrics and the timeline of a gateway. */
+  InetSocketAddress adminAddress(int number) {
+    return admin.get(number);
+  }
+
+  /** Starts gateways, with further lines in their settings, and waits until they are ready. */
+  void open(int count, String... settingsLines) throws Exception {
     Path key = Files.writeString(folder.resolve("key"), SHARED_KEY);
     for (int i = 0; i < count; i++) {
       InetSocketAddress list = serveList(i);
       InetSocketAddress callers = FreePorts.address();
       InetSocketAddress readiness = FreePorts.address();
+      InetSocketAddress metrics = FreePorts.address();
       String settings =
           String.join(
               "\n",
@@ -110,7 +117,7 @@
               "zone: " + (ownLists ? "zone-" + i : "a"),
               "callerAddress: \"" + Addresses.text(callers) + "\"",
               "readyAddress: \"" + Addresses.text(readiness) + "\"",
-              "adminAddress: \"" + Addresses.text(FreePorts.address()) + "\"",
+              "adminAddress: \"" + Addresses.text(metrics) + "\"",
               "linkAddress: \"" + Addresses.text(FreePorts.address()) + "\"",
               "listAddress: \"" + Addresses.text(list) + "\"",
               "control: [\"" + Addresses.text(control.address()) + "\"]",
@@ -122,10 +129,12 @@
               "keyWithdrawalMillis: 2500",
               // A gateway takes no part of the fixed number of retries in its first window.
               "retryRatio: 2",
+              String.join("\n", settingsLines),
               "");
       Path file = Files.writeString(folder.resolve("gateway-" + i + ".yaml"), settings);
       running.add(RelayGateway.start(file, new HeaderDialect(), new LineListing(POOL)));
       gateways.add(callers);
+      admin.add(metrics);
       await(() -> ready(readiness));
     }
   }
@@ -134,6 +143,7 @@
   void stopFirst(int count) throws Exception {
     for (int i = 0; i < count; i++) {
       gateways.remove(0);
+      admin.remove(0);
       running.remove(0).close();
     }
   }
