--- a/decisions/src/main/java/org/comfreygap/decisions/KnownFleet.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/KnownFleet.java
@@ -81,9 +81,7 @@
   /** Returns the number to divide by; empty while this gateway takes no part. */
   public OptionalInt known(long nowNanos, long nowWallMillis) {
     boolean entitled =
-        everReported
-            && nowNanos - sinceNanos >= waitNanos
-            && !isOld(nowNanos, nowWallMillis);
+        everReported && nowNanos - sinceNanos >= waitNanos && !isOld(nowNanos, nowWallMillis);
     return entitled ? OptionalInt.of(size.divisor()) : OptionalInt.empty();
   }
 
--- a/relay/src/test/java/org/comfreygap/relay/RetryPartTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/RetryPartTest.java
@@ -39,8 +39,7 @@
       fleet.control().fault(FakeControl.Fault.NOT_LEADER);
 
       long cut = System.nanoTime();
-      assertThat(untilPartIs(fleet, "0.0", cut))
-          .isLessThan(KnownFleet.REPORT_LIFETIME.plus(SLACK));
+      assertThat(untilPartIs(fleet, "0.0", cut)).isLessThan(KnownFleet.REPORT_LIFETIME.plus(SLACK));
       fleet.control().fault(FakeControl.Fault.NONE);
     }
   }
@@ -59,8 +58,7 @@
   private String lastPart(GatewayFleet fleet) throws Exception {
     URI timeline = URI.create("http://" + Addresses.text(fleet.adminAddress(0)) + "/timeline");
     HttpResponse<String> response =
-        http.send(
-            HttpRequest.newBuilder(timeline).build(), HttpResponse.BodyHandlers.ofString());
+        http.send(HttpRequest.newBuilder(timeline).build(), HttpResponse.BodyHandlers.ofString());
     String last = "";
     for (JsonNode entry : MAPPER.readTree(response.body())) {
       if (entry.path("name").asText().equals(RelayEvent.RETRY_PART_CHANGED.name())) {
