--- a/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
@@ -15,11 +15,15 @@
  *
  * <pre>{@code
  * budgets.requested("app", now);
- * if (budgets.tryRetry("app", fleetSize.known(now), now)) { sendAgain(); }
+ * if (budgets.tryRetry("app", fleet.known(now, wallNow), now)) { sendAgain(); }
  * }</pre>
  *
+ * <p>A retry that waits after it was allowed is counted again when it is written, since the bound
+ * is on arrivals.
+ *
  * <p>Invariant: in any window the retries at a pool, summed over all gateways, stay within the
- * fleet's bound, as long as no gateway knows too small a fleet. Thread safety: not thread-safe.
+ * fleet's bound, as long as no gateway knows too small a fleet; a window is kept only while it
+ * counts something or no pool is added. Thread safety: not thread-safe.
  *
  * @since 0.6
  */
@@ -48,7 +52,7 @@
 
   /** Counts the first attempt of a request for {@code pool}. */
   public void requested(String pool, long nowNanos) {
-    window(pool).requested(nowNanos);
+    window(pool, nowNanos).requested(nowNanos);
   }
 
   /**
@@ -57,12 +61,23 @@
    * @param gateways gateways among which the fixed number is divided; empty when not known
    */
   public boolean tryRetry(String pool, OptionalInt gateways, long nowNanos) {
-    return window(pool).tryRetry(part(gateways, nowNanos), nowNanos);
+    return window(pool, nowNanos).tryRetry(part(gateways, nowNanos), nowNanos);
+  }
+
+  /**
+   * Counts a retry that was counted at {@code countedNanos} now instead, if the budget still allows
+   * it; otherwise it is no longer counted.
+   *
+   * @param gateways gateways among which the fixed number is divided; empty when not known
+   * @since 0.7
+   */
+  public boolean recount(String pool, long countedNanos, OptionalInt gateways, long nowNanos) {
+    return window(pool, nowNanos).recount(countedNanos, part(gateways, nowNanos), nowNanos);
   }
 
   /** Returns how many retries are allowed at {@code pool} now; may have a fraction. */
   public double remaining(String pool, OptionalInt gateways, long nowNanos) {
-    return window(pool).remaining(part(gateways, nowNanos), nowNanos);
+    return window(pool, nowNanos).remaining(part(gateways, nowNanos), nowNanos);
   }
 
   /** Returns the lowest number of retries that any pool has left; 0 before the first request. */
@@ -73,12 +88,27 @@
         .orElse(0);
   }
 
-  private double part(OptionalInt gateways, long nowNanos) {
+  /**
+   * Returns this gateway's part of the fixed number, which it may use at each pool.
+   *
+   * @param gateways gateways among which the fixed number is divided; empty when not known
+   * @since 0.7
+   */
+  public double part(OptionalInt gateways, long nowNanos) {
     boolean entitled = gateways.isPresent() && nowNanos - extraSinceNanos >= 0;
     return entitled ? extra / Math.max(1, gateways.getAsInt()) : 0;
   }
 
-  private RetryWindow window(String pool) {
-    return byPool.computeIfAbsent(pool, name -> new RetryWindow(ratio, window));
+  /** Returns the number of pools with a window. */
+  int size() {
+    return byPool.size();
+  }
+
+  private RetryWindow window(String pool, long nowNanos) {
+    if (!byPool.containsKey(pool)) {
+      byPool.values().removeIf(known -> known.isEmpty(nowNanos));
+      byPool.put(pool, new RetryWindow(ratio, window));
+    }
+    return byPool.get(pool);
   }
 }
--- a/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
@@ -9,16 +9,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against retries at one pool of endpoints beyond the bound of the fleet. */
 class RetryBudgetsTest {
 
   private static final long SECOND = 1_000_000_000L;
+  private static final long MILLI = 1_000_000L;
   private static final long STEP = SECOND / 20;
   private static final Duration WINDOW = Duration.ofSeconds(10);
   private static final double RATIO = 0.2;
@@ -56,6 +59,56 @@
     assertThat(retries(budgets, "app", OptionalInt.empty(), 30 * SECOND)).isZero();
   }
 
+  /** Pools that are renamed again and again must not fill the memory with windows. */
+  @Test
+  void forgetsPoolsWithoutRequests() {
+    RetryBudgets budgets = new RetryBudgets(RATIO, EXTRA, WINDOW, 0);
+    for (int i = 0; i < 1_000; i++) {
+      budgets.requested("pool-" + i, i * SECOND);
+    }
+
+    assertThat(budgets.size()).isLessThanOrEqualTo(12);
+    assertThat(budgets.remaining("pool-999", OptionalInt.empty(), 1_000 * SECOND)).isPositive();
+  }
+
+  /** Retries that waited for an endpoint must not be written together with those allowed later. */
+  @ParameterizedTest
+  @ValueSource(longs = {1_200, 9_000, 30_000})
+  void countsARetryWhenItIsWritten(long longestWaitMillis) {
+    Random random = new Random(longestWaitMillis);
+    RetryBudgets budgets = new RetryBudgets(0, EXTRA, WINDOW, -60 * SECOND);
+    Map<Long, List<Long>> waiting = new HashMap<>();
+    Deque<Long> written = new ArrayDeque<>();
+    int most = 0;
+    for (long now = 0; now < 300 * SECOND; now += STEP) {
+      while (random.nextInt(20) > 0 && budgets.tryRetry("app", OptionalInt.of(1), now)) {
+        long wait = (long) (random.nextDouble() * longestWaitMillis * MILLI / STEP) * STEP;
+        waiting.computeIfAbsent(now + wait, at -> new ArrayList<>()).add(now);
+      }
+      for (long counted : Optional.ofNullable(waiting.remove(now)).orElse(List.of())) {
+        if (budgets.recount("app", counted, OptionalInt.of(1), now)) {
+          written.addLast(now);
+        }
+      }
+      long begin = now - WINDOW.toNanos();
+      written.removeIf(at -> at <= begin);
+      most = Math.max(most, written.size());
+    }
+    assertThat(most).isPositive().isLessThanOrEqualTo((int) EXTRA);
+  }
+
+  /** A retry that was allowed before a suspension must not be written after the part is lost. */
+  @Test
+  void refusesAWaitingRetryWhenThePartIsLost() {
+    RetryBudgets budgets = new RetryBudgets(0, 2, WINDOW, -60 * SECOND);
+    assertThat(budgets.tryRetry("app", OptionalInt.of(1), 0)).isTrue();
+    assertThat(budgets.tryRetry("app", OptionalInt.of(1), 0)).isTrue();
+
+    assertThat(budgets.recount("app", 0, OptionalInt.empty(), SECOND)).isFalse();
+    assertThat(budgets.recount("app", 0, OptionalInt.of(1), SECOND)).isTrue();
+    assertThat(budgets.remaining("app", OptionalInt.of(1), SECOND)).isEqualTo(1);
+  }
+
   /**
    * Load pattern: all requests for one pool fail, a second pool is busy, all gateways are killed at
    * once, and control knows the gateways that are back one by one.
@@ -79,13 +132,13 @@
           fleet.set(i, new Gateway(random.nextInt(20) * STEP));
         }
         Gateway gateway = fleet.get(i);
-        gateway.size.reported(back, now);
+        gateway.fleet.reported(back, now, now / MILLI, now);
         for (String pool : requests.keySet()) {
           if (random.nextInt(gateways) == 0 || (pool.equals("engines") && i % 2 == 0)) {
             gateway.budgets.requested(pool, now);
             requests.get(pool).addLast(now);
           }
-          if (gateway.budgets.tryRetry(pool, gateway.size.known(now), now)) {
+          if (gateway.budgets.tryRetry(pool, gateway.fleet.known(now, now / MILLI), now)) {
             retries.get(pool).addLast(now);
           }
         }
@@ -96,7 +149,7 @@
         // Requests of the window before may be counted as well.
         requests.get(pool).removeIf(at -> at <= begin - WINDOW.toNanos());
         assertThat((double) retries.get(pool).size())
-            .as("retries at %s at %s ms", pool, now / 1_000_000)
+            .as("retries at %s at %s ms", pool, now / MILLI)
             .isLessThanOrEqualTo(RATIO * requests.get(pool).size() + EXTRA);
       }
     }
@@ -113,7 +166,7 @@
   private static final class Gateway {
 
     private final RetryBudgets budgets;
-    private final FleetSize size = new FleetSize(FleetSize.RETRY_HOLD);
+    private final KnownFleet fleet = new KnownFleet(WINDOW);
 
     Gateway(long startNanos) {
       budgets = new RetryBudgets(RATIO, EXTRA, WINDOW, startNanos);
