--- a/consensus/src/main/java/org/comfreygap/consensus/ApplyWorker.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ApplyWorker.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -18,14 +19,16 @@
 /**
  * Applies committed entries to the state machine, completes their proposals and writes snapshots.
  *
- * <p>Invariant: only this worker's thread calls the state machine. Thread safety: any thread may
- * submit.
+ * <p>Invariants: only this worker's thread calls the state machine; a snapshot that failed is
+ * written again even if no further entry is applied, since a full log accepts none. Thread safety:
+ * any thread may submit.
  */
 final class ApplyWorker implements AutoCloseable {
 
   private static final int RING_SIZE = 64;
   private static final long SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024;
   private static final Duration IDLE_TIMEOUT = Duration.ofMillis(250);
+  private static final Duration SNAPSHOT_RETRY_DELAY = Duration.ofSeconds(1);
 
   private final RaftOptions options;
   private final SnapshotStore snapshots;
@@ -38,6 +41,8 @@
   private List<ReplicaMember> members;
   private long nextSnapshotIndex;
   private long bytesSinceSnapshot;
+  private long appliedTerm;
+  private volatile OptionalLong snapshotRetryNanos = OptionalLong.empty();
   private volatile long appliedIndex;
 
   ApplyWorker(
@@ -53,11 +58,17 @@
     this.onSnapshotTaken = snapshotTaken;
     this.members = loaded.members();
     this.appliedIndex = loaded.index();
+    this.appliedTerm = loaded.term();
     this.nextSnapshotIndex = appliedIndex + options.snapshotEntries();
     this.ring =
-        new RingWorker<>(name, RING_SIZE, IDLE_TIMEOUT, new WorkHandler(), failureHandler).start();
+        new RingWorker<>(name, RING_SIZE, IDLE_TIMEOUT, new ApplyHandler(), failureHandler).start();
     this.snapshotRing =
-        new RingWorker<>(name + "-snapshot", 2, IDLE_TIMEOUT, new WorkHandler(), failureHandler)
+        new RingWorker<Work>(
+                name + "-snapshot",
+                2,
+                IDLE_TIMEOUT,
+                (work, endOfBatch) -> work.run(),
+                failureHandler)
             .start();
   }
 
@@ -124,15 +135,11 @@
         members = Memberships.decode(entry.getPayload());
       }
       bytesSinceSnapshot += entry.bufferForPayload().remaining();
+      appliedTerm = entry.getTerm();
       appliedIndex = entry.getIndex();
       completeProposal(entry, result);
     }
-    LogEntry last = committed.get(committed.size() - 1);
-    if (last.getIndex() >= nextSnapshotIndex || bytesSinceSnapshot >= SNAPSHOT_INTERVAL_BYTES) {
-      bytesSinceSnapshot = 0;
-      nextSnapshotIndex = last.getIndex() + options.snapshotEntries();
-      takeSnapshot(new SnapshotMeta(last.getIndex(), last.getTerm(), members));
-    }
+    takeSnapshotIfDue(now());
   }
 
   private void completeProposal(LogEntry entry, byte[] result) {
@@ -147,16 +154,27 @@
     }
   }
 
+  private void takeSnapshotIfDue(long now) throws IOException {
+    OptionalLong retry = snapshotRetryNanos;
+    boolean due =
+        appliedIndex >= nextSnapshotIndex
+            || bytesSinceSnapshot >= SNAPSHOT_INTERVAL_BYTES
+            || (retry.isPresent() && now - retry.getAsLong() >= 0);
+    if (due && snapshotInProgress.compareAndSet(false, true)) {
+      snapshotRetryNanos = OptionalLong.empty();
+      bytesSinceSnapshot = 0;
+      nextSnapshotIndex = appliedIndex + options.snapshotEntries();
+      takeSnapshot(new SnapshotMeta(appliedIndex, appliedTerm, members));
+    }
+  }
+
   /** Writes the state on this thread; another thread syncs it, so that applying continues. */
   private void takeSnapshot(SnapshotMeta meta) throws IOException {
-    if (!snapshotInProgress.compareAndSet(false, true)) {
-      return;
-    }
     try {
       Disk.DiskFile file = snapshots.write(meta, options.stateMachine()::writeSnapshot);
       if (!snapshotRing.tryPublish(() -> finishSnapshot(file, meta))) {
         file.close();
-        snapshotInProgress.set(false);
+        throw new IOException("the snapshot queue is full");
       }
     } catch (IOException e) {
       snapshotFailed(e);
@@ -179,6 +197,7 @@
       throw failure;
     }
     events.record(ConsensusEvent.SNAPSHOT_FAILED, Field.of("error", failure.getMessage()));
+    snapshotRetryNanos = OptionalLong.of(now() + SNAPSHOT_RETRY_DELAY.toNanos());
     snapshotInProgress.set(false);
   }
 
@@ -189,12 +208,18 @@
     // A snapshot newer than meta may have been received since meta was submitted.
     SnapshotMeta loaded = snapshots.load(options.stateMachine()::readSnapshot);
     members = loaded.members();
+    appliedTerm = loaded.term();
     appliedIndex = loaded.index();
     nextSnapshotIndex = appliedIndex + options.snapshotEntries();
+    snapshotRetryNanos = OptionalLong.empty();
     events.record(ConsensusEvent.SNAPSHOT_INSTALLED, Field.of("index", appliedIndex));
     failLostProposals(0, 0);
   }
 
+  private long now() {
+    return options.nanoClock().getAsLong();
+  }
+
   private static void fail(Proposal proposal) {
     proposal
         .future()
@@ -205,11 +230,16 @@
                     + " ended before the outcome of the command was known"));
   }
 
-  private final class WorkHandler implements RingWorker.Handler<Work> {
+  private final class ApplyHandler implements RingWorker.Handler<Work> {
 
     @Override
     public void handle(Work work, boolean endOfBatch) throws Exception {
       work.run();
     }
+
+    @Override
+    public void onIdle() throws Exception {
+      takeSnapshotIfDue(now());
+    }
   }
 }
--- a/consensus/src/test/java/org/comfreygap/consensus/MemoryDisk.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/MemoryDisk.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * An in-memory disk with injectable faults that loses unsynced writes in a crash.
@@ -22,6 +23,9 @@
   private volatile long syncDelayMillis;
   private volatile boolean full;
   private volatile boolean syncFails;
+  private volatile boolean deletesFail;
+  private volatile long capacity = Long.MAX_VALUE;
+  private volatile Predicate<String> refused = name -> false;
 
   void syncDelayMillis(long value) {
     syncDelayMillis = value;
@@ -35,6 +39,20 @@
     syncFails = value;
   }
 
+  void deletesFail(boolean value) {
+    deletesFail = value;
+  }
+
+  /** Sets the bytes that all files together may take. */
+  void capacity(long bytes) {
+    capacity = bytes;
+  }
+
+  /** Refuses writes to the files whose names match. */
+  void refuseWrites(Predicate<String> names) {
+    refused = names;
+  }
+
   /** Loses unsynced writes except for a random, possibly damaged prefix of each of them. */
   synchronized void crash(Random random) {
     files = new TreeMap<>(durableNames);
@@ -79,7 +97,7 @@
 
   @Override
   public synchronized DiskFile write(String name) throws IOException {
-    return new MemoryFile(files.computeIfAbsent(name, key -> new Content()));
+    return new MemoryFile(name, files.computeIfAbsent(name, key -> new Content()));
   }
 
   @Override
@@ -88,7 +106,10 @@
   }
 
   @Override
-  public synchronized void delete(String name) {
+  public synchronized void delete(String name) throws IOException {
+    if (deletesFail && files.containsKey(name)) {
+      throw new IOException("injected: cannot delete " + name);
+    }
     files.remove(name);
   }
 
@@ -138,9 +159,11 @@
 
   private final class MemoryFile implements DiskFile {
 
+    private final String name;
     private final Content content;
 
-    MemoryFile(Content content) {
+    MemoryFile(String name, Content content) {
+      this.name = name;
       this.content = content;
     }
 
@@ -154,16 +177,26 @@
     @Override
     public void write(long position, ByteBuffer bytes) throws IOException {
       synchronized (MemoryDisk.this) {
-        byte[] part = new byte[full ? bytes.remaining() / 2 : bytes.remaining()];
+        byte[] part = new byte[accepted(position, bytes.remaining())];
         bytes.get(part);
         content.put(position, part);
         content.unsynced.add(new Unsynced(position, part));
-        if (full) {
+        if (bytes.hasRemaining()) {
           throw new IOException("injected: no space left");
         }
       }
     }
 
+    /** Returns how many of {@code length} bytes are written before the disk refuses the rest. */
+    private int accepted(long position, int length) {
+      if (full || refused.test(name)) {
+        return length / 2;
+      }
+      long used = files.values().stream().mapToLong(file -> file.bytes.length).sum();
+      long growth = Math.max(0, position + length - content.bytes.length);
+      return (int) Math.max(0, length - Math.max(0, growth - (capacity - used)));
+    }
+
     @Override
     public void truncate(long size) {
       synchronized (MemoryDisk.this) {
