Compact the log while a write waits for room

A replica whose own segments fill its disk never wrote again: the deletion of obsolete segments was queued behind the write that waited for room.

StorageWorker keeps the index up to which the log may be compacted outside of its queue, and compacts after each batch, between two attempts of a refused write and while it is idle, until the deletion succeeds. 2515 COMPACTION_FAILED records a deletion that the disk refuses.

--- a/consensus/src/main/java/org/comfreygap/consensus/ConsensusEvent.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ConsensusEvent.java
@@ -29,6 +29,7 @@
   SYNC_FAILED(2512, Level.ERROR, "A disk sync failed; the process stops."),
   WRITE_REFUSED(2513, Level.ERROR, "The disk refused a write, for example because it is full."),
   WRITE_ACCEPTED(2514, Level.INFO, "The disk accepts writes again."),
+  COMPACTION_FAILED(2515, Level.ERROR, "A segment of the log could not be deleted; retried."),
   SNAPSHOT_WRITTEN(2520, Level.INFO, "A snapshot was written and synced."),
   SNAPSHOT_FAILED(2521, Level.ERROR, "A snapshot could not be written; the log keeps growing."),
   SNAPSHOT_SENT(2522, Level.INFO, "A snapshot was sent to a replica that lagged behind the log."),
--- a/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -223,15 +223,19 @@
     return syncedSize;
   }
 
-  /** Deletes segments that contain only entries before {@code index}. */
+  /** Deletes segments that contain only entries before {@code index}; may be repeated. */
   void compact(long index) throws IOException {
     boolean deleted = false;
-    while (segments.size() > 1 && segments.getFirst().maxIndex < index) {
-      disk.delete(segments.removeFirst().name);
-      deleted = true;
-    }
-    if (deleted) {
-      disk.syncFolder();
+    try {
+      while (segments.size() > 1 && segments.getFirst().maxIndex < index) {
+        disk.delete(segments.getFirst().name);
+        segments.removeFirst();
+        deleted = true;
+      }
+    } finally {
+      if (deleted) {
+        disk.syncFolder();
+      }
     }
   }
 
--- a/consensus/src/main/java/org/comfreygap/consensus/StorageWorker.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/StorageWorker.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.comfreygap.protocol.generated.SnapshotChunk;
@@ -14,7 +15,9 @@
  *
  * <p>Invariant: completion is reported only after a sync, and never after a sync has failed. A
  * write that the disk rejects, for example because it is full, is retried until it succeeds;
- * nothing is acknowledged meanwhile. Thread safety: any thread may submit; one thread writes.
+ * nothing is acknowledged meanwhile. Segments that are no longer needed are deleted also while a
+ * write is retried, since they may take the room that it needs. Thread safety: any thread may
+ * submit; one thread writes.
  */
 final class StorageWorker implements AutoCloseable {
 
@@ -34,7 +37,9 @@
   private final EventLog events;
   private final LongConsumer onPersisted;
   private final RingWorker<Work> ring;
+  private final AtomicLong compactionIndex = new AtomicLong();
   private volatile boolean closed;
+  private boolean compactionFailed;
   private long unsyncedSequence;
 
   StorageWorker(
@@ -69,13 +74,11 @@
     ring.tryPublish(() -> storeChunk(chunk, callback));
   }
 
-  /** Deletes segments that contain only entries before {@code index}. */
+  /** Deletes segments that contain only entries before {@code index}; retried until it succeeds. */
   void compact(long index) {
-    ring.tryPublish(
-        () -> {
-          flush();
-          store.compact(index);
-        });
+    compactionIndex.accumulateAndGet(index, Math::max);
+    // Wakes an idle thread; a busy one compacts after its batch.
+    ring.tryPublish(() -> {});
   }
 
   /** Stops the thread and closes the log; writes a sync mark unless requests are unsynced. */
@@ -141,12 +144,32 @@
           events.record(ConsensusEvent.WRITE_REFUSED, Field.of("error", e.getMessage()));
         }
         refused = true;
+        compactLog();
         pause();
       }
     }
     return false;
   }
 
+  private void compactLog() throws IOException {
+    long index = compactionIndex.getAndSet(0);
+    if (index == 0) {
+      return;
+    }
+    try {
+      store.compact(index);
+      compactionFailed = false;
+    } catch (SyncFailedException e) {
+      throw e;
+    } catch (IOException e) {
+      compactionIndex.accumulateAndGet(index, Math::max);
+      if (!compactionFailed) {
+        events.record(ConsensusEvent.COMPACTION_FAILED, Field.of("error", e.getMessage()));
+      }
+      compactionFailed = true;
+    }
+  }
+
   private void storeChunk(SnapshotChunk chunk, ChunkCallback callback) throws IOException {
     long next = 0;
     Optional<SnapshotMeta> complete = Optional.empty();
@@ -180,7 +203,13 @@
       work.run();
       if (endOfBatch) {
         flush();
+        compactLog();
       }
     }
+
+    @Override
+    public void onIdle() throws Exception {
+      compactLog();
+    }
   }
 }
--- /dev/null
+++ b/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
@@ -0,0 +1,124 @@
+package org.comfreygap.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+import org.comfreygap.protocol.generated.EntryKind;
+import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.HybridClock;
+import org.comfreygap.runtime.Timeline;
+import org.junit.jupiter.api.Test;
+
+/** Tests the log and the snapshots of one replica on a disk without room. */
+class FullDiskStorageTest {
+
+  private static final int SEGMENT_BYTES = 2_048;
+
+  /** Guards against a log that waits for room that only its own compaction would free. */
+  @Test
+  void compactionFreesRoomForAWriteThatTheDiskRefuses() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore store = filledStore(disk, 30);
+    disk.capacity(used(disk));
+    try (Worker worker = new Worker(disk, store)) {
+      worker.storage.submit(persist(1, 31, 3_000));
+      await(() -> worker.recorded(ConsensusEvent.WRITE_REFUSED));
+      worker.storage.compact(25);
+      await(() -> worker.persisted.get() == 1);
+      assertThat(worker.failure.get()).isNull();
+    }
+  }
+
+  /** Guards against a replica that ends, or never compacts again, after a refused deletion. */
+  @Test
+  void refusedDeletionIsRetried() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore store = filledStore(disk, 30);
+    int before = disk.list().size();
+    try (Worker worker = new Worker(disk, store)) {
+      disk.deletesFail(true);
+      worker.storage.compact(25);
+      worker.storage.submit(persist(1, 31, 10));
+      await(() -> worker.persisted.get() == 1);
+      disk.deletesFail(false);
+      worker.storage.submit(persist(2, 32, 10));
+      await(() -> worker.persisted.get() == 2);
+      await(() -> disk.list().size() < before);
+      assertThat(worker.failure.get()).isNull();
+    }
+  }
+
+  private static LogStore filledStore(MemoryDisk disk, int entries) throws IOException {
+    LogStore store = open(disk).store();
+    for (int i = 1; i <= entries; i++) {
+      store.add(entry(i, 300));
+      store.write();
+      store.sync();
+    }
+    return store;
+  }
+
+  private static LogStore.OpenedStore open(MemoryDisk disk) throws IOException {
+    return LogStore.open(disk, SEGMENT_BYTES);
+  }
+
+  private static PersistRequest persist(long sequence, long index, int size) {
+    return new PersistRequest(
+        sequence, Optional.empty(), Optional.empty(), List.of(entry(index, size)));
+  }
+
+  private static LogEntry entry(long index, int size) {
+    byte[] payload = new byte[size];
+    Arrays.fill(payload, (byte) 7);
+    return new LogEntry(index, 1, EntryKind.COMMAND, ByteBuffer.wrap(payload));
+  }
+
+  private static long used(MemoryDisk disk) {
+    return disk.list().stream().mapToLong(disk::size).sum();
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime() - end).as("nanoseconds past the deadline").isNegative();
+      TestCluster.sleep(5);
+    }
+  }
+
+  /** A storage worker with what it reports. */
+  private static final class Worker implements AutoCloseable {
+
+    private final Timeline timeline = new Timeline(1_000);
+    private final EventLog events =
+        new EventLog("test", new HybridClock(System::currentTimeMillis), timeline);
+    private final AtomicLong persisted = new AtomicLong();
+    private final AtomicReference<Exception> failure = new AtomicReference<>();
+    private final StorageWorker storage;
+
+    Worker(MemoryDisk disk, LogStore store) {
+      storage =
+          new StorageWorker(
+              "disk", store, new SnapshotStore(disk), events, persisted::set, failure::set);
+    }
+
+    boolean recorded(ConsensusEvent event) {
+      return timeline.eventsSince(0, Optional.empty(), Optional.empty()).stream()
+          .anyMatch(entry -> entry.number() == event.number());
+    }
+
+    @Override
+    public void close() {
+      storage.abandon();
+      events.close();
+    }
+  }
+}
