Begin a segment of the log without zeros when there is no room for them

A replica wrote nothing while its disk had less room than a whole segment of 8 MB, although records of a few hundred bytes would have fitted, and each attempt filled the disk up to its last byte.

The zeros only save the file system work at each sync, so a segment that can't be filled is cut back to its head, and records extend it.

The test failed before with "injected: no space left".

--- a/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -10,12 +10,15 @@
 import java.util.List;
 import java.util.Optional;
 import org.comfreygap.protocol.generated.LogEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The log on disk: append-only segment files of checksummed records.
  *
- * <p>A new segment is filled with zeros, so that syncing records does not have to wait for the file
- * system's journal to record a new file size. The log ends where only zeros follow.
+ * <p>A new segment is filled with zeros if there is room, so that syncing records does not have to
+ * wait for the file system's journal to record a new file size. The log ends where only zeros
+ * follow.
  *
  * <p>An entry record replaces the entry with the same index and all later entries, so a conflicting
  * suffix is never removed from a file. Each segment starts with a copy of the newest hard state.
@@ -25,6 +28,8 @@
  */
 final class LogStore implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(LogStore.class);
+
   static final int SEGMENT_BYTES = 8 * 1024 * 1024;
 
   private static final String PREFIX = "log-";
@@ -268,7 +273,7 @@
     try {
       next.truncate(0);
       next.write(0, ByteBuffer.wrap(head.toByteArray()));
-      fillWithZeros(next, head.size(), segmentBytes);
+      reserve(next, head.size());
     } catch (IOException e) {
       next.close();
       throw e;
@@ -282,6 +287,16 @@
     segments.add(segment);
   }
 
+  /** Fills a segment with zeros; leaves it without them when the disk lacks the room. */
+  private void reserve(Disk.DiskFile segment, long begin) throws IOException {
+    try {
+      fillWithZeros(segment, begin, segmentBytes);
+    } catch (IOException e) {
+      LOG.debug("no room to fill a segment with zeros; its records are appended", e);
+      segment.truncate(begin);
+    }
+  }
+
   private void readSegment(String name, boolean first, boolean last, Contents contents)
       throws IOException {
     ByteBuffer bytes;
--- a/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -57,6 +58,22 @@
     }
   }
 
+  /** Guards against a log that accepts nothing on a disk with room for records but no segment. */
+  @Test
+  void newSegmentNeedsNoMoreRoomThanItsRecords() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    disk.capacity(SEGMENT_BYTES / 2);
+    LogStore store = open(disk).store();
+    store.add(entry(1, 10));
+    store.write();
+    store.sync();
+    store.add(entry(2, 10));
+    store.write();
+    store.sync();
+    disk.crash(new Random(1));
+    assertThat(open(disk).contents().entries()).hasSize(2);
+  }
+
   private static LogStore filledStore(MemoryDisk disk, int entries) throws IOException {
     LogStore store = open(disk).store();
     for (int i = 1; i <= entries; i++) {
