Open the log on a full disk after an incomplete write

A replica that was killed in the middle of a write and restarted while its disk was full ended at each start, until there was room, and could not even follow: opening the log overwrote the incomplete write with zeros at once.

The zeros are written and synced before the first new record instead, where a refused write is retried.

Both tests failed before with "injected: no space left" from LogStore.open.

--- a/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -42,6 +42,7 @@
   private Disk.DiskFile file;
   private long syncedSize;
   private long writtenSize;
+  private long tornEnd;
   private HardState hardState = HardState.NONE;
   private HardState syncedState = HardState.NONE;
   private long lastIndex;
@@ -137,7 +138,8 @@
   record OpenedStore(LogStore store, Contents contents) {}
 
   /**
-   * Reads the log and prepares it for appending.
+   * Reads the log and prepares it for appending. An incomplete write at the end is overwritten with
+   * zeros at the first {@link #write}, since the disk may be full.
    *
    * @throws LogCorruptException when synced data is damaged or missing
    */
@@ -198,6 +200,7 @@
     if (file == null) {
       beginSegment();
     }
+    clearTornTail();
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     batch.forEach(record -> record.write(bytes, syncedSize));
     file.write(syncedSize, ByteBuffer.wrap(bytes.toByteArray()));
@@ -316,7 +319,7 @@
     while (offset < bytes.limit()) {
       Optional<LogRecord> found = LogRecord.read(bytes, offset);
       if (found.isEmpty()) {
-        clearTornTail(name, bytes, offset, last, contents);
+        noteTornTail(name, bytes, offset, last, contents);
         break;
       }
       LogRecord record = found.get();
@@ -328,6 +331,7 @@
       offset += record.size();
     }
     if (offset == 0) {
+      tornEnd = 0;
       disk.delete(name);
       disk.syncFolder();
       return;
@@ -336,7 +340,7 @@
     segments.add(segment);
   }
 
-  private void clearTornTail(
+  private void noteTornTail(
       String name, ByteBuffer bytes, int offset, boolean last, Contents contents)
       throws IOException {
     if (!last || isSyncedBeyond(bytes, offset)) {
@@ -352,9 +356,15 @@
     }
     contents.tornSegment = name;
     contents.tornBytes = bytes.limit() - offset;
-    try (Disk.DiskFile torn = disk.write(name)) {
-      fillWithZeros(torn, offset, bytes.limit());
-      torn.sync();
+    tornEnd = bytes.limit();
+  }
+
+  /** Overwrites an incomplete write, whose intact records could otherwise follow a new one. */
+  private void clearTornTail() throws IOException {
+    if (tornEnd > 0) {
+      fillWithZeros(file, syncedSize, tornEnd);
+      file.sync();
+      tornEnd = 0;
     }
   }
 
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -103,9 +103,8 @@
     CoreLog log =
         new CoreLog(snapshot, contents.baseIndex(), contents.baseTerm(), contents.entries());
     if (log.entriesDiscarded()) {
+      // Written with the next batch; until then the snapshot tells again that entries are obsolete.
       opened.store().reset(snapshot.index(), snapshot.term());
-      opened.store().write();
-      opened.store().sync();
     }
     snapshots.load(options.stateMachine()::readSnapshot);
     this.applySubmittedIndex = snapshot.index();
--- a/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
@@ -1,6 +1,7 @@
 package org.comfreygap.consensus;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -74,6 +75,48 @@
     assertThat(open(disk).contents().entries()).hasSize(2);
   }
 
+  /** Guards against a replica that ends again and again while its disk is full. */
+  @Test
+  void replicaOpensOnAFullDiskAfterATornWrite() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore written = filledStore(disk, 2);
+    int end = (int) written.syncedSize();
+    disk.damage(disk.list().get(0), end - 1);
+    disk.full(true);
+    LogStore.OpenedStore opened = open(disk);
+    assertThat(opened.contents().entries()).hasSize(1);
+    opened.store().add(entry(2, 300));
+    assertThatThrownBy(opened.store()::write).isInstanceOf(IOException.class);
+    disk.full(false);
+    opened.store().write();
+    opened.store().sync();
+    disk.crash(new Random(1));
+    assertThat(open(disk).contents().entries()).hasSize(2);
+  }
+
+  /** Guards against records of a torn batch that reappear behind the record that replaces it. */
+  @Test
+  void tornRecordsDoNotReappearWhenTheyAreClearedLate() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore written = open(disk).store();
+    long begin = 0;
+    for (int batch = 0; batch < 2; batch++) {
+      written.add(entry(2 * batch + 1, 20));
+      written.add(entry(2 * batch + 2, 20));
+      written.write();
+      begin = written.syncedSize();
+      written.sync();
+    }
+    disk.damage(disk.list().get(0), (int) begin + LogRecord.HEADER_BYTES);
+    disk.full(true);
+    LogStore store = open(disk).store();
+    disk.full(false);
+    store.add(entry(3, 20));
+    store.write();
+    store.sync();
+    assertThat(open(disk).contents().entries()).hasSize(3);
+  }
+
   private static LogStore filledStore(MemoryDisk disk, int entries) throws IOException {
     LogStore store = open(disk).store();
     for (int i = 1; i <= entries; i++) {
