--- a/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
@@ -92,7 +92,7 @@
       writeTo(file, meta, body);
       return file;
     } catch (IOException e) {
-      file.close();
+      discard(file, WRITTEN, e);
       throw e;
     }
   }
@@ -122,7 +122,14 @@
     }
     long size = receiving.size();
     if (offset == size) {
-      receiving.write(size, ByteBuffer.wrap(bytes));
+      try {
+        receiving.write(size, ByteBuffer.wrap(bytes));
+      } catch (IOException e) {
+        discard(receiving, RECEIVED, e);
+        receiving = null;
+        receivingIndex = -1;
+        throw e;
+      }
     }
     return receiving.size();
   }
@@ -163,6 +170,15 @@
     }
   }
 
+  /** Deletes an incomplete file, which would keep its room until the next snapshot. */
+  private void discard(Disk.DiskFile file, String name, IOException cause) {
+    try (file) {
+      disk.delete(name);
+    } catch (IOException e) {
+      cause.addSuppressed(e);
+    }
+  }
+
   private void publish(String temporary, long index) throws IOException {
     synchronized (disk) {
       disk.rename(temporary, name(index));
--- a/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
@@ -24,6 +24,7 @@
 class FullDiskStorageTest {
 
   private static final int SEGMENT_BYTES = 2_048;
+  private static final SnapshotMeta META = new SnapshotMeta(5, 2, List.of());
 
   /** Guards against a log that waits for room that only its own compaction would free. */
   @Test
@@ -117,6 +118,31 @@
     assertThat(open(disk).contents().entries()).hasSize(3);
   }
 
+  /** Guards against the file of a failed snapshot that keeps the disk full. */
+  @Test
+  void failedSnapshotLeavesNoFile() {
+    MemoryDisk disk = new MemoryDisk();
+    SnapshotStore snapshots = new SnapshotStore(disk);
+    disk.capacity(500);
+    assertThatThrownBy(() -> snapshots.write(META, out -> out.write(new byte[1_000])))
+        .isInstanceOf(IOException.class);
+    assertThat(disk.list()).isEmpty();
+  }
+
+  /** Guards against the file of a failed snapshot transfer that keeps the disk full. */
+  @Test
+  void failedSnapshotTransferLeavesNoFile() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    SnapshotStore snapshots = new SnapshotStore(disk);
+    disk.capacity(500);
+    assertThat(snapshots.receive(5, 0, new byte[400])).isEqualTo(400);
+    assertThatThrownBy(() -> snapshots.receive(5, 400, new byte[400]))
+        .isInstanceOf(IOException.class);
+    assertThat(disk.list()).isEmpty();
+    disk.capacity(Long.MAX_VALUE);
+    assertThat(snapshots.receive(5, 400, new byte[400])).isZero();
+  }
+
   private static LogStore filledStore(MemoryDisk disk, int entries) throws IOException {
     LogStore store = open(disk).store();
     for (int i = 1; i <= entries; i++) {
