--- a/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
@@ -14,6 +14,8 @@
 import java.util.zip.CRC32C;
 import java.util.zip.CheckedInputStream;
 import java.util.zip.CheckedOutputStream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Snapshot files: {@code magic, index, term, membership, state, CRC-32C}.
@@ -38,6 +40,8 @@
     void read(InputStream in) throws IOException;
   }
 
+  private static final Logger LOG = LoggerFactory.getLogger(SnapshotStore.class);
+
   private static final String PREFIX = "snapshot-";
   private static final String TEMPORARY_SUFFIX = ".tmp";
   private static final String WRITTEN = "own" + TEMPORARY_SUFFIX;
@@ -183,9 +187,18 @@
     synchronized (disk) {
       disk.rename(temporary, name(index));
       disk.syncFolder();
-      List<String> names = names();
-      for (String older : names.subList(0, names.size() - 1)) {
+      deleteOlder();
+    }
+  }
+
+  /** Deletes all but the newest snapshot; one that cannot be deleted is left to the next call. */
+  private void deleteOlder() throws IOException {
+    List<String> names = names();
+    for (String older : names.subList(0, names.size() - 1)) {
+      try {
         disk.delete(older);
+      } catch (IOException e) {
+        LOG.warn("{} cannot be deleted; it is deleted with the next snapshot", older, e);
       }
     }
   }
--- a/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
@@ -143,6 +143,22 @@
     assertThat(snapshots.receive(5, 400, new byte[400])).isZero();
   }
 
+  /** Guards against a published snapshot that the replica does not know of. */
+  @Test
+  void snapshotCountsAlthoughAnOlderOneCannotBeDeleted() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    SnapshotStore snapshots = new SnapshotStore(disk);
+    snapshots.finish(snapshots.write(META, out -> out.write(1)), META);
+    disk.deletesFail(true);
+    SnapshotMeta newer = new SnapshotMeta(9, 2, List.of());
+    snapshots.finish(snapshots.write(newer, out -> out.write(2)), newer);
+    assertThat(snapshots.openNewest(9)).isPresent();
+    disk.deletesFail(false);
+    SnapshotMeta newest = new SnapshotMeta(12, 2, List.of());
+    snapshots.finish(snapshots.write(newest, out -> out.write(3)), newest);
+    assertThat(disk.list()).hasSize(1);
+  }
+
   private static LogStore filledStore(MemoryDisk disk, int entries) throws IOException {
     LogStore store = open(disk).store();
     for (int i = 1; i <= entries; i++) {
