--- a/consensus/src/main/java/org/comfreygap/consensus/StorageWorker.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/StorageWorker.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -29,6 +30,8 @@
   }
 
   private static final int RING_SIZE = 256;
+  // A leader sends one chunk at a time; more are repeats that nobody waits for any longer.
+  private static final int MAX_WAITING_CHUNKS = 4;
   private static final Duration IDLE_TIMEOUT = Duration.ofMillis(250);
   private static final long RETRY_DELAY_MILLIS = 50;
 
@@ -37,6 +40,7 @@
   private final EventLog events;
   private final LongConsumer onPersisted;
   private final RingWorker<Work> ring;
+  private final AtomicInteger waitingChunks = new AtomicInteger();
   private final AtomicLong compactionIndex = new AtomicLong();
   private volatile boolean closed;
   private boolean compactionFailed;
@@ -69,9 +73,16 @@
     return ring.tryPublish(() -> add(persist));
   }
 
-  /** Stores a snapshot chunk; the chunk is dropped when the queue is full. */
+  /** Stores a snapshot chunk; it is dropped while too many wait, and the leader repeats it. */
   void submit(SnapshotChunk chunk, ChunkCallback callback) {
-    ring.tryPublish(() -> storeChunk(chunk, callback));
+    Work work =
+        () -> {
+          waitingChunks.decrementAndGet();
+          storeChunk(chunk, callback);
+        };
+    if (waitingChunks.incrementAndGet() > MAX_WAITING_CHUNKS || !ring.tryPublish(work)) {
+      waitingChunks.decrementAndGet();
+    }
   }
 
   /** Deletes segments that contain only entries before {@code index}; retried until it succeeds. */
--- a/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/FullDiskStorageTest.java
@@ -15,6 +15,7 @@
 import java.util.function.BooleanSupplier;
 import org.comfreygap.protocol.generated.EntryKind;
 import org.comfreygap.protocol.generated.LogEntry;
+import org.comfreygap.protocol.generated.SnapshotChunk;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.HybridClock;
 import org.comfreygap.runtime.Timeline;
@@ -60,6 +61,25 @@
     }
   }
 
+  /** Guards against a replica that ends because snapshot chunks fill the queue to its full disk. */
+  @Test
+  void snapshotChunksLeaveRoomForTheLog() throws Exception {
+    MemoryDisk disk = new MemoryDisk();
+    LogStore store = filledStore(disk, 1);
+    disk.full(true);
+    try (Worker worker = new Worker(disk, store)) {
+      worker.storage.submit(persist(1, 2, 10));
+      await(() -> worker.recorded(ConsensusEvent.WRITE_REFUSED));
+      SnapshotChunk chunk = new SnapshotChunk().setLastIndex(5).setBytes(new byte[100]);
+      for (int i = 0; i < 300; i++) {
+        worker.storage.submit(chunk, (next, complete) -> {});
+      }
+      assertThat(worker.storage.submit(persist(2, 3, 10))).isTrue();
+      disk.full(false);
+      await(() -> worker.persisted.get() == 2);
+    }
+  }
+
   /** Guards against a log that accepts nothing on a disk with room for records but no segment. */
   @Test
   void newSegmentNeedsNoMoreRoomThanItsRecords() throws Exception {
