Propose the address of a leader until it is committed

A leader proposes its addresses once for each term, and nobody looked at the result. A leader whose log accepted no command at that moment, for example because it was full, stayed unknown to the other instances for its whole term: they answered callers with 503 instead of sending them to it.

Leadership proposes the addresses again at the next call when the proposal failed.

The test failed before: expected "127.0.0.1:22", but was null.

--- a/control/src/main/java/org/comfreygap/control/Leadership.java
+++ b/control/src/main/java/org/comfreygap/control/Leadership.java
@@ -26,8 +26,9 @@
  * BeginResult result = leadership.commit(term, millis -> command(millis), BeginResult.class);
  * }</pre>
  *
- * <p>Invariant: {@link #current} returns a term only under a valid lease, and the state of an
- * earlier term is never used in a later one. Thread safety: any thread may call.
+ * <p>Invariants: {@link #current} returns a term only under a valid lease, and the state of an
+ * earlier term is never used in a later one; the leader's address is proposed until it is
+ * committed. Thread safety: any thread may call.
  */
 @Singleton
 final class Leadership {
@@ -40,6 +41,7 @@
   private final EventLog events;
   private final ControlState.ReplicaAddresses self;
   private LeaderTerm term;
+  private CompletableFuture<?> registration = CompletableFuture.completedFuture(null);
 
   @Inject
   Leadership(
@@ -148,12 +150,18 @@
     if (term == null || term.term() != lease.term()) {
       term = new LeaderTerm(lease.term(), now, state);
       events.record(ControlEvent.LEADERSHIP_BEGAN, Field.of("term", lease.term()));
-      propose(
-          term,
-          millis ->
-              new Command.RegisterReplica(
-                  millis, self.replicaId(), self.rpcAddress(), self.httpAddress()));
+      registration = proposeRegistration();
+    } else if (registration.isCompletedExceptionally()) {
+      registration = proposeRegistration();
     }
     return term;
   }
+
+  private CompletableFuture<?> proposeRegistration() {
+    return propose(
+        term,
+        millis ->
+            new Command.RegisterReplica(
+                millis, self.replicaId(), self.rpcAddress(), self.httpAddress()));
+  }
 }
--- a/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
+++ b/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
@@ -100,6 +100,18 @@
     }
   }
 
+  /** Guards against followers that know no address of a leader whose log was full at first. */
+  @Test
+  void leaderRegistersItsAddressOnceItsLogAcceptsCommands() {
+    cluster.refuseCommands(1);
+    cluster.elect(second.log);
+    second.term();
+    assertThat(first.get(Leadership.class).notLeader().getLeaderAddress()).isNull();
+    second.term();
+    assertThat(first.get(Leadership.class).notLeader().getLeaderAddress())
+        .isEqualTo("127.0.0.1:22");
+  }
+
   /** Guards against a new leader that grants credit already granted by its predecessor (I6). */
   @Test
   void outstandingCreditCountsAsSpentAfterLeaderChange() throws Exception {
--- a/control/src/test/java/org/comfreygap/control/MemoryCluster.java
+++ b/control/src/test/java/org/comfreygap/control/MemoryCluster.java
@@ -25,6 +25,7 @@
   private Replica leader;
   private long term;
   private int resultsToLose;
+  private int commandsToRefuse;
 
   synchronized Replica add(String id, ControlState state) {
     Replica replica = new Replica(id, state);
@@ -53,6 +54,11 @@
     resultsToLose = count;
   }
 
+  /** Makes the leader refuse the next {@code count} proposals, as one does whose log is full. */
+  synchronized void refuseCommands(int count) {
+    commandsToRefuse = count;
+  }
+
   synchronized int commandCount() {
     return commands.size();
   }
@@ -104,6 +110,10 @@
         if (leader != this) {
           return CompletableFuture.failedFuture(new NotLeaderException("not the leader"));
         }
+        if (commandsToRefuse > 0) {
+          commandsToRefuse--;
+          return CompletableFuture.failedFuture(new NotLeaderException("the log is full"));
+        }
         commands.add(command);
         byte[] result = new byte[0];
         for (Replica replica : replicas) {
