Propose refused credit ceilings again

A leader that refuses one proposal of credit ceilings, for example because its log is full, granted the customer nothing above its committed ceiling for the rest of its term, and answered each exchange that asked for more as if it did not lead: the budget took the ceiling for proposed and waited for a commit that could not come.

A failed proposal makes the ceilings due again. A repeated record is never lower than an earlier one, which may still be committed, so that a new leader does not count less than was granted.

LeaderChangeTest failed before with NotLeader at the second exchange. TokenBudgetTest checks that a refused ceiling is due again and not lower.

--- a/control/src/main/java/org/comfreygap/control/CreditController.java
+++ b/control/src/main/java/org/comfreygap/control/CreditController.java
@@ -55,7 +55,7 @@
     synchronized (budget) {
       long now = System.nanoTime();
       limitsUpdater.update(term, now);
-      applyCommittedCeilings(term);
+      applyProposedCeilings(term);
       commitCeilings(term, budget.ceilingsFor(items, now));
       if (budget.waitsForCeiling(items)) {
         commit = term.ceilingCommit();
@@ -69,7 +69,7 @@
       if (!leadership.holdsLease(term)) {
         throw leadership.notLeader();
       }
-      applyCommittedCeilings(term);
+      applyProposedCeilings(term);
       answer = budget.exchange(holder, request.getSequence(), items, System.nanoTime());
     }
     TokenBudget.Response found =
@@ -88,7 +88,7 @@
     synchronized (term.budget()) {
       long now = System.nanoTime();
       limitsUpdater.update(term, now);
-      applyCommittedCeilings(term);
+      applyProposedCeilings(term);
       commitCeilings(term, term.budget().ceilingsAhead(now));
       term.budget().forgetIdle(now);
     }
@@ -101,15 +101,23 @@
     term.ceilingCommit(
         leadership
             .propose(term, millis -> new Command.CommitCeilings(millis, due))
-            .thenRun(() -> term.committedCeilings().add(due)));
+            .whenComplete(
+                (applied, failure) ->
+                    (failure == null ? term.committedCeilings() : term.refusedCeilings())
+                        .add(due)));
   }
 
-  private static void applyCommittedCeilings(LeaderTerm term) {
+  private static void applyProposedCeilings(LeaderTerm term) {
     List<TokenBudget.Ceiling> committed = term.committedCeilings().poll();
     while (committed != null) {
       term.budget().committed(committed);
       committed = term.committedCeilings().poll();
     }
+    List<TokenBudget.Ceiling> refused = term.refusedCeilings().poll();
+    while (refused != null) {
+      term.budget().refused(refused);
+      refused = term.refusedCeilings().poll();
+    }
   }
 
   /**
--- a/control/src/main/java/org/comfreygap/control/LeaderTerm.java
+++ b/control/src/main/java/org/comfreygap/control/LeaderTerm.java
@@ -35,6 +35,7 @@
   private final ConcurrentHashMap<RequestLedger.Owner, Long> ownerLastContactNanos =
       new ConcurrentHashMap<>();
   private final Queue<List<TokenBudget.Ceiling>> committedCeilings = new ConcurrentLinkedQueue<>();
+  private final Queue<List<TokenBudget.Ceiling>> refusedCeilings = new ConcurrentLinkedQueue<>();
   private volatile CompletableFuture<?> ceilingCommit = CompletableFuture.completedFuture(null);
 
   LeaderTerm(long term, long startNanos, ControlState state) {
@@ -85,6 +86,11 @@
     return committedCeilings;
   }
 
+  /** Returns the queue of ceilings whose proposal failed and of which the budget does not know. */
+  Queue<List<TokenBudget.Ceiling>> refusedCeilings() {
+    return refusedCeilings;
+  }
+
   /** Returns the most recent commit of credit ceilings. */
   CompletableFuture<?> ceilingCommit() {
     return ceilingCommit;
--- a/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
+++ b/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
@@ -112,6 +112,15 @@
         .isEqualTo("127.0.0.1:22");
   }
 
+  /** Guards against a customer that gets no more credit after one command was refused (I6). */
+  @Test
+  void creditIsGrantedOnceTheLogAcceptsCommandsAgain() throws Exception {
+    cluster.refuseCommands(1);
+    assertThatThrownBy(() -> first.handler.exchangeCredit(credit("g", 1, 0, 700)))
+        .isInstanceOf(NotLeader.class);
+    assertThat(granted(first, credit("g", 2, 0, 700))).isEqualTo(700);
+  }
+
   /** Guards against a new leader that grants credit already granted by its predecessor (I6). */
   @Test
   void outstandingCreditCountsAsSpentAfterLeaderChange() throws Exception {
--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerBucket.java
@@ -43,6 +43,7 @@
   private long pendingCeiling;
   private TokenBudget.Ceiling committed;
   private boolean limitsChanged;
+  private boolean proposalRefused;
 
   /** Starts with a full bucket: no token was ever granted to the customer. */
   CustomerBucket(long rate, long burst, long now) {
@@ -185,10 +186,12 @@
     long needed = Math.min(requested, Math.max(0, level()));
     boolean raise = headroom < needed || (background && headroom < step * 3 / 4);
     boolean stale = background && committed != null && levelShortfall() > 2 * step;
-    if (!raise && !stale && !(limitsChanged && committed != null)) {
+    boolean changed = limitsChanged && committed != null;
+    if (!raise && !stale && !changed && !proposalRefused) {
       return null;
     }
     limitsChanged = false;
+    proposalRefused = false;
     pendingCeiling = Math.max(pendingCeiling, granted + Math.max(needed, step));
     return new TokenBudget.Ceiling(customer, granted, pendingCeiling, level(), outstanding);
   }
@@ -199,6 +202,14 @@
     ceiling = Math.max(ceiling, record.ceiling());
   }
 
+  /**
+   * Records that a proposed ceiling was refused, so that it is due again. A later record never has
+   * a lower ceiling, since one proposed before may still be committed.
+   */
+  void refused() {
+    proposalRefused = true;
+  }
+
   boolean ceilingBlocks(long requested) {
     return ceiling - granted < Math.min(requested, Math.max(0, level()));
   }
--- a/decisions/src/main/java/org/comfreygap/decisions/TokenBudget.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/TokenBudget.java
@@ -200,6 +200,19 @@
     }
   }
 
+  /**
+   * Records that the ceilings were not committed, as far as the proposer knows, so that they become
+   * due again.
+   */
+  public void refused(Collection<Ceiling> ceilings) {
+    for (Ceiling ceiling : ceilings) {
+      CustomerBucket bucket = buckets.get(ceiling.customer());
+      if (bucket != null) {
+        bucket.refused();
+      }
+    }
+  }
+
   /**
    * Applies an exchange.
    *
--- a/decisions/src/test/java/org/comfreygap/decisions/TokenBudgetTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/TokenBudgetTest.java
@@ -79,6 +79,24 @@
     fleet.checkIntervals();
   }
 
+  /**
+   * Guards against a refused ceiling that is never proposed again, or again with a lower value than
+   * one that may still be committed.
+   */
+  @Example
+  void refusedCeilingIsDueAgainAndNotLower() {
+    TokenBudget budget = new TokenBudget(List.of());
+    budget.limits(CUSTOMER, 100, 1_000, 0);
+    List<Ceiling> refused = budget.ceilingsFor(List.of(item(0, 0, 0, 700)), 0);
+    assertThat(refused).hasSize(1);
+    assertThat(budget.ceilingsAhead(0)).isEmpty();
+    budget.refused(refused);
+    List<Ceiling> again = budget.ceilingsFor(List.of(item(0, 0, 0, 10)), 0);
+    assertThat(again).hasSize(1);
+    assertThat(again.get(0).ceiling()).isGreaterThanOrEqualTo(refused.get(0).ceiling());
+    assertThat(budget.ceilingsAhead(0)).isEmpty();
+  }
+
   /**
    * Guards against a lowered limit that takes effect only after the outstanding credit is used up.
    */
