--- a/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogStore.java
@@ -10,12 +10,15 @@
 import java.util.List;
 import java.util.Optional;
 import org.comfreygap.protocol.generated.LogEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The log on disk: append-only segment files of checksummed records.
  *
- * <p>A new segment is filled with zeros, so that syncing records does not have to wait for the file
- * system's journal to record a new file size. The log ends where only zeros follow.
+ * <p>A new segment is filled with zeros if there is room, so that syncing records does not have to
+ * wait for the file system's journal to record a new file size. The log ends where only zeros
+ * follow.
  *
  * <p>An entry record replaces the entry with the same index and all later entries, so a conflicting
  * suffix is never removed from a file. Each segment starts with a copy of the newest hard state.
@@ -25,6 +28,8 @@
  */
 final class LogStore implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(LogStore.class);
+
   static final int SEGMENT_BYTES = 8 * 1024 * 1024;
 
   private static final String PREFIX = "log-";
@@ -37,6 +42,7 @@
   private Disk.DiskFile file;
   private long syncedSize;
   private long writtenSize;
+  private long tornEnd;
   private HardState hardState = HardState.NONE;
   private HardState syncedState = HardState.NONE;
   private long lastIndex;
@@ -132,7 +138,8 @@
   record OpenedStore(LogStore store, Contents contents) {}
 
   /**
-   * Reads the log and prepares it for appending.
+   * Reads the log and prepares it for appending. An incomplete write at the end is overwritten with
+   * zeros at the first {@link #write}, since the disk may be full.
    *
    * @throws LogCorruptException when synced data is damaged or missing
    */
@@ -193,6 +200,7 @@
     if (file == null) {
       beginSegment();
     }
+    clearTornTail();
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     batch.forEach(record -> record.write(bytes, syncedSize));
     file.write(syncedSize, ByteBuffer.wrap(bytes.toByteArray()));
@@ -223,15 +231,19 @@
     return syncedSize;
   }
 
-  /** Deletes segments that contain only entries before {@code index}. */
+  /** Deletes segments that contain only entries before {@code index}; may be repeated. */
   void compact(long index) throws IOException {
     boolean deleted = false;
-    while (segments.size() > 1 && segments.getFirst().maxIndex < index) {
-      disk.delete(segments.removeFirst().name);
-      deleted = true;
-    }
-    if (deleted) {
-      disk.syncFolder();
+    try {
+      while (segments.size() > 1 && segments.getFirst().maxIndex < index) {
+        disk.delete(segments.getFirst().name);
+        segments.removeFirst();
+        deleted = true;
+      }
+    } finally {
+      if (deleted) {
+        disk.syncFolder();
+      }
     }
   }
 
@@ -264,7 +276,7 @@
     try {
       next.truncate(0);
       next.write(0, ByteBuffer.wrap(head.toByteArray()));
-      fillWithZeros(next, head.size(), segmentBytes);
+      reserve(next, head.size());
     } catch (IOException e) {
       next.close();
       throw e;
@@ -278,6 +290,16 @@
     segments.add(segment);
   }
 
+  /** Fills a segment with zeros; leaves it without them when the disk lacks the room. */
+  private void reserve(Disk.DiskFile segment, long begin) throws IOException {
+    try {
+      fillWithZeros(segment, begin, segmentBytes);
+    } catch (IOException e) {
+      LOG.debug("no room to fill a segment with zeros; its records are appended", e);
+      segment.truncate(begin);
+    }
+  }
+
   private void readSegment(String name, boolean first, boolean last, Contents contents)
       throws IOException {
     ByteBuffer bytes;
@@ -297,7 +319,7 @@
     while (offset < bytes.limit()) {
       Optional<LogRecord> found = LogRecord.read(bytes, offset);
       if (found.isEmpty()) {
-        clearTornTail(name, bytes, offset, last, contents);
+        noteTornTail(name, bytes, offset, last, contents);
         break;
       }
       LogRecord record = found.get();
@@ -309,6 +331,7 @@
       offset += record.size();
     }
     if (offset == 0) {
+      tornEnd = 0;
       disk.delete(name);
       disk.syncFolder();
       return;
@@ -317,7 +340,7 @@
     segments.add(segment);
   }
 
-  private void clearTornTail(
+  private void noteTornTail(
       String name, ByteBuffer bytes, int offset, boolean last, Contents contents)
       throws IOException {
     if (!last || isSyncedBeyond(bytes, offset)) {
@@ -333,9 +356,15 @@
     }
     contents.tornSegment = name;
     contents.tornBytes = bytes.limit() - offset;
-    try (Disk.DiskFile torn = disk.write(name)) {
-      fillWithZeros(torn, offset, bytes.limit());
-      torn.sync();
+    tornEnd = bytes.limit();
+  }
+
+  /** Overwrites an incomplete write, whose intact records could otherwise follow a new one. */
+  private void clearTornTail() throws IOException {
+    if (tornEnd > 0) {
+      fillWithZeros(file, syncedSize, tornEnd);
+      file.sync();
+      tornEnd = 0;
     }
   }
 
--- a/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/SnapshotStore.java
@@ -14,6 +14,8 @@
 import java.util.zip.CRC32C;
 import java.util.zip.CheckedInputStream;
 import java.util.zip.CheckedOutputStream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Snapshot files: {@code magic, index, term, membership, state, CRC-32C}.
@@ -38,6 +40,8 @@
     void read(InputStream in) throws IOException;
   }
 
+  private static final Logger LOG = LoggerFactory.getLogger(SnapshotStore.class);
+
   private static final String PREFIX = "snapshot-";
   private static final String TEMPORARY_SUFFIX = ".tmp";
   private static final String WRITTEN = "own" + TEMPORARY_SUFFIX;
@@ -92,7 +96,7 @@
       writeTo(file, meta, body);
       return file;
     } catch (IOException e) {
-      file.close();
+      discard(file, WRITTEN, e);
       throw e;
     }
   }
@@ -122,7 +126,14 @@
     }
     long size = receiving.size();
     if (offset == size) {
-      receiving.write(size, ByteBuffer.wrap(bytes));
+      try {
+        receiving.write(size, ByteBuffer.wrap(bytes));
+      } catch (IOException e) {
+        discard(receiving, RECEIVED, e);
+        receiving = null;
+        receivingIndex = -1;
+        throw e;
+      }
     }
     return receiving.size();
   }
@@ -163,13 +174,31 @@
     }
   }
 
+  /** Deletes an incomplete file, which would keep its room until the next snapshot. */
+  private void discard(Disk.DiskFile file, String name, IOException cause) {
+    try (file) {
+      disk.delete(name);
+    } catch (IOException e) {
+      cause.addSuppressed(e);
+    }
+  }
+
   private void publish(String temporary, long index) throws IOException {
     synchronized (disk) {
       disk.rename(temporary, name(index));
       disk.syncFolder();
-      List<String> names = names();
-      for (String older : names.subList(0, names.size() - 1)) {
+      deleteOlder();
+    }
+  }
+
+  /** Deletes all but the newest snapshot; one that cannot be deleted is left to the next call. */
+  private void deleteOlder() throws IOException {
+    List<String> names = names();
+    for (String older : names.subList(0, names.size() - 1)) {
+      try {
         disk.delete(older);
+      } catch (IOException e) {
+        LOG.warn("{} cannot be deleted; it is deleted with the next snapshot", older, e);
       }
     }
   }
--- a/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
+++ b/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
@@ -100,6 +100,27 @@
     }
   }
 
+  /** Guards against followers that know no address of a leader whose log was full at first. */
+  @Test
+  void leaderRegistersItsAddressOnceItsLogAcceptsCommands() {
+    cluster.refuseCommands(1);
+    cluster.elect(second.log);
+    second.term();
+    assertThat(first.get(Leadership.class).notLeader().getLeaderAddress()).isNull();
+    second.term();
+    assertThat(first.get(Leadership.class).notLeader().getLeaderAddress())
+        .isEqualTo("127.0.0.1:22");
+  }
+
+  /** Guards against a customer that gets no more credit after one command was refused (I6). */
+  @Test
+  void creditIsGrantedOnceTheLogAcceptsCommandsAgain() throws Exception {
+    cluster.refuseCommands(1);
+    assertThatThrownBy(() -> first.handler.exchangeCredit(credit("g", 1, 0, 700)))
+        .isInstanceOf(NotLeader.class);
+    assertThat(granted(first, credit("g", 2, 0, 700))).isEqualTo(700);
+  }
+
   /** Guards against a new leader that grants credit already granted by its predecessor (I6). */
   @Test
   void outstandingCreditCountsAsSpentAfterLeaderChange() throws Exception {
