Bound what an unfinished event and a held back response may take

Callers of a gateway lost their requests when an endpoint sent an event without end: a line, or lines without an empty one. EventSplitter kept the unfinished event without a limit and joined it anew with each part, so that the process ran out of direct memory while other requests were served by it. What StreamContinuity held back, while control recorded the origin of a stream, had no limit either.

An event may have 1 MiB and its id 4 KiB. Beyond that the connection is closed, the attempt ends as one that may have run, its endpoint counts as failed, and 3555 RESPONSE_TOO_LARGE is recorded. All unfinished events and buffered bodies of a gateway together may take a quarter of the heap; only shares above 16 KiB count, so that responses of usual size do not depend on others. Held bytes are copied into one growing buffer: a slice of a few bytes kept the whole buffer that was read. A stream that is held back is not read on beyond 64 KiB.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -138,6 +138,12 @@
     }
   }
 
+  /** Cancels the attempt, which counts as a failure of its endpoint. */
+  void abandon() {
+    cancel();
+    endpoint.health().failed(System.nanoTime());
+  }
+
   /** Resumes or pauses reading the response. */
   void setAutoRead(boolean enabled) {
     connection.ifPresent(open -> open.setAutoRead(enabled));
@@ -172,6 +178,18 @@
             Field.of("match", match.label()));
   }
 
+  /** Records that the endpoint sent more than it may. */
+  void recordExcess(String reason) {
+    relay.metrics().count("responses.distrusted", "too-large");
+    relay
+        .events()
+        .record(
+            RelayEvent.RESPONSE_TOO_LARGE,
+            Field.of("request", owner.requestId()),
+            Field.of("endpoint", endpoint.instanceId()),
+            Field.of("reason", reason));
+  }
+
   @Override
   public void onContent(ByteBuf bytes) {
     if (refusal.isPresent()) {
--- a/relay/src/main/java/org/comfreygap/relay/EventSplitter.java
+++ b/relay/src/main/java/org/comfreygap/relay/EventSplitter.java
@@ -12,13 +12,20 @@
  * stream can resume at another endpoint after the last one. Lines end with LF, CR LF or CR, as the
  * format allows; the CR of an empty line that may become CR LF is not the end of an event yet.
  *
- * <p>Invariant: every byte is returned exactly once and in order. Thread safety: not thread-safe.
+ * <p>Invariants: every byte is returned exactly once and in order; an unfinished event beyond
+ * {@link #MAX_EVENT_BYTES} is reported by {@link #excess}. Thread safety: not thread-safe.
  */
 final class EventSplitter {
 
+  /** Largest event of a stream. */
+  static final int MAX_EVENT_BYTES = 1024 * 1024;
+
+  /** Longest id of an event, which must fit into the head of a request that resumes after it. */
+  static final int MAX_ID_BYTES = 4 * 1024;
+
   private static final String ID_FIELD = "id:";
 
-  private ByteBuf partialEvent = Unpooled.EMPTY_BUFFER;
+  private final HeldBuffer partialEvent;
   private Optional<String> lastId = Optional.empty();
   private Optional<String> partialEventId = Optional.empty();
   private boolean partialEventHasField;
@@ -29,29 +36,42 @@
   private boolean afterCr;
   private boolean previousLineEndedWithCr;
   private boolean emptyLineEndedWithCr;
+  private boolean idTooLong;
+
+  /** Creates a splitter whose unfinished event counts in {@code total}. */
+  EventSplitter(HeldBytes total) {
+    this.partialEvent = new HeldBuffer(MAX_EVENT_BYTES, total);
+  }
 
   /** Adds bytes and returns those up to the end of the last complete event. */
   ByteBuf add(ByteBuf bytes) {
-    int scanned = partialEvent.readableBytes();
-    ByteBuf all = scanned > 0 ? Unpooled.wrappedBuffer(partialEvent, bytes) : bytes;
-    partialEvent = Unpooled.EMPTY_BUFFER;
-    int end = scan(all, scanned);
-    if (end == 0) {
-      partialEvent = all;
-      return Unpooled.EMPTY_BUFFER;
-    }
-    if (end < all.readableBytes()) {
-      partialEvent =
-          Unpooled.copiedBuffer(all.slice(all.readerIndex() + end, all.readableBytes() - end));
-      all.writerIndex(all.readerIndex() + end);
+    int scanned = partialEvent.size();
+    if (scanned > 0) {
+      partialEvent.append(bytes);
+      int end = scan(partialEvent.bytes(), scanned);
+      lineStart -= end;
+      return end == 0 ? Unpooled.EMPTY_BUFFER : partialEvent.takeFirst(end);
     }
+    int end = scan(bytes, 0);
     lineStart -= end;
-    return all;
+    if (end == bytes.readableBytes()) {
+      return bytes;
+    }
+    ByteBuf complete = bytes.readRetainedSlice(end);
+    partialEvent.append(bytes);
+    return complete;
+  }
+
+  /** Returns which limit the unfinished event exceeds. */
+  Optional<String> excess() {
+    return idTooLong
+        ? Optional.of("given an event id of more than " + MAX_ID_BYTES + " bytes")
+        : partialEvent.excess();
   }
 
   /** Returns true when the last bytes belong to an unfinished event. */
   boolean isInsideEvent() {
-    return partialEvent.isReadable();
+    return partialEvent.size() > 0;
   }
 
   /** Returns the number of complete events; a block of comments is none. */
@@ -61,8 +81,7 @@
 
   /** Returns the bytes of an unfinished event, at the end of the stream. */
   ByteBuf remainder() {
-    ByteBuf left = partialEvent;
-    partialEvent = Unpooled.EMPTY_BUFFER;
+    ByteBuf left = partialEvent.takeAll();
     partialEventId = Optional.empty();
     partialEventHasField = false;
     lineStart = 0;
@@ -70,6 +89,7 @@
     afterCr = false;
     previousLineEndedWithCr = false;
     emptyLineEndedWithCr = false;
+    idTooLong = false;
     return left;
   }
 
@@ -155,7 +175,8 @@
     for (int i = 0; id && i < ID_FIELD.length(); i++) {
       id = bytes.getByte(first + i) == ID_FIELD.charAt(i);
     }
-    if (id) {
+    idTooLong |= id && length > MAX_ID_BYTES;
+    if (id && !idTooLong) {
       int value = ID_FIELD.length();
       String text = bytes.toString(first + value, length - value, StandardCharsets.UTF_8);
       partialEventId = Optional.of(text.strip());
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -1,11 +1,8 @@
 package org.comfreygap.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -94,7 +91,10 @@
     relay.retryBudgets().requested(decision.pool(), arrivedNanos);
     forwarder =
         new ResponseForwarder(
-            caller, decision.route().kind() == RequestKind.STREAM, this::responseBegins);
+            caller,
+            decision.route().kind() == RequestKind.STREAM,
+            relay.heldBytes(),
+            () -> log.responseBegan(decision, System.nanoTime()));
     long patience = request.timeoutMillis().orElse(Long.MAX_VALUE);
     long millis = Math.min(patience, decision.route().timeoutMillis());
     deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -212,7 +212,8 @@
     }
     inactivity.ifPresent(inactivityTimer -> inactivityTimer.recordActivity(System.nanoTime()));
     if (continuity.holds()) {
-      continuity.hold(bytes);
+      boolean readOn = continuity.hold(bytes);
+      attempt.ifPresent(current -> current.setAutoRead(readOn));
       return;
     }
     boolean begunBefore = forwarder.eventReceived();
@@ -221,6 +222,7 @@
       tracked.began();
       continuity.eventForwarded();
     }
+    forwarder.excess().ifPresent(this::abandonExcess);
     if (!caller.writable()) {
       attempt.ifPresent(current -> current.setAutoRead(false));
     }
@@ -296,7 +298,8 @@
       attemptFailed(current, Attempt.Failure.unknown(StreamContinuity.NOT_RECORDED));
       return;
     }
-    continuity.takeHeld().forEach(this::onContent);
+    attempt.get().setAutoRead(true);
+    continuity.takeHeld().ifPresent(this::onContent);
     if (!attempt.map(Attempt::inProgress).orElse(true)) {
       onComplete();
     }
@@ -441,11 +444,15 @@
   private void abandonAttempt(String reason) {
     Attempt current = attempt.orElseThrow();
     tracked.dropped(current.endpoint(), forwarder.eventReceived());
-    current.cancel();
-    current.endpoint().health().failed(System.nanoTime());
+    current.abandon();
     attemptFailed(current, Attempt.Failure.unknown(reason));
   }
 
+  private void abandonExcess(String reason) {
+    attempt.orElseThrow().recordExcess(reason);
+    abandonAttempt(reason);
+  }
+
   private void attemptFailed(Attempt ended, Attempt.Failure failure) {
     long now = System.nanoTime();
     attempt = Optional.empty();
@@ -524,9 +531,7 @@
 
   private void sendRefusal(Refusal refusal) {
     log.refused(decision, refusal);
-    HttpHeaders headers = new DefaultHttpHeaders(false);
-    refusal.retryAfterHeader().ifPresent(text -> headers.set(HttpHeaderNames.RETRY_AFTER, text));
-    caller.sendResponse(refusal.status(), headers, refusal.body());
+    caller.sendResponse(refusal.status(), refusal.headers(), refusal.body());
   }
 
   private void fail(String reason, String outcome) {
@@ -570,11 +575,6 @@
     credit.settle(decision, history.mayHaveRun() || sent, System.nanoTime());
   }
 
-  private void responseBegins() {
-    log.responseBegan(System.nanoTime());
-    relay.metrics().responseBegan(decision.route().name(), System.nanoTime() - arrivedNanos);
-  }
-
   private boolean shouldRetry(HttpResponse response) {
     return response.status().codeClass() == HttpStatusClass.SERVER_ERROR
         && !forwarder.started()
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -51,8 +51,9 @@
   }
 
   /** Records that the first part of the response is sent to the caller. */
-  void responseBegan(long nowNanos) {
+  void responseBegan(RouteDecision decision, long nowNanos) {
     beganNanos = nowNanos;
+    relay.metrics().responseBegan(decision.route().name(), nowNanos - arrivedNanos);
   }
 
   void served(RouteDecision decision, int status, ResponseForwarder response, long nowNanos) {
--- a/relay/src/main/java/org/comfreygap/relay/Refusal.java
+++ b/relay/src/main/java/org/comfreygap/relay/Refusal.java
@@ -2,6 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -153,6 +156,12 @@
         : Optional.of(String.format(Locale.ROOT, "%.3f", retryMillis / MILLIS_PER_SECOND));
   }
 
+  HttpHeaders headers() {
+    HttpHeaders headers = new DefaultHttpHeaders(false);
+    retryAfterHeader().ifPresent(text -> headers.set(HttpHeaderNames.RETRY_AFTER, text));
+    return headers;
+  }
+
   ByteBuf body() {
     return text(text);
   }
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -13,6 +13,7 @@
  *
  * <p>Thread safety: used on the event loop only; the suppliers may be backed by other threads.
  *
+ * @param heldBytes bytes that unfinished responses hold together
  * @param tables routing tables in force
  * @param settingsConfirmed true while the settings are confirmed recently enough for requests with
  *     a key
@@ -31,6 +32,7 @@
     StreamRegister streams,
     RetryBudgets retryBudgets,
     Outages outages,
+    HeldBytes heldBytes,
     EventLog events,
     RelayMetrics metrics,
     Supplier<RouteTable> tables,
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -40,7 +40,8 @@
   READINESS_CHANGED(3541, Level.INFO, "The gateway became ready or not ready for new work."),
   CALLER_REJECTED(3542, Level.INFO, "A caller's connection failed or sent an invalid request."),
   TASK_FAILED(3543, Level.WARN, "A task on the event loop failed; those after it are run."),
-  SURPLUS_RECEIVED(3544, Level.INFO, "An endpoint sent bytes that belong to no request.");
+  SURPLUS_RECEIVED(3544, Level.INFO, "An endpoint sent bytes that belong to no request."),
+  RESPONSE_TOO_LARGE(3555, Level.WARN, "A response exceeded a limit; its connection was closed.");
 
   private final int number;
   private final Level level;
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -269,6 +269,7 @@
             settings.retryWindow(),
             System.nanoTime()),
         outages,
+        HeldBytes.ofHeap(),
         events,
         metrics,
         () -> table,
@@ -289,6 +290,7 @@
     closer.register(metrics);
     metrics.gauge("requests.waiting", relay.waitQueue()::size);
     metrics.gauge("connections.of.callers", callers::size);
+    metrics.gauge("bytes.of.unfinished.responses", relay.heldBytes()::counted);
     metrics.gauge("gateways.sharing.the.retry.budget", () -> knownGateways.orElse(0));
     metrics.gauge(
         "retries.left", () -> relay.retryBudgets().lowest(knownGateways, System.nanoTime()));
--- a/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
@@ -1,8 +1,6 @@
 package org.comfreygap.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -30,9 +28,9 @@
   private final Caller caller;
   private final boolean streamed;
   private final Runnable onStart;
-  private final EventSplitter events = new EventSplitter();
+  private final EventSplitter events;
+  private final HeldBuffer buffered;
   private Optional<HttpResponse> head = Optional.empty();
-  private Optional<CompositeByteBuf> buffered = Optional.empty();
   private boolean started;
   private int eventsOfEarlierAttempts;
 
@@ -40,12 +38,15 @@
    * Creates the forwarder of one request's response.
    *
    * @param streamed true when successful responses are event streams
+   * @param held bytes that unfinished responses hold together
    * @param onStart callback run when the first part is sent to the caller
    */
-  ResponseForwarder(Caller caller, boolean streamed, Runnable onStart) {
+  ResponseForwarder(Caller caller, boolean streamed, HeldBytes held, Runnable onStart) {
     this.caller = caller;
     this.streamed = streamed;
     this.onStart = onStart;
+    this.events = new EventSplitter(held);
+    this.buffered = new HeldBuffer(MAX_BUFFERED_BYTES, held);
   }
 
   /** Returns true when a part of the response was sent to the caller. */
@@ -101,15 +102,18 @@
       caller.sendPart(bytes);
       return;
     }
-    CompositeByteBuf whole = buffered.orElseGet(Unpooled::compositeBuffer);
-    buffered = Optional.of(whole.addComponent(true, bytes));
-    if (whole.readableBytes() > MAX_BUFFERED_BYTES) {
+    buffered.append(bytes);
+    if (buffered.size() > MAX_BUFFERED_BYTES) {
       start();
-      buffered = Optional.empty();
-      caller.sendPart(whole);
+      caller.sendPart(buffered.takeAll());
     }
   }
 
+  /** Returns why the response in progress must end: what it holds exceeds a limit. */
+  Optional<String> excess() {
+    return events.excess().or(buffered::excess);
+  }
+
   /** Completes the response. */
   void complete() {
     if (started || isStream()) {
@@ -118,8 +122,7 @@
       caller.endResponse();
       return;
     }
-    ByteBuf whole = buffered.map(ByteBuf.class::cast).orElse(Unpooled.EMPTY_BUFFER);
-    buffered = Optional.empty();
+    ByteBuf whole = buffered.takeAll();
     HttpResponse response = head.orElseThrow();
     onStart.run();
     caller.sendResponse(response.status(), headers(response), whole);
@@ -129,8 +132,7 @@
   void discardUnsent() {
     head = Optional.empty();
     eventsOfEarlierAttempts = events.completeEvents();
-    buffered.ifPresent(ByteBuf::release);
-    buffered = Optional.empty();
+    buffered.takeAll().release();
     events.dropRemainder();
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/StreamContinuity.java
+++ b/relay/src/main/java/org/comfreygap/relay/StreamContinuity.java
@@ -25,9 +25,12 @@
   /** Reason of an attempt whose response must not leave. */
   static final String NOT_RECORDED = "the software version of the stream could not be recorded";
 
+  /** Bytes held back beyond which the response is not read on. */
+  private static final int MAX_HELD_BYTES = 64 * 1024;
+
   private final RelayContext relay;
   private final CallerRequest request;
-  private final List<ByteBuf> held = new ArrayList<>();
+  private final HeldBuffer held;
   private Optional<Origin> required = Optional.empty();
   private Optional<Origin> attempted = Optional.empty();
   private Optional<Refusal> refusal = Optional.empty();
@@ -39,6 +42,7 @@
   StreamContinuity(RelayContext relay, CallerRequest request) {
     this.relay = relay;
     this.request = request;
+    this.held = new HeldBuffer(MAX_HELD_BYTES, relay.heldBytes());
   }
 
   /** Whether the origin of the current attempt is on record. */
@@ -134,22 +138,23 @@
     return recording == Recording.FAILED;
   }
 
-  /** Keeps a part of the response until {@link #holds} is false. */
-  void hold(ByteBuf part) {
-    held.add(part);
+  /**
+   * Keeps a part of the response until {@link #holds} is false, and returns whether more may be
+   * read.
+   */
+  boolean hold(ByteBuf part) {
+    held.append(part);
+    return held.excess().isEmpty();
   }
 
-  /** Removes and returns the kept parts. */
-  List<ByteBuf> takeHeld() {
-    List<ByteBuf> taken = List.copyOf(held);
-    held.clear();
-    return taken;
+  /** Removes and returns the kept parts; empty when there are none. */
+  Optional<ByteBuf> takeHeld() {
+    return held.size() > 0 ? Optional.of(held.takeAll()) : Optional.empty();
   }
 
   /** Drops the kept parts of an attempt that ended. */
   void discardHeld() {
-    held.forEach(ByteBuf::release);
-    held.clear();
+    held.takeAll().release();
     attempts++;
     recording = Recording.DONE;
   }
--- a/relay/src/test/java/org/comfreygap/relay/EventSplitterTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/EventSplitterTest.java
@@ -18,7 +18,7 @@
 
   @Test
   void holdsUnfinishedEventBack() {
-    EventSplitter splitter = new EventSplitter();
+    EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
 
     assertThat(text(splitter.add(bytes(STREAM))))
         .isEqualTo(STREAM.substring(0, STREAM.indexOf("id: 4")));
@@ -30,7 +30,7 @@
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
   void returnsEveryByteOnceForAnySplit(long seed) {
     Random random = new Random(seed);
-    EventSplitter splitter = new EventSplitter();
+    EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
     StringBuilder passed = new StringBuilder();
     int at = 0;
     while (at < STREAM.length()) {
@@ -51,7 +51,7 @@
     int length = stream.length / 3;
     for (int cut = 0; cut <= stream.length; cut++) {
       for (int part = 1; part <= 5; part++) {
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
         int forwarded = 0;
         for (int at = 0; at < cut; at += part) {
           int size = Math.min(part, cut - at);
@@ -66,7 +66,7 @@
 
   @Test
   void doesNotCountCommentsAsEvents() {
-    EventSplitter splitter = new EventSplitter();
+    EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
 
     assertThat(text(splitter.add(bytes(": wait\n\n")))).isEqualTo(": wait\n\n");
 
@@ -76,7 +76,7 @@
 
   @Test
   void forgetsUnfinishedEventThatWasDropped() {
-    EventSplitter splitter = new EventSplitter();
+    EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
     splitter.add(bytes("id: 1\ndata: a\n\nid: 2\r"));
     splitter.dropRemainder();
 
@@ -85,6 +85,56 @@
     assertThat(splitter.completeEvents()).isEqualTo(2);
   }
 
+  /** Guards against an event without end that takes up memory, or time that grows with it. */
+  @Test
+  void reportsEventBeyondTheLimit() {
+    EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
+    String line = "data: " + "x".repeat(1_017) + "\n";
+    for (int size = 0; size < EventSplitter.MAX_EVENT_BYTES; size += line.length()) {
+      assertThat(splitter.excess()).isEmpty();
+      splitter.add(bytes(line));
+    }
+    assertThat(splitter.excess()).isEmpty();
+    splitter.add(bytes("x"));
+
+    assertThat(splitter.excess()).isPresent();
+    splitter.dropRemainder();
+    assertThat(splitter.excess()).isEmpty();
+  }
+
+  /** Guards against an id that is kept as long as its stream, and fits into no request. */
+  @Test
+  void reportsIdBeyondTheLimit() {
+    EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
+    splitter.add(bytes("id: 1\ndata: a\n\nid: " + "x".repeat(EventSplitter.MAX_ID_BYTES)));
+    splitter.add(bytes("\ndata: b\n\n"));
+
+    assertThat(splitter.excess()).isPresent();
+    assertThat(splitter.lastId()).contains("1");
+  }
+
+  /** Guards against events that are each within their limit and together take up memory. */
+  @Test
+  void reportsEventsThatAreTooLargeTogether() {
+    HeldBytes total = new HeldBytes(100_000);
+    EventSplitter large = new EventSplitter(total);
+    EventSplitter next = new EventSplitter(total);
+    EventSplitter small = new EventSplitter(total);
+    large.add(bytes("x".repeat(60_000)));
+    small.add(bytes("x".repeat(HeldBytes.SMALL_SHARE_BYTES)));
+    next.add(bytes("x".repeat(60_000)));
+
+    assertThat(next.excess()).isPresent();
+    assertThat(large.excess()).isEmpty();
+    assertThat(small.excess()).isEmpty();
+    next.dropRemainder();
+    large.add(bytes("\n\n"));
+    next.add(bytes("x".repeat(60_000)));
+    assertThat(next.excess()).isEmpty();
+    next.dropRemainder();
+    assertThat(total.counted()).isZero();
+  }
+
   private static ByteBuf bytes(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
   }
