Bound the bytes that precede the response of an attempt

A request waited until its timeout while its endpoint sent interim responses, responses to other requests, line ends, or a refusal without end. EndpointConnection read and discarded them without a limit.

An endpoint may send 1 MiB before the response that is forwarded, a refusal included.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -178,6 +178,12 @@
             Field.of("match", match.label()));
   }
 
+  @Override
+  public void onExcess(String reason) {
+    recordExcess(reason);
+    onFailure(reason);
+  }
+
   /** Records that the endpoint sent more than it may. */
   void recordExcess(String reason) {
     relay.metrics().count("responses.distrusted", "too-large");
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -20,6 +21,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.IntConsumer;
 import org.comfreygap.decisions.IdleConnectionLimit;
 import org.comfreygap.decisions.MergedHead;
@@ -41,6 +43,9 @@
   /** Latest requests whose ids are kept, of which copies of responses may still arrive. */
   private static final int MAX_RECENT = 32;
 
+  /** Bytes that an endpoint may send before the response that is forwarded. */
+  static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
   private final RequestDialect dialect;
   private final IdleConnectionLimit trust;
   private final Set<String> refused = new HashSet<>();
@@ -63,6 +68,7 @@
   private boolean idsStated;
   private long idleBeforeNanos;
   private long sentNanos;
+  private long readBefore;
   private long readSinceNanos = System.nanoTime();
 
   /**
@@ -99,6 +105,11 @@
      * complete.
      */
     void onFailure(String reason);
+
+    /** Called instead of {@link #onFailure} when the endpoint sent more than it may. */
+    default void onExcess(String reason) {
+      onFailure(reason);
+    }
   }
 
   @Override
@@ -151,6 +162,7 @@
     refusal = false;
     requestWritten = false;
     sentNanos = System.nanoTime();
+    readBefore = decoder.decodedBytes();
     idleBeforeNanos = sentNanos - idleSinceNanos;
     ChannelFuture future = channel.writeAndFlush(request);
     future.addListener(
@@ -207,6 +219,17 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    boolean skipping = !responseBegun || refusal;
+    if (skipping && decoder.decodedBytes() - readBefore > MAX_SKIPPED_BYTES) {
+      fail(
+          "given more than " + MAX_SKIPPED_BYTES + " bytes that are no response to the request",
+          Listener::onExcess);
+    }
+    ctx.fireChannelReadComplete();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     fail(reset ? "the connection was reset" : "the connection was closed");
@@ -225,7 +248,10 @@
       return;
     }
     if (message.decoderResult().isFailure()) {
-      fail("the endpoint sent a malformed response: " + message.decoderResult().cause());
+      Throwable cause = message.decoderResult().cause();
+      fail(
+          "the endpoint sent a malformed response: " + cause,
+          cause instanceof TooLongFrameException ? Listener::onExcess : Listener::onFailure);
       return;
     }
     if (message instanceof HttpResponse response) {
@@ -326,13 +352,17 @@
   }
 
   private void fail(String reason) {
+    fail(reason, Listener::onFailure);
+  }
+
+  private void fail(String reason, BiConsumer<Listener, String> end) {
     reusable = false;
     channel.close();
     if (listener.isPresent()) {
       recordLoss();
       Listener receiver = listener.get();
       listener = Optional.empty();
-      receiver.onFailure(reason);
+      end.accept(receiver, reason);
     }
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/StrictResponseDecoder.java
+++ b/relay/src/main/java/org/comfreygap/relay/StrictResponseDecoder.java
@@ -23,6 +23,7 @@
   private final BooleanSupplier inProgress;
   private final Runnable onSurplus;
   private boolean surplus;
+  private long decodedBytes;
 
   /**
    * Creates the decoder of one connection.
@@ -42,10 +43,17 @@
     return surplus || actualReadableBytes() > 0;
   }
 
+  /** Returns the number of bytes read as parts of responses. */
+  long decodedBytes() {
+    return decodedBytes;
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
     if (!surplus && inProgress.getAsBoolean()) {
+      int before = in.readableBytes();
       super.decode(ctx, in, out);
+      decodedBytes += before - in.readableBytes();
       return;
     }
     in.skipBytes(in.readableBytes());
