Bound the head and refuse a list that is too large at control

Control's client of the platform's list had no limit on a line or on the number of header fields, so that a head without end took all of the heap, and read a list beyond 4 MiB up to there, so that a list followed by more bytes passed as whole.

A line may have 32 KiB, a head 200 fields, and a larger list is refused.

PlatformListPollerTest without these limits: 4 of 5 cases fail, the heads with "OutOfMemoryError: Java heap space" at a heap of 300 MB.

--- a/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
+++ b/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
@@ -4,6 +4,7 @@
 import com.google.inject.Inject;
 import com.google.inject.Singleton;
 import java.io.IOException;
+import java.io.InputStream;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -12,6 +13,9 @@
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.util.Timeout;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
@@ -30,7 +34,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(PlatformListPoller.class);
 
   private static final Timeout TIMEOUT = Timeout.ofSeconds(2);
-  private static final int MAX_BYTES = 4 << 20;
+
+  /** Largest list. */
+  static final int MAX_BYTES = 4 << 20;
+
+  private static final int MAX_LINE_BYTES = 32 * 1024;
+  private static final int MAX_HEADERS = 200;
 
   private final Optional<ControlSettings.PlatformList> source;
   private final MembershipController membership;
@@ -42,17 +51,44 @@
     this.source = settings.platformList();
     this.membership = membership;
     this.events = events;
-    this.client =
-        HttpClients.custom()
-            .disableAutomaticRetries()
-            // Bytes after a response would be read as the beginning of the next list.
-            .setConnectionReuseStrategy((request, response, context) -> false)
-            .setDefaultRequestConfig(
-                RequestConfig.custom()
-                    .setResponseTimeout(TIMEOUT)
-                    .setConnectionRequestTimeout(TIMEOUT)
-                    .build())
+    this.client = client();
+  }
+
+  /** Returns a client that reads each response on a connection of its own, with a bounded head. */
+  static CloseableHttpClient client() {
+    Http1Config bounds =
+        Http1Config.custom()
+            .setMaxLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderCount(MAX_HEADERS)
             .build();
+    return HttpClients.custom()
+        .setConnectionManager(
+            PoolingHttpClientConnectionManagerBuilder.create()
+                .setConnectionFactory(
+                    ManagedHttpClientConnectionFactory.builder().http1Config(bounds).build())
+                .build())
+        .disableAutomaticRetries()
+        // Bytes after a response would be read as the beginning of the next list.
+        .setConnectionReuseStrategy((request, response, context) -> false)
+        .setDefaultRequestConfig(
+            RequestConfig.custom()
+                .setResponseTimeout(TIMEOUT)
+                .setConnectionRequestTimeout(TIMEOUT)
+                .build())
+        .build();
+  }
+
+  /**
+   * Reads a list.
+   *
+   * @throws IOException when it is not JSON or larger than {@link #MAX_BYTES}
+   */
+  static JsonNode readList(InputStream body) throws IOException {
+    byte[] list = body.readNBytes(MAX_BYTES + 1);
+    if (list.length > MAX_BYTES) {
+      throw new IOException("given a list of more than " + MAX_BYTES + " bytes, expected fewer");
+    }
+    return Codec.MAPPER.readTree(list);
   }
 
   Optional<Duration> period() {
@@ -69,8 +105,7 @@
                 if (response.getCode() != 200) {
                   throw new IOException("given status " + response.getCode() + ", expected 200");
                 }
-                return Codec.MAPPER.readTree(
-                    response.getEntity().getContent().readNBytes(MAX_BYTES));
+                return readList(response.getEntity().getContent());
               });
       if (!list.path("instances").isArray()) {
         throw new IOException("given no array of instances, expected one in the response");
