Bound the response of one endpoint to a call at 1 MiB

Each call to an endpoint or a list could bring 8 MiB, which is then copied and parsed. A report, a health response or the response to a command describes one endpoint; only a list describes many.

HttpPeerClient takes the largest body as an argument: 1 MiB for an endpoint, 8 MiB for a page of a list, as before.

--- a/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
+++ b/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
@@ -47,20 +47,32 @@
 public final class HttpPeerClient {
 
   private static final Logger LOG = LoggerFactory.getLogger(HttpPeerClient.class);
-  private static final int MAX_BYTES = 8 * 1024 * 1024;
+
+  /** Largest response of one endpoint, which describes itself. */
+  public static final int ENDPOINT_RESPONSE_BYTES = 1024 * 1024;
+
+  /** Largest page of a list of endpoints. */
+  static final int LIST_RESPONSE_BYTES = 8 * 1024 * 1024;
 
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final Duration timeout;
+  private final int maxBytes;
   private Optional<Channel> channel = Optional.empty();
   private Optional<Call> current = Optional.empty();
   private ResponseObserver observer = (response, sentNanos) -> {};
 
-  /** Creates a client of {@code address} whose calls fail after {@code timeout}. */
-  public HttpPeerClient(EventLoop loop, InetSocketAddress address, Duration timeout) {
+  /**
+   * Creates a client of {@code address}.
+   *
+   * @param timeout time after which calls fail
+   * @param maxBytes largest body of a response; a larger one fails its call
+   */
+  public HttpPeerClient(EventLoop loop, InetSocketAddress address, Duration timeout, int maxBytes) {
     this.loop = loop;
     this.address = address;
     this.timeout = timeout;
+    this.maxBytes = maxBytes;
   }
 
   /** A response. */
@@ -147,7 +159,7 @@
                         new HttpRequestEncoder(),
                         new StrictResponseDecoder(
                             () -> current.isPresent(), () -> closeAfterSurplus(opened)),
-                        new HttpObjectAggregator(MAX_BYTES),
+                        new HttpObjectAggregator(maxBytes),
                         new ResponseHandler());
               }
             })
--- a/relay/src/main/java/org/comfreygap/relay/ListingSource.java
+++ b/relay/src/main/java/org/comfreygap/relay/ListingSource.java
@@ -31,13 +31,17 @@
   }
 
   static ListingSource platform(EventLoop loop, InetSocketAddress address, ListingFormat format) {
-    return new Platform(new HttpPeerClient(loop, address, PLATFORM_TIMEOUT), format);
+    return new Platform(
+        new HttpPeerClient(loop, address, PLATFORM_TIMEOUT, HttpPeerClient.LIST_RESPONSE_BYTES),
+        format);
   }
 
   /** Returns the gateway {@code processId} as a source. */
   static ListingSource gateway(EventLoop loop, String processId, String address) {
     return new Gateway(
-        processId, new HttpPeerClient(loop, Addresses.parse(address), GATEWAY_TIMEOUT));
+        processId,
+        new HttpPeerClient(
+            loop, Addresses.parse(address), GATEWAY_TIMEOUT, HttpPeerClient.LIST_RESPONSE_BYTES));
   }
 
   /** Returns the name for the log. */
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -100,17 +100,15 @@
     PeerSecurity security = PeerSecurity.from(settings.file());
     closer.register(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
     EngineLimit limit = new EngineLimit(dialect, events);
-    HttpPeerClient reportClient =
-        new HttpPeerClient(loop, settings.engineAddress(), EngineReportPoller.TIMEOUT);
+    HttpPeerClient reportClient = engineClient(EngineReportPoller.TIMEOUT);
     limit.observe(reportClient);
-    HttpPeerClient healthClient =
-        new HttpPeerClient(loop, settings.engineAddress(), ColdStatePoller.TIMEOUT);
+    HttpPeerClient healthClient = engineClient(ColdStatePoller.TIMEOUT);
     limit.observe(healthClient);
     ResidencyController controller =
         new ResidencyController(
             loop,
             dialect,
-            new HttpPeerClient(loop, settings.engineAddress(), ResidencyController.COMMAND_TIMEOUT),
+            engineClient(ResidencyController.COMMAND_TIMEOUT),
             settings.processId(),
             () -> view.pool(settings.pool()),
             limit,
@@ -148,6 +146,11 @@
     closer.register(coldWatch::close);
   }
 
+  private HttpPeerClient engineClient(Duration timeout) {
+    return new HttpPeerClient(
+        loop, settings.engineAddress(), timeout, HttpPeerClient.ENDPOINT_RESPONSE_BYTES);
+  }
+
   private PlainHttpServer.Page page(String path, ResidencyController controller) {
     if (path.startsWith("/timeline")) {
       return PlainHttpServer.timeline(events.timeline(), path);
--- a/relay/src/test/java/org/comfreygap/relay/HttpPeerClientTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/HttpPeerClientTest.java
@@ -1,6 +1,7 @@
 package org.comfreygap.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
@@ -17,11 +18,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a response that is taken for the one to another call. */
 class HttpPeerClientTest {
 
   private static final Duration TIMEOUT = Duration.ofMillis(300);
+  private static final int MAX_BYTES = 1_000;
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private ServerSocket server;
@@ -33,7 +37,10 @@
     server.bind(FreePorts.address());
     client =
         new HttpPeerClient(
-            group.next(), (java.net.InetSocketAddress) server.getLocalSocketAddress(), TIMEOUT);
+            group.next(),
+            (java.net.InetSocketAddress) server.getLocalSocketAddress(),
+            TIMEOUT,
+            MAX_BYTES);
   }
 
   @AfterEach
@@ -69,6 +76,26 @@
     }
   }
 
+  /** Guards against responses of many endpoints that fill the memory before they time out. */
+  @ParameterizedTest
+  @ValueSource(ints = {MAX_BYTES, MAX_BYTES + 1})
+  void failsCallWithResponseBeyondTheLimit(int length) throws Exception {
+    CompletableFuture<String> result = new CompletableFuture<>();
+    group.next().execute(() -> callAgain(result));
+    try (Socket connection = server.accept()) {
+      String unbounded = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+      String body = "x".repeat(length);
+      respond(
+          connection, unbounded + Integer.toHexString(length) + "\r\n" + body + "\r\n0\r\n\r\n");
+
+      if (length > MAX_BYTES) {
+        assertThatThrownBy(() -> result.get(5, TimeUnit.SECONDS)).hasMessageContaining("too large");
+      } else {
+        assertThat(result.get(5, TimeUnit.SECONDS)).isEqualTo(body);
+      }
+    }
+  }
+
   private void callAgain(CompletableFuture<String> result) {
     client.call(
         HttpMethod.GET,
