Bound each part of an endpoint's response at the sidecar

The sidecar of the own interface ran out of memory when its endpoint sent a status line, a header field, fields, a chunk size or trailers without end, and read interim responses and the body of a state call without a limit. The client had no limits on a line, on the number of fields, or on the body of a call; only the body of an attempt waits for its reader.

A line may have 32 KiB, a head 200 fields, the body of a call 1 MiB (16 MiB for an exported KV cache), and 1,000 interim responses may precede a response. Beyond that the connection is closed and the attempt ends as one that may have run; it is not resumed at the engine, which would send the same again. 4035 RESPONSE_TOO_LARGE is recorded.

--- a/sidecar/src/main/java/org/comfreygap/sidecar/EngineException.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/EngineException.java
@@ -29,6 +29,8 @@
     TRUNCATED,
     /** The response carries the id of another request. */
     MISMATCHED,
+    /** The response exceeds a limit: a line, the head, the interim responses or the body. */
+    TOO_LARGE,
     /** The response does not have the documented form. */
     MALFORMED
   }
--- a/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/HttpEngineClient.java
@@ -20,7 +20,6 @@
 import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
 import org.apache.hc.client5.http.async.methods.SimpleRequestBuilder;
 import org.apache.hc.client5.http.async.methods.SimpleRequestProducer;
-import org.apache.hc.client5.http.async.methods.SimpleResponseConsumer;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.config.TlsConfig;
@@ -32,6 +31,7 @@
 import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http2.HttpVersionPolicy;
 import org.apache.hc.core5.io.CloseMode;
@@ -65,9 +65,23 @@
   // The ramp limits the connections in use; the pool must not be the limiting factor.
   private static final int MAX_CONNECTIONS = 16_384;
 
+  /** Largest response to a call that concerns the engine or one of its adapters. */
+  private static final int MAX_CALL_BYTES = 1024 * 1024;
+
+  /** Largest exported KV cache. */
+  private static final int MAX_CACHE_BYTES = 16 * 1024 * 1024;
+
+  private static final int MAX_LINE_BYTES = 32 * 1024;
+  private static final int MAX_HEADERS = 200;
+
   // Default buffers of 8 KiB for each direction would take 8 MiB of the 64 MiB heap at 500 streams.
   private static final Http1Config HTTP1 =
-      Http1Config.custom().setInitialWindowSize(INITIAL_DEMAND).setBufferSize(2_048).build();
+      Http1Config.custom()
+          .setInitialWindowSize(INITIAL_DEMAND)
+          .setBufferSize(2_048)
+          .setMaxLineLength(MAX_LINE_BYTES)
+          .setMaxHeaderCount(MAX_HEADERS)
+          .build();
 
   private final URI base;
   private final CloseableHttpAsyncClient client;
@@ -147,7 +161,7 @@
   public CompletableFuture<byte[]> exportCache(String attemptId, Duration timeout) {
     SimpleHttpRequest request =
         SimpleRequestBuilder.get(uri("/engine/kv/" + encode(attemptId))).build();
-    return call(request, timeout)
+    return call(request, timeout, MAX_CACHE_BYTES)
         .thenCompose(
             reply ->
                 reply.getCode() == 200
@@ -175,6 +189,9 @@
     if (failure instanceof EngineException known) {
       return known;
     }
+    if (failure instanceof MessageConstraintException) {
+      return new EngineException(EngineException.Kind.TOO_LARGE, failure.toString(), failure);
+    }
     boolean notSent =
         failure instanceof ConnectException
             || failure instanceof ConnectTimeoutException
@@ -195,11 +212,16 @@
   }
 
   private CompletableFuture<SimpleHttpResponse> call(SimpleHttpRequest request, Duration timeout) {
+    return call(request, timeout, MAX_CALL_BYTES);
+  }
+
+  private CompletableFuture<SimpleHttpResponse> call(
+      SimpleHttpRequest request, Duration timeout, int maxBytes) {
     request.setConfig(config(timeout));
     CompletableFuture<SimpleHttpResponse> future = new CompletableFuture<>();
     client.execute(
         SimpleRequestProducer.create(request),
-        SimpleResponseConsumer.create(),
+        new CallConsumer(maxBytes),
         new FutureCallback<>() {
           @Override
           public void completed(SimpleHttpResponse reply) {
--- a/sidecar/src/main/java/org/comfreygap/sidecar/ResponseConsumer.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/ResponseConsumer.java
@@ -37,6 +37,7 @@
   private Future<Void> exchange;
   private boolean aborted;
   private FutureCallback<Void> result;
+  private int interimResponses;
 
   ResponseConsumer(String attemptId, boolean checked, EngineClient.ResponseListener listener) {
     this.attemptId = attemptId;
@@ -154,8 +155,11 @@
   }
 
   @Override
-  public void informationResponse(HttpResponse response, HttpContext context) {
-    // Interim responses are ignored.
+  public void informationResponse(HttpResponse response, HttpContext context) throws IOException {
+    interimResponses++;
+    if (interimResponses > CallConsumer.MAX_INTERIM_RESPONSES) {
+      throw CallConsumer.tooManyInterimResponses();
+    }
   }
 
   @Override
--- a/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/RunningAttempts.java
@@ -211,6 +211,9 @@
           } else if (failure.kind() == EngineException.Kind.MISMATCHED) {
             recordRejected(attempt, failure);
             abandonLocked(attempt, "the endpoint sent the response of another request", now);
+          } else if (failure.kind() == EngineException.Kind.TOO_LARGE) {
+            recordRejected(attempt, failure);
+            abandonLocked(attempt, "the endpoint sent more than a response may have", now);
           } else {
             recordRejected(attempt, failure);
             attempt.connectionBroken = true;
@@ -305,7 +308,9 @@
     core.runAfterUnlock(
         () ->
             events.record(
-                SidecarEvent.ANSWER_REJECTED,
+                failure.kind() == EngineException.Kind.TOO_LARGE
+                    ? SidecarEvent.RESPONSE_TOO_LARGE
+                    : SidecarEvent.ANSWER_REJECTED,
                 Field.of("request", attempt.request.getRequestId()),
                 Field.of("attempt", attempt.id()),
                 Field.of("kind", failure.kind()),
--- a/sidecar/src/main/java/org/comfreygap/sidecar/SidecarEvent.java
+++ b/sidecar/src/main/java/org/comfreygap/sidecar/SidecarEvent.java
@@ -31,6 +31,7 @@
   ATTEMPT_RESUMED(
       4033, Level.INFO, "A response was resumed at the engine after a connection failure."),
   ANSWER_REJECTED(4034, Level.WARN, "A response was truncated or belongs to another request."),
+  RESPONSE_TOO_LARGE(4035, Level.WARN, "A response exceeded a limit; its connection was closed."),
   SIGNATURE_REJECTED(4040, Level.WARN, "A message without a valid signature was refused.");
 
   private final int number;
