Bound the head of a sidecar's response at the gateway

The gateway of the own interface read a line, or fields, of a sidecar's response without a limit, and a reply to a cancellation to its end.

A line may have 32 KiB, a head 200 fields and the reply 64 KiB; what is cut off there cannot be read and counts as no valid reply.

EndlessHeadTest without the limits of the head: 3 of 3 fail with "OutOfMemoryError: Java heap space" at a heap of 300 MB.

--- a/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
@@ -14,12 +14,14 @@
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
@@ -60,6 +62,15 @@
   private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(15);
   private static final int MAX_CONNECTIONS_PER_SIDECAR = 1_024;
   private static final int STATUS_OK = 200;
+
+  /** Largest reply to a cancellation; what is cut off there cannot be read. */
+  private static final int MAX_REPLY_BYTES = 64 * 1024;
+
+  private static final int MAX_LINE_BYTES = 32 * 1024;
+  private static final int MAX_HEADERS = 200;
+  private static final Http1Config HTTP1 =
+      Http1Config.custom().setMaxLineLength(MAX_LINE_BYTES).setMaxHeaderCount(MAX_HEADERS).build();
+
   private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
   private final SharedKey key;
@@ -115,7 +126,7 @@
         throw new IOException(
             "the sidecar responded with status " + response.getCode() + ", expected " + STATUS_OK);
       }
-      byte[] body = response.getEntity().getContent().readAllBytes();
+      byte[] body = response.getEntity().getContent().readNBytes(MAX_REPLY_BYTES);
       CancelReply reply = new CancelReply();
       new TDeserializer(new TCompactProtocol.Factory()).deserialize(reply, body);
       complete = true;
@@ -175,7 +186,7 @@
     }
   }
 
-  private static CloseableHttpClient client(int maxConnections) {
+  static CloseableHttpClient client(int maxConnections) {
     ConnectionConfig connections =
         ConnectionConfig.custom()
             .setConnectTimeout(Timeout.of(CONNECT_TIMEOUT))
@@ -184,6 +195,8 @@
             .build();
     PoolingHttpClientConnectionManager manager =
         PoolingHttpClientConnectionManagerBuilder.create()
+            .setConnectionFactory(
+                ManagedHttpClientConnectionFactory.builder().http1Config(HTTP1).build())
             .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
             .setDefaultConnectionConfig(connections)
             .setDefaultSocketConfig(
