Pause only connections that still bring a response

A response that is held back may be complete while its exchange goes on; its connection may then carry another request. Attempt.setAutoRead acts only while more of its response is due.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -144,9 +144,11 @@
     endpoint.health().failed(System.nanoTime());
   }
 
-  /** Resumes or pauses reading the response. */
+  /** Resumes or pauses reading the response; a connection that has brought it may carry another. */
   void setAutoRead(boolean enabled) {
-    connection.ifPresent(open -> open.setAutoRead(enabled));
+    if (awaitsData()) {
+      connection.ifPresent(open -> open.setAutoRead(enabled));
+    }
   }
 
   @Override
