--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -143,9 +143,17 @@
     }
   }
 
-  /** Resumes or pauses reading the response. */
+  /** Cancels the attempt, which counts as a failure of its endpoint. */
+  void abandon() {
+    cancel();
+    endpoint.health().failed(System.nanoTime());
+  }
+
+  /** Resumes or pauses reading the response; a connection that has brought it may carry another. */
   void setAutoRead(boolean enabled) {
-    connection.ifPresent(open -> open.setAutoRead(enabled));
+    if (awaitsData()) {
+      connection.ifPresent(open -> open.setAutoRead(enabled));
+    }
   }
 
   @Override
@@ -177,6 +185,24 @@
             Field.of("match", match.label()));
   }
 
+  @Override
+  public void onExcess(String reason) {
+    recordExcess(reason);
+    onFailure(reason);
+  }
+
+  /** Records that the endpoint sent more than it may. */
+  void recordExcess(String reason) {
+    relay.metrics().count("responses.distrusted", "too-large");
+    relay
+        .events()
+        .record(
+            RelayEvent.RESPONSE_TOO_LARGE,
+            Field.of("request", owner.requestId()),
+            Field.of("endpoint", endpoint.instanceId()),
+            Field.of("reason", reason));
+  }
+
   @Override
   public void onContent(ByteBuf bytes) {
     if (refusal.isPresent()) {
