--- a/decisions/src/test/java/org/comfreygap/decisions/KnownFleetTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/KnownFleetTest.java
@@ -156,30 +156,14 @@
     }
 
     private void step(Gateway gateway, int index, long now) {
-      boolean during = now >= 0 && now < event.lengthNanos && gateway.affected;
-      if (event == Event.STARTED_ONE_BY_ONE && now >= 0 && now <= gateway.startNanos) {
-        gateway.start(event.window, extra, now);
-        return;
-      }
-      if (event == Event.NEW_LEADER && now == 0) {
-        contact[index] = -END;
-        if (index == 0) {
-          gateway.start(event.window, extra, now);
-        }
-      }
-      if (event == Event.SUSPENDED && during) {
-        gateway.suspendedNanos += STEP;
+      if (!runs(gateway, index, now)) {
         return;
       }
       long monotonic = now - gateway.suspendedNanos;
-      boolean starts = event == Event.STARTED_ONE_BY_ONE;
-      boolean cut = during && !starts;
-      boolean elected = event == Event.NEW_LEADER && now >= 0 && now < ELECTED;
-      boolean lost = starts && now >= 0 && now < event.lengthNanos && random.nextInt(3) > 0;
-      if (!cut && !elected && !lost && Math.floorMod(now, HEARTBEAT) == gateway.phaseNanos) {
+      boolean reached = reachesControl(gateway, now);
+      if (reached && Math.floorMod(now, HEARTBEAT) == gateway.phaseNanos) {
         contact[index] = now;
-        boolean settled = event != Event.NEW_LEADER || now < 0 || now >= SETTLED;
-        if (settled) {
+        if (isSettled(now)) {
           gateway.heard(gatewaysNotGone(now), monotonic, now / MILLI);
         }
       }
@@ -189,6 +173,55 @@
       }
     }
 
+    private boolean runs(Gateway gateway, int index, long now) {
+      switch (event) {
+        case STARTED_ONE_BY_ONE -> {
+          boolean down = now >= 0 && now <= gateway.startNanos;
+          if (down) {
+            gateway.start(event.window, extra, now);
+          }
+          return !down;
+        }
+        case SUSPENDED -> {
+          boolean suspended = isAffected(gateway, now);
+          gateway.suspendedNanos += suspended ? STEP : 0;
+          return !suspended;
+        }
+        case NEW_LEADER -> {
+          boolean replaced = now == 0;
+          contact[index] = replaced ? -END : contact[index];
+          if (replaced && index == 0) {
+            gateway.start(event.window, extra, now);
+          }
+          return true;
+        }
+        default -> {
+          return true;
+        }
+      }
+    }
+
+    private boolean reachesControl(Gateway gateway, long now) {
+      return switch (event) {
+        case STARTED_ONE_BY_ONE -> !isDuring(now) || random.nextInt(3) == 0;
+        case NEW_LEADER -> !isAffected(gateway, now) && (now < 0 || now >= ELECTED);
+        case SUSPENDED -> true;
+        default -> !isAffected(gateway, now);
+      };
+    }
+
+    private boolean isSettled(long now) {
+      return event != Event.NEW_LEADER || now < 0 || now >= SETTLED;
+    }
+
+    private boolean isAffected(Gateway gateway, long now) {
+      return gateway.affected && isDuring(now);
+    }
+
+    private boolean isDuring(long now) {
+      return now >= 0 && now < event.lengthNanos;
+    }
+
     private int gatewaysNotGone(long now) {
       int present = 0;
       for (long at : contact) {
