Measure the direct memory that endless responses take

Netty's own counter states -1 where it does not allocate without a cleaner, so that the bound on it held for any use. The pool of the JVM counts what OutOfMemoryError names as "direct buffer memory".

--- a/relay/src/test/java/org/comfreygap/relay/EndlessResponseTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/EndlessResponseTest.java
@@ -2,8 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -95,7 +96,7 @@
     add();
     GatewayFleet.await(() -> status("/endless/sound") == OK);
     long heap = usedHeap();
-    long direct = PlatformDependent.usedDirectMemory();
+    long direct = usedDirect();
 
     start.countDown();
     int served = 0;
@@ -104,7 +105,7 @@
     for (int i = 0; i < SOUND; i++) {
       served += status("/endless/sound") == OK ? 1 : 0;
       largestHeap = i % 20 == 0 ? Math.max(largestHeap, usedHeap()) : largestHeap;
-      largestDirect = Math.max(largestDirect, PlatformDependent.usedDirectMemory());
+      largestDirect = Math.max(largestDirect, usedDirect());
     }
     for (CompletableFuture<Integer> status : endless) {
       assertThat(status.get(10, TimeUnit.SECONDS)).isNotEqualTo(OK);
@@ -132,6 +133,13 @@
     return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
   }
 
+  private static long usedDirect() {
+    return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+        .filter(pool -> pool.getName().equals("direct"))
+        .mapToLong(BufferPoolMXBean::getMemoryUsed)
+        .sum();
+  }
+
   private EndlessEndpoint add(Flood... floods) throws IOException {
     endpoints.add(
         closer.register(new EndlessEndpoint("endpoint-" + endpoints.size(), start, floods)));
