Answer pipelined requests in the order of their arrival

Callers that sent requests before they had read the responses to earlier ones could get the response to another request: between the end of a response and the turn of the event loop that reads the queued requests, a request that had just arrived was read at once, ahead of the queue. Parts of one request could also be separated in this way.

Parts are queued as long as the queue is not empty.

PipelinedCallerTest sends 400 requests over each of 8 connections with up to 4 outstanding. Before, responses were out of order from the third on:

caller-0-2: Answer[status=200, id=Optional[caller-0-4], last=false] caller-0-3: Answer[status=200, id=Optional[caller-0-2], last=false]

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -41,9 +41,10 @@
  * <p>The connection is always read, so that a disconnect is noticed at once. Pipelined requests are
  * queued until the response to the earlier one is complete.
  *
- * <p>Invariants: responses are sent in the order of the requests; a response that breaks off cannot
- * be mistaken for a whole one: it lacks its last chunk or a part of its length, or, for a caller
- * that knows no chunks, the connection is reset. Thread safety: used on the event loop only.
+ * <p>Invariants: requests are served, and responses sent, in the order in which the requests
+ * arrive; a response that breaks off cannot be mistaken for a whole one: it lacks its last chunk or
+ * a part of its length, or, for a caller that knows no chunks, the connection is reset. Thread
+ * safety: used on the event loop only.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements Caller {
 
@@ -97,7 +98,7 @@
     HttpObject part = (HttpObject) message;
     if (closing) {
       ReferenceCountUtil.release(part);
-    } else if (exchange.isEmpty()) {
+    } else if (exchange.isEmpty() && queued.isEmpty()) {
       read(part);
     } else if (queued.size() < MAX_QUEUED) {
       queued.addLast(part);
--- a/relay/src/test/java/org/comfreygap/relay/ScriptedEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/ScriptedEndpoint.java
@@ -156,8 +156,9 @@
         pending.add(
             lastResponse.replaceFirst("(Content-Length|Transfer-Encoding): [^\r]*\r\n", ""));
       } else {
-        lastResponse = text(reply, id);
-        pending.add(lastResponse);
+        String response = text(reply, id);
+        lastResponse = response;
+        pending.add(response);
       }
     }
     write(connection, pending);
