Suspend the reuse of connections to an endpoint that sends stray bytes

A caller could get a body that was not its own when a faulty endpoint wrote an earlier response once more, late, while it wrote the next one over a kept connection. Such a copy cannot always be detected, and the endpoint went on doing it on one connection after the other.

ConnectionReuse (decisions): after surplus bytes, a stray or unproved response or a merged head, connections to that endpoint carry one request each, until 60 s have passed without another fault. A copy then has no next response to damage. Events 3550 and 3551 tell when this begins and ends.

SecondResponseTest and TruncatedCopyTest use a new pool for each case, as one that has learnt of the fault keeps no connection for the next case to be tried on.

--- a/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
+++ b/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
@@ -17,17 +17,18 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 import jdk.net.ExtendedSocketOptions;
+import org.comfreygap.decisions.ConnectionReuse;
 import org.comfreygap.decisions.IdleConnectionLimit;
+import org.comfreygap.decisions.ResponseMatch;
 
 /**
  * The connections of this gateway to one endpoint.
  *
- * <p>Invariant: a connection is either idle here or carries one request. Thread safety: used on the
- * event loop only.
+ * <p>Invariants: a connection is either idle here or carries one request; while reuse is suspended
+ * a connection carries one request in all. Thread safety: used on the event loop only.
  */
-final class ConnectionPool {
+final class ConnectionPool implements EndpointConnection.FaultListener {
 
   /** Far above a handshake between zones; a lost SYN is resent only after a second. */
   static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
@@ -48,7 +49,8 @@
   private final RequestDialect dialect;
   private final InetSocketAddress address;
   private final IdleConnectionLimit trust;
-  private final IntConsumer onSurplus;
+  private final Observer observer;
+  private final ConnectionReuse reuse = new ConnectionReuse();
   private final Deque<EndpointConnection> idle = new ArrayDeque<>();
   private final Set<EndpointConnection> open = new HashSet<>();
 
@@ -56,20 +58,43 @@
    * Creates an empty pool.
    *
    * @param trust learned limits on idle connections, shared by the endpoints of a pool
-   * @param onSurplus called with the number of a connection's responses, when more bytes arrived on
-   *     it than belong to them
+   * @param observer notified of faults of the endpoint and what follows from them
    */
   ConnectionPool(
       EventLoop loop,
       RequestDialect dialect,
       InetSocketAddress address,
       IdleConnectionLimit trust,
-      IntConsumer onSurplus) {
+      Observer observer) {
     this.loop = loop;
     this.dialect = dialect;
     this.address = address;
     this.trust = trust;
-    this.onSurplus = onSurplus;
+    this.observer = observer;
+  }
+
+  /** Is notified of faults of an endpoint and what follows from them. */
+  interface Observer {
+
+    /** Called when more bytes arrived on a connection than belong to its responses so far. */
+    void surplusReceived(int responses);
+
+    /** Called when each connection carries one request from now on. */
+    void reuseSuspended(String cause);
+
+    /** Called when connections are kept again. */
+    void reuseResumed();
+  }
+
+  @Override
+  public void surplusReceived(int responses) {
+    observer.surplusReceived(responses);
+    suspendReuse("surplus");
+  }
+
+  @Override
+  public void responseDistrusted(ResponseMatch match) {
+    suspendReuse(match.label());
   }
 
   /**
@@ -81,12 +106,15 @@
       String requestId,
       Consumer<EndpointConnection> ready,
       Consumer<Throwable> failed) {
+    if (reuse.endElapsed(nowNanos)) {
+      observer.reuseResumed();
+    }
     Optional<EndpointConnection> kept = takeIdle(nowNanos, requestId);
     if (kept.isPresent()) {
       ready.accept(kept.get());
       return;
     }
-    EndpointConnection connection = new EndpointConnection(dialect, trust, onSurplus);
+    EndpointConnection connection = new EndpointConnection(dialect, trust, this);
     ChannelFuture future = bootstrap(loop, connection).connect(address);
     future.addListener(
         done -> {
@@ -113,7 +141,7 @@
   /** Returns a connection to the pool after a complete response. */
   void release(EndpointConnection connection, long nowNanos) {
     connection.markIdle(nowNanos);
-    if (!connection.usable(nowNanos)) {
+    if (!reuse.allowed(nowNanos) || !connection.usable(nowNanos)) {
       connection.close();
       return;
     }
@@ -146,7 +174,7 @@
     while (all.hasNext()) {
       EndpointConnection kept = all.next();
       kept.readArrived();
-      if (!kept.usable(nowNanos)) {
+      if (!reuse.allowed(nowNanos) || !kept.usable(nowNanos)) {
         all.remove();
         kept.close();
       } else if (kept.mayCarry(requestId)) {
@@ -157,6 +185,12 @@
     return Optional.empty();
   }
 
+  private void suspendReuse(String cause) {
+    if (reuse.faultSeen(System.nanoTime())) {
+      observer.reuseSuspended(cause);
+    }
+  }
+
   private static Bootstrap bootstrap(EventLoop loop, EndpointConnection connection) {
     return withKeepAlive(new Bootstrap().group(loop).channel(NioSocketChannel.class))
         .handler(
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -20,7 +20,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.IntConsumer;
 import org.comfreygap.decisions.IdleConnectionLimit;
 import org.comfreygap.decisions.MergedHead;
 import org.comfreygap.decisions.ResponseMatch;
@@ -45,7 +44,7 @@
   private final IdleConnectionLimit trust;
   private final Set<String> refused = new HashSet<>();
   private final Set<String> recent = new LinkedHashSet<>();
-  private final IntConsumer onSurplus;
+  private final FaultListener faults;
   private final StrictResponseDecoder decoder;
   private Channel channel;
   private Optional<Listener> listener = Optional.empty();
@@ -69,16 +68,29 @@
    * Creates a connection that is not open yet.
    *
    * @param trust learned limits on idle connections
-   * @param onSurplus called with the number of responses so far, when bytes arrived that belong to
-   *     no request
+   * @param faults notified of bytes that belong to no request in progress
    */
-  EndpointConnection(RequestDialect dialect, IdleConnectionLimit trust, IntConsumer onSurplus) {
+  EndpointConnection(RequestDialect dialect, IdleConnectionLimit trust, FaultListener faults) {
     this.dialect = dialect;
     this.trust = trust;
-    this.onSurplus = onSurplus;
+    this.faults = faults;
     this.decoder = new StrictResponseDecoder(() -> listener.isPresent(), this::surplusArrived);
   }
 
+  /** Is notified of bytes on a connection that belong to no request in progress. */
+  interface FaultListener {
+
+    /**
+     * Called when bytes arrived while no request was in progress.
+     *
+     * @param responses number of responses on the connection so far
+     */
+    void surplusReceived(int responses);
+
+    /** Called when a response was not, or not only, that to the request in progress. */
+    void responseDistrusted(ResponseMatch match);
+  }
+
   /** Receives the response to a request. */
   interface Listener {
 
@@ -243,7 +255,7 @@
       return;
     }
     if (isMerged(response)) {
-      listener.get().onMismatch(response, ResponseMatch.MERGED);
+      mismatched(response, ResponseMatch.MERGED);
       fail("a response whose head holds the beginning of another response");
       return;
     }
@@ -259,7 +271,7 @@
     if (skipResponse) {
       // The expected response may follow, but no other request.
       reusable = false;
-      listener.get().onMismatch(response, match);
+      mismatched(response, match);
       if (match == ResponseMatch.UNPROVED) {
         fail("a refusal that does not name its request, on a connection with earlier ones");
       } else if (ResponseFraming.endsWithConnection(response)) {
@@ -288,6 +300,11 @@
     }
   }
 
+  private void mismatched(HttpResponse response, ResponseMatch match) {
+    faults.responseDistrusted(match);
+    listener.get().onMismatch(response, match);
+  }
+
   private boolean isMerged(HttpResponse response) {
     return MergedHead.isSuspected(
         response.protocolVersion().text(),
@@ -304,7 +321,7 @@
   }
 
   private void surplusArrived() {
-    onSurplus.accept(responses);
+    faults.surplusReceived(responses);
     close();
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import org.comfreygap.decisions.ConnectionReuse;
 import org.comfreygap.decisions.IdleConnectionLimit;
 import org.comfreygap.protocol.generated.EndpointStatus;
 import org.comfreygap.protocol.generated.LimitStatement;
@@ -153,12 +154,7 @@
     IdleConnectionLimit trust =
         trustByPool.computeIfAbsent(entry.pool(), pool -> new IdleConnectionLimit());
     ConnectionPool connections =
-        new ConnectionPool(
-            loop,
-            dialect,
-            address,
-            trust,
-            responses -> onSurplus.accept(entry.instanceId(), responses));
+        new ConnectionPool(loop, dialect, address, trust, observer(entry.instanceId()));
     Endpoint endpoint = new Endpoint(entry, connections, nowNanos);
     byInstance.put(key(entry), endpoint);
     byPool.computeIfAbsent(entry.pool(), pool -> new ArrayList<>()).add(endpoint);
@@ -168,6 +164,29 @@
     record(RelayEvent.ENDPOINT_LISTED, endpoint);
   }
 
+  private ConnectionPool.Observer observer(String instanceId) {
+    return new ConnectionPool.Observer() {
+      @Override
+      public void surplusReceived(int responses) {
+        onSurplus.accept(instanceId, responses);
+      }
+
+      @Override
+      public void reuseSuspended(String cause) {
+        events.record(
+            RelayEvent.REUSE_SUSPENDED,
+            Field.of("endpoint", instanceId),
+            Field.of("cause", cause),
+            Field.of("millis", ConnectionReuse.SUSPENSION.toMillis()));
+      }
+
+      @Override
+      public void reuseResumed() {
+        events.record(RelayEvent.REUSE_RESUMED, Field.of("endpoint", instanceId));
+      }
+    };
+  }
+
   private void attachSidecar(Endpoint endpoint) {
     String host = PortBlock.hostOf(endpoint.address());
     endpoint.sidecar(sidecarsByHost.computeIfAbsent(host, this::connectSidecar));
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -40,7 +40,9 @@
   READINESS_CHANGED(3541, Level.INFO, "The gateway became ready or not ready for new work."),
   CALLER_REJECTED(3542, Level.INFO, "A caller's connection failed or sent an invalid request."),
   TASK_FAILED(3543, Level.WARN, "A task on the event loop failed; those after it are run."),
-  SURPLUS_RECEIVED(3544, Level.INFO, "An endpoint sent bytes that belong to no request.");
+  SURPLUS_RECEIVED(3544, Level.INFO, "An endpoint sent bytes that belong to no request."),
+  REUSE_SUSPENDED(3550, Level.INFO, "Each connection to an endpoint carries one request."),
+  REUSE_RESUMED(3551, Level.INFO, "Connections to an endpoint are kept after a response again.");
 
   private final int number;
   private final Level level;
--- a/relay/src/test/java/org/comfreygap/relay/PoolCaller.java
+++ b/relay/src/test/java/org/comfreygap/relay/PoolCaller.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -33,16 +34,21 @@
   private final EventLoop loop = group.next();
   private final AtomicInteger surplus = new AtomicInteger();
   private final List<ResponseMatch> mismatches = new CopyOnWriteArrayList<>();
-  private final ConnectionPool pool;
+  private final AtomicInteger suspensions = new AtomicInteger();
+  private final InetSocketAddress endpoint;
+  private ConnectionPool pool;
+
+  /**
+   * The end of a request.
+   *
+   * @param status status of the complete response, or {@link #FAILED}
+   * @param body what was received of the body
+   */
+  record Result(int status, String body) {}
 
   PoolCaller(InetSocketAddress endpoint) {
-    this.pool =
-        new ConnectionPool(
-            loop,
-            new HeaderDialect(),
-            endpoint,
-            new IdleConnectionLimit(),
-            responses -> surplus.incrementAndGet());
+    this.endpoint = endpoint;
+    this.pool = createPool();
   }
 
   /**
@@ -50,15 +56,27 @@
    * #FAILED}.
    */
   int send(String id) throws Exception {
-    CompletableFuture<Integer> status = new CompletableFuture<>();
+    return sendForBody(id).status();
+  }
+
+  /** Sends a request and returns its end, once the connection is back. */
+  Result sendForBody(String id) throws Exception {
+    CompletableFuture<Result> result = new CompletableFuture<>();
+    ConnectionPool used = pool;
     loop.execute(
         () ->
-            pool.acquire(
+            used.acquire(
                 System.nanoTime(),
                 id,
-                connection -> connection.send(id, request(id), new Receiver(connection, status)),
-                status::completeExceptionally));
-    return status.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                connection ->
+                    connection.send(id, request(id), new Receiver(used, connection, result)),
+                result::completeExceptionally));
+    return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  /** Returns how often the pools suspended the reuse of connections. */
+  int suspensions() {
+    return suspensions.get();
   }
 
   /** Returns how many connections brought bytes that belong to no request. */
@@ -71,8 +89,10 @@
     return mismatches;
   }
 
-  void closeIdle() throws Exception {
+  /** Closes the idle connections and forgets what was learned of the endpoint. */
+  void renewPool() throws Exception {
     loop.submit(pool::closeIdle).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    pool = createPool();
   }
 
   @Override
@@ -80,6 +100,11 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
+  private ConnectionPool createPool() {
+    return new ConnectionPool(
+        loop, new HeaderDialect(), endpoint, new IdleConnectionLimit(), new Counter());
+  }
+
   private static FullHttpRequest request(String id) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/unsafe/1");
@@ -87,15 +112,35 @@
     return request;
   }
 
+  private final class Counter implements ConnectionPool.Observer {
+
+    @Override
+    public void surplusReceived(int responses) {
+      surplus.incrementAndGet();
+    }
+
+    @Override
+    public void reuseSuspended(String cause) {
+      suspensions.incrementAndGet();
+    }
+
+    @Override
+    public void reuseResumed() {}
+  }
+
   private final class Receiver implements EndpointConnection.Listener {
 
+    private final ConnectionPool owner;
     private final EndpointConnection connection;
-    private final CompletableFuture<Integer> status;
+    private final CompletableFuture<Result> result;
+    private final StringBuilder body = new StringBuilder();
     private int received;
 
-    Receiver(EndpointConnection connection, CompletableFuture<Integer> status) {
+    Receiver(
+        ConnectionPool owner, EndpointConnection connection, CompletableFuture<Result> result) {
+      this.owner = owner;
       this.connection = connection;
-      this.status = status;
+      this.result = result;
     }
 
     @Override
@@ -110,6 +155,7 @@
 
     @Override
     public void onContent(ByteBuf bytes) {
+      body.append(bytes.toString(StandardCharsets.US_ASCII));
       bytes.release();
     }
 
@@ -117,14 +163,14 @@
     public void onComplete() {
       loop.execute(
           () -> {
-            pool.release(connection, System.nanoTime());
-            status.complete(received);
+            owner.release(connection, System.nanoTime());
+            result.complete(new Result(received, body.toString()));
           });
     }
 
     @Override
     public void onFailure(String reason) {
-      status.complete(FAILED);
+      result.complete(new Result(FAILED, body.toString()));
     }
   }
 }
--- a/relay/src/test/java/org/comfreygap/relay/SecondResponseTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/SecondResponseTest.java
@@ -50,7 +50,7 @@
   private void check(String moment, List<Reply> first, List<Reply> next, List<String> wrong)
       throws Exception {
     endpoint.setNext(first, next);
-    caller.closeIdle();
+    caller.renewPool();
     caller.send(moment + " 1");
     if (first.contains(Reply.PAUSE)) {
       Thread.sleep(80);
--- a/relay/src/test/java/org/comfreygap/relay/TruncatedCopyTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/TruncatedCopyTest.java
@@ -100,7 +100,7 @@
     for (Reply reply : List.of(Reply.WHOLE, Reply.FAILURE, Reply.REFUSAL)) {
       endpoint.setNext(List.of(reply));
       String id = "again-" + reply;
-      caller.closeIdle();
+      caller.renewPool();
       caller.send(id);
       int opened = endpoint.opened();
       caller.send(id);
@@ -128,7 +128,7 @@
       if (outcome == wrong || lost) {
         found.add(copied + " bytes: " + outcome);
       }
-      caller.closeIdle();
+      caller.renewPool();
     }
     return found;
   }
