Refuse a body that holds bytes of another response

A caller could get a complete response with bytes of an earlier one in it, when an endpoint wrote that one once more while it wrote the next: with a stated length the copy filled the body, without one it became part of the body, and a copy inside the value of Transfer-Encoding made a response in chunks one that ends with its connection.

On a connection that has carried a response, EmbeddedHead looks in the body for a status line that is followed by a field of responses. A body that is followed at once by bytes that begin no response was moved beyond its end and is refused as well. So is a transfer coding other than chunked. The request ends as one that may have run, and the reuse of connections to the endpoint is suspended.

Not covered: a copy that arrives in a later read than the end of the body it has moved, and one without id and framing in a body without length.

--- a/decisions/src/main/java/org/comfreygap/decisions/ResponseMatch.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/ResponseMatch.java
@@ -28,7 +28,9 @@
   /** It may belong to an earlier request, and states that one did not run. */
   UNPROVED,
   /** Its head may hold the beginning of another response, so that nothing in it is reliable. */
-  MERGED;
+  MERGED,
+  /** Its body holds bytes of another response, so that it is not whole. */
+  INTERLEAVED;
 
   /**
    * What the connection has carried before.
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.comfreygap.decisions.EmbeddedHead;
 import org.comfreygap.decisions.IdleConnectionLimit;
 import org.comfreygap.decisions.MergedHead;
 import org.comfreygap.decisions.ResponseMatch;
@@ -28,9 +29,10 @@
  * A connection to an endpoint, which carries one request at a time.
  *
  * <p>Invariants: bytes that belong to no request in progress close the connection; a response to
- * another request is read and discarded; a request that was sent here lately is not sent here
- * again, one that was refused here never; a connection that was reset never completes a response.
- * Thread safety: used on the event loop only.
+ * another request is read and discarded; a body that holds the head of another response is never
+ * completed; a request that was sent here lately is not sent here again, one that was refused here
+ * never; a connection that was reset never completes a response. Thread safety: used on the event
+ * loop only.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
@@ -40,14 +42,20 @@
   /** Latest requests whose ids are kept, of which copies of responses may still arrive. */
   private static final int MAX_RECENT = 32;
 
+  private static final Set<String> FRAMING_FIELDS = Set.of("content-length", "transfer-encoding");
+
   private final RequestDialect dialect;
   private final IdleConnectionLimit trust;
   private final Set<String> refused = new HashSet<>();
   private final Set<String> recent = new LinkedHashSet<>();
   private final FaultListener faults;
   private final StrictResponseDecoder decoder;
+  private final Set<String> headFields;
   private Channel channel;
   private Optional<Listener> listener = Optional.empty();
+  private Optional<HttpResponse> response = Optional.empty();
+  private Optional<EmbeddedHead> embedded = Optional.empty();
+  private long bodyBytes;
   private String requestId = "";
   private boolean skipResponse;
   private boolean responseBegun;
@@ -74,6 +82,8 @@
     this.dialect = dialect;
     this.trust = trust;
     this.faults = faults;
+    this.headFields = new HashSet<>(dialect.singleResponseFields());
+    headFields.addAll(FRAMING_FIELDS);
     this.decoder = new StrictResponseDecoder(() -> listener.isPresent(), this::surplusArrived);
   }
 
@@ -259,6 +269,10 @@
       fail("a response whose head holds the beginning of another response");
       return;
     }
+    if (ResponseFraming.isUnknown(response)) {
+      fail("a response with a transfer coding other than chunked");
+      return;
+    }
     ResponseHead stated = dialect.readResponse(response);
     refusal = stated.verdict() != ResponseHead.Verdict.RAN;
     ResponseMatch match =
@@ -279,6 +293,10 @@
       }
       return;
     }
+    this.response = Optional.of(response);
+    // Only a connection that has carried a response brings a copy of one.
+    embedded = responses > 0 ? Optional.of(new EmbeddedHead(headFields)) : Optional.empty();
+    bodyBytes = 0;
     responses++;
     idsStated |= stated.requestId().isPresent();
     responseBegun = true;
@@ -291,15 +309,52 @@
 
   private void forwardContent(HttpContent content) {
     if (!skipResponse && responseBegun) {
-      if (content.content().isReadable()) {
-        listener.ifPresent(receiver -> receiver.onContent(content.content().retain()));
+      ByteBuf bytes = content.content();
+      boolean last = content instanceof LastHttpContent && !reset;
+      if (holdsCopy(bytes) || (last && endsInsideCopy())) {
+        listener.ifPresent(
+            receiver -> mismatched(response.orElseThrow(), ResponseMatch.INTERLEAVED));
+        fail("a response whose body holds bytes of another response");
+        return;
+      }
+      if (bytes.isReadable()) {
+        listener.ifPresent(receiver -> receiver.onContent(bytes.retain()));
       }
-      if (content instanceof LastHttpContent && !reset) {
+      if (last) {
         completeResponse();
       }
     }
   }
 
+  /** Returns true when the body, up to and with {@code bytes}, holds the head of a response. */
+  private boolean holdsCopy(ByteBuf bytes) {
+    bodyBytes += bytes.readableBytes();
+    if (embedded.isEmpty()) {
+      return false;
+    }
+    bytes.forEachByte(this::scan);
+    return embedded.get().offset().isPresent();
+  }
+
+  /**
+   * Returns true when bytes follow the end of the body that do not begin a response of their own: a
+   * copy inside the body has moved the rest of it beyond its end.
+   */
+  private boolean endsInsideCopy() {
+    if (embedded.isEmpty() || !decoder.hasSurplus()) {
+      return false;
+    }
+    decoder.forEachSurplusByte(this::scan);
+    OptionalLong offset = embedded.get().offset();
+    boolean begunInside = offset.isPresent() && offset.getAsLong() < bodyBytes;
+    return begunInside || !decoder.surplusBeginsResponse();
+  }
+
+  private boolean scan(byte next) {
+    embedded.orElseThrow().add(next);
+    return true;
+  }
+
   private void mismatched(HttpResponse response, ResponseMatch match) {
     faults.responseDistrusted(match);
     listener.get().onMismatch(response, match);
--- a/relay/src/main/java/org/comfreygap/relay/ResponseFraming.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseFraming.java
@@ -1,5 +1,6 @@
 package org.comfreygap.relay;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -21,6 +22,12 @@
     return HttpUtil.isContentLengthSet(response) ? Framing.LENGTH : Framing.CONNECTION;
   }
 
+  /** Returns true when the response has a transfer coding that hides where it ends. */
+  static boolean isUnknown(HttpResponse response) {
+    return response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+        && !HttpUtil.isTransferEncodingChunked(response);
+  }
+
   /** Returns true when nothing can follow the response on its connection. */
   static boolean endsWithConnection(HttpResponse response) {
     boolean hasNoBody =
--- a/relay/src/main/java/org/comfreygap/relay/StrictResponseDecoder.java
+++ b/relay/src/main/java/org/comfreygap/relay/StrictResponseDecoder.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ByteProcessor;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
@@ -19,6 +21,7 @@
 
   private static final int MAX_HEADER_BYTES = 32 * 1024;
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
+  private static final String RESPONSE_BEGINNING = "HTTP/1.";
 
   private final BooleanSupplier inProgress;
   private final Runnable onSurplus;
@@ -42,6 +45,19 @@
     return surplus || actualReadableBytes() > 0;
   }
 
+  /** Passes the bytes beyond the last response to {@code processor}, without reading them. */
+  void forEachSurplusByte(ByteProcessor processor) {
+    internalBuffer().forEachByte(processor);
+  }
+
+  /** Returns true when the bytes beyond the last response may be the beginning of another one. */
+  boolean surplusBeginsResponse() {
+    ByteBuf bytes = internalBuffer();
+    int compared = Math.min(bytes.readableBytes(), RESPONSE_BEGINNING.length());
+    String beginning = bytes.toString(bytes.readerIndex(), compared, StandardCharsets.ISO_8859_1);
+    return RESPONSE_BEGINNING.startsWith(beginning);
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
     if (!surplus && inProgress.getAsBoolean()) {
