--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -22,7 +22,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.IntConsumer;
+import org.comfreygap.decisions.EmbeddedHead;
 import org.comfreygap.decisions.IdleConnectionLimit;
 import org.comfreygap.decisions.MergedHead;
 import org.comfreygap.decisions.ResponseMatch;
@@ -31,9 +31,10 @@
  * A connection to an endpoint, which carries one request at a time.
  *
  * <p>Invariants: bytes that belong to no request in progress close the connection; a response to
- * another request is read and discarded; a request that was sent here lately is not sent here
- * again, one that was refused here never; a connection that was reset never completes a response.
- * Thread safety: used on the event loop only.
+ * another request is read and discarded; a body that holds the head of another response is never
+ * completed; a request that was sent here lately is not sent here again, one that was refused here
+ * never; a connection that was reset never completes a response. Thread safety: used on the event
+ * loop only.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
@@ -46,14 +47,20 @@
   /** Bytes that an endpoint may send before the response that is forwarded. */
   static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
+  private static final Set<String> FRAMING_FIELDS = Set.of("content-length", "transfer-encoding");
+
   private final RequestDialect dialect;
   private final IdleConnectionLimit trust;
   private final Set<String> refused = new HashSet<>();
   private final Set<String> recent = new LinkedHashSet<>();
-  private final IntConsumer onSurplus;
+  private final FaultListener faults;
   private final StrictResponseDecoder decoder;
+  private final Set<String> headFields;
   private Channel channel;
   private Optional<Listener> listener = Optional.empty();
+  private Optional<HttpResponse> response = Optional.empty();
+  private Optional<EmbeddedHead> embedded = Optional.empty();
+  private long bodyBytes;
   private String requestId = "";
   private boolean skipResponse;
   private boolean responseBegun;
@@ -75,16 +82,31 @@
    * Creates a connection that is not open yet.
    *
    * @param trust learned limits on idle connections
-   * @param onSurplus called with the number of responses so far, when bytes arrived that belong to
-   *     no request
+   * @param faults notified of bytes that belong to no request in progress
    */
-  EndpointConnection(RequestDialect dialect, IdleConnectionLimit trust, IntConsumer onSurplus) {
+  EndpointConnection(RequestDialect dialect, IdleConnectionLimit trust, FaultListener faults) {
     this.dialect = dialect;
     this.trust = trust;
-    this.onSurplus = onSurplus;
+    this.faults = faults;
+    this.headFields = new HashSet<>(dialect.singleResponseFields());
+    headFields.addAll(FRAMING_FIELDS);
     this.decoder = new StrictResponseDecoder(() -> listener.isPresent(), this::surplusArrived);
   }
 
+  /** Is notified of bytes on a connection that belong to no request in progress. */
+  interface FaultListener {
+
+    /**
+     * Called when bytes arrived while no request was in progress.
+     *
+     * @param responses number of responses on the connection so far
+     */
+    void surplusReceived(int responses);
+
+    /** Called when a response was not, or not only, that to the request in progress. */
+    void responseDistrusted(ResponseMatch match);
+  }
+
   /** Receives the response to a request. */
   interface Listener {
 
@@ -269,10 +291,14 @@
       return;
     }
     if (isMerged(response)) {
-      listener.get().onMismatch(response, ResponseMatch.MERGED);
+      mismatched(response, ResponseMatch.MERGED);
       fail("a response whose head holds the beginning of another response");
       return;
     }
+    if (ResponseFraming.isUnknown(response)) {
+      fail("a response with a transfer coding other than chunked");
+      return;
+    }
     ResponseHead stated = dialect.readResponse(response);
     refusal = stated.verdict() != ResponseHead.Verdict.RAN;
     ResponseMatch match =
@@ -285,7 +311,7 @@
     if (skipResponse) {
       // The expected response may follow, but no other request.
       reusable = false;
-      listener.get().onMismatch(response, match);
+      mismatched(response, match);
       if (match == ResponseMatch.UNPROVED) {
         fail("a refusal that does not name its request, on a connection with earlier ones");
       } else if (ResponseFraming.endsWithConnection(response)) {
@@ -293,6 +319,10 @@
       }
       return;
     }
+    this.response = Optional.of(response);
+    // Only a connection that has carried a response brings a copy of one.
+    embedded = responses > 0 ? Optional.of(new EmbeddedHead(headFields)) : Optional.empty();
+    bodyBytes = 0;
     responses++;
     idsStated |= stated.requestId().isPresent();
     responseBegun = true;
@@ -305,15 +335,57 @@
 
   private void forwardContent(HttpContent content) {
     if (!skipResponse && responseBegun) {
-      if (content.content().isReadable()) {
-        listener.ifPresent(receiver -> receiver.onContent(content.content().retain()));
+      ByteBuf bytes = content.content();
+      boolean last = content instanceof LastHttpContent && !reset;
+      if (holdsCopy(bytes) || (last && endsInsideCopy())) {
+        listener.ifPresent(
+            receiver -> mismatched(response.orElseThrow(), ResponseMatch.INTERLEAVED));
+        fail("a response whose body holds bytes of another response");
+        return;
       }
-      if (content instanceof LastHttpContent && !reset) {
+      if (bytes.isReadable()) {
+        listener.ifPresent(receiver -> receiver.onContent(bytes.retain()));
+      }
+      if (last) {
         completeResponse();
       }
     }
   }
 
+  /** Returns true when the body, up to and with {@code bytes}, holds the head of a response. */
+  private boolean holdsCopy(ByteBuf bytes) {
+    bodyBytes += bytes.readableBytes();
+    if (embedded.isEmpty()) {
+      return false;
+    }
+    bytes.forEachByte(this::scan);
+    return embedded.get().offset().isPresent();
+  }
+
+  /**
+   * Returns true when bytes follow the end of the body that do not begin a response of their own: a
+   * copy inside the body has moved the rest of it beyond its end.
+   */
+  private boolean endsInsideCopy() {
+    if (embedded.isEmpty() || !decoder.hasSurplus()) {
+      return false;
+    }
+    decoder.forEachSurplusByte(this::scan);
+    OptionalLong offset = embedded.get().offset();
+    boolean begunInside = offset.isPresent() && offset.getAsLong() < bodyBytes;
+    return begunInside || !decoder.surplusBeginsResponse();
+  }
+
+  private boolean scan(byte next) {
+    embedded.orElseThrow().add(next);
+    return true;
+  }
+
+  private void mismatched(HttpResponse response, ResponseMatch match) {
+    faults.responseDistrusted(match);
+    listener.get().onMismatch(response, match);
+  }
+
   private boolean isMerged(HttpResponse response) {
     return MergedHead.isSuspected(
         response.protocolVersion().text(),
@@ -330,7 +402,7 @@
   }
 
   private void surplusArrived() {
-    onSurplus.accept(responses);
+    faults.surplusReceived(responses);
     close();
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -93,6 +93,8 @@
   private final FleetSize fleetSize = new FleetSize(FleetSize.HOLD);
   private final KnownFleet retryFleet;
   private double retryPart;
+  private volatile int sharingGateways;
+  private volatile double retriesLeft;
   private final Outages outages = new Outages();
   private volatile RouteTable table = RouteTable.empty();
   private volatile boolean ready;
@@ -212,6 +214,10 @@
           listingPoller = Optional.of(poller);
           return null;
         });
+    startTasks(relay, directory, limits);
+  }
+
+  private void startTasks(RelayContext relay, EndpointDirectory directory, EndpointLimits limits) {
     LoopTasks.repeat(
         loop, events, "limiters", Duration.ZERO, LIMITER_PERIOD, () -> updateLimiters(limits));
     LoopTasks.repeat(
@@ -301,9 +307,8 @@
     metrics.gauge("requests.waiting", relay.waitQueue()::size);
     metrics.gauge("connections.of.callers", callers::size);
     metrics.gauge("bytes.of.unfinished.responses", relay.heldBytes()::counted);
-    metrics.gauge("gateways.sharing.the.retry.budget", () -> knownGateways().orElse(0));
-    metrics.gauge(
-        "retries.left", () -> relay.retryBudgets().lowest(knownGateways(), System.nanoTime()));
+    metrics.gauge("gateways.sharing.the.retry.budget", () -> sharingGateways);
+    metrics.gauge("retries.left", () -> retriesLeft);
     metrics.gauge(
         "endpoints.with.limit",
         () -> relay.directory().all().stream().filter(one -> one.limit().isLimited()).count());
@@ -418,6 +423,8 @@
   private void recordRetryPart(RetryBudgets budgets) {
     OptionalInt known = knownGateways();
     double part = budgets.part(known, System.nanoTime());
+    sharingGateways = known.orElse(0);
+    retriesLeft = budgets.lowest(known, System.nanoTime());
     if (part != retryPart) {
       retryPart = part;
       events.record(
