--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -212,6 +212,10 @@
           listingPoller = Optional.of(poller);
           return null;
         });
+    startTasks(relay, limits);
+  }
+
+  private void startTasks(RelayContext relay, EndpointLimits limits) {
     LoopTasks.repeat(
         loop, events, "limiters", Duration.ZERO, LIMITER_PERIOD, () -> updateLimiters(limits));
     LoopTasks.repeat(
@@ -220,7 +224,7 @@
         "readiness",
         Duration.ZERO,
         READINESS_PERIOD,
-        () -> checkReadiness(directory));
+        () -> checkReadiness(relay.directory()));
     LoopTasks.repeat(
         loop,
         events,
