Send on no event that a stream cannot resume after, and spare sound endpoints

Found by the review of the bounds on responses:

- An event that was complete within one read and had an id over 4 KiB was sent on before the limit was seen, so that the next attempt sent it again: the caller got [1, 2, 3, 3].
EventSplitter holds such an event back.
EventSplitterTest.keepsBackAnEventWhoseIdIsTooLong failed before, 3 of 3.
- When all unfinished responses held as many bytes as they may, the next sound response failed, its endpoint counted as failed, and 3555 was recorded for it.
A successful body that cannot be held is forwarded from then on; any other response ends its attempt, without blame for the endpoint.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -143,10 +143,21 @@
     }
   }
 
+  /** Cancels the attempt, which counts as a failure of its endpoint if that is the cause. */
+  Failure abandon(HeldBuffer.Excess excess) {
+    if (excess.byEndpoint()) {
+      recordExcess(excess.reason());
+      return abandon(excess.reason());
+    }
+    cancel();
+    return Failure.unknown(excess.reason());
+  }
+
   /** Cancels the attempt, which counts as a failure of its endpoint. */
-  void abandon() {
+  Failure abandon(String reason) {
     cancel();
     endpoint.health().failed(System.nanoTime());
+    return Failure.unknown(reason);
   }
 
   /** Resumes or pauses reading the response; a connection that has brought it may carry another. */
@@ -191,8 +202,7 @@
     onFailure(reason);
   }
 
-  /** Records that the endpoint sent more than it may. */
-  void recordExcess(String reason) {
+  private void recordExcess(String reason) {
     relay.metrics().count("responses.distrusted", "too-large");
     relay
         .events()
--- a/relay/src/main/java/org/comfreygap/relay/EventSplitter.java
+++ b/relay/src/main/java/org/comfreygap/relay/EventSplitter.java
@@ -63,9 +63,11 @@
   }
 
   /** Returns which limit the unfinished event exceeds. */
-  Optional<String> excess() {
+  Optional<HeldBuffer.Excess> excess() {
     return idTooLong
-        ? Optional.of("given an event id of more than " + MAX_ID_BYTES + " bytes")
+        ? Optional.of(
+            new HeldBuffer.Excess(
+                "given an event id of more than " + MAX_ID_BYTES + " bytes", true))
         : partialEvent.excess();
   }
 
@@ -118,7 +120,7 @@
           lineStart = at + 1;
           if (emptyLineEndedWithCr) {
             emptyLineEndedWithCr = false;
-            end = endEvent(at + 1);
+            end = Math.max(end, endEvent(at + 1));
           } else if (end == at) {
             // The event ended with the CR before this byte.
             end = at + 1;
@@ -128,7 +130,7 @@
         previousLineEndedWithCr = true;
         if (emptyLineEndedWithCr) {
           emptyLineEndedWithCr = false;
-          end = endEvent(at);
+          end = Math.max(end, endEvent(at));
         }
       }
       if (next == '\n' || next == '\r') {
@@ -160,6 +162,10 @@
   }
 
   private int endEvent(int end) {
+    if (idTooLong) {
+      // A stream cannot resume after this event, so that it must not be sent on.
+      return 0;
+    }
     completeEvents += partialEventHasField ? 1 : 0;
     lastId = partialEventId.or(() -> lastId);
     partialEventId = Optional.empty();
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -446,13 +446,13 @@
   private void abandonAttempt(String reason) {
     Attempt current = attempt.orElseThrow();
     tracked.dropped(current.endpoint(), forwarder.eventReceived());
-    current.abandon();
-    attemptFailed(current, Attempt.Failure.unknown(reason));
+    attemptFailed(current, current.abandon(reason));
   }
 
-  private void abandonExcess(String reason) {
-    attempt.orElseThrow().recordExcess(reason);
-    abandonAttempt(reason);
+  private void abandonExcess(HeldBuffer.Excess excess) {
+    Attempt current = attempt.orElseThrow();
+    tracked.dropped(current.endpoint(), forwarder.eventReceived());
+    attemptFailed(current, current.abandon(excess));
   }
 
   private void attemptFailed(Attempt ended, Attempt.Failure failure) {
--- a/relay/src/main/java/org/comfreygap/relay/HeldBuffer.java
+++ b/relay/src/main/java/org/comfreygap/relay/HeldBuffer.java
@@ -17,7 +17,7 @@
   private final int maxBytes;
   private final HeldBytes.Share share;
   private ByteBuf held = Unpooled.EMPTY_BUFFER;
-  private Optional<String> excess = Optional.empty();
+  private Optional<Excess> excess = Optional.empty();
 
   /** Creates an empty buffer for at most {@code maxBytes}, counted in {@code total}. */
   HeldBuffer(int maxBytes, HeldBytes total) {
@@ -25,6 +25,13 @@
     this.share = total.share();
   }
 
+  /**
+   * A limit that was exceeded.
+   *
+   * @param byEndpoint true when the endpoint alone is the cause, false when the sum over all is
+   */
+  record Excess(String reason, boolean byEndpoint) {}
+
   /** Returns the held bytes, which stay here. */
   ByteBuf bytes() {
     return held;
@@ -66,15 +73,18 @@
   }
 
   /** Returns which limit the held bytes exceed. */
-  Optional<String> excess() {
+  Optional<Excess> excess() {
     return excess;
   }
 
   private void account() {
     if (held.readableBytes() > maxBytes) {
-      excess = Optional.of("given more than " + maxBytes + " bytes that belong together");
+      excess =
+          Optional.of(
+              new Excess("given more than " + maxBytes + " bytes that belong together", true));
     } else if (!share.resize(held.capacity())) {
-      excess = Optional.of("all responses together hold as many bytes as they may");
+      excess =
+          Optional.of(new Excess("all responses together hold as many bytes as they may", false));
     } else {
       excess = Optional.empty();
     }
--- a/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
@@ -103,14 +103,14 @@
       return;
     }
     buffered.append(bytes);
-    if (buffered.size() > MAX_BUFFERED_BYTES) {
+    if (buffered.size() > MAX_BUFFERED_BYTES || (buffered.excess().isPresent() && isSuccess())) {
       start();
       caller.sendPart(buffered.takeAll());
     }
   }
 
   /** Returns why the response in progress must end: what it holds exceeds a limit. */
-  Optional<String> excess() {
+  Optional<HeldBuffer.Excess> excess() {
     return events.excess().or(buffered::excess);
   }
 
@@ -162,9 +162,11 @@
   }
 
   private boolean isStream() {
-    return streamed
-        && (started
-            || head.filter(r -> r.status().codeClass() == HttpStatusClass.SUCCESS).isPresent());
+    return streamed && (started || isSuccess());
+  }
+
+  private boolean isSuccess() {
+    return head.filter(r -> r.status().codeClass() == HttpStatusClass.SUCCESS).isPresent();
   }
 
   private static HttpHeaders headers(HttpResponse response) {
--- a/relay/src/test/java/org/comfreygap/relay/EventSplitterTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/EventSplitterTest.java
@@ -64,6 +64,22 @@
     }
   }
 
+  /** Guards against an event that is sent on although the stream cannot resume after it. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\n", "\r\n", "\r"})
+  void keepsBackAnEventWhoseIdIsTooLong(String lineEnd) {
+    String first = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+    String id = "x".repeat(EventSplitter.MAX_ID_BYTES);
+    String second = "id: " + id + lineEnd + "data: b" + lineEnd + lineEnd;
+    EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
+
+    assertThat(text(splitter.add(bytes(first + second + first)))).isEqualTo(first);
+
+    assertThat(splitter.lastId()).contains("1");
+    assertThat(splitter.completeEvents()).isEqualTo(1);
+    assertThat(splitter.excess()).isPresent();
+  }
+
   @Test
   void doesNotCountCommentsAsEvents() {
     EventSplitter splitter = new EventSplitter(new HeldBytes(Long.MAX_VALUE));
