End control's call for the list when its response has no end

Endless interim responses were not bounded at all. The connection is closed before the response, and a call ends after 4 s.

PlatformListPollerTest.endsCallWhoseResponseHasNoEnd, 5 cases.

--- a/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
+++ b/control/src/main/java/org/comfreygap/control/PlatformListPoller.java
@@ -9,12 +9,16 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.util.Timeout;
 import org.comfreygap.runtime.EventLog;
@@ -35,6 +39,9 @@
 
   private static final Timeout TIMEOUT = Timeout.ofSeconds(2);
 
+  /** Longest time for a whole call, however often bytes arrive. */
+  static final Duration CALL_TIMEOUT = Duration.ofSeconds(4);
+
   /** Largest list. */
   static final int MAX_BYTES = 4 << 20;
 
@@ -95,18 +102,41 @@
     return source.map(ControlSettings.PlatformList::poll);
   }
 
+  /**
+   * Asks for a list, and closes the connection where the response fails: closing the response alone
+   * would read the rest of its body.
+   *
+   * @throws IOException when there is no list within {@link #CALL_TIMEOUT}
+   */
+  static JsonNode fetch(CloseableHttpClient client, String url) throws IOException {
+    HttpGet request = new HttpGet(url);
+    Executor afterTimeout =
+        CompletableFuture.delayedExecutor(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    CompletableFuture<Void> timeout = CompletableFuture.runAsync(request::cancel, afterTimeout);
+    try {
+      return client.execute(request, response -> readResponse(request, response));
+    } finally {
+      timeout.cancel(false);
+    }
+  }
+
+  private static JsonNode readResponse(HttpGet request, ClassicHttpResponse response)
+      throws IOException {
+    try {
+      if (response.getCode() != 200) {
+        throw new IOException("given status " + response.getCode() + ", expected 200");
+      }
+      return readList(response.getEntity().getContent());
+    } catch (IOException e) {
+      request.cancel();
+      throw e;
+    }
+  }
+
   void poll(LeaderTerm term) {
     String url = source.orElseThrow().url();
     try {
-      JsonNode list =
-          client.execute(
-              new HttpGet(url),
-              response -> {
-                if (response.getCode() != 200) {
-                  throw new IOException("given status " + response.getCode() + ", expected 200");
-                }
-                return readList(response.getEntity().getContent());
-              });
+      JsonNode list = fetch(client, url);
       if (!list.path("instances").isArray()) {
         throw new IOException("given no array of instances, expected one in the response");
       }
--- a/control/src/test/java/org/comfreygap/control/PlatformListPollerTest.java
+++ b/control/src/test/java/org/comfreygap/control/PlatformListPollerTest.java
@@ -8,11 +8,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a list without end that fills the memory, or passes as its beginning. */
@@ -46,9 +48,8 @@
     AtomicLong written = new AtomicLong();
     try (ServerSocket server = new ServerSocket(0);
         CloseableHttpClient client = PlatformListPoller.client()) {
-      Thread thread = new Thread(() -> flood(server, beginning, written), "endless-list");
-      thread.setDaemon(true);
-      thread.start();
+      String repeated = beginning.endsWith("\r\n") ? "Field: value\r\n" : "x";
+      startFlood(server, beginning, repeated, written);
       HttpGet request = new HttpGet("http://127.0.0.1:" + server.getLocalPort());
 
       assertThatThrownBy(() -> client.execute(request, response -> response.getCode()))
@@ -57,8 +58,41 @@
     assertThat(written.get()).isLessThan(MAX_WRITTEN_BYTES);
   }
 
-  private static void flood(ServerSocket server, String beginning, AtomicLong written) {
-    String repeated = beginning.endsWith("\r\n") ? "Field: value\r\n" : "x";
+  /** Guards against a call that reads an endless response to its end when it is closed. */
+  @ParameterizedTest
+  @CsvSource({
+    "200, Content-Length: 1000000000000, x",
+    "200, Transfer-Encoding: chunked, '1\nx\n'",
+    "200, Field: until-close, x",
+    "500, Transfer-Encoding: chunked, '1\nx\n'",
+    "100, Field: value, 'HTTP/1.1 100 Continue\n\n'"
+  })
+  void endsCallWhoseResponseHasNoEnd(int status, String field, String repeated) throws Exception {
+    AtomicLong written = new AtomicLong();
+    String beginning = "HTTP/1.1 " + status + " S\r\n" + field + "\r\n\r\n";
+    try (ServerSocket server = new ServerSocket(0);
+        CloseableHttpClient client = PlatformListPoller.client()) {
+      startFlood(server, beginning, repeated.replace("\n", "\r\n"), written);
+      long startNanos = System.nanoTime();
+
+      assertThatThrownBy(
+              () -> PlatformListPoller.fetch(client, "http://127.0.0.1:" + server.getLocalPort()))
+          .isInstanceOf(IOException.class);
+
+      assertThat(Duration.ofNanos(System.nanoTime() - startNanos))
+          .isLessThan(PlatformListPoller.CALL_TIMEOUT.plusSeconds(2));
+    }
+  }
+
+  private static void startFlood(
+      ServerSocket server, String beginning, String repeated, AtomicLong written) {
+    Thread thread = new Thread(() -> flood(server, beginning, repeated, written), "endless-list");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void flood(
+      ServerSocket server, String beginning, String repeated, AtomicLong written) {
     byte[] unit = repeated.repeat(1_000).getBytes(StandardCharsets.US_ASCII);
     try (Socket connection = server.accept()) {
       connection.getInputStream().read(new byte[1_000]);
--- a/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
@@ -63,7 +63,7 @@
   private static final int MAX_CONNECTIONS_PER_SIDECAR = 1_024;
   private static final int STATUS_OK = 200;
 
-  /** Largest reply to a cancellation; what is cut off there cannot be read. */
+  /** Largest reply to a cancellation. */
   private static final int MAX_REPLY_BYTES = 64 * 1024;
 
   private static final int MAX_LINE_BYTES = 32 * 1024;
@@ -126,7 +126,10 @@
         throw new IOException(
             "the sidecar responded with status " + response.getCode() + ", expected " + STATUS_OK);
       }
-      byte[] body = response.getEntity().getContent().readNBytes(MAX_REPLY_BYTES);
+      byte[] body = response.getEntity().getContent().readNBytes(MAX_REPLY_BYTES + 1);
+      if (body.length > MAX_REPLY_BYTES) {
+        throw new IOException("given a reply of more than " + MAX_REPLY_BYTES + " bytes");
+      }
       CancelReply reply = new CancelReply();
       new TDeserializer(new TCompactProtocol.Factory()).deserialize(reply, body);
       complete = true;
