Read log entries without changing them

Replicas could apply a command of zeros in place of an acknowledged one, and write it to their logs. Thrift's getter of a binary field replaces the field by a copy on each call. The apply thread, the storage thread and the senders read the same LogEntry; on arm64 one of them may see another's new buffer before it is filled, since nothing orders the two writes.

That FullDiskTest failed for this reason is likely, not shown: its run left no list of commands. Its replicas share entries in memory, which makes the race more frequent there.

--- a/consensus/src/main/java/org/comfreygap/consensus/ApplyWorker.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ApplyWorker.java
@@ -130,9 +130,9 @@
       }
       byte[] result = null;
       if (entry.getKind() == EntryKind.COMMAND) {
-        result = options.stateMachine().apply(entry.getIndex(), entry.getPayload());
+        result = options.stateMachine().apply(entry.getIndex(), LogRecord.payload(entry));
       } else if (entry.getKind() == EntryKind.MEMBERSHIP) {
-        members = Memberships.decode(entry.getPayload());
+        members = Memberships.decode(LogRecord.payload(entry));
       }
       bytesSinceSnapshot += entry.bufferForPayload().remaining();
       appliedTerm = entry.getTerm();
--- a/consensus/src/main/java/org/comfreygap/consensus/CoreLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/CoreLog.java
@@ -122,7 +122,7 @@
     entries.add(entry);
     bytes += size(entry);
     if (entry.getKind() == EntryKind.MEMBERSHIP) {
-      memberships.put(entry.getIndex(), Memberships.decode(entry.getPayload()));
+      memberships.put(entry.getIndex(), Memberships.decode(LogRecord.payload(entry)));
     }
   }
 
--- a/consensus/src/main/java/org/comfreygap/consensus/LogRecord.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/LogRecord.java
@@ -60,7 +60,15 @@
         entry.getIndex(),
         entry.getTerm(),
         entry.getKind().getValue(),
-        entry.getPayload());
+        payload(entry));
+  }
+
+  /**
+   * Returns a copy of an entry's payload. Several threads read an entry at once, while the
+   * generated getter replaces its buffer, which others may then see before it is filled.
+   */
+  static byte[] payload(LogEntry entry) {
+    return entry.bufferForPayload().array();
   }
 
   static LogRecord reset(long lastIndex, long lastTerm) {
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
@@ -264,12 +264,13 @@
       return;
     }
     followLeader(now, chunk.getTerm(), chunk.getLeader());
-    if (!established && Memberships.isVoter(Memberships.decode(chunk.getMembership()), self)) {
+    if (!established
+        && Memberships.isVoter(Memberships.decode(chunk.bufferForMembership().array()), self)) {
       // This replica is a voter that has lost its disk: see Leadership#onMismatch.
       output.recordEvent(ConsensusEvent.REPLICA_WITHOUT_DISK, self);
       replyTo.accept(new SnapshotReply(term, false, 0, chunk.getRound()));
     } else if (chunk.getLastIndex() <= commitIndex) {
-      long next = chunk.getOffset() + chunk.getBytes().length;
+      long next = chunk.getOffset() + chunk.bufferForBytes().remaining();
       SnapshotReply known = new SnapshotReply(term, true, next, chunk.getRound());
       durability.runWhenEntriesDurable(() -> replyTo.accept(known));
     } else {
--- a/consensus/src/main/java/org/comfreygap/consensus/StorageWorker.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/StorageWorker.java
@@ -185,7 +185,7 @@
     long next = 0;
     Optional<SnapshotMeta> complete = Optional.empty();
     try {
-      byte[] bytes = chunk.getBytes();
+      byte[] bytes = chunk.bufferForBytes().array();
       next = snapshots.receive(chunk.getLastIndex(), chunk.getOffset(), bytes);
       if (chunk.isLast() && next == chunk.getOffset() + bytes.length) {
         complete = Optional.of(snapshots.finishReceiving());
