Let heartbeats carry usage and demand, and state the fleet's time of day

Heartbeats reach it once a second from every gateway already, so no further calls are needed. Nothing reads or writes them yet; processes of earlier releases ignore them.

--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -190,6 +190,29 @@
   4: optional EndpointReport report
 }
 
+/** Requests that began to run in one window of time, as one gateway has seen them. */
+struct WindowUsage {
+  /** Number of the window: its start since 1970 divided by the length of a window. */
+  1: required i64 window
+  /** All requests that began in the window so far, by customer; a later report replaces this one. */
+  2: required map<string, i64> begun
+}
+
+/** Load of the endpoints of one pool in one availability zone, as one gateway sees it. */
+struct PoolDemand {
+  1: required string pool
+  2: required string zone
+  /** Attempts of this gateway in progress there. */
+  3: required i32 inProgress
+  /** Requests that wait at this gateway for an endpoint of the pool; 0 in zones but its own. */
+  4: required i32 waiting
+  /** Requests refused since the last heartbeat for lack of room; 0 in zones but its own. */
+  5: required i32 refused
+  /** Endpoints that accept work there, by the platform's list, and their slots together. */
+  6: required i32 endpoints
+  7: required i32 slots
+}
+
 struct HeartbeatRequest {
   1: required ProcessIdentity identity
   2: required i64 revisionInForce
@@ -197,6 +220,12 @@
   /** Newest membership version the caller holds; 0 for none. */
   4: required i64 membershipVersion
   5: optional EndpointReport report
+  /** For a gateway that counts usage: the windows that are not yet closed. */
+  6: optional list<WindowUsage> usage
+  /** For a gateway: the load of the pools whose number of endpoints is ordered. */
+  7: optional list<PoolDemand> demand
+  /** Time of day at the caller, Unix milliseconds. */
+  8: optional i64 wallMillis
 }
 
 struct HeartbeatReply {
@@ -208,6 +237,8 @@
   4: required list<Member> members
   5: required bool full
   6: required list<string> controlAddresses
+  /** Time of day of the fleet, Unix milliseconds: the median over the reporting processes. */
+  7: optional i64 fleetMillis
 }
 
 enum ChangeKind { PUT = 0, DELETE = 1 }
