Keep keys required when an operator deletes the last customer

Cause of what was left: a gateway derives 'no key needed' from the absence of customers while no key policy is stated. A publication states it, but a deletion through the administration API (one document, a subtree, a transaction, a rollback) did not. Change: SettingsController commits the policy before such a change, unless one is stated. It is a command of its own, so that replicas of other releases apply the deletion alike, and it comes first, since two deletions may leave no customer together.

--- a/control/src/main/java/org/comfreygap/control/SettingsController.java
+++ b/control/src/main/java/org/comfreygap/control/SettingsController.java
@@ -16,7 +16,9 @@
 import org.comfreygap.control.ControlSettings.Operator;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
+import org.comfreygap.settings.DocumentKind;
 import org.comfreygap.settings.Fault;
+import org.comfreygap.settings.SettingsPath;
 import org.comfreygap.settings.TreeRules;
 
 /**
@@ -34,14 +36,23 @@
   private static final int MAX_CHANGES = 2_000;
   private static final int MAX_CHARACTERS = 4_000_000;
   private static final int MAX_OPERATION_ID = 128;
+  private static final String KEY_POLICY = "/routing/key-policy";
+  private static final String KEYS_REQUIRED = "{\"required\":true}";
+  private static final String PUBLICATION = "/routing/publication";
+  private static final String TEAMS = "/teams";
+  // Author of changes that keep an invariant of the tree.
+  private static final String SYSTEM = "control";
 
   private final Leadership leadership;
+  private final ControlState state;
   private final Operators operators;
   private final EventLog events;
 
   @Inject
-  SettingsController(Leadership leadership, Operators operators, EventLog events) {
+  SettingsController(
+      Leadership leadership, ControlState state, Operators operators, EventLog events) {
     this.leadership = leadership;
+    this.state = state;
     this.operators = operators;
     this.events = events;
   }
@@ -55,6 +66,9 @@
     expect.forEach(e -> operators.requireAccess(operator, e.path()));
     changes.forEach(c -> operators.requireAccess(operator, c.path()));
     validate(changes);
+    if (changes.stream().anyMatch(c -> c.document() == null && isCustomer(c.path()))) {
+      keepKeysRequired();
+    }
     Author author = author(operator, operationId);
     String path = changes.get(0).path();
     return submit(
@@ -65,6 +79,9 @@
   ChangeResult deletePrefix(
       Operator operator, String operationId, List<Expectation> expect, String prefix) {
     operators.requireAccess(operator, prefix);
+    if (mayHoldCustomers(prefix)) {
+      keepKeysRequired();
+    }
     Author author = author(operator, operationId);
     return submit(
         author, prefix, millis -> new Command.DeletePrefix(millis, author, expect, prefix));
@@ -73,6 +90,9 @@
   /** Restores the subtree at {@code prefix} to an earlier revision, as a new change. */
   ChangeResult rollback(Operator operator, String operationId, long toRevision, String prefix) {
     operators.requireAccess(operator, prefix);
+    if (mayHoldCustomers(prefix)) {
+      keepKeysRequired();
+    }
     Author author = author(operator, operationId);
     return submit(
         author, prefix, millis -> new Command.Rollback(millis, author, prefix, toRevision));
@@ -95,6 +115,57 @@
     return given;
   }
 
+  /**
+   * States that requests need a key, before customers are deleted: gateways derive it from the
+   * customers only while no policy is stated, so without the last customer all routes would be
+   * open. Committed before the deletion, since two deletions may leave no customer together.
+   */
+  private void keepKeysRequired() {
+    boolean derived =
+        state.readSettings(
+            store ->
+                store.tree().find(PUBLICATION).isPresent()
+                    && store.tree().find(KEY_POLICY).isEmpty()
+                    && store.tree().pathsBelow(TEAMS).stream()
+                        .anyMatch(SettingsController::isCustomer));
+    if (!derived) {
+      return;
+    }
+    LeaderTerm term = leadership.current().orElseThrow(ApiException::noLeader);
+    Author author = new Author(UUID.randomUUID().toString(), SYSTEM, System.currentTimeMillis());
+    try {
+      // A conflict means that another deletion has stated it meanwhile.
+      leadership.commit(
+          term,
+          millis ->
+              new Command.ChangeSettings(
+                  millis,
+                  author,
+                  List.of(new Expectation(KEY_POLICY, 0)),
+                  List.of(new DocumentChange(KEY_POLICY, KEYS_REQUIRED))),
+          ChangeResult.class);
+    } catch (LeadershipLost e) {
+      // The deletion has not been proposed, whatever became of the policy.
+      throw ApiException.noLeader();
+    }
+    events.record(
+        ControlEvent.SETTINGS_CHANGED,
+        Field.of("operator", SYSTEM),
+        Field.of("operation", author.operationId()),
+        Field.of("path", KEY_POLICY));
+  }
+
+  private static boolean isCustomer(String path) {
+    return SettingsPath.parse(path)
+        .flatMap(DocumentKind::of)
+        .filter(DocumentKind.CUSTOMER::equals)
+        .isPresent();
+  }
+
+  private static boolean mayHoldCustomers(String prefix) {
+    return SettingsTree.isWithin(TEAMS, prefix) || SettingsTree.isWithin(prefix, TEAMS);
+  }
+
   private ChangeResult submit(Author author, String path, LongFunction<Command> command) {
     LeaderTerm term = leadership.current().orElseThrow(ApiException::noLeader);
     ChangeResult result;
--- a/control/src/test/java/org/comfreygap/control/PublicationStateTest.java
+++ b/control/src/test/java/org/comfreygap/control/PublicationStateTest.java
@@ -72,6 +72,38 @@
     assertThat(restored.revision()).isEqualTo(state.revision());
   }
 
+  /**
+   * Guards against routes that open after the last customer is gone: by an older publication, by
+   * other content under the version held, or by a snapshot that lacks the policy.
+   */
+  @Test
+  void keyPolicyOutlastsOlderAndEqualVersionsAndSnapshots() throws IOException {
+    List<String> prefixes = List.of("/routing/key-policy", "/teams/main/customers");
+    String policy = "{\"required\":true}";
+    apply(5, prefixes, new DocumentChange("/teams/main/customers/desk", "{}"));
+    apply(9, prefixes, new DocumentChange("/routing/key-policy", policy));
+    apply(9, prefixes);
+    apply(7, prefixes, new DocumentChange("/teams/main/customers/desk", "{}"));
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    state.writeSnapshot(out);
+    ControlState restored = new ControlState(() -> 0L);
+    restored.readSnapshot(new ByteArrayInputStream(out.toByteArray()));
+
+    for (ControlState one : List.of(state, restored)) {
+      assertThat(one.<String>readSettings(s -> s.tree().document("/routing/key-policy").orElse("")))
+          .isEqualTo(policy);
+      assertThat(one.<List<String>>readSettings(s -> s.tree().pathsBelow("/teams"))).isEmpty();
+    }
+  }
+
+  private void apply(long version, List<String> prefixes, DocumentChange... documents) {
+    Author author = new Author("p" + version + "-" + index, "test", 0);
+    state.apply(
+        ++index,
+        Codec.encode(
+            new Command.Publish(index, author, version, prefixes, List.of(documents), "v")));
+  }
+
   private ChangeResult publish(long version, String source, String... pools) {
     List<DocumentChange> documents = new ArrayList<>();
     for (String pool : pools) {
