State the interface of duties of one holder

Change: sources of committed calls by duty, the platform's form of the calls, the settings of duties in control's and the gateways' templates, and content of heartbeats beyond identity and revision. Nothing makes a call yet.

--- a/control/src/main/java/org/comfreygap/control/ControlMain.java
+++ b/control/src/main/java/org/comfreygap/control/ControlMain.java
@@ -65,10 +65,30 @@
       Function<Publisher, List<Object>> resources,
       Program.Launcher withoutFolder)
       throws Exception {
+    return start(settingsFile, resources, DutyDialect.NONE, withoutFolder);
+  }
+
+  /**
+   * Starts an instance with further HTTP resources on a platform that asks for duties.
+   *
+   * @param resources creates Jersey resources that use the publisher
+   * @param dialect form of the platform's calls that only the holder of duties makes
+   * @param withoutFolder starts the fallback for settings without a data folder: such an instance
+   *     cannot store a replica and must not vote
+   * @throws Exception when the settings are invalid, or an address or the data folder cannot be
+   *     used
+   * @since 0.8
+   */
+  public static AutoCloseable start(
+      Path settingsFile,
+      Function<Publisher, List<Object>> resources,
+      DutyDialect dialect,
+      Program.Launcher withoutFolder)
+      throws Exception {
     ControlSettings settings = ControlSettings.load(settingsFile);
     Optional<Path> dataFolder = settings.dataFolder();
     return dataFolder.isPresent()
-        ? startReplica(settings, dataFolder.get(), resources)
+        ? startReplica(settings, dataFolder.get(), resources, dialect)
         : withoutFolder.launch(settingsFile);
   }
 
@@ -79,7 +99,10 @@
   }
 
   private static AutoCloseable startReplica(
-      ControlSettings settings, Path dataFolder, Function<Publisher, List<Object>> resources)
+      ControlSettings settings,
+      Path dataFolder,
+      Function<Publisher, List<Object>> resources,
+      DutyDialect dialect)
       throws Exception {
     PeerSecurity security = PeerSecurity.from(settings.file());
     Closer closer = new Closer();
@@ -106,7 +129,8 @@
                       .snapshotEntries(SNAPSHOT_ENTRIES)
                       .trailingEntries(TRAILING_ENTRIES)
                       .build()));
-      closer.register(ControlServer.start(settings, state, log, security, events, resources));
+      closer.register(
+          ControlServer.start(settings, state, log, security, events, resources, dialect));
       return closer;
     } catch (Exception e) {
       closer.close();
--- a/control/src/main/java/org/comfreygap/control/ControlModule.java
+++ b/control/src/main/java/org/comfreygap/control/ControlModule.java
@@ -16,8 +16,19 @@
   private final ControlState state;
   private final ReplicatedLog log;
   private final EventLog events;
+  private final DutyDialect dialect;
 
   ControlModule(ControlSettings settings, ControlState state, ReplicatedLog log, EventLog events) {
+    this(settings, state, log, events, DutyDialect.NONE);
+  }
+
+  ControlModule(
+      ControlSettings settings,
+      ControlState state,
+      ReplicatedLog log,
+      EventLog events,
+      DutyDialect dialect) {
+    this.dialect = dialect;
     this.settings = settings;
     this.state = state;
     this.log = log;
@@ -53,6 +64,9 @@
     bind(StatusResource.class);
     bind(QuarantineResource.class);
     bind(PlatformListPoller.class);
+    bind(DutyDialect.class).toInstance(dialect);
+    bind(DutySettings.class).toInstance(settings.duties(dialect));
+    bind(DutySources.class);
     bind(LeaderDuties.class);
     bind(PublicationController.class);
     bind(Publisher.class).to(PublicationController.class);
--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -53,19 +53,21 @@
       PeerSecurity security,
       EventLog events)
       throws Exception {
-    return start(settings, state, log, security, events, publisher -> List.of());
+    return start(settings, state, log, security, events, publisher -> List.of(), DutyDialect.NONE);
   }
 
-  /** Starts the services with further resources that use the publisher. */
+  /** Starts the services with further resources that use the publisher, and a platform's duties. */
   static ControlServer start(
       ControlSettings settings,
       ControlState state,
       ReplicatedLog log,
       PeerSecurity security,
       EventLog events,
-      Function<Publisher, List<Object>> resources)
+      Function<Publisher, List<Object>> resources,
+      DutyDialect dialect)
       throws Exception {
-    Injector injector = Guice.createInjector(new ControlModule(settings, state, log, events));
+    Injector injector =
+        Guice.createInjector(new ControlModule(settings, state, log, events, dialect));
     ControlServer server = new ControlServer(injector, events);
     try {
       server.open(settings, state, log, security, resources);
--- a/control/src/main/java/org/comfreygap/control/ControlSettings.java
+++ b/control/src/main/java/org/comfreygap/control/ControlSettings.java
@@ -64,6 +64,7 @@
           .required("operators", FieldRule.listOf(FieldRule.object(OPERATOR), 1_000))
           .optional("platformList", FieldRule.object(PLATFORM_LIST))
           .optional("toleratedLosses", FieldRule.integer(0, 4))
+          .optional("duties", FieldRule.object(DutySettings.SCHEMA))
           .build();
 
   private static final Map<String, Integer> BLOCK_PORTS =
@@ -210,6 +211,11 @@
         .map(url -> new PlatformList(url, file.millis("platformList.pollMillis", DEFAULT_POLL)));
   }
 
+  /** Returns the duties that are asked for, of those that the dialect knows. */
+  DutySettings duties(DutyDialect dialect) {
+    return DutySettings.of(file, dialect);
+  }
+
   ControlState.ReplicaAddresses self() {
     return new ControlState.ReplicaAddresses(
         replicaId(), file.text("rpcAddress"), file.text("httpAddress"));
--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -43,6 +43,7 @@
   private final ReplicatedLog log;
   private final EventLog events;
   private final ReplicaAdmission admission;
+  private final DutySources duties;
   private volatile List<String> controlAddresses;
   private long recordedVersion;
 
@@ -53,8 +54,10 @@
       ControlSettings settings,
       ReplicatedLog log,
       EventLog events,
-      ReplicaAdmission admission) {
+      ReplicaAdmission admission,
+      DutySources duties) {
     this.admission = admission;
+    this.duties = duties;
     this.leadership = leadership;
     this.state = state;
     this.settings = settings;
@@ -93,6 +96,7 @@
       }
       delta = term.members().since(request.getMembershipVersion(), now);
     }
+    duties.heartbeat(term, request, now);
     if (request.isSetReport()) {
       recordLoading(term, request.getReport(), now);
     }
--- a/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
@@ -33,6 +33,8 @@
           .optional("retryRatio", FieldRule.number(0, 10))
           .optional("retryExtra", FieldRule.number(0, 100_000))
           .optional("retryWindowMillis", FieldRule.integer(100, 600_000))
+          .optional("usageWindowMillis", FieldRule.integer(1_000, 86_400_000))
+          .optional("usageLateMillis", FieldRule.integer(1_000, 86_400_000))
           .build();
 
   private static final Map<String, Integer> BLOCK_PORTS =
--- a/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -85,6 +85,7 @@
   private final ControlClient control;
   private final EventLog events;
   private final Supplier<Optional<EndpointReport>> report;
+  private final HeartbeatContent content;
   private final Timing timing;
   private final SettingsLease lease;
   private final SuspensionDetector suspensionDetector = new SuspensionDetector();
@@ -109,8 +110,10 @@
       ControlClient control,
       EventLog events,
       Supplier<Optional<EndpointReport>> report,
-      Timing timing) {
+      Timing timing,
+      HeartbeatContent content) {
     this.timing = timing;
+    this.content = content;
     this.lease = new SettingsLease(timing.leaseBound());
     this.identity = identity;
     this.control = control;
@@ -135,7 +138,18 @@
       EventLog events,
       Supplier<Optional<EndpointReport>> report,
       Timing timing) {
-    MembershipAgent agent = new MembershipAgent(identity, control, events, report, timing);
+    return start(identity, control, events, report, timing, HeartbeatContent.NONE);
+  }
+
+  /** Starts the background tasks with the given timing and further content of heartbeats. */
+  public static MembershipAgent start(
+      ProcessIdentity identity,
+      ControlClient control,
+      EventLog events,
+      Supplier<Optional<EndpointReport>> report,
+      Timing timing,
+      HeartbeatContent content) {
+    MembershipAgent agent = new MembershipAgent(identity, control, events, report, timing, content);
     agent.closer.register(
         RepeatingTask.every("heartbeat", timing.heartbeatPeriod(), agent::sendHeartbeat));
     agent.closer.register(RepeatingTask.continuous("settings-watch", agent::watchOnce));
@@ -231,6 +245,7 @@
               timing.maxAttemptTime(),
               client -> {
                 sentAt[0] = ClockReading.now();
+                content.fill(request);
                 return client.heartbeat(request);
               });
     } catch (ControlUnavailableException e) {
@@ -238,6 +253,7 @@
       return;
     }
     lease.heartbeatAcknowledged(sentAt[0].nanos(), reply.getCommittedRevision());
+    content.replied(request, reply, sentAt[0], System.nanoTime());
     leaderChanges.observe(control.leader());
     updateMembers(reply, sentAt[0]);
     control.addresses(reply.getControlAddresses().stream().map(Addresses::parse).toList());
