Let the leader hold duties and report usage

Change: the leader commits a fencing number of its own in each term, above all before it and at least its Unix seconds, and waits for the lease before its first call. It sums what gateways report in heartbeats, closes a window once all have counted beyond it or when the report would be late, commits the request, and sends it until it is accepted, oldest first. Counts of gateways that ended are committed. Gateways don't count yet.

--- a/control/src/main/java/org/comfreygap/control/Command.java
+++ b/control/src/main/java/org/comfreygap/control/Command.java
@@ -33,7 +33,11 @@
   @JsonSubTypes.Type(value = Command.RecordBegan.class, name = "began"),
   @JsonSubTypes.Type(value = Command.LiftPart.class, name = "liftPart"),
   @JsonSubTypes.Type(value = Command.RecordStreams.class, name = "streams"),
-  @JsonSubTypes.Type(value = Command.RegisterReplica.class, name = "replica")
+  @JsonSubTypes.Type(value = Command.RegisterReplica.class, name = "replica"),
+  @JsonSubTypes.Type(value = Command.TakeDuties.class, name = "takeDuties"),
+  @JsonSubTypes.Type(value = Command.CloseWindow.class, name = "closeWindow"),
+  @JsonSubTypes.Type(value = Command.EndWindow.class, name = "endWindow"),
+  @JsonSubTypes.Type(value = Command.KeepUsage.class, name = "keepUsage")
 })
 sealed interface Command {
 
@@ -204,4 +208,34 @@
   /** Registers the addresses of a control instance. */
   record RegisterReplica(long logMillis, String replicaId, String rpcAddress, String httpAddress)
       implements Command {}
+
+  /** A change of the duties of one holder. */
+  sealed interface DutyCommand extends Command {}
+
+  /**
+   * Makes the leader of a term the holder of duties, under a new fencing number.
+   *
+   * @param leastFencing least fencing number, above those given before a loss of the whole log
+   */
+  record TakeDuties(long logMillis, long term, String holder, long leastFencing)
+      implements DutyCommand {}
+
+  /** Closes the next window of usage; the call's number is that of the window. */
+  record CloseWindow(long logMillis, DutyCall call) implements DutyCommand {}
+
+  /**
+   * Ends the report of a window.
+   *
+   * @param accepted false when the platform will never take it
+   */
+  record EndWindow(long logMillis, long window, boolean accepted) implements DutyCommand {}
+
+  /**
+   * Keeps the counts of a gateway that ended, in windows that are not closed.
+   *
+   * @param source process and start of the gateway
+   * @param begun requests that began, by window and customer
+   */
+  record KeepUsage(long logMillis, String source, Map<Long, Map<String, Long>> begun)
+      implements DutyCommand {}
 }
--- a/control/src/main/java/org/comfreygap/control/ControlModule.java
+++ b/control/src/main/java/org/comfreygap/control/ControlModule.java
@@ -66,7 +66,12 @@
     bind(PlatformListPoller.class);
     bind(DutyDialect.class).toInstance(dialect);
     bind(DutySettings.class).toInstance(settings.duties(dialect));
+    bind(FleetTimeController.class);
+    bind(DutyMetrics.class);
+    bind(DutyHolder.class);
+    bind(UsageReports.class);
     bind(DutySources.class);
+    bind(DutyCaller.class);
     bind(LeaderDuties.class);
     bind(PublicationController.class);
     bind(Publisher.class).to(PublicationController.class);
--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -107,8 +107,11 @@
             new ControlService.Processor<>(injector.getInstance(ControlHandler.class))));
     LeaderDuties duties = closer.register(injector.getInstance(LeaderDuties.class));
     duties.start();
+    DutyCaller calls = closer.register(injector.getInstance(DutyCaller.class));
+    calls.start();
     ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
     ControlMetrics.bind(shell.metrics(), state, log);
+    injector.getInstance(DutyMetrics.class).bind(shell.metrics());
     closer.register(
         shell
             .http(settings.httpAddress())
--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -31,7 +31,7 @@
 
 /**
  * The replicated state of control: settings tree, fencing numbers, request ledger, quarantine list,
- * credit ceilings and the addresses of the control instances.
+ * credit ceilings, duties of one holder and the addresses of the control instances.
  *
  * <p>Ages are measured in log time, which advances only by the monotonic clocks of leaders, so that
  * a jump of the wall clock neither ends a quarantine nor drops a ledger entry.
@@ -60,6 +60,7 @@
   private Map<String, TokenBudget.Ceiling> ceilings = new LinkedHashMap<>();
   private Map<String, ReplicaAddresses> replicas = new LinkedHashMap<>();
   private Optional<SnapshotLine.Publication> publication = Optional.empty();
+  private DutyState duties = new DutyState();
   private long logMillis;
   private long appliedNanos;
   private long quarantineVersion;
@@ -123,7 +124,8 @@
     Command command = Codec.decode(bytes);
     logMillis = Math.max(logMillis, command.logMillis());
     appliedNanos = nanoTime.getAsLong();
-    return Codec.encodeResult(execute(command));
+    return Codec.encodeResult(
+        command instanceof Command.DutyCommand duty ? duties.apply(duty) : execute(command));
   }
 
   @Override
@@ -141,6 +143,7 @@
     ceilings = new LinkedHashMap<>();
     replicas = new LinkedHashMap<>();
     publication = Optional.empty();
+    duties = new DutyState();
     SnapshotFile.read(in, this::readLine);
     appliedNanos = nanoTime.getAsLong();
     revision = settings.revision();
@@ -153,6 +156,11 @@
     return reader.apply(settings);
   }
 
+  /** Runs {@code reader} on a consistent view of the duties. */
+  synchronized <R> R readDuties(Function<DutyState, R> reader) {
+    return reader.apply(duties);
+  }
+
   /** Returns the newest revision; never blocks, not even while a snapshot is written. */
   long revision() {
     return revision;
@@ -446,9 +454,10 @@
     out.writeAll(ceilings.values(), SnapshotLine.CreditCeiling::new);
     out.writeAll(replicas.values(), SnapshotLine.Replica::new);
     out.writeAll(publication.stream().toList(), line -> line);
+    duties.write(out);
   }
 
-  /** Reads a line on streams or suspected parts of prompts; returns false for another line. */
+  /** Reads a line on streams, suspected parts or duties; returns false for another line. */
   private boolean readRequestLine(SnapshotLine line) {
     if (line instanceof SnapshotLine.Stream stream) {
       streams.restore(stream.entry());
@@ -460,7 +469,7 @@
       long now = TimeUnit.MILLISECONDS.toNanos(logMillis);
       crashes.parts().restore(parts.evidence(), parts.version(), now);
     } else {
-      return false;
+      return duties.read(line);
     }
     return true;
   }
--- a/control/src/main/java/org/comfreygap/control/DutySettings.java
+++ b/control/src/main/java/org/comfreygap/control/DutySettings.java
@@ -16,6 +16,7 @@
  * safety: immutable.
  *
  * @param address address of the platform's calls, {@code ip:port}
+ * @param holder name under which this instance holds the duties
  * @param callsPerSecond calls that the platform accepts a second from the whole fleet
  * @param lease time within which two holders must not act in turns
  * @param window length of a window of usage
@@ -25,6 +26,7 @@
 record DutySettings(
     Set<Duty> asked,
     String address,
+    String holder,
     double callsPerSecond,
     Duration lease,
     Duration window,
@@ -44,6 +46,7 @@
       new DutySettings(
           Set.of(),
           "",
+          "",
           DEFAULT_CALLS_PER_SECOND,
           DEFAULT_LEASE,
           DEFAULT_WINDOW,
@@ -54,6 +57,7 @@
   static final ObjectSchema SCHEMA =
       ObjectSchema.builder()
           .required("address", FieldRule.ipPort())
+          .optional("holder", FieldRule.text(MAX_NAME))
           .required("asked", FieldRule.listOf(FieldRule.text(MAX_NAME), MAX_DUTIES))
           .optional("callsPerSecond", FieldRule.number(0.01, 100_000))
           .optional("leaseMillis", FieldRule.integer(0, 600_000))
@@ -77,6 +81,7 @@
     return new DutySettings(
         asked,
         file.text("duties.address"),
+        file.optionalText("duties.holder").orElseGet(() -> file.text("processId")),
         number(file, "duties.callsPerSecond", DEFAULT_CALLS_PER_SECOND),
         file.millis("duties.leaseMillis", DEFAULT_LEASE),
         file.millis("duties.usageWindowMillis", DEFAULT_WINDOW),
--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -106,8 +106,16 @@
         members.add(toMember(status));
       }
     }
-    return new HeartbeatReply(
-        state.revision(), term.term(), delta.version(), members, delta.full(), controlAddresses);
+    HeartbeatReply reply =
+        new HeartbeatReply(
+            state.revision(),
+            term.term(),
+            delta.version(),
+            members,
+            delta.full(),
+            controlAddresses);
+    duties.fleetMillis(term, System.nanoTime()).ifPresent(reply::setFleetMillis);
+    return reply;
   }
 
   /** Records the revision that a process has in force, as reported by its watch. */
--- a/control/src/main/java/org/comfreygap/control/SnapshotLine.java
+++ b/control/src/main/java/org/comfreygap/control/SnapshotLine.java
@@ -32,7 +32,10 @@
   @JsonSubTypes.Type(value = SnapshotLine.Endpoint.class, name = "endpoint"),
   @JsonSubTypes.Type(value = SnapshotLine.CreditCeiling.class, name = "ceiling"),
   @JsonSubTypes.Type(value = SnapshotLine.Replica.class, name = "replica"),
-  @JsonSubTypes.Type(value = SnapshotLine.Publication.class, name = "publication")
+  @JsonSubTypes.Type(value = SnapshotLine.Publication.class, name = "publication"),
+  @JsonSubTypes.Type(value = SnapshotLine.Duties.class, name = "duties"),
+  @JsonSubTypes.Type(value = SnapshotLine.UsageWindow.class, name = "usageWindow"),
+  @JsonSubTypes.Type(value = SnapshotLine.Usage.class, name = "usage")
 })
 sealed interface SnapshotLine {
 
@@ -73,5 +76,12 @@
 
   record Replica(ControlState.ReplicaAddresses replica) implements SnapshotLine {}
 
+  record Duties(DutyState.Holding holding, long closedWindow, long acceptedWindow)
+      implements SnapshotLine {}
+
+  record UsageWindow(DutyCall call) implements SnapshotLine {}
+
+  record Usage(long window, DutyState.KeptUsage usage) implements SnapshotLine {}
+
   record Publication(long version, String source) implements SnapshotLine {}
 }
--- a/control/src/main/java/org/comfreygap/control/StatusResource.java
+++ b/control/src/main/java/org/comfreygap/control/StatusResource.java
@@ -16,6 +16,8 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +48,7 @@
   private final ReplicatedLog log;
   private final ControlState state;
   private final MembershipController membership;
+  private final DutyMetrics dutyMetrics;
   private final EventLog events;
 
   @Inject
@@ -54,8 +57,10 @@
       ReplicatedLog log,
       ControlState state,
       MembershipController membership,
+      DutyMetrics dutyMetrics,
       EventLog events) {
     this.api = api;
+    this.dutyMetrics = dutyMetrics;
     this.log = log;
     this.state = state;
     this.membership = membership;
@@ -77,9 +82,28 @@
       String adminAddress,
       String endpoint) {}
 
-  /** Response of {@code /status}. */
+  /**
+   * Duties of one holder; windows are absent before the first.
+   *
+   * @param lastReplies replies to the leader's last calls, by duty
+   */
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  record Duties(
+      String holder,
+      long fencing,
+      Long closedWindow,
+      Long acceptedWindow,
+      int backlog,
+      Map<Duty, String> lastReplies) {}
+
+  /** Response of {@code /status}; the duties are absent where none is asked for. */
   record StatusResponse(
-      String leader, long term, long revision, List<Replica> replicas, List<Process> processes) {}
+      String leader,
+      long term,
+      long revision,
+      List<Replica> replicas,
+      List<Process> processes,
+      @JsonInclude(JsonInclude.Include.NON_NULL) Duties duties) {}
 
   /** Response of {@code /members}. */
   record MembersResponse(List<Replica> members) {}
@@ -102,7 +126,8 @@
             .sorted(Comparator.comparing(Process::processId))
             .toList();
     String leader = log.leader().map(ReplicaMember::getReplicaId).orElse(null);
-    return new StatusResponse(leader, log.term(), state.revision(), replicas(), processes);
+    Duties held = state.readDuties(this::duties).orElse(null);
+    return new StatusResponse(leader, log.term(), state.revision(), replicas(), processes, held);
   }
 
   /** Returns the members of the replicated log. */
@@ -204,6 +229,25 @@
         .toList();
   }
 
+  private Optional<Duties> duties(DutyState duties) {
+    DutyState.Progress progress = duties.progress();
+    return duties
+        .holding()
+        .map(
+            holding ->
+                new Duties(
+                    holding.holder(),
+                    holding.fencing(),
+                    windowOrNull(progress.closedWindow()),
+                    windowOrNull(progress.acceptedWindow()),
+                    progress.backlog(),
+                    dutyMetrics.lastReplies()));
+  }
+
+  private static Long windowOrNull(long window) {
+    return window == DutyState.NO_WINDOW ? null : window;
+  }
+
   private static Process process(ProcessIdentity identity, String processState, long revision) {
     return new Process(
         identity.getProcessId(),
