Count requests that began at gateways by windows of the fleet's time

Change: a gateway counts the first event of a stream's response, or a successful head of a plain one, for each run, in the window of the fleet's time, kept by its monotonic clock; counts wait while that time is not known. Heartbeats state each window until control has had it whole. A planned stop sends a last heartbeat. Off unless usageWindowMillis is set. Measured: PlatformDutiesTest, FleetClockTest, UsageWindowsTest, UsageCounterTest, PlatformWordsTest, RelayPathTest and PlannedStopTest passed.

--- a/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
@@ -8,9 +8,11 @@
 import java.util.function.Supplier;
 import org.comfreygap.decisions.PartQuarantine;
 import org.comfreygap.decisions.SuspectRequest;
+import org.comfreygap.runtime.ClockReading;
+import org.comfreygap.settings.RequestKind;
 
 /**
- * A request with the data by which the crash detector tracks it.
+ * A request with the data by which the crash detector tracks it and its runs are counted.
  *
  * <p>Invariant: the fingerprint is computed once, on first use, which must be before the body is
  * released. Thread safety: used on the event loop only.
@@ -18,6 +20,7 @@
 final class CrashTrackedRequest {
 
   private final CrashDetector crashes;
+  private final UsageCounter usage;
   private final HttpRequest head;
   private final ByteBuf body;
   private final List<String> parts;
@@ -32,11 +35,13 @@
    */
   CrashTrackedRequest(
       CrashDetector crashes,
+      UsageCounter usage,
       HttpRequest head,
       ByteBuf body,
       List<String> parts,
       Supplier<String> customer) {
     this.crashes = crashes;
+    this.usage = usage;
     this.head = head;
     this.body = body;
     this.parts = parts;
@@ -65,9 +70,17 @@
     return crashes.quarantineLeft(this::fingerprint, nowNanos).map(Refusal::quarantined);
   }
 
-  /** Records that the response of an attempt has begun. */
+  /** Records that the first event of an attempt's response was received. */
   void began() {
     crashes.responseBegan(parts);
+    usage.began(customer.get(), ClockReading.now());
+  }
+
+  /** Records that the head of an attempt's response was received; a stream begins later. */
+  void headReceived(RequestKind kind, boolean success) {
+    if (kind != RequestKind.STREAM && success) {
+      usage.began(customer.get(), ClockReading.now());
+    }
   }
 
   /**
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -66,7 +66,7 @@
     this.arrivedNanos = arrivedNanos;
     this.tracked =
         new CrashTrackedRequest(
-            relay.crashes(), head, body, request.sharedParts(), this::customerId);
+            relay.crashes(), relay.usage(), head, body, request.sharedParts(), this::customerId);
     this.clearance = new SendClearance(relay);
     this.credit = new RequestCredit(relay.credit());
     this.continuity = new StreamContinuity(relay, request);
@@ -151,9 +151,7 @@
 
   /** Ends the request because the gateway's planned stop is over. */
   void gatewayStops() {
-    if (!finished) {
-      endNow(Refusal.STOPPING, "the gateway stops", "stopped");
-    }
+    endNow(Refusal.STOPPING, "the gateway stops", "stopped");
   }
 
   /** Called when the caller's connection has become writable or stopped being so. */
@@ -204,6 +202,7 @@
       abandonAttempt("status " + response.status().code() + " when resuming");
     } else {
       forwarder.beginResponse(response);
+      tracked.headReceived(decision.route().kind(), success);
     }
   }
 
@@ -488,13 +487,14 @@
   }
 
   private void timedOut() {
-    if (!finished) {
-      endNow(Refusal.TIMED_OUT, "the request timed out", "timeout");
-    }
+    endNow(Refusal.TIMED_OUT, "the request timed out", "timeout");
   }
 
   /** Ends the request with a refusal if it has not run, and otherwise as one that may have. */
   private void endNow(Refusal refusal, String reason, String outcome) {
+    if (finished) {
+      return;
+    }
     if (attempt.map(Attempt::sent).orElse(false)) {
       history.abandoned();
     }
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -14,6 +14,7 @@
  * <p>Thread safety: used on the event loop only; the suppliers may be backed by other threads.
  *
  * @param heldBytes bytes that unfinished responses hold together
+ * @param usage requests that endpoints began, by window of time
  * @param tables routing tables in force
  * @param settingsConfirmed true while the settings are confirmed recently enough for requests with
  *     a key
@@ -33,6 +34,7 @@
     RetryBudgets retryBudgets,
     Outages outages,
     HeldBytes heldBytes,
+    UsageCounter usage,
     EventLog events,
     RelayMetrics metrics,
     Supplier<RouteTable> tables,
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -92,6 +92,7 @@
   private final AtomicInteger gateways = new AtomicInteger(1);
   private final FleetSize fleetSize = new FleetSize(FleetSize.HOLD);
   private final KnownFleet retryFleet;
+  private final UsageCounter usage;
   private double retryPart;
   private volatile int sharingGateways;
   private volatile double retriesLeft;
@@ -108,6 +109,7 @@
     this.settings = settings;
     this.events = events;
     this.retryFleet = new KnownFleet(settings.retryWindow());
+    this.usage = new UsageCounter(settings.usageWindow(), settings.usageLateness());
   }
 
   /**
@@ -160,6 +162,10 @@
     }
     int open = onLoop(this::endRequests);
     pause(DRAIN_POLL);
+    if (!settings.usageWindow().isZero() && System.nanoTime() - begin < settings.stop().toNanos()) {
+      // Control counts what began since the last heartbeat.
+      agent.ifPresent(this::announceLeaving);
+    }
     events.record(
         RuntimeEvent.PROCESS_STOPPED,
         Field.of("ended", open),
@@ -286,6 +292,7 @@
             System.nanoTime()),
         outages,
         HeldBytes.ofHeap(),
+        usage,
         events,
         metrics,
         () -> table,
@@ -314,6 +321,7 @@
         () -> relay.directory().all().stream().filter(one -> one.limit().isLimited()).count());
     metrics.gauge(
         "list.entries.skipped", () -> listingPoller.map(ListingPoller::skippedEntries).orElse(0));
+    metrics.gauge("usage.requests.given.up", usage::givenUp);
     metrics.gauge("banned.prompt.parts", relay.crashes()::partBanCount);
     metrics.gauge("settings.revision", () -> table.revision());
     metrics.gauge("settings.confirmed", () -> relay.settingsConfirmed().getAsBoolean() ? 1 : 0);
@@ -345,7 +353,8 @@
                     ATTEMPT_TIMEOUT,
                     WATCH_WAIT,
                     WATCH_SLACK,
-                    settings.lease())));
+                    settings.lease()),
+                usage));
     joined.onSettings(this::applySettings);
     return joined;
   }
--- a/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
@@ -59,6 +59,7 @@
   private static final double DEFAULT_RETRY_RATIO = 0.2;
   private static final double DEFAULT_RETRY_EXTRA = 50;
   private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofSeconds(10);
+  private static final Duration DEFAULT_USAGE_LATENESS = Duration.ofSeconds(10);
 
   private final ProcessSettings file;
 
@@ -149,6 +150,16 @@
     return file.millis("retryWindowMillis", DEFAULT_RETRY_WINDOW);
   }
 
+  /** Returns the length of a window of usage; zero when usage is not counted. */
+  Duration usageWindow() {
+    return file.millis("usageWindowMillis", Duration.ZERO);
+  }
+
+  /** Returns the time after the end of a window of usage within which its report is due. */
+  Duration usageLateness() {
+    return file.millis("usageLateMillis", DEFAULT_USAGE_LATENESS);
+  }
+
   private double number(String path, double absent) {
     return file.optionalNode(path).map(node -> node.asDouble()).orElse(absent);
   }
