Let control without a replica read settings that ask for duties

Cause: its schema refused the block, so it would not have started where a deployment asks for duties. Measured: ControlForwarderTest, now with the block in its settings, passed.

--- a/relay/src/main/java/org/comfreygap/relay/ControlForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ControlForwarder.java
@@ -64,6 +64,8 @@
           .optional("createLog", FieldRule.bool())
           .optional("toleratedLosses", FieldRule.integer(0, 4))
           .optional("operators", FieldRule.listOf(FieldRule.name(), 0))
+          // Only a replica performs duties, and checks their settings.
+          .optional("duties", (path, value, faults) -> {})
           .build();
 
   private static final Map<String, Integer> BLOCK_PORTS =
--- a/relay/src/test/java/org/comfreygap/relay/ControlForwarderTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/ControlForwarderTest.java
@@ -57,6 +57,7 @@
             "dataFolder: \"\"",
             "createLog: true",
             "operators: []",
+            "duties: {address: \"127.0.0.1:1\", asked: [usage]}",
             "");
     forwarder = ControlForwarder.start(Files.writeString(folder.resolve("control.yaml"), settings));
   }
