--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -53,19 +53,21 @@
       PeerSecurity security,
       EventLog events)
       throws Exception {
-    return start(settings, state, log, security, events, publisher -> List.of());
+    return start(settings, state, log, security, events, publisher -> List.of(), DutyDialect.NONE);
   }
 
-  /** Starts the services with further resources that use the publisher. */
+  /** Starts the services with further resources that use the publisher, and a platform's duties. */
   static ControlServer start(
       ControlSettings settings,
       ControlState state,
       ReplicatedLog log,
       PeerSecurity security,
       EventLog events,
-      Function<Publisher, List<Object>> resources)
+      Function<Publisher, List<Object>> resources,
+      DutyDialect dialect)
       throws Exception {
-    Injector injector = Guice.createInjector(new ControlModule(settings, state, log, events));
+    Injector injector =
+        Guice.createInjector(new ControlModule(settings, state, log, events, dialect));
     ControlServer server = new ControlServer(injector, events);
     try {
       server.open(settings, state, log, security, resources);
@@ -105,8 +107,11 @@
             new ControlService.Processor<>(injector.getInstance(ControlHandler.class))));
     LeaderDuties duties = closer.register(injector.getInstance(LeaderDuties.class));
     duties.start();
+    DutyCaller calls = closer.register(injector.getInstance(DutyCaller.class));
+    calls.start();
     ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
     ControlMetrics.bind(shell.metrics(), state, log);
+    injector.getInstance(DutyMetrics.class).bind(shell.metrics());
     closer.register(
         shell
             .http(settings.httpAddress())
