--- a/settings/src/main/java/org/comfreygap/settings/DocumentKind.java
+++ b/settings/src/main/java/org/comfreygap/settings/DocumentKind.java
@@ -141,11 +141,22 @@
       ObjectSchema.builder()
           .required("model", FieldRule.text(200))
           .required("version", FieldRule.integer(0, Long.MAX_VALUE))
+          .build()),
+  /** A document of its own, for the same reason as {@link #KEY_POLICY}. */
+  SCALING(
+      "/routing/scaling/*",
+      ObjectSchema.builder()
+          .required("min", FieldRule.integer(0, DocumentKind.MAX_ENDPOINTS))
+          .required("max", FieldRule.integer(1, DocumentKind.MAX_ENDPOINTS))
+          .optional("bootSeconds", FieldRule.number(0, 86_400))
           .build());
 
   /** Rank of the least urgent requests; the most urgent ones have rank 0. */
   public static final int LOWEST_RANK = 9;
 
+  /** Most endpoints of a pool in one availability zone that may be ordered. */
+  public static final int MAX_ENDPOINTS = 10_000;
+
   private final List<String> pattern;
   private final ObjectSchema schema;
 
--- a/settings/src/main/java/org/comfreygap/settings/DocumentReader.java
+++ b/settings/src/main/java/org/comfreygap/settings/DocumentReader.java
@@ -51,7 +51,7 @@
       case ADAPTER_VERSION -> qualifiedId(path) + "@" + path.segment(5);
       case ZONE, ENDPOINT -> path.segment(2);
       case STORE -> STORE_ID;
-      case ROUTE, POOL, ANNOUNCED_VERSION, ANNOUNCED_WEIGHTS -> path.segment(2);
+      case ROUTE, POOL, SCALING, ANNOUNCED_VERSION, ANNOUNCED_WEIGHTS -> path.segment(2);
       case REQUEST_LIMITS, PUBLICATION, KEY_POLICY -> path.segment(1);
     };
   }
--- a/settings/src/main/java/org/comfreygap/settings/Documents.java
+++ b/settings/src/main/java/org/comfreygap/settings/Documents.java
@@ -202,6 +202,17 @@
       double coldRequestsPerSecond,
       Optional<Engine> engine) {}
 
+  /**
+   * Bounds on the number of endpoints of a pool in each availability zone. Only pools with such a
+   * document have their number ordered.
+   *
+   * @param min fewest endpoints in a zone
+   * @param max most endpoints in a zone
+   * @param bootSeconds time from an order until a new endpoint serves
+   * @since 0.8
+   */
+  public record Scaling(String pool, int min, int max, double bootSeconds) {}
+
   /**
    * Capacity of the model engines of a pool.
    *
--- a/settings/src/main/java/org/comfreygap/settings/RoutingDocumentReader.java
+++ b/settings/src/main/java/org/comfreygap/settings/RoutingDocumentReader.java
@@ -14,6 +14,7 @@
 import org.comfreygap.settings.Documents.RequestLimits;
 import org.comfreygap.settings.Documents.Route;
 import org.comfreygap.settings.Documents.RouteTarget;
+import org.comfreygap.settings.Documents.Scaling;
 
 /**
  * Converts the JSON documents of the routing tables to typed ones.
@@ -38,6 +39,12 @@
               node.get("maxBodyBytes").asLong(),
               node.get("headerTimeoutMillis").asLong(),
               node.get("idleTimeoutMillis").asLong());
+      case SCALING ->
+          new Scaling(
+              id,
+              node.get("min").asInt(),
+              node.get("max").asInt(),
+              node.path("bootSeconds").asDouble(0));
       case PUBLICATION -> new Publication(node.get("version").asLong());
       case KEY_POLICY -> new KeyPolicy(node.get("required").asBoolean());
       case ANNOUNCED_VERSION ->
--- a/settings/src/main/java/org/comfreygap/settings/SettingsView.java
+++ b/settings/src/main/java/org/comfreygap/settings/SettingsView.java
@@ -20,6 +20,7 @@
 import org.comfreygap.settings.Documents.Publication;
 import org.comfreygap.settings.Documents.RequestLimits;
 import org.comfreygap.settings.Documents.Route;
+import org.comfreygap.settings.Documents.Scaling;
 import org.comfreygap.settings.Documents.ServiceRoute;
 import org.comfreygap.settings.Documents.StoreLimits;
 import org.comfreygap.settings.Documents.Zone;
@@ -204,6 +205,15 @@
     return all(DocumentKind.POOL);
   }
 
+  /**
+   * Returns the bounds of the pools whose number of endpoints is ordered.
+   *
+   * @since 0.8
+   */
+  public Collection<Scaling> scaling() {
+    return all(DocumentKind.SCALING);
+  }
+
   /** Returns the bounds on the requests of callers, or empty when none are set. */
   public Optional<RequestLimits> requestLimits() {
     return find(DocumentKind.REQUEST_LIMITS, DocumentReader.REQUEST_LIMITS_ID);
--- a/settings/src/main/java/org/comfreygap/settings/TreeRules.java
+++ b/settings/src/main/java/org/comfreygap/settings/TreeRules.java
@@ -35,6 +35,7 @@
   private static final String ENDPOINTS = "/platform/endpoints";
   private static final String ROUTES = "/routing/routes";
   private static final String POOLS = "/routing/pools";
+  private static final String SCALING = "/routing/scaling";
 
   private final Tree before;
   private final Map<String, Optional<JsonNode>> changes = new HashMap<>();
@@ -82,6 +83,9 @@
     if (kind.get() == DocumentKind.ENDPOINT && document != null) {
       checkTarget(path, document, found);
     }
+    if (kind.get() == DocumentKind.SCALING && found.isEmpty()) {
+      checkNumbers(path, document, found);
+    }
     return found;
   }
 
@@ -132,6 +136,12 @@
       }
       case SERVICE -> checkService(path, document);
       case ENDPOINT -> checkEndpoint(path, document);
+      case SCALING -> {
+        String pool = POOLS + "/" + lastName(path);
+        if (!exists(pool)) {
+          faults.add(new Fault(path, "no pool", "an existing pool at " + pool));
+        }
+      }
       default -> {
         // Documents of the other kinds refer to no other document.
       }
@@ -148,6 +158,12 @@
         }
       }
       case ZONE -> checkUnused(path, "zone", lastName(path));
+      case POOL -> {
+        String scaling = SCALING + "/" + lastName(path);
+        if (exists(scaling)) {
+          faults.add(new Fault(path, "a deletion", scaling + " to be deleted as well"));
+        }
+      }
       case SERVICE -> checkUnused(path, "service", teamName(path) + "/" + lastName(path));
       default -> {
         // No document refers to the other kinds.
@@ -319,6 +335,14 @@
     }
   }
 
+  private static void checkNumbers(String path, JsonNode document, List<Fault> found) {
+    long min = document.get("min").asLong();
+    long max = document.get("max").asLong();
+    if (min > max) {
+      found.add(new Fault(path + ":min", String.valueOf(min), "at most max, which is " + max));
+    }
+  }
+
   private static Fault unknownPath(String path) {
     return new Fault(path, "a path of no known kind", "a path of the settings tree");
   }
--- a/settings/src/test/java/org/comfreygap/settings/RoutingRulesTest.java
+++ b/settings/src/test/java/org/comfreygap/settings/RoutingRulesTest.java
@@ -62,6 +62,38 @@
     assertThat(TreeRules.checkDocument("/routing/routes/a", document)).isNotEmpty();
   }
 
+  @Test
+  void acceptsBoundsOnTheNumberOfEndpointsOfAnExistingPool() {
+    String scaling = "{\"min\":2,\"max\":6,\"bootSeconds\":20}";
+
+    assertThat(check(Map.of(POOL, POOL_DOCUMENT, "/routing/scaling/app", scaling))).isEmpty();
+    assertThat(check(Map.of("/routing/scaling/app", scaling)))
+        .singleElement()
+        .satisfies(fault -> assertThat(fault.message()).contains("an existing pool"));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "{'min':7,'max':6} | given 7",
+        "{'min':-1,'max':6} | given -1",
+        "{'min':'two','max':6} | given \"two\"",
+        "{'min':2,'max':0} | given 0",
+        "{'min':2,'max':2.5} | given 2.5",
+        "{'max':6} | given nothing",
+        "{'min':2,'max':6,'bootSeconds':-1} | given -1",
+        "{'min':2,'max':6,'bootSeconds':'soon'} | given \"soon\""
+      })
+  void refusesBoundsThatNoNumberSatisfies(String document, String expected)
+      throws JsonProcessingException {
+    JsonNode scaling = new ObjectMapper().readTree(document.replace('\'', '"'));
+
+    assertThat(TreeRules.checkDocument("/routing/scaling/app", scaling))
+        .singleElement()
+        .satisfies(fault -> assertThat(fault.message()).contains(expected));
+  }
+
   private static String route(String prefix, String pool, int weight) {
     return "{\"host\":\"shop.example\",\"pathPrefix\":\""
         + prefix
