Order the number of endpoints from control

Cause: ScalePolicy's decisions have to reach the platform once each, also across leader changes.

Result: ScaleControllerTest, SettingsStateTest, LeaderChangeTest, AdministrationApiTest, PublicationStateTest and StateSizeTest pass. ScaleControllerTest failed once before, as it let the load jump while the reports of the gateways that it silenced were still young; it now waits for that first.

--- a/control/src/main/java/org/comfreygap/control/Command.java
+++ b/control/src/main/java/org/comfreygap/control/Command.java
@@ -33,7 +33,9 @@
   @JsonSubTypes.Type(value = Command.RecordBegan.class, name = "began"),
   @JsonSubTypes.Type(value = Command.LiftPart.class, name = "liftPart"),
   @JsonSubTypes.Type(value = Command.RecordStreams.class, name = "streams"),
-  @JsonSubTypes.Type(value = Command.RegisterReplica.class, name = "replica")
+  @JsonSubTypes.Type(value = Command.RegisterReplica.class, name = "replica"),
+  @JsonSubTypes.Type(value = Command.OrderEndpoints.class, name = "orderEndpoints"),
+  @JsonSubTypes.Type(value = Command.EndOrder.class, name = "endOrder")
 })
 sealed interface Command {
 
@@ -204,4 +206,26 @@
   /** Registers the addresses of a control instance. */
   record RegisterReplica(long logMillis, String replicaId, String rpcAddress, String httpAddress)
       implements Command {}
+
+  /** A change of the orders of numbers of endpoints. */
+  sealed interface ScaleCommand extends Command {}
+
+  /**
+   * Orders the number of endpoints of a pool in a zone; it replaces the order before.
+   *
+   * @param count endpoints that are ordered
+   * @param reason name of the reason, for the operator
+   * @param call the call; its number follows that of the order before
+   */
+  record OrderEndpoints(
+      long logMillis, String pool, String zone, int count, String reason, DutyCall call)
+      implements ScaleCommand {}
+
+  /**
+   * Ends the call of an order.
+   *
+   * @param accepted false when the platform will never take it
+   */
+  record EndOrder(long logMillis, String subject, long number, boolean accepted)
+      implements ScaleCommand {}
 }
--- a/control/src/main/java/org/comfreygap/control/ControlEvent.java
+++ b/control/src/main/java/org/comfreygap/control/ControlEvent.java
@@ -25,7 +25,9 @@
   PART_BANNED(2042, Level.WARN, "A part of prompts that crashes endpoints is banned."),
   PART_BAN_ENDED(2043, Level.WARN, "A part of prompts is no longer banned."),
   LEDGER_OWNER_GONE(2050, Level.WARN, "Open ledger entries of a gone gateway became unknown."),
-  PERMIT_QUEUE_FULL(2060, Level.WARN, "A load request was refused because the queue is full.");
+  PERMIT_QUEUE_FULL(2060, Level.WARN, "A load request was refused because the queue is full."),
+  ENDPOINTS_ORDERED(2080, Level.INFO, "Another number of endpoints of a pool is ordered."),
+  ENDPOINTS_KEPT(2081, Level.INFO, "Why no other number of endpoints is ordered has changed.");
 
   private final int number;
   private final Level level;
--- a/control/src/main/java/org/comfreygap/control/ControlModule.java
+++ b/control/src/main/java/org/comfreygap/control/ControlModule.java
@@ -3,6 +3,7 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.name.Names;
 import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.decisions.ScalePolicy;
 import org.comfreygap.runtime.EventLog;
 
 /**
@@ -66,6 +67,8 @@
     bind(PlatformListPoller.class);
     bind(DutyDialect.class).toInstance(dialect);
     bind(DutySettings.class).toInstance(settings.duties(dialect));
+    bind(ScalePolicy.Settings.class).toInstance(ScaleSettings.of(settings.file()));
+    bind(ScaleController.class);
     bind(DutySources.class);
     bind(LeaderDuties.class);
     bind(PublicationController.class);
--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -109,6 +109,7 @@
     duties.start();
     ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
     ControlMetrics.bind(shell.metrics(), state, log);
+    injector.getInstance(ScaleController.class).bind(shell.metrics());
     closer.register(
         shell
             .http(settings.httpAddress())
--- a/control/src/main/java/org/comfreygap/control/ControlSettings.java
+++ b/control/src/main/java/org/comfreygap/control/ControlSettings.java
@@ -64,6 +64,7 @@
           .required("operators", FieldRule.listOf(FieldRule.object(OPERATOR), 1_000))
           .optional("platformList", FieldRule.object(PLATFORM_LIST))
           .optional("toleratedLosses", FieldRule.integer(0, 4))
+          .optional("endpointNumbers", FieldRule.object(ScaleSettings.SCHEMA))
           .optional("duties", FieldRule.object(DutySettings.SCHEMA))
           .build();
 
--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -60,6 +60,7 @@
   private Map<String, TokenBudget.Ceiling> ceilings = new LinkedHashMap<>();
   private Map<String, ReplicaAddresses> replicas = new LinkedHashMap<>();
   private Optional<SnapshotLine.Publication> publication = Optional.empty();
+  private ScaleState scale = new ScaleState();
   private long logMillis;
   private long appliedNanos;
   private long quarantineVersion;
@@ -123,7 +124,10 @@
     Command command = Codec.decode(bytes);
     logMillis = Math.max(logMillis, command.logMillis());
     appliedNanos = nanoTime.getAsLong();
-    return Codec.encodeResult(execute(command));
+    return Codec.encodeResult(
+        command instanceof Command.ScaleCommand order
+            ? scale.apply(order, logMillis)
+            : execute(command));
   }
 
   @Override
@@ -141,6 +145,7 @@
     ceilings = new LinkedHashMap<>();
     replicas = new LinkedHashMap<>();
     publication = Optional.empty();
+    scale = new ScaleState();
     SnapshotFile.read(in, this::readLine);
     appliedNanos = nanoTime.getAsLong();
     revision = settings.revision();
@@ -153,6 +158,11 @@
     return reader.apply(settings);
   }
 
+  /** Runs {@code reader} on a consistent view of the orders of numbers of endpoints. */
+  synchronized <R> R readScale(Function<ScaleState, R> reader) {
+    return reader.apply(scale);
+  }
+
   /** Returns the newest revision; never blocks, not even while a snapshot is written. */
   long revision() {
     return revision;
@@ -446,9 +456,12 @@
     out.writeAll(ceilings.values(), SnapshotLine.CreditCeiling::new);
     out.writeAll(replicas.values(), SnapshotLine.Replica::new);
     out.writeAll(publication.stream().toList(), line -> line);
+    scale.write(out);
   }
 
-  /** Reads a line on streams or suspected parts of prompts; returns false for another line. */
+  /**
+   * Reads a line on streams, suspected parts of prompts or orders; returns false for another line.
+   */
   private boolean readRequestLine(SnapshotLine line) {
     if (line instanceof SnapshotLine.Stream stream) {
       streams.restore(stream.entry());
@@ -460,7 +473,7 @@
       long now = TimeUnit.MILLISECONDS.toNanos(logMillis);
       crashes.parts().restore(parts.evidence(), parts.version(), now);
     } else {
-      return false;
+      return scale.read(line);
     }
     return true;
   }
--- a/control/src/main/java/org/comfreygap/control/DutySources.java
+++ b/control/src/main/java/org/comfreygap/control/DutySources.java
@@ -18,7 +18,11 @@
   private final Map<Duty, DutySource> sources = new EnumMap<>(Duty.class);
 
   @Inject
-  DutySources(DutySettings settings) {}
+  DutySources(DutySettings settings, ScaleController scale) {
+    if (settings.asks(Duty.ENDPOINTS)) {
+      sources.put(Duty.ENDPOINTS, scale);
+    }
+  }
 
   Map<Duty, DutySource> byDuty() {
     return sources;
--- a/control/src/main/java/org/comfreygap/control/SnapshotLine.java
+++ b/control/src/main/java/org/comfreygap/control/SnapshotLine.java
@@ -32,7 +32,8 @@
   @JsonSubTypes.Type(value = SnapshotLine.Endpoint.class, name = "endpoint"),
   @JsonSubTypes.Type(value = SnapshotLine.CreditCeiling.class, name = "ceiling"),
   @JsonSubTypes.Type(value = SnapshotLine.Replica.class, name = "replica"),
-  @JsonSubTypes.Type(value = SnapshotLine.Publication.class, name = "publication")
+  @JsonSubTypes.Type(value = SnapshotLine.Publication.class, name = "publication"),
+  @JsonSubTypes.Type(value = SnapshotLine.EndpointOrder.class, name = "endpointOrder")
 })
 sealed interface SnapshotLine {
 
@@ -73,5 +74,7 @@
 
   record Replica(ControlState.ReplicaAddresses replica) implements SnapshotLine {}
 
+  record EndpointOrder(ScaleState.EndpointOrder order) implements SnapshotLine {}
+
   record Publication(long version, String source) implements SnapshotLine {}
 }
--- a/control/src/main/java/org/comfreygap/control/StatusResource.java
+++ b/control/src/main/java/org/comfreygap/control/StatusResource.java
@@ -47,6 +47,7 @@
   private final ControlState state;
   private final MembershipController membership;
   private final EventLog events;
+  private final ScaleController scale;
 
   @Inject
   StatusResource(
@@ -54,7 +55,9 @@
       ReplicatedLog log,
       ControlState state,
       MembershipController membership,
-      EventLog events) {
+      EventLog events,
+      ScaleController scale) {
+    this.scale = scale;
     this.api = api;
     this.log = log;
     this.state = state;
@@ -79,7 +82,12 @@
 
   /** Response of {@code /status}. */
   record StatusResponse(
-      String leader, long term, long revision, List<Replica> replicas, List<Process> processes) {}
+      String leader,
+      long term,
+      long revision,
+      List<Replica> replicas,
+      List<Process> processes,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ScaleController.Numbers> endpointNumbers) {}
 
   /** Response of {@code /members}. */
   record MembersResponse(List<Replica> members) {}
@@ -102,7 +110,13 @@
             .sorted(Comparator.comparing(Process::processId))
             .toList();
     String leader = log.leader().map(ReplicaMember::getReplicaId).orElse(null);
-    return new StatusResponse(leader, log.term(), state.revision(), replicas(), processes);
+    return new StatusResponse(
+        leader,
+        log.term(),
+        state.revision(),
+        replicas(),
+        processes,
+        scale.numbers(term, System.nanoTime()));
   }
 
   /** Returns the members of the replicated log. */
--- a/decisions/src/main/java/org/comfreygap/decisions/ScalePolicy.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/ScalePolicy.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -161,6 +162,20 @@
       return text;
     }
 
+    /** Returns the reason with a name; empty for a name that is not known. */
+    public static Optional<Reason> parse(String name) {
+      return Arrays.stream(values()).filter(one -> one.name().equals(name)).findFirst();
+    }
+
+    /** Returns true when a number may be kept although the work calls for another one. */
+    public boolean isObstacle() {
+      return this == AT_MOST
+          || this == CHANGES_BOUND
+          || this == ZONE_OUT
+          || this == FEW_REPORTS
+          || this == NO_ENDPOINT;
+    }
+
     /** Returns true for a reason to order another number. */
     public boolean isChange() {
       return this == DEMAND || this == REFUSED || this == LESS_DEMAND || this == BOUNDS;
