Report the load of scaled pools in heartbeats

Cause: control decides numbers of endpoints on what gateways see. Waiting requests know their pool. Pools without bounds are neither counted nor sent.

--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -324,6 +324,11 @@
     return Math.max(1, listed.slots());
   }
 
+  /** Returns the number of attempts of this gateway in progress here. */
+  int inFlight() {
+    return inFlight;
+  }
+
   /** Returns the number of running requests, as far as this gateway knows. */
   int running(long nowNanos) {
     int begun = inFlight - notBegun;
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -346,7 +346,7 @@
             search.deadlineNanos(),
             deadlineNanos,
             now);
-    refusal.ifPresentOrElse(this::failOrRefuse, () -> relay.waitQueue().add(this));
+    refusal.ifPresentOrElse(this::failOrRefuse, () -> relay.waitQueue().add(this, decision.pool()));
   }
 
   private void startPlacement(long now) {
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -77,6 +77,9 @@
   }
 
   void refused(RouteDecision decision, Refusal refusal) {
+    if (refusal.isLackOfRoom()) {
+      relay.demands().refused(decision.pool());
+    }
     List<Field> fields =
         new ArrayList<>(
             List.of(
--- a/relay/src/main/java/org/comfreygap/relay/Refusal.java
+++ b/relay/src/main/java/org/comfreygap/relay/Refusal.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The gateway's own response to a request that did not run.
@@ -90,6 +91,9 @@
           "not started within the request's timeout",
           100);
 
+  private static final Set<String> LACK_OF_ROOM =
+      Set.of(NO_ENDPOINT.reason, FULL.reason, LIMITED.reason, TIMED_OUT.reason);
+
   private static final String QUARANTINED = "quarantined";
   private static final String PART_BANNED = "part-banned";
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -122,6 +126,11 @@
         Math.max(1, left.toMillis()));
   }
 
+  /** Returns true when more endpoints might have served the request. */
+  boolean isLackOfRoom() {
+    return LACK_OF_ROOM.contains(reason);
+  }
+
   /** Returns true when the request is refused because a part of its prompt is banned. */
   boolean isPartBan() {
     return reason.equals(PART_BANNED);
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -13,6 +13,7 @@
  *
  * <p>Thread safety: used on the event loop only; the suppliers may be backed by other threads.
  *
+ * @param demands load of the pools whose number of endpoints is ordered
  * @param heldBytes bytes that unfinished responses hold together
  * @param tables routing tables in force
  * @param settingsConfirmed true while the settings are confirmed recently enough for requests with
@@ -26,6 +27,7 @@
     EndpointDirectory directory,
     Placement placement,
     WaitQueue waitQueue,
+    PoolDemands demands,
     CreditManager credit,
     CrashDetector crashes,
     EndpointLimits limits,
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -42,6 +42,7 @@
 import org.comfreygap.runtime.ControlUnavailableException;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
+import org.comfreygap.runtime.HeartbeatContent;
 import org.comfreygap.runtime.HybridClock;
 import org.comfreygap.runtime.MembershipAgent;
 import org.comfreygap.runtime.PeerSecurity;
@@ -196,7 +197,7 @@
     registerGauges(relay);
     serveReadiness();
     acceptor = Optional.of(listen(relay));
-    agent = Optional.of(join(control, startId));
+    agent = Optional.of(join(control, startId, relay.demands()));
     ListingPoller poller =
         new ListingPoller(
             loop,
@@ -227,6 +228,13 @@
         Duration.ZERO,
         READINESS_PERIOD,
         () -> checkReadiness(directory));
+    LoopTasks.repeat(
+        loop,
+        events,
+        "pool-demands",
+        PoolDemands.PERIOD,
+        PoolDemands.PERIOD,
+        () -> relay.demands().collect(System.nanoTime()));
     LoopTasks.repeat(
         loop,
         events,
@@ -269,12 +277,14 @@
         closer.register(
             new StreamRegister(
                 loop, control, settings.processId(), gateways::get, events, metrics));
+    WaitQueue waitQueue = new WaitQueue(loop, events);
     return new RelayContext(
         loop,
         dialect,
         directory,
         new Placement(directory, settings.zone(), random),
-        new WaitQueue(loop, events),
+        waitQueue,
+        new PoolDemands(directory, waitQueue, settings.zone(), () -> table),
         credit,
         crashes,
         limits,
@@ -322,7 +332,7 @@
     loop.schedule(metrics::bindJvmMetrics, JVM_METRICS_DELAY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private MembershipAgent join(ControlClient control, String startId) {
+  private MembershipAgent join(ControlClient control, String startId, HeartbeatContent content) {
     ProcessIdentity identity =
         new ProcessIdentity(
             settings.processId(),
@@ -345,7 +355,8 @@
                     ATTEMPT_TIMEOUT,
                     WATCH_WAIT,
                     WATCH_SLACK,
-                    settings.lease())));
+                    settings.lease()),
+                content));
     joined.onSettings(this::applySettings);
     return joined;
   }
--- a/relay/src/main/java/org/comfreygap/relay/RouteTable.java
+++ b/relay/src/main/java/org/comfreygap/relay/RouteTable.java
@@ -16,6 +16,7 @@
 import org.comfreygap.settings.Documents.Pool;
 import org.comfreygap.settings.Documents.RequestLimits;
 import org.comfreygap.settings.Documents.Route;
+import org.comfreygap.settings.Documents.Scaling;
 import org.comfreygap.settings.KeyHash;
 import org.comfreygap.settings.SettingsView;
 
@@ -41,10 +42,12 @@
   private final SettingsView view;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final VersionRequirements versions;
+  private final Set<String> scaledPools;
 
   private RouteTable(SettingsView view, VersionRequirements versions) {
     this.view = view;
     this.versions = versions;
+    this.scaledPools = view.scaling().stream().map(Scaling::pool).collect(Collectors.toSet());
     for (Route route : view.routes()) {
       routesByHost
           .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
@@ -125,6 +128,11 @@
         .collect(Collectors.toSet());
   }
 
+  /** Returns the names of the pools whose number of endpoints is ordered. */
+  Set<String> scaledPools() {
+    return scaledPools;
+  }
+
   boolean zoneIn(String zone) {
     return view.zoneIn(zone);
   }
--- a/relay/src/main/java/org/comfreygap/relay/WaitQueue.java
+++ b/relay/src/main/java/org/comfreygap/relay/WaitQueue.java
@@ -26,7 +26,7 @@
 
   private final EventLoop loop;
   private final EventLog events;
-  private final List<Exchange> waiting = new ArrayList<>();
+  private final List<Waiting> waiting = new ArrayList<>();
   private boolean periodicScheduled;
   private boolean retryScheduled;
   private long lastRetryNanos;
@@ -37,23 +37,31 @@
     this.lastRetryNanos = System.nanoTime() - MIN_RETRY_SPACING.toNanos();
   }
 
-  void add(Exchange exchange) {
+  private record Waiting(Exchange exchange, String pool) {}
+
+  /** Adds a request that waits for an endpoint of {@code pool}. */
+  void add(Exchange exchange, String pool) {
     int at = waiting.size();
-    while (at > 0 && waiting.get(at - 1).rank() > exchange.rank()) {
+    while (at > 0 && waiting.get(at - 1).exchange().rank() > exchange.rank()) {
       at--;
     }
-    waiting.add(at, exchange);
+    waiting.add(at, new Waiting(exchange, pool));
     schedulePeriodicRetry();
   }
 
   void remove(Exchange exchange) {
-    waiting.remove(exchange);
+    waiting.removeIf(one -> one.exchange() == exchange);
   }
 
   int size() {
     return waiting.size();
   }
 
+  /** Returns the number of requests that wait for an endpoint of {@code pool}. */
+  int size(String pool) {
+    return (int) waiting.stream().filter(one -> one.pool().equals(pool)).count();
+  }
+
   /** Retries the placement of waiting requests, now or very soon, as capacity may be free. */
   void retryPlacement() {
     if (waiting.isEmpty() || retryScheduled) {
@@ -75,9 +83,9 @@
 
   private void retryNow() {
     lastRetryNanos = System.nanoTime();
-    List<Exchange> all = new ArrayList<>(waiting);
+    List<Waiting> all = new ArrayList<>(waiting);
     waiting.clear();
-    all.forEach(exchange -> LoopTasks.run(events, "placement", exchange::place));
+    all.forEach(one -> LoopTasks.run(events, "placement", one.exchange()::place));
   }
 
   private void schedulePeriodicRetry() {
