--- a/control/src/main/java/org/comfreygap/control/ControlModule.java
+++ b/control/src/main/java/org/comfreygap/control/ControlModule.java
@@ -67,9 +67,14 @@
     bind(PlatformListPoller.class);
     bind(DutyDialect.class).toInstance(dialect);
     bind(DutySettings.class).toInstance(settings.duties(dialect));
+    bind(FleetTimeController.class);
+    bind(DutyMetrics.class);
+    bind(DutyHolder.class);
+    bind(UsageReports.class);
     bind(ScalePolicy.Settings.class).toInstance(ScaleSettings.of(settings.file()));
     bind(ScaleController.class);
     bind(DutySources.class);
+    bind(DutyCaller.class);
     bind(LeaderDuties.class);
     bind(PublicationController.class);
     bind(Publisher.class).to(PublicationController.class);
--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -107,9 +107,14 @@
             new ControlService.Processor<>(injector.getInstance(ControlHandler.class))));
     LeaderDuties duties = closer.register(injector.getInstance(LeaderDuties.class));
     duties.start();
+    DutyCaller calls = closer.register(injector.getInstance(DutyCaller.class));
+    calls.start();
     ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
     ControlMetrics.bind(shell.metrics(), state, log);
-    injector.getInstance(ScaleController.class).bind(shell.metrics());
+    injector.getInstance(DutyMetrics.class).bind(shell.metrics());
+    if (injector.getInstance(DutySettings.class).asks(Duty.ENDPOINTS)) {
+      injector.getInstance(ScaleController.class).bind(shell.metrics());
+    }
     closer.register(
         shell
             .http(settings.httpAddress())
--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -31,7 +31,7 @@
 
 /**
  * The replicated state of control: settings tree, fencing numbers, request ledger, quarantine list,
- * credit ceilings and the addresses of the control instances.
+ * credit ceilings, duties of one holder and the addresses of the control instances.
  *
  * <p>Ages are measured in log time, which advances only by the monotonic clocks of leaders, so that
  * a jump of the wall clock neither ends a quarantine nor drops a ledger entry.
@@ -60,6 +60,7 @@
   private Map<String, TokenBudget.Ceiling> ceilings = new LinkedHashMap<>();
   private Map<String, ReplicaAddresses> replicas = new LinkedHashMap<>();
   private Optional<SnapshotLine.Publication> publication = Optional.empty();
+  private DutyState duties = new DutyState();
   private ScaleState scale = new ScaleState();
   private long logMillis;
   private long appliedNanos;
@@ -124,10 +125,15 @@
     Command command = Codec.decode(bytes);
     logMillis = Math.max(logMillis, command.logMillis());
     appliedNanos = nanoTime.getAsLong();
-    return Codec.encodeResult(
-        command instanceof Command.ScaleCommand order
-            ? scale.apply(order, logMillis)
-            : execute(command));
+    Object result;
+    if (command instanceof Command.ScaleCommand order) {
+      result = scale.apply(order, logMillis);
+    } else if (command instanceof Command.DutyCommand duty) {
+      result = duties.apply(duty);
+    } else {
+      result = execute(command);
+    }
+    return Codec.encodeResult(result);
   }
 
   @Override
@@ -145,6 +151,7 @@
     ceilings = new LinkedHashMap<>();
     replicas = new LinkedHashMap<>();
     publication = Optional.empty();
+    duties = new DutyState();
     scale = new ScaleState();
     SnapshotFile.read(in, this::readLine);
     appliedNanos = nanoTime.getAsLong();
@@ -158,6 +165,11 @@
     return reader.apply(settings);
   }
 
+  /** Runs {@code reader} on a consistent view of the duties. */
+  synchronized <R> R readDuties(Function<DutyState, R> reader) {
+    return reader.apply(duties);
+  }
+
   /** Runs {@code reader} on a consistent view of the orders of numbers of endpoints. */
   synchronized <R> R readScale(Function<ScaleState, R> reader) {
     return reader.apply(scale);
@@ -456,12 +468,11 @@
     out.writeAll(ceilings.values(), SnapshotLine.CreditCeiling::new);
     out.writeAll(replicas.values(), SnapshotLine.Replica::new);
     out.writeAll(publication.stream().toList(), line -> line);
+    duties.write(out);
     scale.write(out);
   }
 
-  /**
-   * Reads a line on streams, suspected parts of prompts or orders; returns false for another line.
-   */
+  /** Reads a line on streams, suspected parts, duties or orders; returns false for another line. */
   private boolean readRequestLine(SnapshotLine line) {
     if (line instanceof SnapshotLine.Stream stream) {
       streams.restore(stream.entry());
@@ -473,7 +484,7 @@
       long now = TimeUnit.MILLISECONDS.toNanos(logMillis);
       crashes.parts().restore(parts.evidence(), parts.version(), now);
     } else {
-      return scale.read(line);
+      return duties.read(line) || scale.read(line);
     }
     return true;
   }
--- a/control/src/test/java/org/comfreygap/control/ScaleControllerTest.java
+++ b/control/src/test/java/org/comfreygap/control/ScaleControllerTest.java
@@ -1,6 +1,7 @@
 package org.comfreygap.control;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,9 +18,12 @@
 import org.comfreygap.protocol.generated.ProcessIdentity;
 import org.comfreygap.protocol.generated.ProcessKind;
 import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.InvalidSettingsException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Load pattern: four gateways report 4 endpoints of 50 slots in each of two zones once a second,
@@ -176,6 +180,42 @@
     assertThat(controller.numbers(term, now)).isEmpty();
   }
 
+  @Test
+  void readsAnOperatorsWishes() throws Exception {
+    assertThat(ScaleSettings.of(settings("").file())).isEqualTo(ScalePolicy.Settings.DEFAULT);
+    assertThat(
+            ScaleSettings.of(
+                settings("endpointNumbers: {targetShare: 0.7, maxChangesPerMinute: 2}").file()))
+        .isEqualTo(new ScalePolicy.Settings(0.7, 1, 2));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"targetShare: 0", "targetShare: 1.5", "priceWeight: -1", "maxChangesPerMinute: 0"})
+  void refusesWishesOutOfRange(String line) {
+    assertThatThrownBy(() -> settings("endpointNumbers: {" + line + "}"))
+        .isInstanceOf(InvalidSettingsException.class)
+        .hasMessageContaining(line.replaceAll(".*: ", "given "));
+  }
+
+  private static ControlSettings settings(String block) throws InvalidSettingsException {
+    return ControlSettings.parse(
+        """
+        processId: c1
+        zone: z1
+        adminAddress: 127.0.0.1:1
+        control: ["127.0.0.1:2"]
+        security: {sharedKeyFile: unused}
+        replicaId: c1
+        rpcAddress: 127.0.0.1:2
+        replicationAddress: 127.0.0.1:3
+        httpAddress: 127.0.0.1:4
+        dataFolder: unused
+        operators: []
+        """
+            + block);
+  }
+
   private void lead(int index) {
     leader = nodes.get(index);
     cluster.elect(leader.log);
