--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -15,6 +15,7 @@
  *
  * @param demands load of the pools whose number of endpoints is ordered
  * @param heldBytes bytes that unfinished responses hold together
+ * @param usage requests that endpoints began, by window of time
  * @param tables routing tables in force
  * @param settingsConfirmed true while the settings are confirmed recently enough for requests with
  *     a key
@@ -35,6 +36,7 @@
     RetryBudgets retryBudgets,
     Outages outages,
     HeldBytes heldBytes,
+    UsageCounter usage,
     EventLog events,
     RelayMetrics metrics,
     Supplier<RouteTable> tables,
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -42,7 +42,6 @@
 import org.comfreygap.runtime.ControlUnavailableException;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
-import org.comfreygap.runtime.HeartbeatContent;
 import org.comfreygap.runtime.HybridClock;
 import org.comfreygap.runtime.MembershipAgent;
 import org.comfreygap.runtime.PeerSecurity;
@@ -93,6 +92,7 @@
   private final AtomicInteger gateways = new AtomicInteger(1);
   private final FleetSize fleetSize = new FleetSize(FleetSize.HOLD);
   private final KnownFleet retryFleet;
+  private final UsageCounter usage;
   private double retryPart;
   private volatile int sharingGateways;
   private volatile double retriesLeft;
@@ -109,6 +109,7 @@
     this.settings = settings;
     this.events = events;
     this.retryFleet = new KnownFleet(settings.retryWindow());
+    this.usage = new UsageCounter(settings.usageWindow(), settings.usageLateness());
   }
 
   /**
@@ -161,6 +162,10 @@
     }
     int open = onLoop(this::endRequests);
     pause(DRAIN_POLL);
+    if (!settings.usageWindow().isZero() && System.nanoTime() - begin < settings.stop().toNanos()) {
+      // Control counts what began since the last heartbeat.
+      agent.ifPresent(this::announceLeaving);
+    }
     events.record(
         RuntimeEvent.PROCESS_STOPPED,
         Field.of("ended", open),
@@ -296,6 +301,7 @@
             System.nanoTime()),
         outages,
         HeldBytes.ofHeap(),
+        usage,
         events,
         metrics,
         () -> table,
@@ -324,6 +330,7 @@
         () -> relay.directory().all().stream().filter(one -> one.limit().isLimited()).count());
     metrics.gauge(
         "list.entries.skipped", () -> listingPoller.map(ListingPoller::skippedEntries).orElse(0));
+    metrics.gauge("usage.requests.given.up", usage::givenUp);
     metrics.gauge("banned.prompt.parts", relay.crashes()::partBanCount);
     metrics.gauge("settings.revision", () -> table.revision());
     metrics.gauge("settings.confirmed", () -> relay.settingsConfirmed().getAsBoolean() ? 1 : 0);
@@ -332,7 +339,7 @@
     loop.schedule(metrics::bindJvmMetrics, JVM_METRICS_DELAY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private MembershipAgent join(ControlClient control, String startId, HeartbeatContent content) {
+  private MembershipAgent join(ControlClient control, String startId, PoolDemands demands) {
     ProcessIdentity identity =
         new ProcessIdentity(
             settings.processId(),
@@ -356,7 +363,7 @@
                     WATCH_WAIT,
                     WATCH_SLACK,
                     settings.lease()),
-                content));
+                usage.and(demands)));
     joined.onSettings(this::applySettings);
     return joined;
   }
