--- a/control/src/main/java/org/comfreygap/control/Command.java
+++ b/control/src/main/java/org/comfreygap/control/Command.java
@@ -37,7 +37,9 @@
   @JsonSubTypes.Type(value = Command.TakeDuties.class, name = "takeDuties"),
   @JsonSubTypes.Type(value = Command.CloseWindow.class, name = "closeWindow"),
   @JsonSubTypes.Type(value = Command.EndWindow.class, name = "endWindow"),
-  @JsonSubTypes.Type(value = Command.KeepUsage.class, name = "keepUsage")
+  @JsonSubTypes.Type(value = Command.KeepUsage.class, name = "keepUsage"),
+  @JsonSubTypes.Type(value = Command.OrderEndpoints.class, name = "orderEndpoints"),
+  @JsonSubTypes.Type(value = Command.EndOrder.class, name = "endOrder")
 })
 sealed interface Command {
 
@@ -238,4 +240,26 @@
    */
   record KeepUsage(long logMillis, String source, Map<Long, Map<String, Long>> begun)
       implements DutyCommand {}
+
+  /** A change of the orders of numbers of endpoints. */
+  sealed interface ScaleCommand extends Command {}
+
+  /**
+   * Orders the number of endpoints of a pool in a zone; it replaces the order before.
+   *
+   * @param count endpoints that are ordered
+   * @param reason name of the reason, for the operator
+   * @param call the call; its number follows that of the order before
+   */
+  record OrderEndpoints(
+      long logMillis, String pool, String zone, int count, String reason, DutyCall call)
+      implements ScaleCommand {}
+
+  /**
+   * Ends the call of an order.
+   *
+   * @param accepted false when the platform will never take it
+   */
+  record EndOrder(long logMillis, String subject, long number, boolean accepted)
+      implements ScaleCommand {}
 }
--- a/control/src/main/java/org/comfreygap/control/ControlEvent.java
+++ b/control/src/main/java/org/comfreygap/control/ControlEvent.java
@@ -32,7 +32,9 @@
   DUTY_CALL_FAILED(2073, Level.INFO, "A call of a duty failed and is sent again."),
   USAGE_INCOMPLETE(2074, Level.WARN, "A window of usage was closed without all counts."),
   USAGE_DROPPED(2075, Level.WARN, "A window of usage was given up: too many are not accepted."),
-  USAGE_SKIPPED(2076, Level.WARN, "Windows of usage are not reported: they are long over.");
+  USAGE_SKIPPED(2076, Level.WARN, "Windows of usage are not reported: they are long over."),
+  ENDPOINTS_ORDERED(2080, Level.INFO, "Another number of endpoints of a pool is ordered."),
+  ENDPOINTS_KEPT(2081, Level.INFO, "Why no other number of endpoints is ordered has changed.");
 
   private final int number;
   private final Level level;
--- a/control/src/main/java/org/comfreygap/control/ControlModule.java
+++ b/control/src/main/java/org/comfreygap/control/ControlModule.java
@@ -3,6 +3,7 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.name.Names;
 import org.comfreygap.consensus.ReplicatedLog;
+import org.comfreygap.decisions.ScalePolicy;
 import org.comfreygap.runtime.EventLog;
 
 /**
@@ -70,6 +71,8 @@
     bind(DutyMetrics.class);
     bind(DutyHolder.class);
     bind(UsageReports.class);
+    bind(ScalePolicy.Settings.class).toInstance(ScaleSettings.of(settings.file()));
+    bind(ScaleController.class);
     bind(DutySources.class);
     bind(DutyCaller.class);
     bind(LeaderDuties.class);
--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -112,6 +112,9 @@
     ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
     ControlMetrics.bind(shell.metrics(), state, log);
     injector.getInstance(DutyMetrics.class).bind(shell.metrics());
+    if (injector.getInstance(DutySettings.class).asks(Duty.ENDPOINTS)) {
+      injector.getInstance(ScaleController.class).bind(shell.metrics());
+    }
     closer.register(
         shell
             .http(settings.httpAddress())
--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -61,6 +61,7 @@
   private Map<String, ReplicaAddresses> replicas = new LinkedHashMap<>();
   private Optional<SnapshotLine.Publication> publication = Optional.empty();
   private DutyState duties = new DutyState();
+  private ScaleState scale = new ScaleState();
   private long logMillis;
   private long appliedNanos;
   private long quarantineVersion;
@@ -124,8 +125,15 @@
     Command command = Codec.decode(bytes);
     logMillis = Math.max(logMillis, command.logMillis());
     appliedNanos = nanoTime.getAsLong();
-    return Codec.encodeResult(
-        command instanceof Command.DutyCommand duty ? duties.apply(duty) : execute(command));
+    Object result;
+    if (command instanceof Command.ScaleCommand order) {
+      result = scale.apply(order, logMillis);
+    } else if (command instanceof Command.DutyCommand duty) {
+      result = duties.apply(duty);
+    } else {
+      result = execute(command);
+    }
+    return Codec.encodeResult(result);
   }
 
   @Override
@@ -144,6 +152,7 @@
     replicas = new LinkedHashMap<>();
     publication = Optional.empty();
     duties = new DutyState();
+    scale = new ScaleState();
     SnapshotFile.read(in, this::readLine);
     appliedNanos = nanoTime.getAsLong();
     revision = settings.revision();
@@ -161,6 +170,11 @@
     return reader.apply(duties);
   }
 
+  /** Runs {@code reader} on a consistent view of the orders of numbers of endpoints. */
+  synchronized <R> R readScale(Function<ScaleState, R> reader) {
+    return reader.apply(scale);
+  }
+
   /** Returns the newest revision; never blocks, not even while a snapshot is written. */
   long revision() {
     return revision;
@@ -455,9 +469,10 @@
     out.writeAll(replicas.values(), SnapshotLine.Replica::new);
     out.writeAll(publication.stream().toList(), line -> line);
     duties.write(out);
+    scale.write(out);
   }
 
-  /** Reads a line on streams, suspected parts or duties; returns false for another line. */
+  /** Reads a line on streams, suspected parts, duties or orders; returns false for another line. */
   private boolean readRequestLine(SnapshotLine line) {
     if (line instanceof SnapshotLine.Stream stream) {
       streams.restore(stream.entry());
@@ -469,7 +484,7 @@
       long now = TimeUnit.MILLISECONDS.toNanos(logMillis);
       crashes.parts().restore(parts.evidence(), parts.version(), now);
     } else {
-      return duties.read(line);
+      return duties.read(line) || scale.read(line);
     }
     return true;
   }
--- a/control/src/main/java/org/comfreygap/control/DutySources.java
+++ b/control/src/main/java/org/comfreygap/control/DutySources.java
@@ -21,11 +21,15 @@
   private final FleetTimeController time;
 
   @Inject
-  DutySources(DutySettings settings, FleetTimeController time, UsageReports usage) {
+  DutySources(
+      DutySettings settings, FleetTimeController time, UsageReports usage, ScaleController scale) {
     this.time = time;
     if (settings.asks(Duty.USAGE)) {
       sources.put(Duty.USAGE, usage);
     }
+    if (settings.asks(Duty.ENDPOINTS)) {
+      sources.put(Duty.ENDPOINTS, scale);
+    }
   }
 
   Map<Duty, DutySource> byDuty() {
--- a/control/src/main/java/org/comfreygap/control/SnapshotLine.java
+++ b/control/src/main/java/org/comfreygap/control/SnapshotLine.java
@@ -35,7 +35,8 @@
   @JsonSubTypes.Type(value = SnapshotLine.Publication.class, name = "publication"),
   @JsonSubTypes.Type(value = SnapshotLine.Duties.class, name = "duties"),
   @JsonSubTypes.Type(value = SnapshotLine.UsageWindow.class, name = "usageWindow"),
-  @JsonSubTypes.Type(value = SnapshotLine.Usage.class, name = "usage")
+  @JsonSubTypes.Type(value = SnapshotLine.Usage.class, name = "usage"),
+  @JsonSubTypes.Type(value = SnapshotLine.EndpointOrder.class, name = "endpointOrder")
 })
 sealed interface SnapshotLine {
 
@@ -83,5 +84,7 @@
 
   record Usage(long window, DutyState.KeptUsage usage) implements SnapshotLine {}
 
+  record EndpointOrder(ScaleState.EndpointOrder order) implements SnapshotLine {}
+
   record Publication(long version, String source) implements SnapshotLine {}
 }
--- a/control/src/main/java/org/comfreygap/control/StatusResource.java
+++ b/control/src/main/java/org/comfreygap/control/StatusResource.java
@@ -50,6 +50,7 @@
   private final MembershipController membership;
   private final DutyMetrics dutyMetrics;
   private final EventLog events;
+  private final ScaleController scale;
 
   @Inject
   StatusResource(
@@ -58,7 +59,9 @@
       ControlState state,
       MembershipController membership,
       DutyMetrics dutyMetrics,
-      EventLog events) {
+      EventLog events,
+      ScaleController scale) {
+    this.scale = scale;
     this.api = api;
     this.dutyMetrics = dutyMetrics;
     this.log = log;
@@ -103,7 +106,8 @@
       long revision,
       List<Replica> replicas,
       List<Process> processes,
-      @JsonInclude(JsonInclude.Include.NON_NULL) Duties duties) {}
+      @JsonInclude(JsonInclude.Include.NON_NULL) Duties duties,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ScaleController.Numbers> endpointNumbers) {}
 
   /** Response of {@code /members}. */
   record MembersResponse(List<Replica> members) {}
@@ -127,7 +131,14 @@
             .toList();
     String leader = log.leader().map(ReplicaMember::getReplicaId).orElse(null);
     Duties held = state.readDuties(this::duties).orElse(null);
-    return new StatusResponse(leader, log.term(), state.revision(), replicas(), processes, held);
+    return new StatusResponse(
+        leader,
+        log.term(),
+        state.revision(),
+        replicas(),
+        processes,
+        held,
+        scale.numbers(term, System.nanoTime()));
   }
 
   /** Returns the members of the replicated log. */
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -13,6 +13,7 @@
  *
  * <p>Thread safety: used on the event loop only; the suppliers may be backed by other threads.
  *
+ * @param demands load of the pools whose number of endpoints is ordered
  * @param heldBytes bytes that unfinished responses hold together
  * @param usage requests that endpoints began, by window of time
  * @param tables routing tables in force
@@ -27,6 +28,7 @@
     EndpointDirectory directory,
     Placement placement,
     WaitQueue waitQueue,
+    PoolDemands demands,
     CreditManager credit,
     CrashDetector crashes,
     EndpointLimits limits,
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -202,7 +202,7 @@
     registerGauges(relay);
     serveReadiness();
     acceptor = Optional.of(listen(relay));
-    agent = Optional.of(join(control, startId));
+    agent = Optional.of(join(control, startId, relay.demands()));
     ListingPoller poller =
         new ListingPoller(
             loop,
@@ -233,6 +233,13 @@
         Duration.ZERO,
         READINESS_PERIOD,
         () -> checkReadiness(directory));
+    LoopTasks.repeat(
+        loop,
+        events,
+        "pool-demands",
+        PoolDemands.PERIOD,
+        PoolDemands.PERIOD,
+        () -> relay.demands().collect(System.nanoTime()));
     LoopTasks.repeat(
         loop,
         events,
@@ -275,12 +282,14 @@
         closer.register(
             new StreamRegister(
                 loop, control, settings.processId(), gateways::get, events, metrics));
+    WaitQueue waitQueue = new WaitQueue(loop, events);
     return new RelayContext(
         loop,
         dialect,
         directory,
         new Placement(directory, settings.zone(), random),
-        new WaitQueue(loop, events),
+        waitQueue,
+        new PoolDemands(directory, waitQueue, settings.zone(), () -> table),
         credit,
         crashes,
         limits,
@@ -330,7 +339,7 @@
     loop.schedule(metrics::bindJvmMetrics, JVM_METRICS_DELAY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private MembershipAgent join(ControlClient control, String startId) {
+  private MembershipAgent join(ControlClient control, String startId, PoolDemands demands) {
     ProcessIdentity identity =
         new ProcessIdentity(
             settings.processId(),
@@ -354,7 +363,7 @@
                     WATCH_WAIT,
                     WATCH_SLACK,
                     settings.lease()),
-                usage));
+                usage.and(demands)));
     joined.onSettings(this::applySettings);
     return joined;
   }
