End an addition whose learner is removed, and count replies only of the member asked

Seen (tests that failed before): the future of addMember stayed open after its learner was removed until the leader lost its leadership, so a new replica that is lost while it learns blocked every later change of that caller; and an instance with another id at the address of a lost voter was counted for commits, the lease and the quorum check. Ran: ClusterTest, RaftCoreTest, FaultTest of consensus, all passed.

--- a/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
@@ -94,6 +94,11 @@
       return;
     }
     boolean heartbeat = request.getEntriesSize() == 0;
+    if (!reply.getFollower().equals(from)) {
+      // Another replica has the address of this member: what it stores is not stored by the member.
+      onSendFailed(now, from, heartbeat);
+      return;
+    }
     peer.onCallEnded(heartbeat);
     peer.probed |= !heartbeat;
     if (!peer.lostDisk) {
--- a/consensus/src/main/java/org/comfreygap/consensus/MembershipChanges.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/MembershipChanges.java
@@ -58,6 +58,12 @@
       change.future.complete(null);
       return true;
     }
+    if (committed && change.started && Memberships.find(members, change.id).isEmpty()) {
+      // Its learner was lost and removed: waiting for it would never end.
+      change.future.completeExceptionally(
+          new IllegalStateException("member " + change.id + " removed before it became a voter"));
+      return true;
+    }
     if (core.role() != Role.LEADER) {
       change.future.completeExceptionally(
           change.started
--- a/consensus/src/test/java/org/comfreygap/consensus/ClusterTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/ClusterTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.consensus.ReplicatedLog.Role;
+import org.comfreygap.protocol.generated.ReplicaMember;
 import org.comfreygap.runtime.Timeline;
 import org.junit.jupiter.api.Test;
 
@@ -157,6 +158,21 @@
     }
   }
 
+  /** Guards against a new replica that is lost while it learns and blocks all later changes. */
+  @Test
+  void additionEndsWhenItsLearnerIsRemoved() throws Exception {
+    try (TestCluster cluster = new TestCluster(3, SEED)) {
+      RaftLog log = cluster.awaitLeader().log;
+      CompletableFuture<Void> added = log.addMember(new ReplicaMember("lost", "127.0.0.1:9", true));
+      cluster.await("the learner", () -> log.members().size() == 4);
+      log.removeMember("lost").get(30, TimeUnit.SECONDS);
+      assertThat(added)
+          .failsWithin(Duration.ofSeconds(30))
+          .withThrowableThat()
+          .withMessageContaining("removed before it became a voter");
+    }
+  }
+
   private static TestCluster.Replica other(TestCluster cluster, TestCluster.Replica leader) {
     return cluster.replicas().stream().filter(r -> r != leader).findFirst().orElseThrow();
   }
--- a/consensus/src/test/java/org/comfreygap/consensus/RaftCoreTest.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/RaftCoreTest.java
@@ -243,6 +243,23 @@
     assertThat(core.role()).isEqualTo(Role.FOLLOWER);
   }
 
+  /** Guards against an instance that got the address of a lost voter and is counted as it. */
+  @Test
+  void replyOfAnotherReplicaAtTheAddressOfAVoterCountsForNothing() {
+    RaftCore core = core(THREE, new HardState(3, ""), entry(1, 3), entry(2, 3));
+    electLeader(core);
+    long last = core.log().lastIndex();
+    AppendRequest entries = append(core.term(), "a", 2, 3, 0, entry(last, core.term()));
+    core.onAppendReply(now, "b", entries, new AppendReply(core.term(), true, last, now, "x"));
+    AppendRequest heartbeat = heartbeat(core.term(), "a");
+    core.onAppendReply(now, "b", heartbeat, new AppendReply(core.term(), true, 0, now, "x"));
+    assertThat(core.commitIndex()).isZero();
+    assertThat(core.leaseEnd(now).getAsLong() - now).isNegative();
+    now += ELECTION_MAX + 1;
+    core.tick(now);
+    assertThat(core.role()).isEqualTo(Role.FOLLOWER);
+  }
+
   @Test
   void voterThatLostItsDiskRefusesSnapshots() {
     RaftCore core = open(THREE, HardState.NONE, false, List.of());
