--- a/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/Leadership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -148,6 +149,13 @@
     return quorumValue(durable);
   }
 
+  /** Returns when the newest acknowledged message was sent to each peer, in nanoseconds. */
+  Map<String, Long> contacts() {
+    Map<String, Long> contacts = new HashMap<>();
+    peers.forEach((id, peer) -> contacts.put(id, peer.lastAckedRound));
+    return contacts;
+  }
+
   OptionalLong leaseEnd(long now) {
     return transfer != null
         ? OptionalLong.empty()
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftCore.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -160,6 +161,11 @@
     advanceCommit(now);
   }
 
+  /** Returns when the newest acknowledged message was sent to each peer; empty at no leader. */
+  Map<String, Long> contacts() {
+    return role == Role.LEADER ? leadership.contacts() : Map.of();
+  }
+
   /** Begins a leadership transfer; false when there is no other voter. */
   boolean transferLeadership(long now) {
     return role == Role.LEADER && leadership.beginTransfer(now);
@@ -511,14 +517,10 @@
   }
 
   private void onBootstrapReply(long now, VoteReply reply) {
-    if (!bootstrap.isCreator()) {
-      return;
-    }
-    if (bootstrap.accept(reply)) {
-      bootstrapWhenAllEmpty(now);
-    } else {
+    if (bootstrap.isCreator() && !bootstrap.accept(reply)) {
       output.recordEvent(ConsensusEvent.BOOTSTRAP_REFUSED, reply.getVoter());
     }
+    bootstrapWhenAllEmpty(now);
   }
 
   private void bootstrapWhenAllEmpty(long now) {
--- a/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/RaftLog.java
@@ -207,6 +207,11 @@
     return view.members;
   }
 
+  @Override
+  public CompletableFuture<Map<String, Long>> contacts() {
+    return submitRequest((raft, now, future) -> future.complete(raft.contacts()));
+  }
+
   @Override
   public CompletableFuture<Void> addMember(ReplicaMember member) {
     return submitRequest((raft, now, future) -> changes.add(member, future));
--- a/consensus/src/main/java/org/comfreygap/consensus/ReplicatedLog.java
+++ b/consensus/src/main/java/org/comfreygap/consensus/ReplicatedLog.java
@@ -1,6 +1,7 @@
 package org.comfreygap.consensus;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.comfreygap.protocol.generated.ReplicaMember;
@@ -71,10 +72,19 @@
   /** Returns the members according to the newest membership entry in the log. */
   List<ReplicaMember> members();
 
+  /**
+   * Returns when the leader sent the newest message that each other member acknowledged, by replica
+   * id, in monotonic nanoseconds; empty at a replica that does not lead.
+   *
+   * @since 0.8
+   */
+  CompletableFuture<Map<String, Long>> contacts();
+
   /**
    * Adds a replica as learner and makes it a voter once it has caught up.
    *
-   * @return a future that completes when the replica is a voter
+   * @return a future that completes when the replica is a voter, and fails when it is removed
+   *     before that
    */
   CompletableFuture<Void> addMember(ReplicaMember member);
 
--- a/control/src/main/java/org/comfreygap/control/ControlMetrics.java
+++ b/control/src/main/java/org/comfreygap/control/ControlMetrics.java
@@ -1,5 +1,6 @@
 package org.comfreygap.control;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import org.comfreygap.consensus.ReplicatedLog;
@@ -13,7 +14,8 @@
 
   private ControlMetrics() {}
 
-  static void bind(MeterRegistry registry, ControlState state, ReplicatedLog log) {
+  static void bind(
+      MeterRegistry registry, ControlState state, ReplicatedLog log, ReplicaAdmission admission) {
     Gauge.builder("comfreygap.control.revision", state, ControlState::revision)
         .description("Newest settings revision at this instance")
         .register(registry);
@@ -33,5 +35,29 @@
     Gauge.builder("comfreygap.control.term", log, ReplicatedLog::term)
         .description("Term of the replicated log")
         .register(registry);
+    Gauge.builder("comfreygap.control.replicas.voters", log, l -> members(l, true))
+        .description("Replicas that vote")
+        .register(registry);
+    Gauge.builder("comfreygap.control.replicas.learners", log, l -> members(l, false))
+        .description("Replicas that were admitted and do not vote yet")
+        .register(registry);
+    FunctionCounter.builder(
+            "comfreygap.control.replicas.caught.up", admission, ReplicaAdmission::caughtUp)
+        .description("Replicas that this instance admitted and that became voters")
+        .register(registry);
+    FunctionCounter.builder(
+            "comfreygap.control.replicas.removed", admission, ReplicaAdmission::removed)
+        .description("Replicas that this instance removed")
+        .register(registry);
+    Gauge.builder(
+            "comfreygap.control.replicas.last.catch.up.millis",
+            admission,
+            ReplicaAdmission::lastCatchUpMillis)
+        .description("Time from the newest admission until the replica voted")
+        .register(registry);
+  }
+
+  private static long members(ReplicatedLog log, boolean voters) {
+    return log.members().stream().filter(member -> member.isVoter() == voters).count();
   }
 }
--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -106,7 +106,7 @@
     LeaderDuties duties = closer.register(injector.getInstance(LeaderDuties.class));
     duties.start();
     ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
-    ControlMetrics.bind(shell.metrics(), state, log);
+    ControlMetrics.bind(shell.metrics(), state, log, injector.getInstance(ReplicaAdmission.class));
     closer.register(
         shell
             .http(settings.httpAddress())
--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -70,7 +70,7 @@
     LeaderTerm term = leadership.require();
     long now = System.nanoTime();
     if (identity.getKind() == ProcessKind.CONTROL) {
-      admission.recordHeartbeat(identity, now);
+      admission.recordHeartbeat(identity, request.isLeaving(), now);
     }
     MembershipView.Delta<ProcessIdentity> delta;
     synchronized (term.members()) {
--- a/control/src/test/java/org/comfreygap/control/MemoryCluster.java
+++ b/control/src/test/java/org/comfreygap/control/MemoryCluster.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.comfreygap.consensus.NotLeaderException;
@@ -175,6 +176,11 @@
       }
     }
 
+    @Override
+    public CompletableFuture<Map<String, Long>> contacts() {
+      return CompletableFuture.completedFuture(Map.of());
+    }
+
     @Override
     public CompletableFuture<Void> addMember(ReplicaMember added) {
       return CompletableFuture.completedFuture(null);
