Forget control instances that are gone, and find those that replaced them

Seen by reading: the leader named the addresses of its settings file for ever; clients asked the seeds of their start in turn for ever, gone or not; a control instance's own heartbeats used only its seeds, so that one whose seeds were all replaced went silent to the next leader and could be removed although it was alive; idle connections to past addresses were kept. Change: the leader names members and instances that it hears of, and its settings' addresses only while it does not know as many as there are members; ControlClient asks the seeds only before control has named its instances and while none of those answers, and drops connections to others; control instances learn the named addresses from their heartbeats; a stopping instance says so at once, so that a group with a successor removes it. Tests: ControlClientTest failed before (the seed was asked). New ControlReplacementTest runs real processes, replaces each of three under load (leader killed, one planned, last killed), reads every acknowledged change back, and kills a leader when all first addresses are gone: passed, whole 299, 209 and 505 ms after the new instance answered. Also ran Control*Test, Membership*Test, MembershipAgentTest, LeaderChange*Test: passed.

--- a/control/src/main/java/org/comfreygap/control/ControlHeartbeat.java
+++ b/control/src/main/java/org/comfreygap/control/ControlHeartbeat.java
@@ -1,8 +1,10 @@
 package org.comfreygap.control;
 
 import java.time.Duration;
+import org.comfreygap.protocol.generated.HeartbeatReply;
 import org.comfreygap.protocol.generated.HeartbeatRequest;
 import org.comfreygap.protocol.generated.ProcessIdentity;
+import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.ControlClient;
 import org.comfreygap.runtime.ControlUnavailableException;
 import org.slf4j.Logger;
@@ -22,8 +24,11 @@
 
   static void send(ControlClient client, ProcessIdentity identity, long revision, boolean leaving) {
     try {
-      client.callLeader(
-          TIMEOUT, c -> c.heartbeat(new HeartbeatRequest(identity, revision, leaving, 0)));
+      HeartbeatReply reply =
+          client.callLeader(
+              TIMEOUT, c -> c.heartbeat(new HeartbeatRequest(identity, revision, leaving, 0)));
+      // The instances that this one was started with may all be gone by now.
+      client.addresses(reply.getControlAddresses().stream().map(Addresses::parse).toList());
     } catch (ControlUnavailableException e) {
       LOG.debug("no leader accepted the heartbeat", e);
     }
--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -37,6 +37,7 @@
   private final EventLog events;
   private final Leadership leadership;
   private final Injector injector;
+  private volatile Runnable heartbeat = () -> {};
   private volatile boolean stopping;
 
   private ControlServer(Injector injector, EventLog events) {
@@ -86,6 +87,8 @@
     stopping = true;
     events.record(RuntimeEvent.PROCESS_STOPPING);
     leadership.handOver();
+    // Where a successor votes already, the leader removes this replica before it is gone.
+    heartbeat.run();
     closer.close();
     events.record(RuntimeEvent.PROCESS_STOPPED);
   }
@@ -158,11 +161,9 @@
                         file,
                         events,
                         changed -> client.seeds(ControlSettings.reloadControlAddresses(changed)))));
+    heartbeat = () -> ControlHeartbeat.send(client, identity, state.revision(), stopping);
     RepeatingTask duty =
-        RepeatingTask.every(
-            "control-heartbeat",
-            MembershipAgent.HEARTBEAT_PERIOD,
-            () -> ControlHeartbeat.send(client, identity, state.revision(), stopping));
+        RepeatingTask.every("control-heartbeat", MembershipAgent.HEARTBEAT_PERIOD, heartbeat::run);
     return () -> {
       duty.close();
       client.close();
--- a/control/src/main/java/org/comfreygap/control/MembershipController.java
+++ b/control/src/main/java/org/comfreygap/control/MembershipController.java
@@ -192,12 +192,15 @@
         .toList();
   }
 
+  /**
+   * Returns the RPC addresses of the members and of instances that send heartbeats. Those of the
+   * settings file belong to the first start: they are named only while members are unknown, which
+   * have neither led nor sent a heartbeat to this leader.
+   */
   private Set<String> addresses(Collection<MembershipView.Status<ProcessIdentity>> processes) {
-    // The addresses of the settings file are always included: replicas that have neither led nor
-    // sent a heartbeat have not registered an address yet.
-    Set<String> addresses = new LinkedHashSet<>(settings.controlAddresses());
     Set<String> members = new HashSet<>();
     log.members().forEach(member -> members.add(member.getReplicaId()));
+    Set<String> addresses = new LinkedHashSet<>();
     for (ControlState.ReplicaAddresses replica : state.replicas()) {
       if (members.contains(replica.replicaId())) {
         addresses.add(replica.rpcAddress());
@@ -205,13 +208,21 @@
     }
     for (MembershipView.Status<ProcessIdentity> status : processes) {
       ProcessIdentity identity = status.identity().description();
+      boolean removed =
+          identity.isSetReplicaId()
+              && !members.contains(identity.getReplicaId())
+              && status.state() != MembershipView.State.LIVE;
       // An instance that only forwards calls has no RPC address.
       if (identity.getKind() == ProcessKind.CONTROL
           && !identity.getAddress().isEmpty()
+          && !removed
           && status.state() != MembershipView.State.GONE) {
         addresses.add(identity.getAddress());
       }
     }
+    if (addresses.size() < members.size()) {
+      addresses.addAll(settings.controlAddresses());
+    }
     return addresses;
   }
 
--- a/runtime/src/main/java/org/comfreygap/runtime/ControlClient.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ControlClient.java
@@ -42,15 +42,16 @@
   private final PeerSecurity security;
   private final Map<InetSocketAddress, Deque<ThriftConnection>> idle = new ConcurrentHashMap<>();
   private final AtomicInteger rotation = new AtomicInteger();
-  private volatile List<InetSocketAddress> addresses;
+  // Attempts since the last one that found what it asked for.
+  private final AtomicInteger failures = new AtomicInteger();
+  private volatile List<InetSocketAddress> addresses = List.of();
   private volatile List<InetSocketAddress> seeds;
   private volatile Optional<InetSocketAddress> leader = Optional.empty();
   private volatile boolean closed;
 
-  /** Creates a client of the control instances at {@code addresses}. */
-  public ControlClient(List<InetSocketAddress> addresses, PeerSecurity security) {
-    this.addresses = List.copyOf(addresses);
-    this.seeds = this.addresses;
+  /** Creates a client that finds the control instances through {@code seeds}. */
+  public ControlClient(List<InetSocketAddress> seeds, PeerSecurity security) {
+    this.seeds = List.copyOf(seeds);
     this.security = security;
   }
 
@@ -62,14 +63,18 @@
     R invoke(ControlService.Client client) throws TException;
   }
 
-  /** Replaces the addresses of the control instances, after a membership change. */
+  /** Replaces the addresses of the control instances, as control names them. */
   public void addresses(List<InetSocketAddress> replacement) {
-    if (!replacement.isEmpty()) {
+    if (!replacement.isEmpty() && !replacement.equals(addresses)) {
       addresses = List.copyOf(replacement);
+      forgetConnections();
     }
   }
 
-  /** Replaces the addresses given in the settings; they are used in addition to the known ones. */
+  /**
+   * Replaces the addresses given in the settings. They are called before control has named its
+   * instances, and while none of those answers; some of them may be gone for good.
+   */
   public void seeds(List<InetSocketAddress> replacement) {
     seeds = List.copyOf(replacement);
   }
@@ -115,6 +120,9 @@
       } catch (NotLeader e) {
         last = e;
         leader = Optional.ofNullable(e.getLeaderAddress()).map(Addresses::parse);
+        if (leader.isEmpty()) {
+          failures.incrementAndGet();
+        }
         if (leader.isEmpty() || leader.get().equals(target)) {
           leader = Optional.empty();
           pause(deadline);
@@ -156,9 +164,12 @@
 
   /** Returns the next address in rotation. */
   public InetSocketAddress nextAddress() {
-    Set<InetSocketAddress> all = new LinkedHashSet<>(addresses);
-    all.addAll(seeds);
-    List<InetSocketAddress> known = List.copyOf(all);
+    List<InetSocketAddress> known = addresses;
+    if (failures.get() >= known.size()) {
+      Set<InetSocketAddress> all = new LinkedHashSet<>(known);
+      all.addAll(seeds);
+      known = List.copyOf(all);
+    }
     return known.get(Math.floorMod(rotation.getAndIncrement(), known.size()));
   }
 
@@ -170,11 +181,18 @@
 
   private <R> R attemptCall(InetSocketAddress target, Duration timeout, Call<R> call)
       throws IOException, TException {
-    ThriftConnection connection = borrow(target, timeout);
+    ThriftConnection connection;
+    try {
+      connection = borrow(target, timeout);
+    } catch (IOException e) {
+      failures.incrementAndGet();
+      throw e;
+    }
     boolean healthy = false;
     try {
       R response = call.invoke(new ControlService.Client(connection.protocol()));
       healthy = true;
+      failures.set(0);
       return response;
     } catch (NotLeader | InvalidCall e) {
       healthy = true;
@@ -184,6 +202,7 @@
         release(target, connection);
       } else {
         connection.close();
+        failures.incrementAndGet();
         // A restarted or failed peer usually breaks all of its idle connections at once.
         closeAll(idle.computeIfAbsent(target, t -> new ArrayDeque<>()));
       }
@@ -204,7 +223,7 @@
   }
 
   private void release(InetSocketAddress target, ThriftConnection connection) {
-    Deque<ThriftConnection> pool = idle.get(target);
+    Deque<ThriftConnection> pool = idle.computeIfAbsent(target, t -> new ArrayDeque<>());
     synchronized (pool) {
       if (!closed && pool.size() < MAX_IDLE_PER_ADDRESS) {
         pool.addFirst(connection);
@@ -214,6 +233,21 @@
     connection.close();
   }
 
+  /** Closes idle connections to instances that are no longer named. */
+  private void forgetConnections() {
+    Set<InetSocketAddress> kept = new LinkedHashSet<>(addresses);
+    kept.addAll(seeds);
+    idle.entrySet()
+        .removeIf(
+            entry -> {
+              boolean unused = !kept.contains(entry.getKey());
+              if (unused) {
+                closeAll(entry.getValue());
+              }
+              return unused;
+            });
+  }
+
   private static void closeAll(Deque<ThriftConnection> pool) {
     synchronized (pool) {
       pool.forEach(ThriftConnection::close);
