--- a/consensus/src/test/java/org/comfreygap/consensus/TestCluster.java
+++ b/consensus/src/test/java/org/comfreygap/consensus/TestCluster.java
@@ -137,6 +137,25 @@
     retry(log -> log.addMember(member).get(5, TimeUnit.SECONDS));
   }
 
+  /** Starts a replica with an empty disk that is no member yet. */
+  ReplicaMember startNew() throws Exception {
+    ReplicaMember member = nextMember();
+    Replica fresh = new Replica(member.getReplicaId(), List.of());
+    fresh.start();
+    synchronized (this) {
+      replicas.put(fresh.id, fresh);
+    }
+    return member;
+  }
+
+  /** Ends a replica for good. */
+  void forget(Replica gone) {
+    gone.kill();
+    synchronized (this) {
+      replicas.remove(gone.id);
+    }
+  }
+
   /** Ends all faults and restarts stopped and failed replicas. */
   void repair() throws Exception {
     network.heal();
