--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -37,6 +37,7 @@
   private final EventLog events;
   private final Leadership leadership;
   private final Injector injector;
+  private volatile Runnable heartbeat = () -> {};
   private volatile boolean stopping;
 
   private ControlServer(Injector injector, EventLog events) {
@@ -88,6 +89,8 @@
     stopping = true;
     events.record(RuntimeEvent.PROCESS_STOPPING);
     leadership.handOver();
+    // Where a successor votes already, the leader removes this replica before it is gone.
+    heartbeat.run();
     closer.close();
     events.record(RuntimeEvent.PROCESS_STOPPED);
   }
@@ -110,7 +113,7 @@
     DutyCaller calls = closer.register(injector.getInstance(DutyCaller.class));
     calls.start();
     ServiceShell.Builder shell = ServiceShell.builder("comfreygap-control");
-    ControlMetrics.bind(shell.metrics(), state, log);
+    ControlMetrics.bind(shell.metrics(), state, log, injector.getInstance(ReplicaAdmission.class));
     injector.getInstance(DutyMetrics.class).bind(shell.metrics());
     if (injector.getInstance(DutySettings.class).asks(Duty.ENDPOINTS)) {
       injector.getInstance(ScaleController.class).bind(shell.metrics());
@@ -166,11 +169,9 @@
                         file,
                         events,
                         changed -> client.seeds(ControlSettings.reloadControlAddresses(changed)))));
+    heartbeat = () -> ControlHeartbeat.send(client, identity, state.revision(), stopping);
     RepeatingTask duty =
-        RepeatingTask.every(
-            "control-heartbeat",
-            MembershipAgent.HEARTBEAT_PERIOD,
-            () -> ControlHeartbeat.send(client, identity, state.revision(), stopping));
+        RepeatingTask.every("control-heartbeat", MembershipAgent.HEARTBEAT_PERIOD, heartbeat::run);
     return () -> {
       duty.close();
       client.close();
