--- a/decisions/src/main/java/org/comfreygap/decisions/AdapterHomes.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/AdapterHomes.java
@@ -31,6 +31,8 @@
 
   private static final int WAYS = 8;
 
+  private static final long DRAW_STEP = 0x9E3779B97F4A7C15L;
+
   private final double requestsPerHome;
   private final int setMask;
   private final long[] keys;
@@ -116,6 +118,20 @@
     return x ^ (x >>> 32);
   }
 
+  /**
+   * Returns the weight of an endpoint that is in the draw several times, so that it is a home of
+   * more adapters than others.
+   *
+   * @param times how often it is in the draw, at least once
+   */
+  public static long weight(long adapter, long endpoint, int times) {
+    long highest = weight(adapter, endpoint);
+    for (int i = 1; i < times; i++) {
+      highest = Math.max(highest, weight(adapter, endpoint + i * DRAW_STEP));
+    }
+    return highest;
+  }
+
   /** Returns a 64-bit hash of {@code name}, never 0. */
   public static long hash(String name) {
     long h = 0xCBF29CE484222325L;
--- a/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PlacementCost.java
@@ -128,6 +128,11 @@
     return (waiting + 1 + 0.5 * share) * workMillis * load.slowdown + zone(load);
   }
 
+  /** Returns the time until an adapter of that residency can serve, in milliseconds. */
+  static double loadMillis(Residency residency) {
+    return residency.millis;
+  }
+
   private static double full(Load load) {
     return load.running + load.waiting >= load.slots ? FULL_MILLIS : 0;
   }
--- a/decisions/src/main/java/org/comfreygap/decisions/PlacementPolicy.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PlacementPolicy.java
@@ -20,9 +20,7 @@
   ENGINE(Costs.ENGINE_FAILURE_MILLIS) {
     @Override
     double baseCost(Candidate candidate, double usualMillis) {
-      boolean noSlot = candidate.load().residency() == Residency.ABSENT && !candidate.canLoad();
-      return PlacementCost.engine(candidate.load(), usualMillis)
-          + (noSlot ? Costs.NO_SLOT_MILLIS : 0);
+      return PlacementCost.engine(candidate.load(), usualMillis) + noSlotMillis(candidate);
     }
   },
   /** Endpoints of a plain service. */
@@ -90,13 +88,29 @@
    * @param usualMillis time to read an average prompt, or that a request to a plain service takes
    */
   public double cost(Candidate candidate, double usualMillis) {
-    double cold = candidate.cold() ? Costs.COLD_MILLIS : 0;
-    return baseCost(candidate, usualMillis)
-        + cold
+    return baseCost(candidate, usualMillis) + stateMillis(candidate);
+  }
+
+  /**
+   * Returns the cost of a request at an engine that states its pace, in milliseconds.
+   *
+   * @param pacedMillis the estimate of {@link PacedCost}
+   */
+  public static double pacedCost(Candidate candidate, double pacedMillis) {
+    return pacedMillis + noSlotMillis(candidate) + ENGINE.stateMillis(candidate);
+  }
+
+  private double stateMillis(Candidate candidate) {
+    return (candidate.cold() ? Costs.COLD_MILLIS : 0)
         + candidate.failureShare() * failureMillis
         + candidate.sendWaitMillis();
   }
 
+  private static double noSlotMillis(Candidate candidate) {
+    boolean noSlot = candidate.load().residency() == Residency.ABSENT && !candidate.canLoad();
+    return noSlot ? Costs.NO_SLOT_MILLIS : 0;
+  }
+
   abstract double baseCost(Candidate candidate, double usualMillis);
 
   /** Costs in milliseconds; the constants of an enum cannot refer to its own static fields. */
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -506,6 +506,12 @@
   12: optional i32 loadable
   /** The request limit, as the endpoint last stated it to its sidecar; unset if it never did. */
   13: optional LimitStatement limit
+  /** How long work takes there, percent of the usual time, as last stated; unset if it never was. */
+  20: optional i32 pacePercent
+  /** Age of that statement, milliseconds. */
+  21: optional i32 paceMillisAgo
+  /** Time that reading the prompts granted in the last pause takes at the usual pace. */
+  22: optional i32 readingMicros
 }
 
 /** Asks that an adapter become resident. */
@@ -545,6 +551,39 @@
   3: required i64 retryAfterMillis
 }
 
+/** Asks for leave to send a prompt to an endpoint whose running streams must not pause for long. */
+struct ReadingPermitRequest {
+  1: required i64 number
+  /** Time to read the prompt at the usual pace. */
+  2: required i32 readMicros
+  /** Time between two events of a stream at the usual pace while no prompt is read. */
+  3: required i32 eventMicros
+  /** Longest pause between events that callers accept. */
+  4: required i32 pauseMicros
+  /** Longest time until the send. */
+  5: required i32 maxWaitMicros
+  /** True when the prompt is to be sent at the latest then, whatever it costs others. */
+  6: required bool mustSend
+}
+
+struct ReadingPermitReply {
+  1: required i64 number
+  2: required bool granted
+  /** Time until the send, or without a grant until one may be granted. */
+  3: required i32 waitMicros
+  /** Time that reading the prompts granted in the last pause takes at the usual pace. */
+  4: required i32 readingMicros
+  /** The newest pace that the sidecar knows, percent; unset if none was stated. */
+  5: optional i32 pacePercent
+  /** Age of that pace, milliseconds. */
+  6: optional i32 paceMillisAgo
+}
+
+/** Tells the sidecar the pace that the head of a response stated. */
+struct PaceObservation {
+  1: required i32 pacePercent
+}
+
 /** Tells the gateway that grants sends to an endpoint of a changed limit, or all others from there. */
 struct LimitReport {
   1: required string instanceId
@@ -583,6 +622,9 @@
   7: LimitReport limitReport
   8: SendPermitRequest sendPermitRequest
   9: SendPermitReply sendPermitReply
+  20: ReadingPermitRequest readingPermitRequest
+  21: ReadingPermitReply readingPermitReply
+  22: PaceObservation paceObservation
 }
 
 service ControlService {
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -5,9 +5,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.decisions.AdapterSlots;
 import org.comfreygap.decisions.Outcome;
+import org.comfreygap.decisions.ReadingSpeed;
 import org.comfreygap.decisions.ResponseEnd;
 import org.comfreygap.decisions.ResponseMatch;
 import org.comfreygap.runtime.Field;
@@ -39,6 +41,7 @@
   private final RelayContext relay;
   private final Endpoint endpoint;
   private final Owner owner;
+  private final OptionalLong promptTokens;
   private final long startNanos;
   private Optional<EndpointConnection> connection = Optional.empty();
   private Optional<ResponseHead> refusal = Optional.empty();
@@ -52,10 +55,16 @@
   private ResponseEnd.Framing framing = ResponseEnd.Framing.LENGTH;
   private ResponseEnd.Endpoint endpointState = ResponseEnd.Endpoint.UNKNOWN;
 
-  Attempt(RelayContext relay, Endpoint endpoint, Owner owner, long startNanos) {
+  Attempt(
+      RelayContext relay,
+      Endpoint endpoint,
+      Owner owner,
+      OptionalLong promptTokens,
+      long startNanos) {
     this.relay = relay;
     this.endpoint = endpoint;
     this.owner = owner;
+    this.promptTokens = promptTokens;
     this.startNanos = startNanos;
   }
 
@@ -224,6 +233,9 @@
     if (lastPartNanos != 0) {
       endpoint.recordPartInterval((now - lastPartNanos) / 1e6);
     }
+    if (endpoint.reading().pace().isKnown()) {
+      recordSpeed(now);
+    }
     lastPartNanos = now;
     owner.onContent(bytes);
   }
@@ -261,6 +273,16 @@
     owner.onFailure(this, new Failure(outcome, reason, refusal));
   }
 
+  private void recordSpeed(long now) {
+    ReadingSpeed speed = relay.placement().speed(endpoint.pool());
+    double pace = endpoint.reading().pace().expected(now);
+    if (lastPartNanos != 0) {
+      speed.event((now - lastPartNanos) / 1e6, pace);
+    } else if (promptTokens.isPresent()) {
+      speed.firstOutput(promptTokens.getAsLong(), (now - sentNanos) / 1e6, pace);
+    }
+  }
+
   private void checkEndpoint() {
     if (!finished) {
       EndpointProbe.check(
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -62,6 +62,7 @@
   private double failureRate;
   private double partIntervalMillis;
   private final EndpointLimit limit = new EndpointLimit();
+  private final EndpointReading reading = new EndpointReading();
   private long nextSendNanos;
   private final EndpointSuspects suspects = new EndpointSuspects();
   private OptionalLong bornMillis = OptionalLong.empty();
@@ -215,6 +216,10 @@
     status = Optional.of(newest);
     statusNanos = nowNanos;
     sentSinceStatus = 0;
+    if (newest.isSetPacePercent()) {
+      reading.paceStated(newest.getPacePercent(), newest.getPaceMillisAgo(), nowNanos);
+      reading.readingStated(newest.getReadingMicros(), nowNanos);
+    }
     if (newest.isSetResident()) {
       Map<AdapterSlots.Name, Long> held = new HashMap<>();
       for (ResidentAdapter one : newest.getResident()) {
@@ -423,6 +428,15 @@
   void recordLoad(ResponseHead.ReportedLoad load, long nowNanos) {
     reportedLoad = Optional.of(load);
     loadReportedNanos = nowNanos;
+    if (load.pacePercent().isPresent()) {
+      reading.paceStated(load.pacePercent().getAsInt(), nowNanos);
+      sidecar.ifPresent(link -> link.paceSeen(load.pacePercent().getAsInt()));
+    }
+  }
+
+  /** Returns the pace and the prompts in hand. */
+  EndpointReading reading() {
+    return reading;
   }
 
   /** Returns the request limit that the endpoint states. */
@@ -454,6 +468,7 @@
         + TimeUnit.NANOSECONDS.toMillis(nowNanos - listedNanos)
         + ",cold:"
         + isCold(nowNanos)
+        + (reading.pace().isKnown() ? reading.describe(nowNanos) : "")
         + (limit.isLimited() ? ",limit:" + limit.perSecond().getAsDouble() : "");
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
@@ -5,6 +5,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.comfreygap.decisions.AdapterSlots;
+import org.comfreygap.decisions.PacedCost;
+import org.comfreygap.decisions.ReadingSpeed;
 
 /**
  * The search for an endpoint of one request: what it needs, by when, and which endpoints are out.
@@ -14,11 +16,14 @@
  */
 final class EndpointSearch {
 
+  private static final double MICROS_PER_MILLI = 1_000;
+
   private final RelayContext relay;
   private final CallerRequest request;
   private final StreamContinuity continuity;
   private final Set<Endpoint> excluded = new HashSet<>();
   private long deadlineNanos;
+  private boolean homeBusy;
 
   EndpointSearch(RelayContext relay, CallerRequest request, StreamContinuity continuity) {
     this.relay = relay;
@@ -59,7 +64,34 @@
                     adapter(),
                     minVersion(table, nowNanos),
                     continuity.required(),
-                    deadlineNanos));
+                    deadlineNanos,
+                    prompt(decision)));
+  }
+
+  /** Returns what a send of the request needs beside the choice of an endpoint. */
+  SendClearance.Request clearanceRequest(RouteDecision decision, String customerId) {
+    return new SendClearance.Request(
+        request.id(), customerId, decision.rank(), deadlineNanos, prompt(decision).cost());
+  }
+
+  /** Leaves out an endpoint that did not admit the request, unless it may do so in a moment. */
+  void notCleared(Endpoint endpoint, boolean forNow) {
+    homeBusy |= forNow;
+    if (!forNow) {
+      exclude(endpoint);
+    }
+  }
+
+  private PacedChoice.Prompt prompt(RouteDecision decision) {
+    ReadingSpeed speed = relay.placement().speed(decision.pool());
+    long pause = decision.route().maxGapMillis();
+    PacedCost.Prompt cost =
+        new PacedCost.Prompt(
+            speed.readMicros(request.promptTokens().orElse(0)),
+            speed.eventMicros(),
+            (pause > 0 ? pause : PacedCost.DEFAULT_PAUSE_MILLIS) * MICROS_PER_MILLI);
+    long target = RequestTimeouts.targetLatency(decision.route()).toMillis();
+    return new PacedChoice.Prompt(cost, target, homeBusy);
   }
 
   Placement.Choice choose(Placement.Requirements need, RouteTable table, long nowNanos) {
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -395,7 +395,7 @@
   private void obtainClearance(Endpoint endpoint) {
     clearance.obtain(
         endpoint,
-        new SendClearance.Request(request.id(), customerId(), rank(), search.deadlineNanos()),
+        search.clearanceRequest(decision, customerId()),
         cleared -> clearanceDecided(endpoint, cleared));
   }
 
@@ -409,12 +409,12 @@
       send(endpoint, now);
       return;
     }
-    search.exclude(endpoint);
+    search.notCleared(endpoint, clearance.refusedForNow());
     place();
   }
 
   private void send(Endpoint endpoint, long now) {
-    Attempt started = new Attempt(relay, endpoint, this, now);
+    Attempt started = new Attempt(relay, endpoint, this, request.promptTokens(), now);
     attempt = Optional.of(started);
     history.begin();
     log.sent(decision, endpoint, now);
--- a/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
+++ b/relay/src/main/java/org/comfreygap/relay/HttpPeerClient.java
@@ -78,9 +78,14 @@
   /** A response. */
   public record Response(int status, HttpHeaders headers, byte[] body) {}
 
-  /** Calls {@code observer} with each response, before the call ends. */
-  public void onResponse(ResponseObserver observer) {
-    this.observer = observer;
+  /** Calls {@code added} with each response, before the call ends, after those added before. */
+  public void onResponse(ResponseObserver added) {
+    ResponseObserver before = observer;
+    observer =
+        (response, sentNanos) -> {
+          before.received(response, sentNanos);
+          added.received(response, sentNanos);
+        };
   }
 
   /** Observes the responses to all calls. */
--- a/relay/src/main/java/org/comfreygap/relay/Placement.java
+++ b/relay/src/main/java/org/comfreygap/relay/Placement.java
@@ -1,7 +1,9 @@
 package org.comfreygap.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -10,6 +12,7 @@
 import org.comfreygap.decisions.PlacementCost;
 import org.comfreygap.decisions.PlacementCost.Residency;
 import org.comfreygap.decisions.PlacementPolicy;
+import org.comfreygap.decisions.ReadingSpeed;
 import org.comfreygap.decisions.StreamOrigins.Origin;
 import org.comfreygap.settings.Documents.Pool;
 
@@ -37,6 +40,7 @@
   private final EndpointDirectory directory;
   private final String zone;
   private final RandomGenerator random;
+  private final Map<String, ReadingSpeed> speeds = new HashMap<>();
 
   Placement(EndpointDirectory directory, String zone, RandomGenerator random) {
     this.directory = directory;
@@ -56,7 +60,8 @@
       Optional<AdapterSlots.Name> adapter,
       long minVersion,
       Optional<Origin> origin,
-      long sendByNanos) {}
+      long sendByNanos,
+      PacedChoice.Prompt prompt) {}
 
   /** Why no endpoint was chosen. */
   enum Shortage {
@@ -89,6 +94,8 @@
       return Choice.none(limited ? Shortage.ALL_LIMITED : Shortage.NONE_OPEN);
     }
     boolean engine = requirements.pool().engine().isPresent();
+    boolean paced = PacedChoice.appliesTo(open);
+    PacedChoice choice = new PacedChoice(requirements, open, zone);
     double fastest =
         open.stream()
             .mapToDouble(engine ? Endpoint::partIntervalMillis : Endpoint::latencyMillis)
@@ -100,7 +107,7 @@
     Residency bestResidency = Residency.HELD;
     double bestCost = Double.MAX_VALUE;
     for (Endpoint endpoint : open) {
-      if (isFull(requirements, endpoint, nowNanos)) {
+      if (isFull(requirements, endpoint, engine && paced, nowNanos)) {
         continue;
       }
       Residency residency =
@@ -112,7 +119,11 @@
       if (residency != Residency.HELD && !loadable) {
         continue;
       }
-      double cost = cost(requirements, adapter, endpoint, residency, open, fastest, nowNanos);
+      double cost =
+          engine && paced
+              ? choice.cost(endpoint, residency, fastest, nowNanos)
+              : cost(requirements, adapter, endpoint, residency, open, fastest, nowNanos);
+      cost *= 1 + PlacementPolicy.JITTER * random.nextDouble();
       if (cost < bestCost) {
         best = endpoint;
         bestResidency = residency;
@@ -142,7 +153,8 @@
             requirements.adapter(),
             newest,
             Optional.empty(),
-            requirements.sendByNanos());
+            requirements.sendByNanos(),
+            requirements.prompt());
     Choice choice = choose(ahead, table, Set.of(serving), nowNanos);
     choice
         .endpoint()
@@ -151,6 +163,11 @@
         .ifPresent(link -> link.requestAdapter(name, newest, reply -> {}));
   }
 
+  /** Returns how fast the engines of a pool read, as this gateway has seen it. */
+  ReadingSpeed speed(String pool) {
+    return speeds.computeIfAbsent(pool, name -> new ReadingSpeed());
+  }
+
   private List<Endpoint> openEndpoints(
       Requirements requirements, RouteTable table, Set<Endpoint> excluded, long nowNanos) {
     List<Endpoint> open = new ArrayList<>();
@@ -175,7 +192,8 @@
     return wait == 0 || nowNanos + wait - requirements.sendByNanos() <= 0;
   }
 
-  private static boolean isFull(Requirements requirements, Endpoint endpoint, long nowNanos) {
+  private static boolean isFull(
+      Requirements requirements, Endpoint endpoint, boolean paced, long nowNanos) {
     int slots = endpoint.slots();
     int limit = slots + Math.max(2, slots / WAITING_PER_SLOTS_DIVISOR);
     int running = endpoint.running(nowNanos);
@@ -183,6 +201,9 @@
     if (running + waiting >= limit) {
       return true;
     }
+    if (paced) {
+      return PacedChoice.isQueueTooLong(requirements.prompt(), endpoint, nowNanos);
+    }
     PlacementCost.Load load =
         new PlacementCost.Load(slots, running, waiting, 1, Residency.HELD, 0, true);
     return requirements.pool().engine().isPresent()
@@ -207,7 +228,7 @@
             endpoint.slots(),
             endpoint.running(nowNanos),
             endpoint.waiting(nowNanos),
-            engine ? endpoint.streamSlowdown(fastestMillis) : endpoint.slowdown(fastestMillis),
+            slowdown(endpoint, engine, open, fastestMillis, nowNanos),
             residency,
             home,
             endpoint.zone().equals(zone));
@@ -218,14 +239,28 @@
             endpoint.isCold(nowNanos),
             endpoint.failureRate(),
             endpoint.sendWaitNanos(nowNanos) / NANOS_PER_MILLI);
-    double cost =
-        engine
-            ? PlacementPolicy.ENGINE.cost(candidate, PlacementPolicy.PROMPT_MILLIS)
-            : PlacementPolicy.SERVICE.cost(candidate, Math.max(1, fastestMillis));
-    return cost * (1 + PlacementPolicy.JITTER * random.nextDouble());
+    return engine
+        ? PlacementPolicy.ENGINE.cost(candidate, PlacementPolicy.PROMPT_MILLIS)
+        : PlacementPolicy.SERVICE.cost(candidate, Math.max(1, fastestMillis));
+  }
+
+  /** Returns the slowdown by the stated paces or, where none is stated, by what was measured. */
+  private static double slowdown(
+      Endpoint endpoint, boolean engine, List<Endpoint> open, double fastestMillis, long nowNanos) {
+    if (engine) {
+      return endpoint.streamSlowdown(fastestMillis);
+    }
+    if (!PacedChoice.appliesTo(open)) {
+      return endpoint.slowdown(fastestMillis);
+    }
+    double fastest = Double.MAX_VALUE;
+    for (Endpoint one : open) {
+      fastest = Math.min(fastest, one.reading().pace().expected(nowNanos));
+    }
+    return endpoint.reading().pace().expected(nowNanos) / fastest;
   }
 
-  private static long hash(AdapterSlots.Name name) {
+  static long hash(AdapterSlots.Name name) {
     return AdapterHomes.hash(name.model() + "/" + name.adapter());
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/RequestTimeouts.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestTimeouts.java
@@ -80,7 +80,8 @@
             : Duration.ofMillis((long) Math.max(MIN_INACTIVITY_MILLIS, usualMillis * SLOW_FACTOR)));
   }
 
-  private static Duration targetLatency(Route route) {
+  /** Returns the time in which the response of a route should begin. */
+  static Duration targetLatency(Route route) {
     long millis = route.targetLatencyMillis();
     return millis > 0 ? Duration.ofMillis(millis) : DEFAULT_TARGET;
   }
--- a/relay/src/main/java/org/comfreygap/relay/ResponseHead.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.comfreygap.relay;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.comfreygap.decisions.StatedLimit;
 
@@ -40,6 +41,10 @@
     MISDIRECTED
   }
 
-  /** Load of an endpoint: running and waiting requests, and the number that can run at once. */
-  public record ReportedLoad(int running, int waiting, int slots) {}
+  /**
+   * Load of an endpoint: running and waiting requests, and the number that can run at once.
+   *
+   * @param pacePercent how long work takes there now, in percent of the usual time, where stated
+   */
+  public record ReportedLoad(int running, int waiting, int slots, OptionalInt pacePercent) {}
 }
--- a/relay/src/main/java/org/comfreygap/relay/SendClearance.java
+++ b/relay/src/main/java/org/comfreygap/relay/SendClearance.java
@@ -1,12 +1,17 @@
 package org.comfreygap.relay;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.comfreygap.decisions.AdapterHomes;
+import org.comfreygap.decisions.PacedCost;
 import org.comfreygap.decisions.SendSlots;
 import org.comfreygap.protocol.generated.ColdPermitReply;
+import org.comfreygap.protocol.generated.ReadingPermitReply;
+import org.comfreygap.protocol.generated.ReadingPermitRequest;
 import org.comfreygap.runtime.Field;
 
 /**
@@ -19,9 +24,23 @@
  */
 final class SendClearance {
 
+  /**
+   * Longest wait for reading at the first choice; another endpoint is likely to be free sooner. It
+   * is a small part of the time in which responses should begin.
+   */
+  private static final int MAX_READING_WAIT_MICROS = 30_000;
+
+  /** Refusals after which the next endpoint has to take the prompt. */
+  private static final int MAX_READING_REFUSALS = 3;
+
+  /** Longest wait at an endpoint that has to take the prompt, as a share of the pause limit. */
+  private static final double LAST_WAIT_SHARE_OF_PAUSE = 0.5;
+
   private final RelayContext relay;
+  private final Set<Endpoint> refusedReading = new HashSet<>();
   private Optional<Endpoint> granted = Optional.empty();
   private boolean heldBack;
+  private boolean refusedForNow;
 
   SendClearance(RelayContext relay) {
     this.relay = relay;
@@ -32,12 +51,14 @@
    *
    * @param rank priority rank, 0 being the most urgent
    * @param sendByNanos time by which it has to be sent
+   * @param prompt the times of its prompt at an engine that states its pace
    */
-  record Request(String id, String customerId, int rank, long sendByNanos) {}
+  record Request(
+      String id, String customerId, int rank, long sendByNanos, PacedCost.Prompt prompt) {}
 
   /** Returns true when a send needs a clearance. */
   static boolean isNeeded(Endpoint endpoint, long nowNanos) {
-    return endpoint.isCold(nowNanos) || endpoint.limit().isLimited();
+    return endpoint.isCold(nowNanos) || endpoint.limit().isLimited() || isPacedEngine(endpoint);
   }
 
   /** Returns true when a request limit has held the request back at any endpoint. */
@@ -65,6 +86,79 @@
    * when it may not be sent to this endpoint.
    */
   void obtain(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
+    refusedForNow = false;
+    if (isPacedEngine(endpoint)) {
+      obtainReading(endpoint, request, receiver);
+    } else {
+      obtainOthers(endpoint, request, receiver);
+    }
+  }
+
+  /** Returns true when the last refusal was for the moment, as the endpoint reads other prompts. */
+  boolean refusedForNow() {
+    return refusedForNow;
+  }
+
+  private static boolean isPacedEngine(Endpoint endpoint) {
+    return endpoint.sidecar().isPresent() && endpoint.reading().pace().isKnown();
+  }
+
+  private void obtainReading(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
+    // Another endpoint was no better, or several were no better.
+    boolean mustSend =
+        refusedReading.contains(endpoint) || refusedReading.size() >= MAX_READING_REFUSALS;
+    double pause = request.prompt().pauseMicros();
+    double maxWait = mustSend ? pause * LAST_WAIT_SHARE_OF_PAUSE : MAX_READING_WAIT_MICROS;
+    ReadingPermitRequest message =
+        new ReadingPermitRequest(
+            0,
+            (int) request.prompt().readMicros(),
+            (int) request.prompt().eventMicros(),
+            (int) pause,
+            (int) maxWait,
+            mustSend);
+    endpoint
+        .sidecar()
+        .get()
+        .requestReading(message, reply -> readingReplied(endpoint, request, reply, receiver));
+  }
+
+  private void readingReplied(
+      Endpoint endpoint,
+      Request request,
+      Optional<ReadingPermitReply> reply,
+      Consumer<Boolean> receiver) {
+    long now = System.nanoTime();
+    EndpointReading reading = endpoint.reading();
+    relay
+        .metrics()
+        .count("prompts", reply.map(r -> r.isGranted() ? "granted" : "refused").orElse("unasked"));
+    if (reply.isEmpty()) {
+      reading.sent(request.prompt().readMicros(), now);
+      obtainOthers(endpoint, request, receiver);
+      return;
+    }
+    ReadingPermitReply decided = reply.get();
+    reading.readingStated(decided.getReadingMicros(), now);
+    if (decided.isSetPacePercent()) {
+      reading.paceStated(decided.getPacePercent(), decided.getPaceMillisAgo(), now);
+    }
+    long wait = TimeUnit.MICROSECONDS.toNanos(decided.getWaitMicros());
+    if (!decided.isGranted()) {
+      refusedForNow = true;
+      refusedReading.add(endpoint);
+      reading.waitStated(wait, now);
+      receiver.accept(false);
+    } else if (wait == 0) {
+      obtainOthers(endpoint, request, receiver);
+    } else {
+      relay
+          .loop()
+          .schedule(() -> obtainOthers(endpoint, request, receiver), wait, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void obtainOthers(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
     if (!endpoint.isCold(System.nanoTime())) {
       obtainGrant(endpoint, request, receiver);
       return;
--- a/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
@@ -22,6 +22,9 @@
 import org.comfreygap.protocol.generated.ColdPermitReply;
 import org.comfreygap.protocol.generated.ColdPermitRequest;
 import org.comfreygap.protocol.generated.EndpointStatus;
+import org.comfreygap.protocol.generated.PaceObservation;
+import org.comfreygap.protocol.generated.ReadingPermitReply;
+import org.comfreygap.protocol.generated.ReadingPermitRequest;
 import org.comfreygap.protocol.generated.ResidencyMessage;
 import org.comfreygap.protocol.generated.ResidentAdapter;
 import org.comfreygap.runtime.EventLog;
@@ -44,6 +47,12 @@
   /** Time after which a request without a reply counts as refused. */
   static final Duration REPLY_TIMEOUT = Duration.ofMillis(1_500);
 
+  /**
+   * Time after which a prompt is sent without leave: many round trips, and a small part of the time
+   * in which a response should begin.
+   */
+  static final Duration READING_TIMEOUT = Duration.ofMillis(60);
+
   /** Time without a message after which a sidecar is gone; it sends several a second. */
   static final Duration INACTIVITY_TIMEOUT = Duration.ofMillis(2_000);
 
@@ -55,6 +64,7 @@
   private final Runnable onLost;
   private final Map<Long, Consumer<AdapterReply>> adapterReplies = new HashMap<>();
   private final Map<Long, Consumer<ColdPermitReply>> permitReplies = new HashMap<>();
+  private final Map<Long, Consumer<Optional<ReadingPermitReply>>> readingReplies = new HashMap<>();
   private final Map<AdapterSlots.Name, List<Consumer<AdapterReply>>> pendingAdapters =
       new HashMap<>();
   private final Map<AdapterSlots.Name, Integer> openRequests = new HashMap<>();
@@ -116,7 +126,8 @@
         });
     AdapterRequest message = new AdapterRequest(request, name.model(), name.adapter(), minVersion);
     send(ResidencyMessage.adapterRequest(message));
-    scheduleTimeout(request, adapterReplies, () -> refused("the sidecar did not reply in time"));
+    scheduleTimeout(
+        request, adapterReplies, REPLY_TIMEOUT, () -> refused("the sidecar did not reply in time"));
   }
 
   /**
@@ -137,9 +148,33 @@
     scheduleTimeout(
         request,
         permitReplies,
+        REPLY_TIMEOUT,
         () -> new ColdPermitReply(request, false, MIN_RECONNECT_PAUSE.toMillis()));
   }
 
+  /**
+   * Requests leave to send a prompt; the receiver gets nothing when there is no reply in time.
+   *
+   * @param message the request; its number is set here
+   */
+  void requestReading(
+      ReadingPermitRequest message, Consumer<Optional<ReadingPermitReply>> receiver) {
+    if (channel.isEmpty()) {
+      receiver.accept(Optional.empty());
+      return;
+    }
+    long request = ++lastRequestNumber;
+    message.setNumber(request);
+    readingReplies.put(request, receiver);
+    send(ResidencyMessage.readingPermitRequest(message));
+    scheduleTimeout(request, readingReplies, READING_TIMEOUT, Optional::empty);
+  }
+
+  /** Passes on the pace that the head of a response stated. */
+  void paceSeen(int percent) {
+    send(ResidencyMessage.paceObservation(new PaceObservation(percent)));
+  }
+
   /**
    * Records that a request for an adapter is sent. An adapter that no request used before is
    * reported to the sidecar at once, since it may be about to unload it.
@@ -210,7 +245,7 @@
   }
 
   private <T> void scheduleTimeout(
-      long request, Map<Long, Consumer<T>> open, Supplier<T> fallback) {
+      long request, Map<Long, Consumer<T>> open, Duration timeout, Supplier<T> fallback) {
     loop.schedule(
         () -> {
           Consumer<T> receiver = open.remove(request);
@@ -218,7 +253,7 @@
             receiver.accept(fallback.get());
           }
         },
-        REPLY_TIMEOUT.toMillis(),
+        timeout.toMillis(),
         TimeUnit.MILLISECONDS);
   }
 
@@ -261,6 +296,9 @@
       } else if (message.isSetColdPermitReply()) {
         ColdPermitReply reply = message.getColdPermitReply();
         deliver(permitReplies.remove(reply.getNumber()), reply);
+      } else if (message.isSetReadingPermitReply()) {
+        ReadingPermitReply reply = message.getReadingPermitReply();
+        deliver(readingReplies.remove(reply.getNumber()), Optional.of(reply));
       }
     }
 
@@ -274,10 +312,14 @@
         List<Consumer<ColdPermitReply>> permits = new ArrayList<>(permitReplies.values());
         adapterReplies.clear();
         permitReplies.clear();
+        List<Consumer<Optional<ReadingPermitReply>>> reading =
+            new ArrayList<>(readingReplies.values());
+        readingReplies.clear();
         onLost.run();
         adapters.forEach(one -> one.accept(refused("the connection to the sidecar was lost")));
         permits.forEach(
             one -> one.accept(new ColdPermitReply(0, false, MIN_RECONNECT_PAUSE.toMillis())));
+        reading.forEach(one -> one.accept(Optional.empty()));
       }
       connectLater();
     }
--- a/relay/src/main/java/org/comfreygap/relay/residency/EngineDialect.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/EngineDialect.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.comfreygap.decisions.StatedLimit;
 import org.comfreygap.relay.HttpPeerClient;
@@ -71,6 +72,11 @@
   /** Returns the request limit that any response states. */
   StatedLimit readLimit(HttpPeerClient.Response response);
 
+  /** Returns the pace that any response states, in percent of the usual time. */
+  default OptionalInt readPace(HttpPeerClient.Response response) {
+    return OptionalInt.empty();
+  }
+
   /** Returns the call that sends a command. */
   Call writeCommand(EngineCommand command);
 
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -90,6 +90,7 @@
   private final String holder;
   private final Supplier<Optional<Pool>> pool;
   private final EngineLimit limit;
+  private final ReadingPermits reading;
   private final EventLog events;
   private final AdapterSlots places = new AdapterSlots(DEFAULT_ADAPTER_SLOTS);
   private final Set<Channel> gateways = new HashSet<>();
@@ -103,6 +104,7 @@
   private long startSeenNanos;
   private Map<Name, Long> lastOffered = Map.of();
   private boolean lastLoadable;
+  private int lastPacePercent;
   private long sequence;
   private long lastAcceptedNanos;
   private boolean answering;
@@ -117,6 +119,7 @@
       String holder,
       Supplier<Optional<Pool>> pool,
       EngineLimit limit,
+      ReadingPermits reading,
       EventLog events) {
     this.loop = loop;
     this.dialect = dialect;
@@ -124,6 +127,7 @@
     this.holder = holder;
     this.pool = pool;
     this.limit = limit;
+    this.reading = reading;
     this.events = events;
     limit.observe(commandClient);
     limit.onChange(() -> sendStatus(System.nanoTime()));
@@ -154,7 +158,8 @@
         + gateways.size()
         + "\ncomfreygap_adapters_offered "
         + places.offered().size()
-        + "\n";
+        + "\n"
+        + reading.metrics();
   }
 
   /** Returns true when the engine started, or was first seen, a short time ago. */
@@ -184,6 +189,7 @@
       places.restarted();
       cold.restarted();
       limit.restarted();
+      reading.restarted();
       startSeenNanos = now;
       if (report.isEmpty()) {
         places.suspendEvictionUntil(now + STARTUP_USE_GRACE.toNanos());
@@ -257,6 +263,11 @@
       updateUse(now);
     } else if (message.isSetColdPermitRequest()) {
       coldPermitRequested(gateway, message.getColdPermitRequest(), now);
+    } else if (message.isSetReadingPermitRequest()) {
+      int running = report.map(EngineReport::running).orElse(0);
+      reading.requested(gateway, message.getReadingPermitRequest(), running, now);
+    } else if (message.isSetPaceObservation()) {
+      reading.observed(message.getPaceObservation().getPacePercent(), now);
     }
   }
 
@@ -505,12 +516,15 @@
             known.running(),
             known.waiting(),
             engine().map(Engine::slots).orElse(0),
-            residentChanged || places.loadable(now) > 0 != lastLoadable);
+            residentChanged
+                || places.loadable(now) > 0 != lastLoadable
+                || reading.pacePercent() != lastPacePercent);
     if (!pacing.due(state, gateways.size(), now)) {
       return;
     }
     lastOffered = offered;
     lastLoadable = places.loadable(now) > 0;
+    lastPacePercent = reading.pacePercent();
     pacing.recordSent(state, now);
     PeerMessages.send(List.copyOf(gateways), status(known, residentChanged));
   }
@@ -528,6 +542,7 @@
             cold.remainingMillis(System.nanoTime()),
             known.leaving(),
             new ArrayList<>(known.models()));
+    reading.describe(status, System.nanoTime());
     status.setLoadable(places.loadable(System.nanoTime()));
     limit.message(System.nanoTime()).ifPresent(status::setLimit);
     if (withResident) {
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -104,6 +104,9 @@
     limit.observe(reportClient);
     HttpPeerClient healthClient = engineClient(ColdStatePoller.TIMEOUT);
     limit.observe(healthClient);
+    ReadingPermits reading = new ReadingPermits(dialect);
+    reading.observe(reportClient);
+    reading.observe(healthClient);
     ResidencyController controller =
         new ResidencyController(
             loop,
@@ -112,6 +115,7 @@
             settings.processId(),
             () -> view.pool(settings.pool()),
             limit,
+            reading,
             events);
     EngineReportPoller watch =
         new EngineReportPoller(
