Read the pace of endpoints and grant prompts to engines by it

Sidecars grant prompts (ReadingGate), gateways compare engines by PacedCost with reading speeds that they learn, and adapters that crowd an engine get a further home. Pools whose endpoints state no pace are placed as before.

--- a/bench/src/main/java/org/comfreygap/bench/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/comfreygap/bench/DecisionBenchmarks.java
@@ -9,9 +9,13 @@
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.AdapterResidency;
 import org.comfreygap.decisions.CustomerCredit;
+import org.comfreygap.decisions.EndpointPace;
 import org.comfreygap.decisions.EndpointSelector;
 import org.comfreygap.decisions.FairQueue;
+import org.comfreygap.decisions.FirstHomes;
 import org.comfreygap.decisions.LimiterChoice;
+import org.comfreygap.decisions.PacedCost;
+import org.comfreygap.decisions.PlacementCost;
 import org.comfreygap.decisions.SendSlots;
 import org.comfreygap.settings.Priority;
 import org.openjdk.jmh.annotations.Benchmark;
@@ -20,6 +24,7 @@
 import org.openjdk.jmh.annotations.Measurement;
 import org.openjdk.jmh.annotations.Mode;
 import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
 import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
@@ -86,6 +91,12 @@
     return residency.canLoadOther();
   }
 
+  /** Chooses among the engines of one pool that state their pace. */
+  @Benchmark
+  public int choosePaced(Paced paced) {
+    return paced.choose();
+  }
+
   private static int[] draws(int ranks, long seed) {
     Zipf zipf = new Zipf(ranks, SKEW);
     Random random = new Random(seed);
@@ -133,6 +144,73 @@
     }
   }
 
+  /** The engines of one pool at different paces, and an adapter that a few of them hold. */
+  @State(Scope.Thread)
+  public static class Paced {
+
+    private static final int HOLDERS = 3;
+    private static final int[] PERCENTS = {60, 100, 160};
+
+    /** Endpoints of the pool. */
+    @Param({"38", "920"})
+    int engines;
+
+    private final long[] adapters = new long[DRAWS];
+    private EndpointPace[] paces;
+    private long[] hashes;
+    private long nowNanos = 1;
+    private int next;
+
+    /** States the paces. */
+    @Setup
+    public void fill() {
+      paces = new EndpointPace[engines];
+      hashes = new long[engines];
+      for (int i = 0; i < engines; i++) {
+        paces[i] = new EndpointPace();
+        paces[i].stated(PERCENTS[i % PERCENTS.length] * (i % 7 == 0 ? 5 : 2) / 2, nowNanos);
+        hashes[i] = AdapterHomes.hash("i-" + i);
+      }
+      for (int i = 0; i < DRAWS; i++) {
+        adapters[i] = AdapterHomes.hash("base/a" + i);
+      }
+    }
+
+    int choose() {
+      nowNanos += 1_000;
+      long adapter = adapters[next++ & (DRAWS - 1)];
+      FirstHomes homes = new FirstHomes();
+      for (int i = 0; i < engines; i++) {
+        homes.add(AdapterHomes.weight(adapter, hashes[i], paces[i].homeDraws()));
+      }
+      PacedCost.Prompt prompt = new PacedCost.Prompt(76_000, 31_000, 300_000);
+      int best = 0;
+      double lowest = Double.MAX_VALUE;
+      for (int i = 0; i < engines; i++) {
+        int home = homes.position(AdapterHomes.weight(adapter, hashes[i], paces[i].homeDraws()));
+        double cost =
+            PacedCost.engine(
+                new PacedCost.State(
+                    MAX_BATCH,
+                    i & 15,
+                    paces[i].expected(nowNanos),
+                    paces[i].cautious(nowNanos),
+                    paces[i].expected(nowNanos, TimeUnit.SECONDS.toNanos(1)),
+                    (i & 3) * 76_000,
+                    home < HOLDERS ? PlacementCost.Residency.HELD : PlacementCost.Residency.ABSENT,
+                    home,
+                    i % 3 == 0),
+                prompt,
+                PacedCost.Preferences.DEFAULT);
+        if (cost < lowest) {
+          lowest = cost;
+          best = i;
+        }
+      }
+      return best;
+    }
+  }
+
   /** A gateway's selector in steady state. */
   @State(Scope.Thread)
   public static class Routing {
--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointPace.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointPace.java
@@ -8,7 +8,7 @@
  *
  * <p>A pace is a factor on the usual time of all work there. An endpoint has a usual pace, the
  * median of the statements kept, and departs from it in spells. A statement counts fully at the
- * time at which it was made; after {@link #SPELL} its distance from the usual pace is worth 1/e.
+ * time at which it was made; its distance from the usual pace fades to nothing in {@link #FADE}.
  * The median is not moved by a few false statements, and the measured pace bounds a median that is
  * false throughout.
  *
@@ -24,12 +24,15 @@
  */
 public final class EndpointPace {
 
-  /** Time in which the distance of a stated pace from the usual one loses 63% of its worth. */
-  public static final Duration SPELL = Duration.ofMillis(500);
+  /** Time after which a statement tells no more than the usual pace: the longest spells. */
+  public static final Duration FADE = Duration.ofMillis(1_000);
 
   /** Shortest time between two statements that count towards the usual pace. */
   public static final Duration SPACING = Duration.ofMillis(200);
 
+  /** Time for which the slowest pace is remembered, and at most twice as long. */
+  public static final Duration SLOWEST_MEMORY = Duration.ofSeconds(10);
+
   /** Lowest pace that is believed. */
   public static final double MIN_FACTOR = 0.2;
 
@@ -43,6 +46,7 @@
   static final double TRUSTED_SHARE_OF_MEASURED = 0.5;
 
   private static final double PERCENT = 100;
+  private static final double FADE_NANOS = FADE.toNanos();
   private static final int USUAL_DRAWS = 2;
   private static final int MAX_DRAWS = 8;
 
@@ -51,6 +55,9 @@
   private int next;
   private long keptNanos;
   private double median;
+  private double slowest;
+  private double slowestBefore;
+  private long slowestSinceNanos;
   private double last;
   private long lastNanos;
   private double measured;
@@ -63,6 +70,7 @@
     }
     last = Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, percent / PERCENT));
     lastNanos = statedNanos;
+    recordSlowest(statedNanos);
     if (count == 0 || statedNanos - keptNanos >= SPACING.toNanos()) {
       kept[next] = last;
       next = (next + 1) % KEPT;
@@ -71,8 +79,7 @@
       double[] sorted = Arrays.copyOf(kept, count);
       Arrays.sort(sorted);
       median = sorted[(count - 1) / 2];
-      long speedClass = Math.round(-2 * Math.log(median) / Math.log(2));
-      homeDraws = (int) Math.max(1, Math.min(MAX_DRAWS, USUAL_DRAWS * Math.pow(2, speedClass)));
+      homeDraws = (int) Math.max(1, Math.min(MAX_DRAWS, Math.round(USUAL_DRAWS / median)));
     }
   }
 
@@ -116,16 +123,42 @@
     if (count == 0) {
       return usual;
     }
-    double spell = SPELL.toNanos();
-    double fresh = Math.exp(-ageNanos(nowNanos) / spell);
-    double share = spanNanos <= 0 ? 1 : spell / spanNanos * (1 - Math.exp(-spanNanos / spell));
-    return Math.max(MIN_FACTOR, usual + (last - median) * fresh * share);
+    double worth = worth(ageNanos(nowNanos) / FADE_NANOS, spanNanos / FADE_NANOS);
+    return Math.max(MIN_FACTOR, usual + (last - median) * worth);
+  }
+
+  private void recordSlowest(long statedNanos) {
+    if (count == 0) {
+      slowestSinceNanos = statedNanos;
+    } else if (statedNanos - slowestSinceNanos >= SLOWEST_MEMORY.toNanos()) {
+      slowestBefore = slowest;
+      slowest = 0;
+      slowestSinceNanos = statedNanos;
+    }
+    slowest = Math.max(slowest, last);
+  }
+
+  /** Returns the mean worth of a statement over a span; times are multiples of the fade. */
+  private static double worth(double age, double span) {
+    double left = 1 - age;
+    if (left <= 0) {
+      return 0;
+    }
+    return span < left ? left - span / 2 : left * left / 2 / span;
+  }
+
+  /**
+   * Returns the pace to plan with while there is a choice: halfway from the expected pace to the
+   * slowest one that was stated lately, as a spell may begin before a prompt is read.
+   */
+  public double cautious(long nowNanos) {
+    double expected = expected(nowNanos);
+    return Math.max(expected, (expected + Math.max(slowest, slowestBefore)) / 2);
   }
 
   /**
-   * Returns how often the endpoint is in the draw for the homes of adapters: 2 at the usual time,
-   * twice as often for each factor of 1.41 by which it is faster. Observers agree on it, as it has
-   * few values.
+   * Returns how often the endpoint is in the draw for the homes of adapters: in proportion to its
+   * usual speed. Observers agree on it, as it has few values.
    */
   public int homeDraws() {
     return homeDraws;
--- a/decisions/src/main/java/org/comfreygap/decisions/PacedCost.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PacedCost.java
@@ -28,8 +28,11 @@
   /** Prompts granted in the last span are half read on average. */
   static final double UNREAD_SHARE = 0.5;
 
-  /** Added for each running request: it lengthens each step, and a pause hurts it. */
-  static final double RUNNING_MILLIS = 0.5;
+  /**
+   * Share of the pause limit that each running stream adds: of the prompts read, about one in fifty
+   * meets the begin of a spell and pauses all of them.
+   */
+  static final double RUNNING_SHARE_OF_PAUSE = 0.02;
 
   private static final double MICROS_PER_MILLI = 1_000;
 
@@ -39,6 +42,7 @@
    * State of an engine.
    *
    * @param pace factor on the usual time to expect while the prompt is read
+   * @param cautiousPace the factor by which prompts are granted
    * @param streamPace the same over the time of a stream
    * @param readingMicros time to read the prompts granted in the last pause, at the usual pace
    * @param homePosition number of engines that precede it as the home of the adapter
@@ -47,6 +51,7 @@
       int slots,
       int running,
       double pace,
+      double cautiousPace,
       double streamPace,
       double readingMicros,
       Residency residency,
@@ -84,8 +89,8 @@
         moves
             ? preferences.notHomeMillis() + state.homePosition() * PlacementCost.HOME_STEP_MILLIS
             : 0;
-    return (first + exposure + pause(state, prompt)) / MICROS_PER_MILLI
-        + state.running() * RUNNING_MILLIS
+    double others = state.running() * prompt.pauseMicros() * RUNNING_SHARE_OF_PAUSE;
+    return (first + exposure + others + pause(state, prompt)) / MICROS_PER_MILLI
         + (state.running() >= state.slots() ? PlacementCost.FULL_MILLIS : 0)
         + PlacementCost.loadMillis(state.residency())
         + home
@@ -95,7 +100,7 @@
   /** Returns the time until the prompt fits, and the pauses of all streams when it never does. */
   private static double pause(State state, Prompt prompt) {
     double budget =
-        ReadingGate.budgetMicros(prompt.pauseMicros(), prompt.eventMicros(), state.pace());
+        ReadingGate.budgetMicros(prompt.pauseMicros(), prompt.eventMicros(), state.cautiousPace());
     double alone = Math.max(0, prompt.readMicros() - budget) * state.pace() * (1 + state.running());
     double beside =
         Math.max(0, state.readingMicros() + Math.min(prompt.readMicros(), budget) - budget);
--- a/decisions/src/main/java/org/comfreygap/decisions/ReadingGate.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/ReadingGate.java
@@ -64,16 +64,19 @@
   /**
    * Decides on a prompt and counts it when it is granted.
    *
-   * @param pace factor on the usual time
+   * @param pace factor on the usual time to expect
+   * @param cautiousPace the factor that holds for a prompt that may be sent elsewhere
    * @param running requests that run at the engine
    */
-  public Grant request(Prompt prompt, double pace, int running, long nowNanos) {
+  public Grant request(
+      Prompt prompt, double pace, double cautiousPace, int running, long nowNanos) {
     long spanNanos = prompt.pauseMicros() * NANOS_PER_MICRO;
     expire(nowNanos - spanNanos);
     if (entries.isEmpty() && running == 0) {
       return grant(prompt, nowNanos, nowNanos);
     }
-    double budget = budgetMicros(prompt.pauseMicros(), prompt.eventMicros(), pace);
+    double factor = prompt.mustSend() ? pace : cautiousPace;
+    double budget = budgetMicros(prompt.pauseMicros(), prompt.eventMicros(), factor);
     long earliest = earliest(prompt.readMicros(), budget, spanNanos, nowNanos);
     long waitMicros = (earliest - nowNanos) / NANOS_PER_MICRO;
     if (prompt.readMicros() <= budget && waitMicros <= prompt.maxWaitMicros()) {
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -564,6 +564,8 @@
   5: required i32 maxWaitMicros
   /** True when the prompt is to be sent at the latest then, whatever it costs others. */
   6: required bool mustSend
+  /** Hash of the adapter that the request needs; unset without one. */
+  7: optional i64 adapterHash
 }
 
 struct ReadingPermitReply {
@@ -577,6 +579,8 @@
   5: optional i32 pacePercent
   /** Age of that pace, milliseconds. */
   6: optional i32 paceMillisAgo
+  /** True when the adapter takes so much of the endpoint that it should get a further home. */
+  7: optional bool crowded
 }
 
 /** Tells the sidecar the pace that the head of a response stated. */
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -240,6 +240,7 @@
   void sidecarLost() {
     status = Optional.empty();
     resident = new HashMap<>();
+    reading.sidecarLost();
   }
 
   /** Returns true when new requests may be sent here. */
@@ -430,7 +431,9 @@
     loadReportedNanos = nowNanos;
     if (load.pacePercent().isPresent()) {
       reading.paceStated(load.pacePercent().getAsInt(), nowNanos);
-      sidecar.ifPresent(link -> link.paceSeen(load.pacePercent().getAsInt()));
+      sidecar
+          .filter(link -> reading.isGranted())
+          .ifPresent(link -> link.paceSeen(load.pacePercent().getAsInt()));
     }
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/EndpointReading.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointReading.java
@@ -21,11 +21,25 @@
   private long readingNanos;
   private long readyNanos;
   private boolean waits;
+  private boolean statedBySidecar;
 
   EndpointPace pace() {
     return pace;
   }
 
+  /**
+   * Returns true when the sidecar beside the endpoint has stated the pace, so that it grants
+   * prompts; one of an earlier release does not.
+   */
+  boolean isGranted() {
+    return statedBySidecar;
+  }
+
+  /** Records that the connection to the sidecar ended. */
+  void sidecarLost() {
+    statedBySidecar = false;
+  }
+
   /** Records a pace that was read from a response. */
   void paceStated(int percent, long nowNanos) {
     pace.stated(percent, nowNanos);
@@ -33,6 +47,7 @@
 
   /** Records a pace that the sidecar passed on. */
   void paceStated(int percent, long millisAgo, long nowNanos) {
+    statedBySidecar = true;
     pace.stated(percent, nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, millisAgo)));
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
@@ -23,6 +23,7 @@
   private final StreamContinuity continuity;
   private final Set<Endpoint> excluded = new HashSet<>();
   private long deadlineNanos;
+  private long beganNanos;
   private boolean homeBusy;
 
   EndpointSearch(RelayContext relay, CallerRequest request, StreamContinuity continuity) {
@@ -34,6 +35,7 @@
   /** Sets the time by which the next attempt has to be sent. */
   void begin(long nanos, long nowNanos) {
     deadlineNanos = nowNanos + nanos;
+    beganNanos = nowNanos;
   }
 
   /** Returns the time by which the next attempt has to be sent. */
@@ -71,7 +73,24 @@
   /** Returns what a send of the request needs beside the choice of an endpoint. */
   SendClearance.Request clearanceRequest(RouteDecision decision, String customerId) {
     return new SendClearance.Request(
-        request.id(), customerId, decision.rank(), deadlineNanos, prompt(decision).cost());
+        request.id(),
+        customerId,
+        decision.rank(),
+        deadlineNanos,
+        prompt(decision).cost(),
+        beganNanos + RequestTimeouts.targetLatency(decision.route()).toNanos(),
+        adapter().isPresent()
+            ? OptionalLong.of(Placement.hash(adapter().get()))
+            : OptionalLong.empty(),
+        () -> addHome(decision));
+  }
+
+  private void addHome(RouteDecision decision) {
+    RouteTable table = relay.tables().get();
+    long now = System.nanoTime();
+    requirements(decision, table, now)
+        .ifPresent(need -> relay.placement().preloadAtNextHome(need, table, now));
+    relay.metrics().count("homes.added", decision.pool());
   }
 
   /** Leaves out an endpoint that did not admit the request, unless it may do so in a moment. */
--- a/relay/src/main/java/org/comfreygap/relay/PacedChoice.java
+++ b/relay/src/main/java/org/comfreygap/relay/PacedChoice.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.EndpointPace;
+import org.comfreygap.decisions.FirstHomes;
 import org.comfreygap.decisions.PacedCost;
 import org.comfreygap.decisions.PlacementCost;
 import org.comfreygap.decisions.PlacementCost.Residency;
@@ -20,24 +21,29 @@
   /** Time that a stream takes, over which the pace to expect counts. */
   private static final Duration STREAM = Duration.ofSeconds(1);
 
-  /** Homes of an adapter that are told apart; all other endpoints come after them alike. */
-  private static final int HOMES = 4;
-
   private static final double NANOS_PER_MILLI = 1e6;
   private static final double MICROS_PER_MILLI = 1_000;
 
   private final Placement.Requirements requirements;
   private final String zone;
+  private final PacedCost.Preferences preferences;
   private final long adapter;
-  private final long[] homes = new long[HOMES];
-  private int homeCount;
+  private final FirstHomes homes = new FirstHomes();
 
-  PacedChoice(Placement.Requirements requirements, List<Endpoint> open, String zone) {
+  PacedChoice(
+      Placement.Requirements requirements,
+      List<Endpoint> open,
+      String zone,
+      PacedCost.Preferences preferences) {
+    this.preferences =
+        requirements.prompt().homeBusy()
+            ? new PacedCost.Preferences(0, preferences.otherZoneMillis())
+            : preferences;
     this.requirements = requirements;
     this.zone = zone;
     this.adapter = requirements.adapter().map(Placement::hash).orElse(0L);
     if (adapter != 0 && appliesTo(open)) {
-      open.forEach(endpoint -> addHome(weight(endpoint)));
+      open.forEach(endpoint -> homes.add(weight(endpoint)));
     }
   }
 
@@ -48,14 +54,7 @@
    * @param targetMillis time in which the response should begin
    * @param homeBusy true when the home of its adapter has refused it for now
    */
-  record Prompt(PacedCost.Prompt cost, long targetMillis, boolean homeBusy) {
-
-    private PacedCost.Preferences preferences() {
-      return homeBusy
-          ? new PacedCost.Preferences(0, PacedCost.Preferences.DEFAULT.otherZoneMillis())
-          : PacedCost.Preferences.DEFAULT;
-    }
-  }
+  record Prompt(PacedCost.Prompt cost, long targetMillis, boolean homeBusy) {}
 
   /** Returns true when an endpoint has stated its pace. */
   static boolean appliesTo(List<Endpoint> open) {
@@ -86,12 +85,13 @@
     pace.measured(endpoint.streamSlowdown(fastestMillis));
     boolean sameZone = endpoint.zone().equals(zone);
     int running = endpoint.running(nowNanos);
-    int home = residency == Residency.HELD || adapter == 0 ? 0 : homePosition(weight(endpoint));
+    int home = residency == Residency.HELD || adapter == 0 ? 0 : homePosition(endpoint);
     PacedCost.State state =
         new PacedCost.State(
             endpoint.slots(),
             running,
             pace.expected(nowNanos),
+            pace.cautious(nowNanos),
             pace.expected(nowNanos, STREAM.toNanos()),
             reading.readingMicros(nowNanos),
             residency,
@@ -104,33 +104,16 @@
             endpoint.isCold(nowNanos),
             endpoint.failureRate(),
             (endpoint.sendWaitNanos(nowNanos) + reading.waitNanos(nowNanos)) / NANOS_PER_MILLI);
-    Prompt prompt = requirements.prompt();
     return PlacementPolicy.pacedCost(
-        candidate, PacedCost.engine(state, prompt.cost(), prompt.preferences()));
-  }
-
-  private long weight(Endpoint endpoint) {
-    return AdapterHomes.weight(adapter, endpoint.hash(), endpoint.reading().pace().homeDraws());
+        candidate, PacedCost.engine(state, requirements.prompt().cost(), preferences));
   }
 
-  private void addHome(long weight) {
-    int at = homeCount < HOMES ? homeCount++ : HOMES;
-    while (at > 0 && homes[at - 1] < weight) {
-      if (at < HOMES) {
-        homes[at] = homes[at - 1];
-      }
-      at--;
-    }
-    if (at < HOMES) {
-      homes[at] = weight;
-    }
+  /** Returns the number of homes of the adapter before an endpoint. */
+  int homePosition(Endpoint endpoint) {
+    return homes.position(weight(endpoint));
   }
 
-  private int homePosition(long weight) {
-    int position = 0;
-    while (position < homeCount && homes[position] > weight) {
-      position++;
-    }
-    return position;
+  private long weight(Endpoint endpoint) {
+    return AdapterHomes.weight(adapter, endpoint.hash(), endpoint.reading().pace().homeDraws());
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/Placement.java
+++ b/relay/src/main/java/org/comfreygap/relay/Placement.java
@@ -1,6 +1,7 @@
 package org.comfreygap.relay;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.comfreygap.decisions.AdapterHomes;
 import org.comfreygap.decisions.AdapterSlots;
+import org.comfreygap.decisions.PacedCost;
 import org.comfreygap.decisions.PlacementCost;
 import org.comfreygap.decisions.PlacementCost.Residency;
 import org.comfreygap.decisions.PlacementPolicy;
@@ -39,12 +41,18 @@
 
   private final EndpointDirectory directory;
   private final String zone;
+  private final PacedCost.Preferences preferences;
   private final RandomGenerator random;
   private final Map<String, ReadingSpeed> speeds = new HashMap<>();
 
-  Placement(EndpointDirectory directory, String zone, RandomGenerator random) {
+  Placement(
+      EndpointDirectory directory,
+      String zone,
+      PacedCost.Preferences preferences,
+      RandomGenerator random) {
     this.directory = directory;
     this.zone = zone;
+    this.preferences = preferences;
     this.random = random;
   }
 
@@ -95,7 +103,7 @@
     }
     boolean engine = requirements.pool().engine().isPresent();
     boolean paced = PacedChoice.appliesTo(open);
-    PacedChoice choice = new PacedChoice(requirements, open, zone);
+    PacedChoice choice = new PacedChoice(requirements, open, zone, preferences);
     double fastest =
         open.stream()
             .mapToDouble(engine ? Endpoint::partIntervalMillis : Endpoint::latencyMillis)
@@ -163,6 +171,19 @@
         .ifPresent(link -> link.requestAdapter(name, newest, reply -> {}));
   }
 
+  /** Requests an adapter at the first of its homes that lacks it. */
+  void preloadAtNextHome(Requirements requirements, RouteTable table, long nowNanos) {
+    List<Endpoint> open = openEndpoints(requirements, table, Set.of(), nowNanos);
+    AdapterSlots.Name name = requirements.adapter().orElseThrow();
+    PacedChoice choice = new PacedChoice(requirements, open, zone, preferences);
+    open.stream()
+        .filter(one -> one.residency(name, requirements.minVersion()) == Residency.ABSENT)
+        .filter(one -> one.canLoad(nowNanos) && !one.isCold(nowNanos))
+        .min(Comparator.comparingInt(choice::homePosition))
+        .flatMap(Endpoint::sidecar)
+        .ifPresent(link -> link.requestAdapter(name, requirements.minVersion(), reply -> {}));
+  }
+
   /** Returns how fast the engines of a pool read, as this gateway has seen it. */
   ReadingSpeed speed(String pool) {
     return speeds.computeIfAbsent(pool, name -> new ReadingSpeed());
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -273,7 +273,7 @@
         loop,
         dialect,
         directory,
-        new Placement(directory, settings.zone(), random),
+        new Placement(directory, settings.zone(), settings.preferences(), random),
         new WaitQueue(loop, events),
         credit,
         crashes,
--- a/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import org.comfreygap.decisions.PacedCost;
 import org.comfreygap.runtime.InvalidSettingsException;
 import org.comfreygap.runtime.PortBlock;
 import org.comfreygap.runtime.ProcessSettings;
@@ -33,6 +34,8 @@
           .optional("retryRatio", FieldRule.number(0, 10))
           .optional("retryExtra", FieldRule.number(0, 100_000))
           .optional("retryWindowMillis", FieldRule.integer(100, 600_000))
+          .optional("otherZoneMillis", FieldRule.number(0, 60_000))
+          .optional("notHomeMillis", FieldRule.number(0, 60_000))
           .build();
 
   private static final Map<String, Integer> BLOCK_PORTS =
@@ -147,6 +150,14 @@
     return file.millis("retryWindowMillis", DEFAULT_RETRY_WINDOW);
   }
 
+  /** Returns what a deployment prefers among engines that state their pace. */
+  PacedCost.Preferences preferences() {
+    PacedCost.Preferences absent = PacedCost.Preferences.DEFAULT;
+    return new PacedCost.Preferences(
+        number("notHomeMillis", absent.notHomeMillis()),
+        number("otherZoneMillis", absent.otherZoneMillis()));
+  }
+
   private double number(String path, double absent) {
     return file.optionalNode(path).map(node -> node.asDouble()).orElse(absent);
   }
--- a/relay/src/main/java/org/comfreygap/relay/SendClearance.java
+++ b/relay/src/main/java/org/comfreygap/relay/SendClearance.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -33,8 +34,7 @@
   /** Refusals after which the next endpoint has to take the prompt. */
   private static final int MAX_READING_REFUSALS = 3;
 
-  /** Longest wait at an endpoint that has to take the prompt, as a share of the pause limit. */
-  private static final double LAST_WAIT_SHARE_OF_PAUSE = 0.5;
+  private static final double NANOS_PER_MICRO = 1_000;
 
   private final RelayContext relay;
   private final Set<Endpoint> refusedReading = new HashSet<>();
@@ -52,9 +52,26 @@
    * @param rank priority rank, 0 being the most urgent
    * @param sendByNanos time by which it has to be sent
    * @param prompt the times of its prompt at an engine that states its pace
+   * @param beginByNanos time by which its response should begin
+   * @param adapterHash hash of the adapter that it needs
+   * @param onCrowded called when that adapter should get a further home
    */
   record Request(
-      String id, String customerId, int rank, long sendByNanos, PacedCost.Prompt prompt) {}
+      String id,
+      String customerId,
+      int rank,
+      long sendByNanos,
+      PacedCost.Prompt prompt,
+      long beginByNanos,
+      OptionalLong adapterHash,
+      Runnable onCrowded) {
+
+    /** Returns the time for which the prompt may wait and still be read in time. */
+    private double spareMicros(double pace, long nowNanos) {
+      double left = (beginByNanos - nowNanos) / NANOS_PER_MICRO;
+      return Math.max(0, left - (prompt.readMicros() + prompt.eventMicros()) * pace);
+    }
+  }
 
   /** Returns true when a send needs a clearance. */
   static boolean isNeeded(Endpoint endpoint, long nowNanos) {
@@ -100,23 +117,25 @@
   }
 
   private static boolean isPacedEngine(Endpoint endpoint) {
-    return endpoint.sidecar().isPresent() && endpoint.reading().pace().isKnown();
+    return endpoint.sidecar().isPresent() && endpoint.reading().isGranted();
   }
 
   private void obtainReading(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
     // Another endpoint was no better, or several were no better.
     boolean mustSend =
         refusedReading.contains(endpoint) || refusedReading.size() >= MAX_READING_REFUSALS;
-    double pause = request.prompt().pauseMicros();
-    double maxWait = mustSend ? pause * LAST_WAIT_SHARE_OF_PAUSE : MAX_READING_WAIT_MICROS;
+    long now = System.nanoTime();
+    double spare = request.spareMicros(endpoint.reading().pace().cautious(now), now);
+    double maxWait = mustSend ? spare : Math.min(spare, MAX_READING_WAIT_MICROS);
     ReadingPermitRequest message =
         new ReadingPermitRequest(
             0,
             (int) request.prompt().readMicros(),
             (int) request.prompt().eventMicros(),
-            (int) pause,
+            (int) request.prompt().pauseMicros(),
             (int) maxWait,
             mustSend);
+    request.adapterHash().ifPresent(message::setAdapterHash);
     endpoint
         .sidecar()
         .get()
@@ -143,6 +162,9 @@
     if (decided.isSetPacePercent()) {
       reading.paceStated(decided.getPacePercent(), decided.getPaceMillisAgo(), now);
     }
+    if (decided.isCrowded()) {
+      request.onCrowded().run();
+    }
     long wait = TimeUnit.MICROSECONDS.toNanos(decided.getWaitMicros());
     if (!decided.isGranted()) {
       refusedForNow = true;
--- a/relay/src/main/java/org/comfreygap/relay/residency/ReadingPermits.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ReadingPermits.java
@@ -1,10 +1,17 @@
 package org.comfreygap.relay.residency;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.comfreygap.decisions.EndpointPace;
 import org.comfreygap.decisions.ReadingGate;
+import org.comfreygap.decisions.ReadingShares;
 import org.comfreygap.protocol.generated.EndpointStatus;
 import org.comfreygap.protocol.generated.ReadingPermitReply;
 import org.comfreygap.protocol.generated.ReadingPermitRequest;
@@ -22,9 +29,25 @@
   /** Time over which the status states what was granted: the usual limit on pauses. */
   private static final Duration SPAN = Duration.ofMillis(300);
 
+  /**
+   * Age of a pace by which no prompt is granted while streams run: a part of the shortest spells
+   * and of the limits on pauses.
+   */
+  static final Duration MAX_AGE = Duration.ofMillis(60);
+
+  /** Time within which the engine states its pace; it takes about a millisecond. */
+  static final Duration ASK_TIMEOUT = Duration.ofMillis(30);
+
+  private static final double SPANS_MICROS = ReadingShares.SPAN.toNanos() / 1e3;
+
   private final EngineDialect dialect;
   private final EndpointPace pace = new EndpointPace();
   private final ReadingGate gate = new ReadingGate();
+  private final ReadingShares shares = new ReadingShares();
+  private final List<Runnable> waiting = new ArrayList<>();
+  private Optional<HttpPeerClient> asking = Optional.empty();
+  private Supplier<Optional<String>> askingPath = Optional::empty;
+  private long asked;
   private long granted;
   private long delayed;
   private long refused;
@@ -60,11 +83,51 @@
   }
 
   /**
-   * Replies to a request of a gateway.
+   * Asks the engine for its pace with {@code client} when a prompt is to be granted and the pace
+   * known is too old.
+   *
+   * @param path path of the health check; empty when the engine is not to be asked
+   */
+  void ask(HttpPeerClient client, Supplier<Optional<String>> path) {
+    observe(client);
+    asking = Optional.of(client);
+    askingPath = path;
+  }
+
+  /**
+   * Replies to a request of a gateway, at the latest when the engine has stated its pace.
    *
    * @param running requests that run at the engine
    */
   void requested(Channel gateway, ReadingPermitRequest message, int running, long nowNanos) {
+    boolean fresh = pace.isKnown() && pace.ageNanos(nowNanos) < MAX_AGE.toNanos();
+    Optional<String> path = fresh || running == 0 ? Optional.empty() : askingPath.get();
+    if (asking.isEmpty() || path.isEmpty()) {
+      decide(gateway, message, running, nowNanos);
+      return;
+    }
+    waiting.add(() -> decide(gateway, message, running, System.nanoTime()));
+    if (!asking.get().busy()) {
+      asked++;
+      asking
+          .get()
+          .call(
+              HttpMethod.GET,
+              path.get(),
+              Map.of(),
+              "",
+              response -> decideWaiting(),
+              cause -> decideWaiting());
+    }
+  }
+
+  private void decideWaiting() {
+    List<Runnable> all = new ArrayList<>(waiting);
+    waiting.clear();
+    all.forEach(Runnable::run);
+  }
+
+  private void decide(Channel gateway, ReadingPermitRequest message, int running, long nowNanos) {
     ReadingGate.Prompt prompt =
         new ReadingGate.Prompt(
             Math.max(0, message.getReadMicros()),
@@ -72,14 +135,25 @@
             Math.max(1, message.getPauseMicros()),
             Math.max(0, message.getMaxWaitMicros()),
             message.isMustSend());
-    ReadingGate.Grant grant = gate.request(prompt, pace.expected(nowNanos), running, nowNanos);
+    ReadingGate.Grant grant =
+        gate.request(prompt, pace.expected(nowNanos), pace.cautious(nowNanos), running, nowNanos);
     count(grant, message.isMustSend());
+    double budget =
+        ReadingGate.budgetMicros(
+            prompt.pauseMicros(), prompt.eventMicros(), pace.cautious(nowNanos));
+    double capacity = budget * SPANS_MICROS / prompt.pauseMicros();
+    boolean crowded =
+        grant.granted()
+            && pace.isKnown()
+            && message.isSetAdapterHash()
+            && shares.granted(message.getAdapterHash(), prompt.readMicros(), capacity, nowNanos);
     ReadingPermitReply reply =
         new ReadingPermitReply(
             message.getNumber(),
             grant.granted(),
             (int) Math.min(Integer.MAX_VALUE, grant.waitMicros()),
             reading(nowNanos));
+    reply.setCrowded(crowded);
     if (pace.isKnown()) {
       reply.setPacePercent(pace.lastPercent());
       reply.setPaceMillisAgo(ageMillis(nowNanos));
@@ -106,6 +180,8 @@
         + refused
         + "\ncomfreygap_prompts_sent_regardless_total "
         + forced
+        + "\ncomfreygap_engine_pace_asked_total "
+        + asked
         + "\ncomfreygap_engine_pace_percent "
         + pace.lastPercent()
         + "\ncomfreygap_engine_usual_pace_percent "
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -107,6 +107,12 @@
     ReadingPermits reading = new ReadingPermits(dialect);
     reading.observe(reportClient);
     reading.observe(healthClient);
+    reading.ask(
+        engineClient(ReadingPermits.ASK_TIMEOUT),
+        () ->
+            limit.isLimited()
+                ? Optional.empty()
+                : view.pool(settings.pool()).map(pool -> pool.healthPath()));
     ResidencyController controller =
         new ResidencyController(
             loop,
