--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointPace.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointPace.java
@@ -152,7 +152,11 @@
    * slowest one that was stated lately, as a spell may begin before a prompt is read.
    */
   public double cautious(long nowNanos) {
-    double expected = expected(nowNanos);
+    return cautious(expected(nowNanos));
+  }
+
+  /** Returns the same for a pace that is expected now. */
+  public double cautious(double expected) {
     return Math.max(expected, (expected + Math.max(slowest, slowestBefore)) / 2);
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
@@ -24,7 +24,6 @@
   private final Set<Endpoint> excluded = new HashSet<>();
   private long deadlineNanos;
   private long beganNanos;
-  private boolean homeBusy;
 
   EndpointSearch(RelayContext relay, CallerRequest request, StreamContinuity continuity) {
     this.relay = relay;
@@ -95,7 +94,6 @@
 
   /** Leaves out an endpoint that did not admit the request, unless it may do so in a moment. */
   void notCleared(Endpoint endpoint, boolean forNow) {
-    homeBusy |= forNow;
     if (!forNow) {
       exclude(endpoint);
     }
@@ -110,7 +108,7 @@
             speed.eventMicros(),
             (pause > 0 ? pause : PacedCost.DEFAULT_PAUSE_MILLIS) * MICROS_PER_MILLI);
     long target = RequestTimeouts.targetLatency(decision.route()).toMillis();
-    return new PacedChoice.Prompt(cost, target, homeBusy);
+    return new PacedChoice.Prompt(cost, target);
   }
 
   Placement.Choice choose(Placement.Requirements need, RouteTable table, long nowNanos) {
--- a/relay/src/main/java/org/comfreygap/relay/PacedChoice.java
+++ b/relay/src/main/java/org/comfreygap/relay/PacedChoice.java
@@ -35,10 +35,7 @@
       List<Endpoint> open,
       String zone,
       PacedCost.Preferences preferences) {
-    this.preferences =
-        requirements.prompt().homeBusy()
-            ? new PacedCost.Preferences(0, preferences.otherZoneMillis())
-            : preferences;
+    this.preferences = preferences;
     this.requirements = requirements;
     this.zone = zone;
     this.adapter = requirements.adapter().map(Placement::hash).orElse(0L);
@@ -52,9 +49,8 @@
    *
    * @param cost times of the prompt
    * @param targetMillis time in which the response should begin
-   * @param homeBusy true when the home of its adapter has refused it for now
    */
-  record Prompt(PacedCost.Prompt cost, long targetMillis, boolean homeBusy) {}
+  record Prompt(PacedCost.Prompt cost, long targetMillis) {}
 
   /** Returns true when an endpoint has stated its pace. */
   static boolean appliesTo(List<Endpoint> open) {
@@ -86,12 +82,13 @@
     boolean sameZone = endpoint.zone().equals(zone);
     int running = endpoint.running(nowNanos);
     int home = residency == Residency.HELD || adapter == 0 ? 0 : homePosition(endpoint);
+    double expected = pace.expected(nowNanos);
     PacedCost.State state =
         new PacedCost.State(
             endpoint.slots(),
             running,
-            pace.expected(nowNanos),
-            pace.cautious(nowNanos),
+            expected,
+            pace.cautious(expected),
             pace.expected(nowNanos, STREAM.toNanos()),
             reading.readingMicros(nowNanos),
             residency,
