--- a/relay/src/test/java/org/comfreygap/relay/residency/EngineLimitTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/residency/EngineLimitTest.java
@@ -52,7 +52,7 @@
   }
 
   /** A dialect of which only the limit is read. */
-  private static final class LimitDialect implements EngineDialect {
+  static final class LimitDialect implements EngineDialect {
 
     @Override
     public String reportPath() {
