--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -287,7 +287,7 @@
         loop,
         dialect,
         directory,
-        new Placement(directory, settings.zone(), random),
+        new Placement(directory, settings.zone(), settings.preferences(), random),
         waitQueue,
         new PoolDemands(directory, waitQueue, settings.zone(), () -> table),
         credit,
--- a/relay/src/main/java/org/comfreygap/relay/SendClearance.java
+++ b/relay/src/main/java/org/comfreygap/relay/SendClearance.java
@@ -1,12 +1,18 @@
 package org.comfreygap.relay;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.comfreygap.decisions.AdapterHomes;
+import org.comfreygap.decisions.PacedCost;
 import org.comfreygap.decisions.SendSlots;
 import org.comfreygap.protocol.generated.ColdPermitReply;
+import org.comfreygap.protocol.generated.ReadingPermitReply;
+import org.comfreygap.protocol.generated.ReadingPermitRequest;
 import org.comfreygap.runtime.Field;
 
 /**
@@ -19,9 +25,22 @@
  */
 final class SendClearance {
 
+  /**
+   * Longest wait for reading at the first choice; another endpoint is likely to be free sooner. It
+   * is a small part of the time in which responses should begin.
+   */
+  private static final int MAX_READING_WAIT_MICROS = 30_000;
+
+  /** Refusals after which the next endpoint has to take the prompt. */
+  private static final int MAX_READING_REFUSALS = 3;
+
+  private static final double NANOS_PER_MICRO = 1_000;
+
   private final RelayContext relay;
+  private final Set<Endpoint> refusedReading = new HashSet<>();
   private Optional<Endpoint> granted = Optional.empty();
   private boolean heldBack;
+  private boolean refusedForNow;
 
   SendClearance(RelayContext relay) {
     this.relay = relay;
@@ -32,12 +51,31 @@
    *
    * @param rank priority rank, 0 being the most urgent
    * @param sendByNanos time by which it has to be sent
+   * @param prompt the times of its prompt at an engine that states its pace
+   * @param beginByNanos time by which its response should begin
+   * @param adapterHash hash of the adapter that it needs
+   * @param onCrowded called when that adapter should get a further home
    */
-  record Request(String id, String customerId, int rank, long sendByNanos) {}
+  record Request(
+      String id,
+      String customerId,
+      int rank,
+      long sendByNanos,
+      PacedCost.Prompt prompt,
+      long beginByNanos,
+      OptionalLong adapterHash,
+      Runnable onCrowded) {
+
+    /** Returns the time for which the prompt may wait and still be read in time. */
+    private double spareMicros(double pace, long nowNanos) {
+      double left = (beginByNanos - nowNanos) / NANOS_PER_MICRO;
+      return Math.max(0, left - (prompt.readMicros() + prompt.eventMicros()) * pace);
+    }
+  }
 
   /** Returns true when a send needs a clearance. */
   static boolean isNeeded(Endpoint endpoint, long nowNanos) {
-    return endpoint.isCold(nowNanos) || endpoint.limit().isLimited();
+    return endpoint.isCold(nowNanos) || endpoint.limit().isLimited() || isPacedEngine(endpoint);
   }
 
   /** Returns true when a request limit has held the request back at any endpoint. */
@@ -65,6 +103,84 @@
    * when it may not be sent to this endpoint.
    */
   void obtain(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
+    refusedForNow = false;
+    if (isPacedEngine(endpoint)) {
+      obtainReading(endpoint, request, receiver);
+    } else {
+      obtainOthers(endpoint, request, receiver);
+    }
+  }
+
+  /** Returns true when the last refusal was for the moment, as the endpoint reads other prompts. */
+  boolean refusedForNow() {
+    return refusedForNow;
+  }
+
+  private static boolean isPacedEngine(Endpoint endpoint) {
+    return endpoint.sidecar().isPresent() && endpoint.reading().isGranted();
+  }
+
+  private void obtainReading(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
+    // Another endpoint was no better, or several were no better.
+    boolean mustSend =
+        refusedReading.contains(endpoint) || refusedReading.size() >= MAX_READING_REFUSALS;
+    long now = System.nanoTime();
+    double spare = request.spareMicros(endpoint.reading().pace().cautious(now), now);
+    double maxWait = mustSend ? spare : Math.min(spare, MAX_READING_WAIT_MICROS);
+    ReadingPermitRequest message =
+        new ReadingPermitRequest(
+            0,
+            (int) request.prompt().readMicros(),
+            (int) request.prompt().eventMicros(),
+            (int) request.prompt().pauseMicros(),
+            (int) maxWait,
+            mustSend);
+    request.adapterHash().ifPresent(message::setAdapterHash);
+    endpoint
+        .sidecar()
+        .get()
+        .requestReading(message, reply -> readingReplied(endpoint, request, reply, receiver));
+  }
+
+  private void readingReplied(
+      Endpoint endpoint,
+      Request request,
+      Optional<ReadingPermitReply> reply,
+      Consumer<Boolean> receiver) {
+    long now = System.nanoTime();
+    EndpointReading reading = endpoint.reading();
+    relay
+        .metrics()
+        .count("prompts", reply.map(r -> r.isGranted() ? "granted" : "refused").orElse("unasked"));
+    if (reply.isEmpty()) {
+      reading.sent(request.prompt().readMicros(), now);
+      obtainOthers(endpoint, request, receiver);
+      return;
+    }
+    ReadingPermitReply decided = reply.get();
+    reading.readingStated(decided.getReadingMicros(), now);
+    if (decided.isSetPacePercent()) {
+      reading.paceStated(decided.getPacePercent(), decided.getPaceMillisAgo(), now);
+    }
+    if (decided.isCrowded()) {
+      request.onCrowded().run();
+    }
+    long wait = TimeUnit.MICROSECONDS.toNanos(decided.getWaitMicros());
+    if (!decided.isGranted()) {
+      refusedForNow = true;
+      refusedReading.add(endpoint);
+      reading.waitStated(wait, now);
+      receiver.accept(false);
+    } else if (wait == 0) {
+      obtainOthers(endpoint, request, receiver);
+    } else {
+      relay
+          .loop()
+          .schedule(() -> obtainOthers(endpoint, request, receiver), wait, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void obtainOthers(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
     if (!endpoint.isCold(System.nanoTime())) {
       obtainGrant(endpoint, request, receiver);
       return;
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -104,6 +104,15 @@
     limit.observe(reportClient);
     HttpPeerClient healthClient = engineClient(ColdStatePoller.TIMEOUT);
     limit.observe(healthClient);
+    ReadingPermits reading = new ReadingPermits(dialect);
+    reading.observe(reportClient);
+    reading.observe(healthClient);
+    reading.ask(
+        engineClient(ReadingPermits.ASK_TIMEOUT),
+        () ->
+            limit.isLimited()
+                ? Optional.empty()
+                : view.pool(settings.pool()).map(pool -> pool.healthPath()));
     ResidencyController controller =
         new ResidencyController(
             loop,
@@ -112,6 +121,7 @@
             settings.processId(),
             () -> view.pool(settings.pool()),
             limit,
+            reading,
             events);
     EngineReportPoller watch =
         new EngineReportPoller(
