--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointSuspects.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointSuspects.java
@@ -87,6 +87,17 @@
     }
   }
 
+  /**
+   * Returns true when a request with this fingerprint ended here and may still be found to have
+   * ended the endpoint.
+   *
+   * @since 0.8
+   */
+  public boolean contains(String fingerprint, long nowNanos) {
+    Incomplete known = incomplete.get(fingerprint);
+    return known != null && !known.begun && nowNanos - known.atNanos < RETENTION.toNanos();
+  }
+
   /** Removes and returns the suspects; call this when the endpoint has ended. */
   public Ended removeAll(long nowNanos) {
     expire(nowNanos);
--- a/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryBudgets.java
@@ -80,6 +80,16 @@
     return window(pool, nowNanos).remaining(part(gateways, nowNanos), nowNanos);
   }
 
+  /**
+   * Returns how many retries the bound allows at {@code pool} in the window, those counted
+   * included.
+   *
+   * @since 0.8
+   */
+  public double allowed(String pool, OptionalInt gateways, long nowNanos) {
+    return window(pool, nowNanos).allowed(part(gateways, nowNanos), nowNanos);
+  }
+
   /** Returns the lowest number of retries that any pool has left; 0 before the first request. */
   public double lowest(OptionalInt gateways, long nowNanos) {
     return byPool.keySet().stream()
--- a/decisions/src/main/java/org/comfreygap/decisions/RetryWindow.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/RetryWindow.java
@@ -77,9 +77,17 @@
 
   /** Returns how many retries are allowed now; may have a fraction. */
   public double remaining(double extra, long nowNanos) {
+    return allowed(extra, nowNanos) - Arrays.stream(retries).sum();
+  }
+
+  /**
+   * Returns how many retries the bound allows in the window, those counted included.
+   *
+   * @since 0.8
+   */
+  public double allowed(double extra, long nowNanos) {
     advance(nowNanos);
-    double allowed = ratio * Arrays.stream(requests).sum() + extra;
-    return allowed - Arrays.stream(retries).sum();
+    return ratio * Arrays.stream(requests).sum() + extra;
   }
 
   /**
--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -111,6 +111,11 @@
     return sent;
   }
 
+  /** Returns the time at which the request was written, once it was. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
   /** Returns true while more of the response is due. */
   boolean awaitsData() {
     return sent && !responseEnded;
--- a/relay/src/main/java/org/comfreygap/relay/AttemptHistory.java
+++ b/relay/src/main/java/org/comfreygap/relay/AttemptHistory.java
@@ -37,6 +37,13 @@
     runs += !notRun && !runCounted ? 1 : 0;
   }
 
+  /** Records the end of an attempt that was written while the current one was in progress. */
+  void secondEnded(Outcome outcome) {
+    boolean notRun = outcome == Outcome.NOT_RUN;
+    mayHaveRun |= !notRun;
+    runs += notRun ? 0 : 1;
+  }
+
   /** Records that the attempt is given up after it was sent. */
   void abandoned() {
     mayHaveRun = true;
--- a/relay/src/main/java/org/comfreygap/relay/CrashDetector.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashDetector.java
@@ -205,6 +205,20 @@
         .max(Duration::compareTo);
   }
 
+  /**
+   * Returns true when a request may have crashed one of the endpoints, by what is known here, or
+   * control watches a part of its prompt.
+   */
+  boolean isSuspect(SuspectRequest request, Collection<Endpoint> endpoints, long nowNanos) {
+    Set<String> watched = agent.get().map(MembershipAgent::watchedParts).orElse(Set.of());
+    if (request.parts().stream().anyMatch(watched::contains)) {
+      return true;
+    }
+    String fingerprint = request.fingerprint();
+    return !served.contains(fingerprint, nowNanos)
+        && endpoints.stream().anyMatch(one -> one.suspects().contains(fingerprint, nowNanos));
+  }
+
   /** Returns a ban in effect of which a prompt with the given parts holds all parts. */
   Optional<PartQuarantine.Ban> partBan(List<String> parts, long nowNanos) {
     if (parts.isEmpty()) {
--- a/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -65,6 +66,14 @@
     return crashes.quarantineLeft(this::fingerprint, nowNanos).map(Refusal::quarantined);
   }
 
+  /**
+   * Returns true when the request, or one equal to it, may have crashed one of the endpoints, or a
+   * part of its prompt is suspected of that.
+   */
+  boolean isSuspect(Collection<Endpoint> endpoints, long nowNanos) {
+    return crashes.isSuspect(suspect(), endpoints, nowNanos);
+  }
+
   /** Records that the response of an attempt has begun. */
   void began() {
     crashes.responseBegan(parts);
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -88,6 +88,11 @@
     return address;
   }
 
+  /** Returns the host part of the address, which the endpoints of one instance share. */
+  String host() {
+    return address.substring(0, Math.max(0, address.lastIndexOf(':')));
+  }
+
   String zone() {
     return zone;
   }
@@ -463,6 +468,13 @@
         latencyMillis == 0 ? millis : latencyMillis + LATENCY_WEIGHT * (millis - latencyMillis);
   }
 
+  /** Records that a plain request that was given up had taken as long, if that is unusual. */
+  void recordSlowness(double millis) {
+    if (millis > latencyMillis) {
+      recordLatency(millis);
+    }
+  }
+
   private static double slowdownFactor(double own, double fastest) {
     return own == 0 || fastest == 0 ? 1 : Math.max(1, Math.min(MAX_SLOWDOWN, own / fastest));
   }
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -27,7 +27,7 @@
  * the caller gets one response, with the parts of one run in order. Thread safety: used on the
  * event loop only.
  */
-final class Exchange implements Attempt.Owner {
+final class Exchange implements HedgedAttempts.Request {
 
   private final RelayContext relay;
   private final Caller caller;
@@ -43,11 +43,11 @@
   private final RetryAllowance retry;
   private final EndpointSearch search;
   private final AttemptHistory history = new AttemptHistory();
+  private final HedgedAttempts hedged;
   private RouteDecision decision;
   private long deadlineNanos;
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
-  private Optional<InactivityTimer> inactivity = Optional.empty();
   private ResponseForwarder forwarder;
   private boolean finished;
 
@@ -73,6 +73,7 @@
     this.retry = new RetryAllowance(relay);
     this.search = new EndpointSearch(relay, request, continuity);
     this.log = new ExchangeLog(relay, request, arrivedNanos, tracked);
+    this.hedged = new HedgedAttempts(relay, this, search, history, tracked, log);
   }
 
   /** Returns the priority rank, 0 being the most urgent. */
@@ -129,7 +130,8 @@
     if (choice.endpoint().isEmpty()) {
       waitForEndpoint(choice.shortage(), now);
     } else if (choice.residency() != Residency.HELD) {
-      requestAdapter(choice.endpoint().get(), need);
+      Endpoint endpoint = choice.endpoint().get();
+      search.requestAdapter(endpoint, need, reply -> adapterReplied(endpoint, reply));
     } else if (SendClearance.isNeeded(choice.endpoint().get(), now)) {
       obtainClearance(choice.endpoint().get());
     } else {
@@ -183,6 +185,11 @@
       return Optional.empty();
     }
     continuity.attempting(endpoint, decision.route(), this::originRecorded);
+    return Optional.of(requestFor(endpoint, nowNanos));
+  }
+
+  @Override
+  public FullHttpRequest requestFor(Endpoint endpoint, long nowNanos) {
     long left = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
     Dispatch dispatch =
         new Dispatch(
@@ -191,7 +198,7 @@
             Math.max(1, left),
             decision.rank(),
             search.residentVersion(endpoint));
-    return Optional.of(dispatch.toRequest(relay.dialect(), head, body, forwarder.lastEventId()));
+    return dispatch.toRequest(relay.dialect(), head, body, forwarder.lastEventId());
   }
 
   @Override
@@ -204,6 +211,7 @@
       abandonAttempt("status " + response.status().code() + " when resuming");
     } else {
       forwarder.beginResponse(response);
+      hedged.headReceived(response);
     }
   }
 
@@ -213,8 +221,9 @@
       bytes.release();
       return;
     }
-    inactivity.ifPresent(inactivityTimer -> inactivityTimer.recordActivity(System.nanoTime()));
+    hedged.dataReceived(System.nanoTime());
     if (continuity.holds()) {
+      hedged.outputBegan();
       boolean readOn = continuity.hold(bytes);
       attempt.ifPresent(current -> current.setAutoRead(readOn));
       return;
@@ -224,6 +233,7 @@
     if (!begunBefore && forwarder.eventReceived()) {
       tracked.began();
       continuity.eventForwarded();
+      hedged.outputBegan();
     }
     forwarder.excess().ifPresent(this::abandonExcess);
     if (!caller.writable()) {
@@ -261,6 +271,37 @@
     }
   }
 
+  @Override
+  public void replaceAttempt(Attempt next) {
+    attempt = Optional.of(next);
+    history.begin();
+    log.wentOn(next.endpoint());
+    forwarder.discardUnsent();
+    continuity.discardHeld();
+    continuity.attempting(next.endpoint(), decision.route(), this::originRecorded);
+  }
+
+  @Override
+  public void recordFailure(
+      Attempt ended, Attempt.Failure failure, Optional<ResponseEnd.Framing> framing) {
+    Endpoint endpoint = ended.endpoint();
+    if (endpoint.recordFailure(failure, adapter())) {
+      search.exclude(endpoint);
+    }
+    if (endpoint.isSuperseded()) {
+      relay.crashes().endpointEnded(endpoint, CrashDetector.Detection.NEW_START);
+    }
+    relay.metrics().attemptFailed(endpoint.instanceId(), failure.outcome().name());
+    log.attemptEnded(decision, endpoint, failure, framing);
+  }
+
+  @Override
+  public void abandonAttempt(String reason) {
+    Attempt current = attempt.orElseThrow();
+    tracked.dropped(current.endpoint(), forwarder.eventReceived());
+    attemptFailed(current, current.abandon(reason));
+  }
+
   @Override
   public void onFailure(Attempt ended, Attempt.Failure failure) {
     if (finished) {
@@ -364,26 +405,14 @@
     }
   }
 
-  private void requestAdapter(Endpoint endpoint, Placement.Requirements need) {
-    AdapterSlots.Name name = need.adapter().orElseThrow();
-    endpoint
-        .sidecar()
-        .orElseThrow()
-        .requestAdapter(
-            name, need.minVersion(), reply -> adapterReplied(endpoint, name, need, reply));
-  }
-
-  private void adapterReplied(
-      Endpoint endpoint, AdapterSlots.Name name, Placement.Requirements need, AdapterReply reply) {
+  private void adapterReplied(Endpoint endpoint, AdapterReply reply) {
     if (finished) {
       return;
     }
     if (reply.isResident()) {
-      endpoint.markPresent(name, reply.getVersion());
+      endpoint.markPresent(adapter().orElseThrow(), reply.getVersion());
     } else {
-      relay.metrics().count("adapter.refusals", String.valueOf(reply.getReason()));
-      log.adapterRefused(endpoint, name, reply.getReason());
-      search.exclude(endpoint);
+      search.adapterRefused(endpoint, reply.getReason(), log);
       if (history.refusedBeforeSend()) {
         failOrRefuse(Refusal.FULL);
         return;
@@ -419,36 +448,15 @@
     history.begin();
     log.sent(decision, endpoint, now);
     relay.outages().requestSent(decision.pool(), now);
-    inactivity =
-        RequestTimeouts.inactivityTimeout(decision.route(), endpoint.latencyMillis())
-            .map(time -> new InactivityTimer(relay.loop(), time, () -> attemptInactive(started)));
-    inactivity.ifPresent(inactivityTimer -> inactivityTimer.start(now));
+    boolean takenUp = request.takeUp().isPresent();
+    hedged.watch(
+        new HedgedAttempts.First(
+            started, () -> decision, forwarder, takenUp, arrivedNanos, deadlineNanos),
+        now);
     // Called last: an attempt may fail while it starts, and the next one replaces the timer.
     started.start();
   }
 
-  /**
-   * Moves the request off an endpoint that hangs before its time runs out; without another endpoint
-   * waiting is the better choice.
-   */
-  private void attemptInactive(Attempt waiting) {
-    boolean current = !finished && attempt.isPresent() && attempt.get() == waiting;
-    boolean resumable = !forwarder.started() || forwarder.resumable();
-    if (current
-        && waiting.awaitsData()
-        && history.runsLeftBesideCurrent(decision.route())
-        && resumable
-        && search.hasAlternative(decision, attempt, System.nanoTime())) {
-      abandonAttempt("no data within the inactivity timeout");
-    }
-  }
-
-  private void abandonAttempt(String reason) {
-    Attempt current = attempt.orElseThrow();
-    tracked.dropped(current.endpoint(), forwarder.eventReceived());
-    attemptFailed(current, current.abandon(reason));
-  }
-
   private void abandonExcess(HeldBuffer.Excess excess) {
     Attempt current = attempt.orElseThrow();
     tracked.dropped(current.endpoint(), forwarder.eventReceived());
@@ -458,12 +466,14 @@
   private void attemptFailed(Attempt ended, Attempt.Failure failure) {
     long now = System.nanoTime();
     attempt = Optional.empty();
-    inactivity.ifPresent(InactivityTimer::stop);
     Optional<ResponseEnd.Framing> framing = forwarder.framing();
     forwarder.discardUnsent();
     continuity.discardHeld();
     recordFailure(ended, failure, framing);
     history.ended(failure.outcome());
+    if (hedged.takeOver()) {
+      return;
+    }
     boolean allowed =
         history.allowsAnother(failure.outcome(), decision.route(), forwarder, deadlineNanos, now);
     if (allowed && (!ended.sent() || retry.obtain(decision.pool(), now))) {
@@ -474,19 +484,6 @@
     }
   }
 
-  private void recordFailure(
-      Attempt ended, Attempt.Failure failure, Optional<ResponseEnd.Framing> framing) {
-    Endpoint endpoint = ended.endpoint();
-    if (endpoint.recordFailure(failure, adapter())) {
-      search.exclude(endpoint);
-    }
-    if (endpoint.isSuperseded()) {
-      relay.crashes().endpointEnded(endpoint, CrashDetector.Detection.NEW_START);
-    }
-    relay.metrics().attemptFailed(endpoint.instanceId(), failure.outcome().name());
-    log.attemptEnded(decision, endpoint, failure, framing);
-  }
-
   private void timedOut() {
     if (!finished) {
       endNow(Refusal.TIMED_OUT, "the request timed out", "timeout");
@@ -550,8 +547,8 @@
 
   private void finish(String outcome) {
     finished = true;
+    hedged.end();
     relay.waitQueue().remove(this);
-    inactivity.ifPresent(InactivityTimer::stop);
     timer.ifPresent(pending -> pending.cancel(false));
     forwarder.discardUnsent();
     continuity.discardHeld();
@@ -576,7 +573,8 @@
   }
 
   private boolean shouldRetry(HttpResponse response) {
-    return response.status().codeClass() == HttpStatusClass.SERVER_ERROR
+    return (response.status().codeClass() == HttpStatusClass.SERVER_ERROR
+            || (hedged.hasSecond() && !SecondAttempt.isUseful(response)))
         && !forwarder.started()
         && decision.route().idempotent()
         && history.runsLeft(decision.route());
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -50,6 +50,40 @@
     }
   }
 
+  /** Logs that a second attempt is written while the first one is slow. */
+  void secondSent(RouteDecision decision, Attempt slow, Endpoint endpoint, long nowNanos) {
+    relay
+        .events()
+        .record(
+            RelayEvent.SECOND_ATTEMPT_SENT,
+            id(),
+            Field.of("route", decision.routeName()),
+            Field.of("endpoint", endpoint.instanceId()),
+            Field.of("load", endpoint.describe(nowNanos)),
+            Field.of("first", slow.endpoint().instanceId()),
+            Field.of("firstLoad", slow.endpoint().describe(nowNanos)),
+            Field.of("waitedMillis", TimeUnit.NANOSECONDS.toMillis(nowNanos - slow.sentNanos())),
+            millis());
+  }
+
+  /** Logs how a second attempt ended, or that the request goes on with it. */
+  void secondEnded(Endpoint endpoint, String end) {
+    relay
+        .events()
+        .record(
+            RelayEvent.SECOND_ATTEMPT_ENDED,
+            id(),
+            Field.of("endpoint", endpoint.instanceId()),
+            Field.of("end", end),
+            millis());
+  }
+
+  /** Records that the request goes on at another endpoint, where it already is. */
+  void wentOn(Endpoint endpoint) {
+    lastEndpoint = endpoint.instanceId();
+    attempts++;
+  }
+
   /** Records that the first part of the response is sent to the caller. */
   void responseBegan(RouteDecision decision, long nowNanos) {
     beganNanos = nowNanos;
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -1,10 +1,12 @@
 package org.comfreygap.relay;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.comfreygap.decisions.HedgePolicy;
 import org.comfreygap.decisions.RetryBudgets;
 import org.comfreygap.runtime.EventLog;
 
@@ -13,6 +15,7 @@
  *
  * <p>Thread safety: used on the event loop only; the suppliers may be backed by other threads.
  *
+ * @param hedging decides on second attempts; empty when there are none
  * @param heldBytes bytes that unfinished responses hold together
  * @param tables routing tables in force
  * @param settingsConfirmed true while the settings are confirmed recently enough for requests with
@@ -31,6 +34,7 @@
     EndpointLimits limits,
     StreamRegister streams,
     RetryBudgets retryBudgets,
+    Optional<HedgePolicy> hedging,
     Outages outages,
     HeldBytes heldBytes,
     EventLog events,
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -44,7 +44,9 @@
   RETRY_PART_CHANGED(3545, Level.INFO, "A gateway's part of the fixed number of retries changed."),
   REUSE_SUSPENDED(3550, Level.INFO, "Each connection to an endpoint carries one request."),
   REUSE_RESUMED(3551, Level.INFO, "Connections to an endpoint are kept after a response again."),
-  RESPONSE_TOO_LARGE(3555, Level.WARN, "A response exceeded a limit; its connection was closed.");
+  RESPONSE_TOO_LARGE(3555, Level.WARN, "A response exceeded a limit; its connection was closed."),
+  SECOND_ATTEMPT_SENT(3560, Level.INFO, "A second attempt was sent beside a slow first one."),
+  SECOND_ATTEMPT_ENDED(3561, Level.INFO, "A request goes on with one of its two attempts.");
 
   private final int number;
   private final Level level;
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.comfreygap.decisions.FleetSize;
+import org.comfreygap.decisions.HedgePolicy;
 import org.comfreygap.decisions.KnownFleet;
 import org.comfreygap.decisions.LimiterChoice;
 import org.comfreygap.decisions.RetryBudgets;
@@ -284,6 +285,7 @@
             settings.retryExtra(),
             settings.retryWindow(),
             System.nanoTime()),
+        settings.secondAttempts().map(allowed -> new HedgePolicy(allowed, System.nanoTime())),
         outages,
         HeldBytes.ofHeap(),
         events,
--- a/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
@@ -108,17 +108,24 @@
     increment(name, "reason", reason);
   }
 
+  /** Adds an amount to a counter by reason. */
+  void add(String name, String reason, double amount) {
+    counter(name, "reason", reason).increment(amount);
+  }
+
   @Override
   public void close() {
     gcMetrics.ifPresent(JvmGcMetrics::close);
   }
 
   private void increment(String name, String... tags) {
-    counters
-        .computeIfAbsent(
-            name + " " + String.join(" ", tags),
-            key -> Counter.builder("comfreygap." + name).tags(tags).register(registry))
-        .increment();
+    counter(name, tags).increment();
+  }
+
+  private Counter counter(String name, String... tags) {
+    return counters.computeIfAbsent(
+        name + " " + String.join(" ", tags),
+        key -> Counter.builder("comfreygap." + name).tags(tags).register(registry));
   }
 
   private static String nameOrOthers(Set<String> known, String name) {
--- a/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
@@ -4,12 +4,17 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.comfreygap.decisions.HedgePolicy;
 import org.comfreygap.runtime.InvalidSettingsException;
 import org.comfreygap.runtime.PortBlock;
 import org.comfreygap.runtime.ProcessSettings;
 import org.comfreygap.settings.FieldRule;
 import org.comfreygap.settings.ObjectSchema;
+import org.comfreygap.settings.RequestKind;
 
 /**
  * The settings file of a gateway that serves routes.
@@ -18,6 +23,21 @@
  */
 final class RelaySettings {
 
+  /** Above it, second attempts are a multiple of the load rather than an exception. */
+  private static final double MAX_SECOND_SHARE = 0.2;
+
+  private static final ObjectSchema SECOND_ATTEMPTS =
+      ObjectSchema.builder()
+          .required("share", FieldRule.number(0, MAX_SECOND_SHARE))
+          .required("minDelayMillis", FieldRule.integer(1, 60_000))
+          .required("quantile", FieldRule.number(0.5, 0.999))
+          .required(
+              "kinds",
+              FieldRule.listOf(
+                  FieldRule.oneOf(HedgePolicy.REPEATABLE.toArray(RequestKind[]::new)),
+                  HedgePolicy.REPEATABLE.size()))
+          .build();
+
   private static final ObjectSchema SCHEMA =
       ProcessSettings.commonSchema()
           .required("callerAddress", FieldRule.ipPort())
@@ -33,6 +53,7 @@
           .optional("retryRatio", FieldRule.number(0, 10))
           .optional("retryExtra", FieldRule.number(0, 100_000))
           .optional("retryWindowMillis", FieldRule.integer(100, 600_000))
+          .optional("secondAttempts", FieldRule.object(SECOND_ATTEMPTS))
           .build();
 
   private static final Map<String, Integer> BLOCK_PORTS =
@@ -147,6 +168,20 @@
     return file.millis("retryWindowMillis", DEFAULT_RETRY_WINDOW);
   }
 
+  /** Returns what is allowed of second attempts; empty when there are none. */
+  Optional<HedgePolicy.Limits> secondAttempts() {
+    return file.optionalNode("secondAttempts")
+        .map(
+            node ->
+                new HedgePolicy.Limits(
+                    node.get("share").asDouble(),
+                    Duration.ofMillis(node.get("minDelayMillis").asLong()),
+                    node.get("quantile").asDouble(),
+                    file.texts("secondAttempts.kinds").stream()
+                        .map(kind -> RequestKind.valueOf(kind.toUpperCase(Locale.ROOT)))
+                        .collect(Collectors.toSet())));
+  }
+
   private double number(String path, double absent) {
     return file.optionalNode(path).map(node -> node.asDouble()).orElse(absent);
   }
