Send a second attempt beside a slow first one, where operators allow it

Change: HedgePolicy decides when (learnt quantile of the time to the first output by pool and kind, HedgeDelay) and whether (HedgeVerdict names each reason not to); HedgeRace decides which attempt goes on; HedgedAttempts and SecondAttempt do it in the relay, and take the watch over inactivity from Exchange, which does not grow.

--- a/decisions/src/main/java/org/comfreygap/decisions/HedgePolicy.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/HedgePolicy.java
@@ -1,6 +1,8 @@
 package org.comfreygap.decisions;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.EnumSet;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -39,7 +41,8 @@
   public static final double MIN_FREE_SHARE = 0.25;
 
   /** Kinds of requests that may be repeated, if their route allows it. */
-  public static final Set<RequestKind> REPEATABLE = Set.of(RequestKind.SAFE, RequestKind.STREAM);
+  public static final Set<RequestKind> REPEATABLE =
+      Collections.unmodifiableSet(EnumSet.of(RequestKind.SAFE, RequestKind.STREAM));
 
   private static final double MEDIAN = 0.5;
 
--- a/decisions/src/test/java/org/comfreygap/decisions/EndpointSuspectsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/EndpointSuspectsTest.java
@@ -48,6 +48,20 @@
     assertThat(fingerprints(suspects.removeAll(2 * SECOND))).containsExactly("queued");
   }
 
+  /** Guards against more runs of a request that may have crashed an endpoint. */
+  @Example
+  void knowsRequestUntilEndpointSurvivedIt() {
+    EndpointSuspects suspects = new EndpointSuspects();
+    suspects.connectionClosed(SuspectRequest.of("silent"), false, 0);
+    suspects.connectionClosed(SuspectRequest.of("begun"), true, 0);
+
+    assertThat(suspects.contains("silent", SECOND)).isTrue();
+    assertThat(suspects.contains("begun", SECOND)).isFalse();
+    assertThat(suspects.contains("silent", 15 * SECOND)).isFalse();
+    suspects.responseReceived(SECOND);
+    assertThat(suspects.contains("silent", SECOND)).isFalse();
+  }
+
   /** Guards against outdated suspects and unbounded memory. */
   @Example
   void isBoundedInTimeAndNumber() {
--- a/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
+++ b/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.comfreygap.decisions.HedgePolicy;
+import org.comfreygap.decisions.HedgeRace;
+import org.comfreygap.decisions.HedgeRace.Move;
 import org.comfreygap.decisions.HedgeVerdict;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.ResponseEnd;
@@ -33,11 +35,11 @@
   private final AttemptHistory history;
   private final CrashTrackedRequest tracked;
   private final ExchangeLog log;
+  private final HedgeRace race = new HedgeRace();
   private Optional<First> first = Optional.empty();
   private Optional<SecondAttempt> second = Optional.empty();
   private Optional<ScheduledFuture<?>> due = Optional.empty();
   private boolean counted;
-  private boolean used;
   private Optional<First> current = Optional.empty();
   private Optional<InactivityTimer> inactivity = Optional.empty();
 
@@ -119,7 +121,7 @@
       counted = true;
     }
     first = Optional.of(started);
-    if (used || history.mayHaveRun()) {
+    if (!race.mayBegin() || history.mayHaveRun()) {
       return;
     }
     OptionalLong delay = policy.delayNanos(pool, route.kind(), nowNanos);
@@ -139,7 +141,7 @@
 
   /** Returns true while a second attempt that was written is in progress. */
   boolean hasSecond() {
-    return second.filter(begun -> begun.attempt().sent()).isPresent();
+    return race.runsBoth();
   }
 
   /** Records that the response of the request's attempt has begun. */
@@ -160,7 +162,9 @@
     long now = System.nanoTime();
     recordOutput(first.get(), now);
     first = Optional.empty();
-    dropSecond("lost", now);
+    if (race.firstUseful() == Move.DROP_SECOND) {
+      dropSecond("lost", now);
+    }
   }
 
   /**
@@ -172,12 +176,13 @@
     stopTimer();
     inactivity.ifPresent(InactivityTimer::stop);
     first = Optional.empty();
-    if (!hasSecond()) {
+    Move move = race.firstFailed();
+    if (move == Move.DROP_SECOND) {
       dropSecond("withdrawn", System.nanoTime());
-      return false;
+    } else if (move == Move.GO_ON_WITH_SECOND) {
+      goOn("took-over");
     }
-    goOn("took-over");
-    return true;
+    return move == Move.GO_ON_WITH_SECOND;
   }
 
   /** Ends the second attempt and all timers, as the request has ended. */
@@ -185,13 +190,16 @@
     stopTimer();
     inactivity.ifPresent(InactivityTimer::stop);
     first = Optional.empty();
-    dropSecond("ended", System.nanoTime());
+    if (race.requestEnded() == Move.DROP_SECOND) {
+      dropSecond("ended", System.nanoTime());
+    }
   }
 
   @Override
   public Optional<FullHttpRequest> buildSecond(Endpoint endpoint, long nowNanos) {
     HedgeVerdict verdict = writeVerdict(endpoint, nowNanos);
-    if (!verdict.sends()) {
+    if (!verdict.sends() || !race.write()) {
+      race.secondFailed();
       second = Optional.empty();
       suppressed(verdict);
       return Optional.empty();
@@ -204,6 +212,9 @@
 
   @Override
   public void secondUseful() {
+    if (race.secondUseful() != Move.DROP_FIRST) {
+      return;
+    }
     long now = System.nanoTime();
     First lost = first.orElseThrow();
     Attempt attempt = lost.attempt();
@@ -224,6 +235,7 @@
   public void secondFailed(Attempt.Failure failure, boolean dropped) {
     SecondAttempt failed = second.orElseThrow();
     second = Optional.empty();
+    race.secondFailed();
     Attempt attempt = failed.attempt();
     if (failure.outcome() == Outcome.UNKNOWN && dropped) {
       tracked.dropped(attempt.endpoint(), false);
@@ -254,7 +266,7 @@
       suppressed(verdict);
       return;
     }
-    used = true;
+    race.begin();
     boolean streamed = watched.kind() == RequestKind.STREAM;
     SecondAttempt begun =
         new SecondAttempt(relay, request, this, beside.endpoint().orElseThrow(), streamed, now);
@@ -326,10 +338,7 @@
   }
 
   private void dropSecond(String end, long nowNanos) {
-    if (second.isEmpty()) {
-      return;
-    }
-    SecondAttempt dropped = second.get();
+    SecondAttempt dropped = second.orElseThrow();
     second = Optional.empty();
     Attempt attempt = dropped.attempt();
     tracked.abandoned(Optional.of(attempt), false);
