--- a/decisions/src/main/java/org/comfreygap/decisions/HedgePolicy.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/HedgePolicy.java
@@ -127,9 +127,6 @@
 
   /** Decides whether a second attempt is begun, at the end of the delay. */
   public HedgeVerdict decide(First first, Room room, Retries retries, long nowNanos) {
-    if (first.suspect()) {
-      return HedgeVerdict.SUSPECT;
-    }
     if (room.waiting() > 0) {
       return HedgeVerdict.REQUESTS_WAIT;
     }
@@ -153,6 +150,9 @@
   }
 
   private HedgeVerdict allowedNow(First first, Retries retries, long nowNanos) {
+    if (first.suspect()) {
+      return HedgeVerdict.SUSPECT;
+    }
     if (!first.awaited()) {
       return HedgeVerdict.FIRST_NOT_AWAITED;
     }
