--- a/relay/src/test/java/org/comfreygap/relay/PacedEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/PacedEndpoint.java
@@ -33,6 +33,7 @@
   private final Plan plan;
   private final ServerSocket socket;
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
+  private volatile String version = "v1";
 
   /** Starts an endpoint at a host address of the loopback network. */
   PacedEndpoint(String instanceId, String host, Plan plan) throws IOException {
@@ -94,10 +95,16 @@
     }
   }
 
+  /** Sets the version of the endpoint's software in the list. */
+  PacedEndpoint version(String next) {
+    version = next;
+    return this;
+  }
+
   /** Returns this endpoint's line in the list. */
   String listed() {
     InetSocketAddress address = (InetSocketAddress) socket.getLocalSocketAddress();
-    return instanceId + " " + Addresses.text(address) + " v1\n";
+    return instanceId + " " + Addresses.text(address) + " " + version + "\n";
   }
 
   @Override
--- a/relay/src/test/java/org/comfreygap/relay/SecondAttemptTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/SecondAttemptTest.java
@@ -77,6 +77,7 @@
     assertThat(metrics())
         .contains("second_attempts_total{reason=\"sent\"} 1.0")
         .contains("second_attempts_total{reason=\"won\"} 1.0")
+        .contains("retries_total{reason=\"" + GatewayFleet.POOL + "\"} 1.0")
         .contains("second_attempts_wasted_millis_total{reason=\"first\"}");
   }
 
@@ -237,6 +238,19 @@
         .contains("second_attempts_suppressed_total{reason=\"no-alternative\"} 1.0");
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"safe", "resumable"})
+  void sendsNoSecondToAnotherSoftwareVersion(String route) throws Exception {
+    PacedEndpoint one = closer.register(new PacedEndpoint("endpoint-1", "127.0.0.2", plan));
+    PacedEndpoint two = closer.register(new PacedEndpoint("endpoint-2", "127.0.0.3", plan));
+    open(ON, route, one, two.version("v2"));
+    plan.set(new Answer(250, End.WHOLE), Answer.FAST);
+
+    send(route);
+
+    assertThat(plan.arrivals(lastId())).hasSize(1);
+  }
+
   private void open(String settings, String route) throws Exception {
     open(
         settings,
