--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -112,6 +112,11 @@
     }
   }
 
+  /** Returns an attempt at another endpoint with the same prompt; it is not started. */
+  Attempt beside(Endpoint other, Owner otherOwner, long nowNanos) {
+    return new Attempt(relay, other, otherOwner, promptTokens, nowNanos);
+  }
+
   Endpoint endpoint() {
     return endpoint;
   }
@@ -120,6 +125,11 @@
     return sent;
   }
 
+  /** Returns the time at which the request was written, once it was. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
   /** Returns true while more of the response is due. */
   boolean awaitsData() {
     return sent && !responseEnded;
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -1,10 +1,12 @@
 package org.comfreygap.relay;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.comfreygap.decisions.HedgePolicy;
 import org.comfreygap.decisions.RetryBudgets;
 import org.comfreygap.runtime.EventLog;
 
@@ -14,6 +16,7 @@
  * <p>Thread safety: used on the event loop only; the suppliers may be backed by other threads.
  *
  * @param demands load of the pools whose number of endpoints is ordered
+ * @param hedging decides on second attempts; empty when there are none
  * @param heldBytes bytes that unfinished responses hold together
  * @param usage requests that endpoints began, by window of time
  * @param tables routing tables in force
@@ -34,6 +37,7 @@
     EndpointLimits limits,
     StreamRegister streams,
     RetryBudgets retryBudgets,
+    Optional<HedgePolicy> hedging,
     Outages outages,
     HeldBytes heldBytes,
     UsageCounter usage,
