State the usual pace to gateways, and let settings assume one where engines state none

Change: optional field usualPacePercent of EndpointStatus, which gateways take in place of their own median; sidecar setting assumedPacePercent, off by default.

--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointPace.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointPace.java
@@ -55,6 +55,7 @@
   private int next;
   private long keptNanos;
   private double median;
+  private boolean usualIsStated;
   private double slowest;
   private double slowestBefore;
   private long slowestSinceNanos;
@@ -78,7 +79,24 @@
       keptNanos = statedNanos;
       double[] sorted = Arrays.copyOf(kept, count);
       Arrays.sort(sorted);
-      median = sorted[(count - 1) / 2];
+      if (!usualIsStated) {
+        applyUsual(sorted[(count - 1) / 2]);
+      }
+    }
+  }
+
+  /**
+   * Records the usual pace in percent that a better observer has found: from here on it holds
+   * instead of the median of the statements recorded here.
+   */
+  public void usualStated(int percent) {
+    usualIsStated = true;
+    applyUsual(Math.max(MIN_FACTOR, Math.min(MAX_FACTOR, percent / PERCENT)));
+  }
+
+  private void applyUsual(double factor) {
+    if (factor != median) {
+      median = factor;
       homeDraws = (int) Math.max(1, Math.min(MAX_DRAWS, Math.round(USUAL_DRAWS / median)));
     }
   }
--- a/decisions/src/test/java/org/comfreygap/decisions/EndpointPaceTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/EndpointPaceTest.java
@@ -40,6 +40,18 @@
     assertThat(slow.homeDraws()).isLessThan(pace.homeDraws());
   }
 
+  /** Guards against gateways that saw little and disagree on the homes of adapters. */
+  @Test
+  void usualPaceOfABetterObserverHoldsInsteadOfOwnStatements() {
+    pace.stated(400, 0);
+    pace.usualStated(160);
+    pace.stated(400, SECOND);
+
+    assertThat(pace.usual()).isCloseTo(1.6, CLOSE);
+    assertThat(pace.homeDraws()).isEqualTo(1);
+    assertThat(pace.expected(SECOND)).isCloseTo(4, CLOSE);
+  }
+
   /** Load pattern: one statement in five is false. */
   @Test
   void usualPaceIsNotMovedBySomeFalseStatements() {
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -512,6 +512,8 @@
   21: optional i32 paceMillisAgo
   /** Time that reading the prompts granted in the last pause takes at the usual pace. */
   22: optional i32 readingMicros
+  /** The usual pace there, percent, from all statements that the sidecar knows. */
+  23: optional i32 usualPacePercent
 }
 
 /** Asks that an adapter become resident. */
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -219,6 +219,9 @@
     if (newest.isSetPacePercent()) {
       reading.paceStated(newest.getPacePercent(), newest.getPaceMillisAgo(), nowNanos);
       reading.readingStated(newest.getReadingMicros(), nowNanos);
+      if (newest.isSetUsualPacePercent()) {
+        reading.pace().usualStated(newest.getUsualPacePercent());
+      }
     }
     if (newest.isSetResident()) {
       Map<AdapterSlots.Name, Long> held = new HashMap<>();
--- a/relay/src/main/java/org/comfreygap/relay/residency/ReadingPermits.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ReadingPermits.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.comfreygap.decisions.EndpointPace;
@@ -38,23 +39,32 @@
   /** Time within which the engine states its pace; it takes about a millisecond. */
   static final Duration ASK_TIMEOUT = Duration.ofMillis(30);
 
+  private static final double PERCENT = 100;
   private static final double SPANS_MICROS = ReadingShares.SPAN.toNanos() / 1e3;
 
   private final EngineDialect dialect;
+  private final OptionalInt assumedPercent;
   private final EndpointPace pace = new EndpointPace();
   private final ReadingGate gate = new ReadingGate();
   private final ReadingShares shares = new ReadingShares();
   private final List<Runnable> waiting = new ArrayList<>();
   private Optional<HttpPeerClient> asking = Optional.empty();
   private Supplier<Optional<String>> askingPath = Optional::empty;
+  private boolean statesPace;
   private long asked;
   private long granted;
   private long delayed;
   private long refused;
   private long forced;
 
-  ReadingPermits(EngineDialect dialect) {
+  /**
+   * Creates permits without a known pace.
+   *
+   * @param assumedPercent pace of an engine while it states none
+   */
+  ReadingPermits(EngineDialect dialect, OptionalInt assumedPercent) {
     this.dialect = dialect;
+    this.assumedPercent = assumedPercent;
   }
 
   /** Reads the pace from all responses to a client's calls. */
@@ -64,11 +74,19 @@
 
   /** Records the pace that a response states. */
   void read(HttpPeerClient.Response response, long sentNanos) {
-    dialect.readPace(response).ifPresent(percent -> pace.stated(percent, System.nanoTime()));
+    dialect.readPace(response).ifPresent(percent -> observed(percent, System.nanoTime()));
+  }
+
+  /** Records that the engine has reported, with or without a pace. */
+  void reported(long nowNanos) {
+    if (!statesPace && assumedPercent.isPresent()) {
+      pace.stated(assumedPercent.getAsInt(), nowNanos);
+    }
   }
 
   /** Records the pace that a gateway has read just now. */
   void observed(int percent, long nowNanos) {
+    statesPace = true;
     pace.stated(percent, nowNanos);
   }
 
@@ -100,7 +118,7 @@
    * @param running requests that run at the engine
    */
   void requested(Channel gateway, ReadingPermitRequest message, int running, long nowNanos) {
-    boolean fresh = pace.isKnown() && pace.ageNanos(nowNanos) < MAX_AGE.toNanos();
+    boolean fresh = !statesPace || pace.ageNanos(nowNanos) < MAX_AGE.toNanos();
     Optional<String> path = fresh || running == 0 ? Optional.empty() : askingPath.get();
     if (asking.isEmpty() || path.isEmpty()) {
       decide(gateway, message, running, nowNanos);
@@ -167,6 +185,7 @@
       status.setPacePercent(pace.lastPercent());
       status.setPaceMillisAgo(ageMillis(nowNanos));
       status.setReadingMicros(reading(nowNanos));
+      status.setUsualPacePercent((int) Math.round(PERCENT * pace.usual()));
     }
   }
 
@@ -185,7 +204,7 @@
         + "\ncomfreygap_engine_pace_percent "
         + pace.lastPercent()
         + "\ncomfreygap_engine_usual_pace_percent "
-        + Math.round(100 * pace.usual())
+        + Math.round(PERCENT * pace.usual())
         + "\n";
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyController.java
@@ -203,6 +203,7 @@
     }
     answering = true;
     report = Optional.of(newest);
+    reading.reported(now);
     updateColdState(newest.coldMillis());
     // A report from before the newest command was accepted does not show its effect.
     boolean lagging = now - lastAcceptedNanos < MAX_REPORT_LAG.toNanos();
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencyServer.java
@@ -104,7 +104,7 @@
     limit.observe(reportClient);
     HttpPeerClient healthClient = engineClient(ColdStatePoller.TIMEOUT);
     limit.observe(healthClient);
-    ReadingPermits reading = new ReadingPermits(dialect);
+    ReadingPermits reading = new ReadingPermits(dialect, settings.assumedPacePercent());
     reading.observe(reportClient);
     reading.observe(healthClient);
     reading.ask(
--- a/relay/src/main/java/org/comfreygap/relay/residency/ResidencySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ResidencySettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.comfreygap.runtime.InvalidSettingsException;
 import org.comfreygap.runtime.PortBlock;
 import org.comfreygap.runtime.ProcessSettings;
@@ -22,6 +23,7 @@
           .required("linkAddress", FieldRule.ipPort())
           .required("engineAddress", FieldRule.ipPort())
           .required("pool", FieldRule.name())
+          .optional("assumedPacePercent", FieldRule.integer(20, 1_000))
           .build();
 
   private static final Map<String, Integer> BLOCK_PORTS =
@@ -68,6 +70,12 @@
     return file.text("pool");
   }
 
+  /** Returns the pace of an engine that states none; without it such engines have no pace. */
+  OptionalInt assumedPacePercent() {
+    long percent = file.integer("assumedPacePercent", 0);
+    return percent > 0 ? OptionalInt.of((int) percent) : OptionalInt.empty();
+  }
+
   List<InetSocketAddress> control() {
     return file.addresses("control");
   }
--- a/relay/src/test/java/org/comfreygap/relay/residency/ReadingPermitsTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/residency/ReadingPermitsTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.protocol.TCompactProtocol;
@@ -23,7 +24,8 @@
 
   private static final int RUNNING = 5;
 
-  private final ReadingPermits permits = new ReadingPermits(new EngineLimitTest.LimitDialect());
+  private final ReadingPermits permits =
+      new ReadingPermits(new EngineLimitTest.LimitDialect(), OptionalInt.empty());
   private final EmbeddedChannel gateway = new EmbeddedChannel();
 
   /** Load pattern: five prompts at once to an engine at the usual time. */
@@ -58,6 +60,24 @@
     assertThat(status.getPacePercent()).isEqualTo(250);
   }
 
+  @Test
+  void assumesAPaceOnlyWhereSettingsSaySoAndTheEngineStatesNone() {
+    permits.reported(0);
+    EndpointStatus status = new EndpointStatus();
+    permits.describe(status, 0);
+    assertThat(status.isSetPacePercent()).isFalse();
+
+    ReadingPermits assuming =
+        new ReadingPermits(new EngineLimitTest.LimitDialect(), OptionalInt.of(100));
+    assuming.reported(0);
+    assuming.describe(status, 0);
+    assertThat(status.getPacePercent()).isEqualTo(100);
+    assuming.observed(250, 1);
+    assuming.reported(2);
+    assuming.describe(status, 2);
+    assertThat(status.getPacePercent()).isEqualTo(250);
+  }
+
   /** Guards against a prompt that waits for an engine which no longer answers. */
   @Test
   void decidesByWhatItKnowsWhenTheEngineDoesNotAnswer() throws Exception {
