--- a/control/src/main/java/org/comfreygap/control/ControlEvent.java
+++ b/control/src/main/java/org/comfreygap/control/ControlEvent.java
@@ -27,7 +27,7 @@
   LEDGER_OWNER_GONE(2050, Level.WARN, "Open ledger entries of a gone gateway became unknown."),
   PERMIT_QUEUE_FULL(2060, Level.WARN, "A load request was refused because the queue is full."),
   DUTIES_TAKEN(2070, Level.INFO, "This instance holds the duties under a new fencing number."),
-  DUTY_CALL_ACCEPTED(2071, Level.DEBUG, "The platform accepted a call of a duty."),
+  DUTY_CALL_ACCEPTED(2071, Level.INFO, "The platform accepted a call of a duty."),
   DUTY_CALL_REFUSED(2072, Level.WARN, "The platform will never accept a call of a duty."),
   DUTY_CALL_FAILED(2073, Level.INFO, "A call of a duty failed and is sent again."),
   USAGE_INCOMPLETE(2074, Level.WARN, "A window of usage was closed without all counts."),
