Test numbers of endpoints under any load

Cause: refused requests of the minute after a refused order were kept and counted at once afterwards. Change: they are taken with each decision that is due, also one that is not made. A seeded property of the policy: inside the bounds, at most four changes a minute, none without knowledge.

--- a/control/src/main/java/org/comfreygap/control/ScaleController.java
+++ b/control/src/main/java/org/comfreygap/control/ScaleController.java
@@ -210,6 +210,7 @@
       if (bounds.isEmpty() || load.isEmpty()) {
         continue;
       }
+      int refused = view.loads().takeRefused(subject);
       Optional<EndpointOrder> last = lastOrder(subject);
       if (last.filter(o -> isRefusedLately(o, term, nowNanos)).isPresent()) {
         continue;
@@ -217,7 +218,7 @@
       ScalePolicy policy = view.policy(subject, settings);
       ScalePolicy.Decision decision =
           policy.decide(
-              withRefused(load.get(), view.loads().takeRefused(subject)),
+              withRefused(load.get(), refused),
               gateways.knowledge(rules.zoneIn(subject.zone())),
               last.flatMap(order -> toOrder(order, term, nowNanos)),
               bounds.get(),
--- a/decisions/src/test/java/org/comfreygap/decisions/ScalePolicyTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/ScalePolicyTest.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntUnaryOperator;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.comfreygap.decisions.ScalePolicy.Bounds;
 import org.comfreygap.decisions.ScalePolicy.Decision;
 import org.comfreygap.decisions.ScalePolicy.Knowledge;
@@ -218,6 +220,43 @@
     assertThat(changes).extracting(Decision::number).containsExactly(9, 8);
   }
 
+  /**
+   * Load pattern: loads, refusals, zones, bounds and reports change at random, and leaders follow
+   * each other. Guards against orders outside the bounds, too often, or without knowledge.
+   */
+  @Property(tries = 300, seed = "20261206")
+  void keepsBoundsUnderAnyLoad(@ForAll long seed) {
+    Random random = new Random(seed);
+    int load = 100;
+    for (int step = 0; step < 60; step++) {
+      load = random.nextInt(4) == 0 ? random.nextInt(1_000) : load;
+      refused = random.nextInt(5) == 0 ? random.nextInt(50) : 0;
+      knowledge =
+          new Knowledge(random.nextInt(20) > 0, 10, 10 - random.nextInt(8), random.nextInt(10) > 0);
+      if (random.nextInt(10) == 0) {
+        int min = random.nextInt(10);
+        bounds = new Bounds(min, min + 1 + random.nextInt(20), Duration.ofSeconds(20));
+      }
+      if (random.nextInt(20) == 0) {
+        policy = new ScalePolicy(Settings.DEFAULT);
+        changeSeconds.clear();
+      }
+      int before = changes.size();
+      int steady = load;
+      run(1 + random.nextInt(20), at -> steady);
+      List<Decision> ordered = changes.subList(before, changes.size());
+      assertThat(ordered).allMatch(d -> d.number() >= bounds.min() && d.number() <= bounds.max());
+      boolean blind = !knowledge.settled() || !knowledge.zoneIn() || knowledge.freshGateways() < 5;
+      if (blind) {
+        assertThat(ordered).isEmpty();
+      }
+      if (knowledge.freshGateways() < 9) {
+        assertThat(ordered).noneMatch(d -> d.reason() == Reason.LESS_DEMAND);
+      }
+    }
+    assertThat(changesInAnyMinute()).isLessThanOrEqualTo(4);
+  }
+
   /** Runs the policy once a second; ordered endpoints serve after the time to start. */
   private void run(int seconds, IntUnaryOperator inProgress) {
     reasons = EnumSet.noneOf(Reason.class);
