Construct the sources of duties in DutyModelTest with orders as well

Change: DutyModelTest passes a ScaleController, which its settings do not ask for; its checks are as they were.

--- a/control/src/test/java/org/comfreygap/control/DutyModelTest.java
+++ b/control/src/test/java/org/comfreygap/control/DutyModelTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
+import org.comfreygap.decisions.ScalePolicy;
 import org.comfreygap.protocol.generated.HeartbeatRequest;
 import org.comfreygap.protocol.generated.ProcessIdentity;
 import org.comfreygap.protocol.generated.ProcessKind;
@@ -136,7 +137,10 @@
       this.holder = new DutyHolder(leadership, state, own, events);
       this.reports =
           new UsageReports(leadership, state, own, new TextDialect(), time, metrics, events);
-      this.sources = new DutySources(own, time, reports);
+      ScaleController scale =
+          new ScaleController(
+              leadership, state, ScalePolicy.Settings.DEFAULT, new TextDialect(), events);
+      this.sources = new DutySources(own, time, reports, scale);
     }
   }
 
