Let a control instance find the leader through its own log

Seen: ControlReplacementTest failed once in nine runs, in verify beside other builds (load average 14): "time left for only present addresses" after 15 s. Likely cause, shown by ControlHeartbeatTest, which failed before ("time left for its heartbeat", 20 s), not by that run: an instance that is replaced into the group just before the others are lost knows only addresses that are gone, and its heartbeats then reach nobody, although its log tells it the leader. Change: its own address is among the seeds of its heartbeats, since it answers with the leader's address. The test now prints the addresses that control names and keeps the processes' output under target/.

--- a/control/src/main/java/org/comfreygap/control/ControlServer.java
+++ b/control/src/main/java/org/comfreygap/control/ControlServer.java
@@ -3,7 +3,10 @@
 import com.codahale.metrics.health.HealthCheck;
 import com.google.inject.Guice;
 import com.google.inject.Injector;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -151,7 +154,8 @@
     }
     ControlClient client =
         new ControlClient(
-            settings.controlAddresses().stream().map(Addresses::parse).toList(), security);
+            withSelf(settings, settings.controlAddresses().stream().map(Addresses::parse).toList()),
+            security);
     settings
         .path()
         .ifPresent(
@@ -160,7 +164,10 @@
                     SettingsFileWatcher.start(
                         file,
                         events,
-                        changed -> client.seeds(ControlSettings.reloadControlAddresses(changed)))));
+                        changed ->
+                            client.seeds(
+                                withSelf(
+                                    settings, ControlSettings.reloadControlAddresses(changed))))));
     heartbeat = () -> ControlHeartbeat.send(client, identity, state.revision(), stopping);
     RepeatingTask duty =
         RepeatingTask.every("control-heartbeat", MembershipAgent.HEARTBEAT_PERIOD, heartbeat::run);
@@ -170,6 +177,17 @@
     };
   }
 
+  /**
+   * Returns the addresses with that of this instance, which knows the leader from its log even when
+   * all instances that its settings name are gone.
+   */
+  private static List<InetSocketAddress> withSelf(
+      ControlSettings settings, List<InetSocketAddress> addresses) {
+    Set<InetSocketAddress> all = new LinkedHashSet<>(addresses);
+    all.add(settings.rpcAddress());
+    return List.copyOf(all);
+  }
+
   private static final class LeaderHealthCheck extends HealthCheck {
 
     private final BooleanSupplier known;
--- a/control/src/test/java/org/comfreygap/control/ControlFixture.java
+++ b/control/src/test/java/org/comfreygap/control/ControlFixture.java
@@ -11,6 +11,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.comfreygap.consensus.ReplicatedLog;
 import org.comfreygap.protocol.generated.ProcessIdentity;
@@ -45,7 +46,18 @@
 
   ControlFixture(String replicaId, ControlState state, ReplicatedLog log, String extra)
       throws Exception {
-    this.settings = settings(replicaId, extra);
+    this(replicaId, state, log, extra, Optional.empty());
+  }
+
+  /** Starts an instance that is told of another control instance than itself. */
+  ControlFixture(
+      String replicaId,
+      ControlState state,
+      ReplicatedLog log,
+      String extra,
+      Optional<String> control)
+      throws Exception {
+    this.settings = settings(replicaId, extra, control);
     this.state = state;
     EventLog events =
         closer.register(
@@ -115,7 +127,8 @@
     closer.close();
   }
 
-  private static ControlSettings settings(String replicaId, String extra) throws Exception {
+  private static ControlSettings settings(String replicaId, String extra, Optional<String> control)
+      throws Exception {
     String rpc = freeAddress();
     String yaml =
         """
@@ -137,7 +150,7 @@
             .formatted(
                 "control-" + replicaId,
                 freeAddress(),
-                rpc,
+                control.orElse(rpc),
                 replicaId,
                 rpc,
                 freeAddress(),
--- a/control/src/test/java/org/comfreygap/control/ControlReplacementTest.java
+++ b/control/src/test/java/org/comfreygap/control/ControlReplacementTest.java
@@ -39,6 +39,12 @@
   /** Bound on the time from the first answer of a new instance until the group is whole. */
   private static final Duration CATCH_UP = Duration.ofSeconds(6);
 
+  /** Bound on the time until only present addresses are named. */
+  private static final Duration NAMES_SETTLE = Duration.ofSeconds(15);
+
+  /** Kept after the test; names contain the id of the test process. */
+  private static final Path LOGS = Path.of("target", "control-replacement");
+
   private static final int FIRST_PORT = 7_600;
   private static final int HTTP_PORT = 7_650;
 
@@ -60,6 +66,7 @@
    */
   @Test
   void eachInstanceIsReplacedUnderLoadAndNothingAcknowledgedIsLost() throws Exception {
+    Files.createDirectories(LOGS);
     Files.writeString(folder.resolve("key"), "0123456789abcdef");
     List<String> first = List.of(host(1), host(2), host(3));
     for (String host : first) {
@@ -150,14 +157,13 @@
         new ControlClient(
             List.of(Addresses.parse(expected[0]), Addresses.parse(expected[1])),
             ControlFixture.SECURITY)) {
-      await(
-          Duration.ofSeconds(15),
-          "only present addresses",
-          () -> {
-            List<String> named =
-                client.callLeader(TIMEOUT, c -> c.heartbeat(request)).getControlAddresses();
-            return named.size() == expected.length && named.containsAll(List.of(expected));
-          });
+      List<String> named = List.of();
+      long end = System.nanoTime() + NAMES_SETTLE.toNanos();
+      while (named.size() != expected.length || !named.containsAll(List.of(expected))) {
+        assertThat(end - System.nanoTime()).as("time left, control names " + named).isPositive();
+        TimeUnit.MILLISECONDS.sleep(50);
+        named = client.callLeader(TIMEOUT, c -> c.heartbeat(request)).getControlAddresses();
+      }
     }
   }
 
@@ -288,7 +294,7 @@
                   settings.toString())
               .redirectErrorStream(true)
               .redirectOutput(
-                  ProcessBuilder.Redirect.appendTo(folder.resolve(host + ".log").toFile()))
+                  ProcessBuilder.Redirect.appendTo(LOGS.resolve(host + ".log").toFile()))
               .start();
     }
   }
