--- a/control/src/test/java/org/comfreygap/control/ControlFixture.java
+++ b/control/src/test/java/org/comfreygap/control/ControlFixture.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.comfreygap.consensus.ReplicatedLog;
 import org.comfreygap.protocol.generated.ProcessIdentity;
@@ -52,7 +53,19 @@
   ControlFixture(
       String replicaId, ControlState state, ReplicatedLog log, String extra, DutyDialect dialect)
       throws Exception {
-    this.settings = settings(replicaId, extra);
+    this(replicaId, state, log, extra, dialect, Optional.empty());
+  }
+
+  /** Starts an instance that may be told of another control instance than itself. */
+  ControlFixture(
+      String replicaId,
+      ControlState state,
+      ReplicatedLog log,
+      String extra,
+      DutyDialect dialect,
+      Optional<String> control)
+      throws Exception {
+    this.settings = settings(replicaId, extra, control);
     this.state = state;
     EventLog events =
         closer.register(
@@ -125,7 +138,8 @@
     closer.close();
   }
 
-  private static ControlSettings settings(String replicaId, String extra) throws Exception {
+  private static ControlSettings settings(String replicaId, String extra, Optional<String> control)
+      throws Exception {
     String rpc = freeAddress();
     String yaml =
         """
@@ -147,7 +161,7 @@
             .formatted(
                 "control-" + replicaId,
                 freeAddress(),
-                rpc,
+                control.orElse(rpc),
                 replicaId,
                 rpc,
                 freeAddress(),
