--- a/relay/src/test/java/org/comfreygap/relay/PacedEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/PacedEndpoint.java
@@ -91,6 +91,7 @@
     void set(Answer ofFirst, Answer ofNext) {
       first = ofFirst;
       next = ofNext;
+      cancelled.clear();
     }
 
     /** Returns the endpoints at which a request arrived, in order. */
@@ -161,6 +162,7 @@
         Answer answer = plan.arrived(request.get().id(), instanceId);
         if (isClosedBefore(connection, in, request.get().id(), answer)) {
           plan.cancelled.add(instanceId);
+          plan.answered.add(request.get().id());
           break;
         }
         boolean keeps = write(connection.getOutputStream(), request.get(), answer.end());
