--- a/decisions/src/main/java/org/comfreygap/decisions/HedgeVerdict.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/HedgeVerdict.java
@@ -34,7 +34,7 @@
   ALTERNATIVE_FULL,
   /** The other endpoint would have to load the adapter. */
   ALTERNATIVE_LACKS_ADAPTER,
-  /** The other endpoint is cold or has a request limit. */
+  /** The other endpoint is cold, has a request limit, or is given prompts one by one. */
   ALTERNATIVE_LIMITED,
   /** The settings or versions are changing, so that the two responses could differ. */
   VERSION_MAY_DIFFER,
