Send prompts by permit while the streams of a pool pause too long

Change: PauseWatch at each gateway compares the longest pause of each stream with its route's limit. While too many are above it, gateways ask the sidecars for leave to send prompts, and sidecars with assumedPacePercent state that pace for as long. Pools with short pauses are served as before.

--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -568,6 +568,8 @@
   6: required bool mustSend
   /** Hash of the adapter that the request needs; unset without one. */
   7: optional i64 adapterHash
+  /** True while too many streams of the pool pause too long, as this gateway sees it. */
+  8: optional bool pausesTooLong
 }
 
 struct ReadingPermitReply {
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -221,6 +221,9 @@
     status = Optional.of(newest);
     statusNanos = nowNanos;
     sentSinceStatus = 0;
+    if (!newest.isSetPacePercent()) {
+      reading.paceWithdrawn();
+    }
     if (newest.isSetPacePercent()) {
       reading.paceStated(newest.getPacePercent(), newest.getPaceMillisAgo(), nowNanos);
       reading.readingStated(newest.getReadingMicros(), nowNanos);
--- a/relay/src/main/java/org/comfreygap/relay/EndpointReading.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointReading.java
@@ -16,7 +16,7 @@
   /** Time for which a sent prompt counts: the usual limit on pauses between events. */
   static final Duration SPAN = Duration.ofMillis(300);
 
-  private final EndpointPace pace = new EndpointPace();
+  private EndpointPace pace = new EndpointPace();
   private double readingMicros;
   private long readingNanos;
   private long readyNanos;
@@ -35,6 +35,14 @@
     return statedBySidecar;
   }
 
+  /** Records that the sidecar states no pace; one that it stated before no longer holds. */
+  void paceWithdrawn() {
+    if (statedBySidecar) {
+      statedBySidecar = false;
+      pace = new EndpointPace();
+    }
+  }
+
   /** Records that the connection to the sidecar ended. */
   void sidecarLost() {
     statedBySidecar = false;
--- a/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
@@ -225,7 +225,7 @@
     if (choice.residency() != Residency.HELD) {
       return HedgeVerdict.ALTERNATIVE_LACKS_ADAPTER;
     }
-    if (SendClearance.isNeeded(choice.endpoint().get(), nowNanos)) {
+    if (SendClearance.isNeeded(relay, choice.endpoint().get(), nowNanos)) {
       return HedgeVerdict.ALTERNATIVE_LIMITED;
     }
     return freePlaces(choice.endpoint().get(), nowNanos) > 0
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -132,7 +132,7 @@
     } else if (choice.residency() != Residency.HELD) {
       Endpoint endpoint = choice.endpoint().get();
       search.requestAdapter(endpoint, need, reply -> adapterReplied(endpoint, reply));
-    } else if (SendClearance.isNeeded(choice.endpoint().get(), now)) {
+    } else if (SendClearance.isNeeded(relay, choice.endpoint().get(), now)) {
       obtainClearance(choice.endpoint().get());
     } else {
       relay.placement().preloadNewestVersion(choice.endpoint().get(), need, table, now);
--- a/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
+++ b/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
@@ -35,6 +35,7 @@
   private final AttemptHistory history;
   private final CrashTrackedRequest tracked;
   private final ExchangeLog log;
+  private final PauseRecorder pauses;
   private final HedgeRace race = new HedgeRace();
   private Optional<First> first = Optional.empty();
   private Optional<SecondAttempt> second = Optional.empty();
@@ -56,6 +57,7 @@
     this.history = history;
     this.tracked = tracked;
     this.log = log;
+    this.pauses = new PauseRecorder(relay);
   }
 
   /** The request whose attempts these are. */
@@ -137,6 +139,7 @@
   /** Records that data of the current attempt was received. */
   void dataReceived(long nowNanos) {
     inactivity.ifPresent(timer -> timer.recordActivity(nowNanos));
+    pauses.dataReceived(nowNanos);
   }
 
   /** Returns true while a second attempt that was written is in progress. */
@@ -187,6 +190,7 @@
 
   /** Ends the second attempt and all timers, as the request has ended. */
   void end() {
+    current.ifPresent(attempt -> pauses.ended(attempt.decision(), System.nanoTime()));
     stopTimer();
     inactivity.ifPresent(InactivityTimer::stop);
     first = Optional.empty();
@@ -315,7 +319,7 @@
     if (!endpoint.acceptsRequests(nowNanos)) {
       return HedgeVerdict.NO_ALTERNATIVE;
     }
-    if (SendClearance.isNeeded(endpoint, nowNanos)) {
+    if (SendClearance.isNeeded(relay, endpoint, nowNanos)) {
       return HedgeVerdict.ALTERNATIVE_LIMITED;
     }
     if (tracked.refusal(nowNanos).isPresent()) {
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -7,8 +7,10 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.comfreygap.decisions.HedgePolicy;
+import org.comfreygap.decisions.PauseWatch;
 import org.comfreygap.decisions.RetryBudgets;
 import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.Field;
 
 /**
  * The services and state that all exchanges of a gateway share.
@@ -17,6 +19,7 @@
  *
  * @param demands load of the pools whose number of endpoints is ordered
  * @param hedging decides on second attempts; empty when there are none
+ * @param pauses of which pools the streams pause too long
  * @param heldBytes bytes that unfinished responses hold together
  * @param usage requests that endpoints began, by window of time
  * @param tables routing tables in force
@@ -38,6 +41,7 @@
     StreamRegister streams,
     RetryBudgets retryBudgets,
     Optional<HedgePolicy> hedging,
+    PauseWatch pauses,
     Outages outages,
     HeldBytes heldBytes,
     UsageCounter usage,
@@ -64,6 +68,15 @@
     return allowed;
   }
 
+  /** Records that an endpoint sent bytes that belong to no request. */
+  void surplusReceived(String instanceId, int responses) {
+    metrics.count("responses.distrusted", "surplus");
+    events.record(
+        RelayEvent.SURPLUS_RECEIVED,
+        Field.of("endpoint", instanceId),
+        Field.of("responses", responses));
+  }
+
   /** Returns true when the budget of a pool allows a retry. */
   boolean hasRetry(String pool, long nowNanos) {
     return retryBudgets.remaining(pool, knownGateways.get(), nowNanos) >= 1;
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -46,7 +46,8 @@
   REUSE_RESUMED(3551, Level.INFO, "Connections to an endpoint are kept after a response again."),
   RESPONSE_TOO_LARGE(3555, Level.WARN, "A response exceeded a limit; its connection was closed."),
   SECOND_ATTEMPT_SENT(3560, Level.INFO, "A second attempt was sent beside a slow first one."),
-  SECOND_ATTEMPT_ENDED(3561, Level.INFO, "A request goes on with one of its two attempts.");
+  SECOND_ATTEMPT_ENDED(3561, Level.INFO, "A request goes on with one of its two attempts."),
+  PAUSES_TOO_LONG(3562, Level.INFO, "Streams pause too long; prompts are sent by permit.");
 
   private final int number;
   private final Level level;
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -30,6 +30,7 @@
 import org.comfreygap.decisions.HedgePolicy;
 import org.comfreygap.decisions.KnownFleet;
 import org.comfreygap.decisions.LimiterChoice;
+import org.comfreygap.decisions.PauseWatch;
 import org.comfreygap.decisions.RetryBudgets;
 import org.comfreygap.decisions.ZoneReader;
 import org.comfreygap.protocol.generated.Member;
@@ -199,7 +200,7 @@
     Random random = new Random(startId.hashCode());
     RelayContext relay = createContext(dialect, directory, control, credit, limits, random);
     directory.onChange(relay.waitQueue()::retryPlacement);
-    directory.onSurplus(this::surplusReceived);
+    directory.onSurplus(relay::surplusReceived);
     registerGauges(relay);
     serveReadiness();
     acceptor = Optional.of(listen(relay));
@@ -301,6 +302,7 @@
             settings.retryWindow(),
             System.nanoTime()),
         settings.secondAttempts().map(allowed -> new HedgePolicy(allowed, System.nanoTime())),
+        new PauseWatch(),
         outages,
         HeldBytes.ofHeap(),
         usage,
@@ -312,14 +314,6 @@
         this::knownGateways);
   }
 
-  private void surplusReceived(String instanceId, int responses) {
-    metrics.count("responses.distrusted", "surplus");
-    events.record(
-        RelayEvent.SURPLUS_RECEIVED,
-        Field.of("endpoint", instanceId),
-        Field.of("responses", responses));
-  }
-
   private void registerGauges(RelayContext relay) {
     closer.register(metrics);
     metrics.gauge("requests.waiting", relay.waitQueue()::size);
@@ -334,6 +328,7 @@
         "list.entries.skipped", () -> listingPoller.map(ListingPoller::skippedEntries).orElse(0));
     metrics.gauge("usage.requests.given.up", usage::givenUp);
     metrics.gauge("banned.prompt.parts", relay.crashes()::partBanCount);
+    metrics.gauge("pools.with.long.pauses", () -> relay.pauses().count(System.nanoTime()));
     metrics.gauge("settings.revision", () -> table.revision());
     metrics.gauge("settings.confirmed", () -> relay.settingsConfirmed().getAsBoolean() ? 1 : 0);
     metrics.gauge("events.dropped", events::dropped);
--- a/relay/src/main/java/org/comfreygap/relay/SendClearance.java
+++ b/relay/src/main/java/org/comfreygap/relay/SendClearance.java
@@ -74,8 +74,10 @@
   }
 
   /** Returns true when a send needs a clearance. */
-  static boolean isNeeded(Endpoint endpoint, long nowNanos) {
-    return endpoint.isCold(nowNanos) || endpoint.limit().isLimited() || isPacedEngine(endpoint);
+  static boolean isNeeded(RelayContext relay, Endpoint endpoint, long nowNanos) {
+    return endpoint.isCold(nowNanos)
+        || endpoint.limit().isLimited()
+        || grantsPrompts(relay, endpoint, nowNanos);
   }
 
   /** Returns true when a request limit has held the request back at any endpoint. */
@@ -104,7 +106,7 @@
    */
   void obtain(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
     refusedForNow = false;
-    if (isPacedEngine(endpoint)) {
+    if (grantsPrompts(relay, endpoint, System.nanoTime())) {
       obtainReading(endpoint, request, receiver);
     } else {
       obtainOthers(endpoint, request, receiver);
@@ -116,8 +118,14 @@
     return refusedForNow;
   }
 
-  private static boolean isPacedEngine(Endpoint endpoint) {
-    return endpoint.sidecar().isPresent() && endpoint.reading().isGranted();
+  /**
+   * Returns true when the sidecar grants prompts: the engine's pace is known, or the streams of its
+   * pool pause too long.
+   */
+  private static boolean grantsPrompts(RelayContext relay, Endpoint endpoint, long nowNanos) {
+    return endpoint.sidecar().isPresent()
+        && (endpoint.reading().isGranted()
+            || relay.pauses().pausesTooLong(endpoint.pool(), nowNanos));
   }
 
   private void obtainReading(Endpoint endpoint, Request request, Consumer<Boolean> receiver) {
@@ -136,6 +144,7 @@
             (int) maxWait,
             mustSend);
     request.adapterHash().ifPresent(message::setAdapterHash);
+    message.setPausesTooLong(relay.pauses().pausesTooLong(endpoint.pool(), now));
     endpoint
         .sidecar()
         .get()
--- a/relay/src/main/java/org/comfreygap/relay/residency/ReadingPermits.java
+++ b/relay/src/main/java/org/comfreygap/relay/residency/ReadingPermits.java
@@ -39,6 +39,12 @@
   /** Time within which the engine states its pace; it takes about a millisecond. */
   static final Duration ASK_TIMEOUT = Duration.ofMillis(30);
 
+  /**
+   * Time after a gateway has seen pauses that are too long in which a pace is assumed; gateways ask
+   * several times a second while they see them.
+   */
+  static final Duration ASSUMED_TIME = Duration.ofSeconds(5);
+
   private static final double PERCENT = 100;
   private static final double SPANS_MICROS = ReadingShares.SPAN.toNanos() / 1e3;
 
@@ -51,6 +57,8 @@
   private Optional<HttpPeerClient> asking = Optional.empty();
   private Supplier<Optional<String>> askingPath = Optional::empty;
   private boolean statesPace;
+  private boolean pausesSeen;
+  private long pausesSeenNanos;
   private long asked;
   private long granted;
   private long delayed;
@@ -60,7 +68,7 @@
   /**
    * Creates permits without a known pace.
    *
-   * @param assumedPercent pace of an engine while it states none
+   * @param assumedPercent pace of an engine that states none, while streams pause too long
    */
   ReadingPermits(EngineDialect dialect, OptionalInt assumedPercent) {
     this.dialect = dialect;
@@ -79,7 +87,7 @@
 
   /** Records that the engine has reported, with or without a pace. */
   void reported(long nowNanos) {
-    if (!statesPace && assumedPercent.isPresent()) {
+    if (isAssumed(nowNanos)) {
       pace.stated(assumedPercent.getAsInt(), nowNanos);
     }
   }
@@ -118,6 +126,11 @@
    * @param running requests that run at the engine
    */
   void requested(Channel gateway, ReadingPermitRequest message, int running, long nowNanos) {
+    if (message.isPausesTooLong()) {
+      pausesSeen = true;
+      pausesSeenNanos = nowNanos;
+      reported(nowNanos);
+    }
     boolean fresh = !statesPace || pace.ageNanos(nowNanos) < MAX_AGE.toNanos();
     Optional<String> path = fresh || running == 0 ? Optional.empty() : askingPath.get();
     if (asking.isEmpty() || path.isEmpty()) {
@@ -139,6 +152,18 @@
     }
   }
 
+  /** Returns true while a pace is taken for one that the engine does not state. */
+  private boolean isAssumed(long nowNanos) {
+    return !statesPace
+        && assumedPercent.isPresent()
+        && pausesSeen
+        && nowNanos - pausesSeenNanos < ASSUMED_TIME.toNanos();
+  }
+
+  private boolean isStated(long nowNanos) {
+    return pace.isKnown() && (statesPace || isAssumed(nowNanos));
+  }
+
   private void decideWaiting() {
     List<Runnable> all = new ArrayList<>(waiting);
     waiting.clear();
@@ -172,7 +197,7 @@
             (int) Math.min(Integer.MAX_VALUE, grant.waitMicros()),
             reading(nowNanos));
     reply.setCrowded(crowded);
-    if (pace.isKnown()) {
+    if (isStated(nowNanos)) {
       reply.setPacePercent(pace.lastPercent());
       reply.setPaceMillisAgo(ageMillis(nowNanos));
     }
@@ -181,7 +206,7 @@
 
   /** Adds the pace and what is being read to a status. */
   void describe(EndpointStatus status, long nowNanos) {
-    if (pace.isKnown()) {
+    if (isStated(nowNanos)) {
       status.setPacePercent(pace.lastPercent());
       status.setPaceMillisAgo(ageMillis(nowNanos));
       status.setReadingMicros(reading(nowNanos));
