--- a/control/src/main/java/org/comfreygap/control/DutyDialect.java
+++ b/control/src/main/java/org/comfreygap/control/DutyDialect.java
@@ -18,22 +18,22 @@
       new DutyDialect() {
         @Override
         public Request usage(long window, Map<String, Long> begun) {
-          throw new UnsupportedOperationException("given a window, expected no duty");
+          throw new IllegalStateException("given a window, expected no duty");
         }
 
         @Override
         public Request endpoints(String pool, String zone, int count) {
-          throw new UnsupportedOperationException("given a pool, expected no duty");
+          throw new IllegalStateException("given a pool, expected no duty");
         }
 
         @Override
         public String holderHeader() {
-          throw new UnsupportedOperationException("given a call, expected no duty");
+          throw new IllegalStateException("given a call, expected no duty");
         }
 
         @Override
         public String fencingHeader() {
-          throw new UnsupportedOperationException("given a call, expected no duty");
+          throw new IllegalStateException("given a call, expected no duty");
         }
 
         @Override
--- a/control/src/test/java/org/comfreygap/control/ScaleControllerTest.java
+++ b/control/src/test/java/org/comfreygap/control/ScaleControllerTest.java
@@ -272,7 +272,7 @@
 
     @Override
     public Request usage(long window, Map<String, Long> begun) {
-      throw new UnsupportedOperationException("given a window, expected an order");
+      throw new IllegalStateException("given a window, expected an order");
     }
 
     @Override
