Notice long pauses while streams run, not at their end

Change: a stream counts from its second part on, its first long pause when it is over. Ran: PauseWatchTest and chosen relay tests.

--- a/decisions/src/main/java/org/comfreygap/decisions/PauseWatch.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/PauseWatch.java
@@ -13,7 +13,8 @@
  * pause too long, prompts are sent at once.
  *
  * <pre>{@code
- * watch.streamEnded("chat", longestPause > allowed, now);
+ * watch.streamBegan("chat", now);
+ * watch.streamPaused("chat", now);
  * if (watch.pausesTooLong("chat", now)) { askForPermit(); }
  * }</pre>
  *
@@ -40,15 +41,20 @@
 
   private final Map<String, Counts> pools = new HashMap<>();
 
+  /** Records that a stream has brought its second event. */
+  public void streamBegan(String pool, long nowNanos) {
+    counts(pool, nowNanos).streams++;
+  }
+
   /**
-   * Records the end of a stream.
+   * Records the first pause of a stream that is too long, as soon as it is over.
    *
    * @return true when the pauses of the pool now count as too long and did not before
    */
-  public boolean streamEnded(String pool, boolean pausedTooLong, long nowNanos) {
+  public boolean streamPaused(String pool, long nowNanos) {
     boolean before = pausesTooLong(pool, nowNanos);
-    Counts counts = pools.computeIfAbsent(pool, name -> new Counts(nowNanos));
-    counts.add(pausedTooLong, nowNanos);
+    Counts counts = counts(pool, nowNanos);
+    counts.paused++;
     if (counts.streams() >= MIN_STREAMS && counts.paused() >= TOO_MANY * counts.streams()) {
       counts.tooLong = true;
       counts.tooLongNanos = nowNanos;
@@ -72,6 +78,12 @@
     return pools.keySet().stream().filter(pool -> pausesTooLong(pool, nowNanos)).count();
   }
 
+  private Counts counts(String pool, long nowNanos) {
+    Counts counts = pools.computeIfAbsent(pool, name -> new Counts(nowNanos));
+    counts.advance(nowNanos);
+    return counts;
+  }
+
   /** Streams of the present span and the one before it. */
   private static final class Counts {
 
@@ -87,7 +99,7 @@
       this.sinceNanos = nowNanos;
     }
 
-    void add(boolean pausedTooLong, long nowNanos) {
+    void advance(long nowNanos) {
       long spans = (nowNanos - sinceNanos) / SPAN.toNanos();
       if (spans > 0) {
         streamsBefore = spans == 1 ? streams : 0;
@@ -96,8 +108,6 @@
         paused = 0;
         sinceNanos += spans * SPAN.toNanos();
       }
-      streams++;
-      paused += pausedTooLong ? 1 : 0;
     }
 
     int streams() {
--- a/decisions/src/test/java/org/comfreygap/decisions/PauseWatchTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/PauseWatchTest.java
@@ -84,6 +84,7 @@
 
   private boolean end(boolean pausedTooLong) {
     now += STEP_NANOS;
-    return watch.streamEnded(POOL, pausedTooLong, now);
+    watch.streamBegan(POOL, now);
+    return pausedTooLong && watch.streamPaused(POOL, now);
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
+++ b/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
@@ -139,7 +139,7 @@
   /** Records that data of the current attempt was received. */
   void dataReceived(long nowNanos) {
     inactivity.ifPresent(timer -> timer.recordActivity(nowNanos));
-    pauses.dataReceived(nowNanos);
+    current.ifPresent(watched -> pauses.dataReceived(watched.decision(), nowNanos));
   }
 
   /** Returns true while a second attempt that was written is in progress. */
@@ -190,7 +190,6 @@
 
   /** Ends the second attempt and all timers, as the request has ended. */
   void end() {
-    current.ifPresent(attempt -> pauses.ended(attempt.decision(), System.nanoTime()));
     stopTimer();
     inactivity.ifPresent(InactivityTimer::stop);
     first = Optional.empty();
