Count failures of an endpoint's own among the requests that began

Cause: a plain response with a 5xx of the endpoint counted as no run, while the platform counts it as one. Not measured after the change.

--- a/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
@@ -85,9 +85,12 @@
     usage.began(customer.get(), ClockReading.now());
   }
 
-  /** Records that the head of an attempt's response was received; a stream begins later. */
-  void headReceived(RequestKind kind, boolean success) {
-    if (kind != RequestKind.STREAM && success) {
+  /**
+   * Records that the head of the response to an attempt that ran was received; a stream begins with
+   * its first event. A failure of the endpoint's own is a run too.
+   */
+  void headReceived(RequestKind kind) {
+    if (kind != RequestKind.STREAM) {
       usage.began(customer.get(), ClockReading.now());
     }
   }
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -209,7 +209,7 @@
       abandonAttempt("status " + response.status().code() + " when resuming");
     } else {
       forwarder.beginResponse(response);
-      tracked.headReceived(decision.route().kind(), success);
+      tracked.headReceived(decision.route().kind());
       hedged.headReceived(response);
     }
   }
