Take fields that only some deployments have from the environment

Change: COMFREYGAP_MORE_SETTINGS holds further fields as YAML; a field that stands in both places is a fault.

--- a/runtime/src/main/java/org/comfreygap/runtime/ProcessSettings.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ProcessSettings.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -32,6 +33,9 @@
  */
 public final class ProcessSettings {
 
+  /** Environment variable with further fields as YAML; a field stands there or in the file. */
+  public static final String MORE_SETTINGS = "COMFREYGAP_MORE_SETTINGS";
+
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
 
@@ -101,7 +105,8 @@
       Path file, ObjectSchema schema, Map<String, Integer> blockPorts)
       throws InvalidSettingsException {
     try {
-      return parse(file.toString(), Files.readString(file), schema, blockPorts);
+      String more = System.getenv().getOrDefault(MORE_SETTINGS, "");
+      return parse(file.toString(), Files.readString(file), more, schema, blockPorts);
     } catch (IOException e) {
       throw new InvalidSettingsException(
           file.toString(), List.of(new Fault("file", e.toString(), "a readable YAML file")));
@@ -116,15 +121,22 @@
    */
   public static ProcessSettings parse(String source, String yaml, ObjectSchema schema)
       throws InvalidSettingsException {
-    return parse(source, yaml, schema, Map.of());
+    return parse(source, yaml, "", schema, Map.of());
   }
 
-  private static ProcessSettings parse(
-      String source, String yaml, ObjectSchema schema, Map<String, Integer> blockPorts)
+  /**
+   * Checks {@code yaml} together with the fields of {@code more}.
+   *
+   * @param more a YAML object, or blank
+   * @throws InvalidSettingsException with every fault
+   */
+  static ProcessSettings parse(
+      String source, String yaml, String more, ObjectSchema schema, Map<String, Integer> blockPorts)
       throws InvalidSettingsException {
     JsonNode root;
     try {
       root = YAML.readTree(yaml);
+      addFields(source, root, more);
     } catch (IOException e) {
       throw new InvalidSettingsException(
           source, List.of(new Fault("file", firstLine(e.getMessage()), "well-formed YAML")));
@@ -205,6 +217,31 @@
     return node;
   }
 
+  private static void addFields(String source, JsonNode root, String more)
+      throws IOException, InvalidSettingsException {
+    if (more.isBlank()) {
+      return;
+    }
+    JsonNode fields = YAML.readTree(more);
+    List<Fault> faults = new ArrayList<>();
+    if (!fields.isObject() || root == null || !root.isObject()) {
+      faults.add(new Fault(MORE_SETTINGS, "no object", "an object beside one in the file"));
+    } else {
+      fields
+          .fieldNames()
+          .forEachRemaining(
+              name -> {
+                if (root.has(name)) {
+                  faults.add(new Fault(name, "a field in " + MORE_SETTINGS + " too", "one field"));
+                }
+              });
+    }
+    if (!faults.isEmpty()) {
+      throw new InvalidSettingsException(source, faults);
+    }
+    ((ObjectNode) root).setAll((ObjectNode) fields);
+  }
+
   private static String firstLine(String message) {
     return message == null ? "nothing" : message.lines().findFirst().orElse("nothing");
   }
--- a/runtime/src/test/java/org/comfreygap/runtime/ProcessSettingsTest.java
+++ b/runtime/src/test/java/org/comfreygap/runtime/ProcessSettingsTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Map;
 import org.comfreygap.settings.Fault;
 import org.comfreygap.settings.FieldRule;
 import org.comfreygap.settings.ObjectSchema;
@@ -20,6 +21,31 @@
           .optional("stopLagMillis", FieldRule.integer(0, 60_000))
           .build();
 
+  /** Guards against a field that is silently taken from one of two places. */
+  @Test
+  void addsTheFieldsOfTheEnvironmentUnlessTheFileHasThem() throws Exception {
+    String file =
+        """
+        processId: gateway-1
+        zone: north
+        adminAddress: 127.0.0.1:8081
+        httpAddress: 127.0.0.1:8080
+        control: ["127.0.0.1:7000"]
+        security: {sharedKeyFile: key}
+        """;
+    assertThat(parse(file, "{\"stopLagMillis\":2000 } ").millis("stopLagMillis", Duration.ZERO))
+        .isEqualTo(Duration.ofSeconds(2));
+    assertThat(parse(file, " ").millis("stopLagMillis", Duration.ZERO)).isZero();
+
+    for (String bad : new String[] {"{\"zone\":\"south\"}", "[1]", "{\"unknown\":1}", "{"}) {
+      assertThatThrownBy(() -> parse(file, bad)).isInstanceOf(InvalidSettingsException.class);
+    }
+  }
+
+  private static ProcessSettings parse(String file, String more) throws Exception {
+    return ProcessSettings.parse("gateway.yaml", file, more, SCHEMA, Map.of());
+  }
+
   @Test
   void readsAValidFile() throws Exception {
     ProcessSettings settings =
