Name responses that are not delivered and requests that get no response

Nothing told apart a response whose last part was handed to its caller's connection from one that the caller had, and a request that was read whole and dropped before its turn left no line. 3546 and 3547 name them with their ids and the reason, 1003 counts what is undelivered, and comfreygap_deliveries_total counts both. No logic changes.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -53,6 +53,7 @@
 
   private final RelayContext relay;
   private final BooleanSupplier stopping;
+  private final DeliveryLog deliveries;
   private final Deque<HttpObject> queued = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private Optional<HttpRequest> head = Optional.empty();
@@ -63,10 +64,12 @@
   private boolean knowsChunks;
   private boolean endsWithConnection;
   private boolean closing;
+  private String endReason = "the caller or this process ended the connection";
 
   CallerConnection(RelayContext relay, BooleanSupplier stopping) {
     this.relay = relay;
     this.stopping = stopping;
+    this.deliveries = new DeliveryLog(relay);
   }
 
   /** Returns true while a request is being read or served. */
@@ -74,6 +77,11 @@
     return head.isPresent() || exchange.isPresent();
   }
 
+  /** Returns true while a response that is complete here is not written to the caller. */
+  boolean isDelivering() {
+    return deliveries.isPending();
+  }
+
   /** Closes the connection after pending writes, unless a request is in progress. */
   void closeIfIdle() {
     if (!isBusy() && !closing) {
@@ -97,13 +105,14 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     HttpObject part = (HttpObject) message;
     if (closing) {
-      ReferenceCountUtil.release(part);
+      deliveries.drop(part, "the connection was closing");
     } else if (exchange.isEmpty() && queued.isEmpty()) {
       read(part);
     } else if (queued.size() < MAX_QUEUED) {
       queued.addLast(part);
     } else {
       ReferenceCountUtil.release(part);
+      endReason = "more than " + MAX_QUEUED + " parts of further requests arrived";
       ctx.close();
     }
   }
@@ -113,7 +122,8 @@
     closing = true;
     exchange.ifPresent(Exchange::callerDisconnected);
     exchange = Optional.empty();
-    queued.forEach(ReferenceCountUtil::release);
+    deliveries.ended(endReason);
+    queued.forEach(part -> deliveries.drop(part, endReason));
     queued.clear();
     body.release();
     ctx.fireChannelInactive();
@@ -127,6 +137,7 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof IdleStateEvent && exchange.isEmpty()) {
+      endReason = "the connection was idle";
       ctx.close();
     }
   }
@@ -134,6 +145,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     relay.events().record(RelayEvent.CALLER_REJECTED, Field.of("cause", cause));
+    endReason = "the connection failed";
     ctx.close();
   }
 
@@ -190,6 +202,7 @@
   public void abort() {
     exchange = Optional.empty();
     closing = true;
+    endReason = "an earlier response broke off";
     context.close();
   }
 
@@ -298,6 +311,7 @@
   }
 
   private void responseWritten(ChannelFuture written, boolean last) {
+    exchange.ifPresent(ended -> deliveries.completed(ended.requestId(), written));
     exchange = Optional.empty();
     if (last) {
       closing = true;
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -42,6 +42,9 @@
   TASK_FAILED(3543, Level.WARN, "A task on the event loop failed; those after it are run."),
   SURPLUS_RECEIVED(3544, Level.INFO, "An endpoint sent bytes that belong to no request."),
   RETRY_PART_CHANGED(3545, Level.INFO, "A gateway's part of the fixed number of retries changed."),
+  RESPONSE_NOT_DELIVERED(
+      3546, Level.INFO, "A caller's connection ended before its whole response."),
+  REQUEST_NOT_ANSWERED(3547, Level.INFO, "A request that was read whole was dropped unanswered."),
   REUSE_SUSPENDED(3550, Level.INFO, "Each connection to an endpoint carries one request."),
   REUSE_RESUMED(3551, Level.INFO, "Connections to an endpoint are kept after a response again."),
   RESPONSE_TOO_LARGE(3555, Level.WARN, "A response exceeded a limit; its connection was closed."),
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -164,6 +164,7 @@
     }
     int open = onLoop(this::endRequests);
     pause(DRAIN_POLL);
+    long undelivered = onLoop(this::undeliveredResponses);
     if (!settings.usageWindow().isZero() && System.nanoTime() - begin < settings.stop().toNanos()) {
       // Control counts what began since the last heartbeat.
       agent.ifPresent(this::announceLeaving);
@@ -171,6 +172,7 @@
     events.record(
         RuntimeEvent.PROCESS_STOPPED,
         Field.of("ended", open),
+        Field.of("undelivered", undelivered),
         Field.of("cut", onLoop(callers::size)));
     closer.close();
   }
@@ -550,6 +552,10 @@
     return busy.size();
   }
 
+  private long undeliveredResponses() {
+    return callers.stream().filter(CallerConnection::isDelivering).count();
+  }
+
   private void closeIdleCallers() {
     // A connection that closes at once is removed from the set during the iteration.
     List.copyOf(callers).forEach(CallerConnection::closeIfIdle);
