--- /dev/null
+++ b/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
@@ -0,0 +1,206 @@
+package org.comfreygap.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.comfreygap.runtime.Closer;
+import org.comfreygap.runtime.EventLog;
+import org.comfreygap.runtime.HybridClock;
+import org.comfreygap.runtime.Timeline;
+import org.comfreygap.testkit.FreePorts;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests how a caller's connection ends, over real sockets.
+ *
+ * <p>Guards against a response that the gateway takes as delivered and of which the caller does not
+ * get the end.
+ */
+class CallerDeliveryTest {
+
+  private static final int IDLE_MILLIS = 300;
+  private static final int WAIT_SECONDS = 10;
+
+  /** More than the buffers of both sockets hold while the caller does not read. */
+  private static final int LARGE_BYTES = 6 * 1024 * 1024;
+
+  /** More than the caller's socket holds, and less than that of the gateway. */
+  private static final int SMALL_BYTES = 256 * 1024;
+
+  private final Closer closer = new Closer();
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final AtomicBoolean stopping = new AtomicBoolean();
+  private final LinkedBlockingQueue<CallerConnection> accepted = new LinkedBlockingQueue<>();
+  private EventLog events;
+  private RelayContext relay;
+  private InetSocketAddress address;
+
+  @BeforeEach
+  void listen() throws IOException {
+    closer.register(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
+    events =
+        closer.register(
+            new EventLog(
+                "test", new HybridClock(() -> 0), new Timeline(Timeline.DEFAULT_CAPACITY)));
+    relay = createContext();
+    address = FreePorts.address();
+    new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                CallerConnection caller = new CallerConnection(relay, stopping::get);
+                channel
+                    .pipeline()
+                    .addLast(
+                        new IdleStateHandler(IDLE_MILLIS, 0, 0, TimeUnit.MILLISECONDS),
+                        new StrictRequestDecoder(8_192, 16_384),
+                        new HttpResponseEncoder(),
+                        caller);
+                accepted.add(caller);
+              }
+            })
+        .bind(address)
+        .syncUninterruptibly();
+  }
+
+  @AfterEach
+  void stop() {
+    closer.close();
+  }
+
+  /** The next request arrives, unread, while the last response is being written. */
+  @Tag("known-red")
+  @Test
+  void deliversWholeResponseToACallerThatHasWrittenMore() throws Exception {
+    try (Socket caller = connect()) {
+      CallerConnection connection = accepted.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+      CountDownLatch written = new CountDownLatch(1);
+      group
+          .next()
+          .execute(
+              () -> {
+                awaitQuietly(written);
+                stopping.set(true);
+                respond(connection, SMALL_BYTES);
+              });
+      write(caller, "POST /next HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\norder");
+      Thread.sleep(50);
+      written.countDown();
+      Thread.sleep(50);
+
+      assertThat(skipHead(caller).readNBytes(SMALL_BYTES).length).isEqualTo(SMALL_BYTES);
+    }
+  }
+
+  @Tag("known-red")
+  @Test
+  void deliversWholeResponseToACallerThatPausesForLongerThanTheIdleTimeout() throws Exception {
+    try (Socket caller = connect()) {
+      CallerConnection connection = accepted.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+      group.next().execute(() -> respond(connection, LARGE_BYTES));
+      InputStream in = skipHead(caller);
+      // The caller goes on reading all the time, with pauses shorter than the timeout.
+      long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(3L * IDLE_MILLIS);
+      int early = 0;
+      while (System.nanoTime() - end < 0) {
+        early += in.readNBytes(16_384).length;
+        Thread.sleep(IDLE_MILLIS / 6);
+      }
+
+      assertThat(early + in.readNBytes(LARGE_BYTES - early).length).isEqualTo(LARGE_BYTES);
+    }
+  }
+
+  private static void respond(CallerConnection connection, int bytes) {
+    connection.beginResponse(
+        HttpResponseStatus.OK, new DefaultHttpHeaders(), OptionalLong.of(bytes));
+    connection.sendPart(Unpooled.wrappedBuffer(new byte[bytes]));
+    connection.endResponse();
+  }
+
+  private RelayContext createContext() {
+    return new RelayContext(
+        group.next(),
+        new HeaderDialect(),
+        null,
+        null,
+        null,
+        null,
+        null,
+        null,
+        null,
+        null,
+        null,
+        Optional.empty(),
+        null,
+        null,
+        null,
+        null,
+        events,
+        new RelayMetrics(),
+        RouteTable::empty,
+        () -> true,
+        OptionalLong::empty,
+        OptionalInt::empty);
+  }
+
+  private Socket connect() throws IOException {
+    Socket caller = new Socket();
+    caller.setReceiveBufferSize(8_192);
+    caller.setSoTimeout(WAIT_SECONDS * 1_000);
+    caller.connect(address);
+    return caller;
+  }
+
+  private static InputStream skipHead(Socket caller) throws IOException {
+    InputStream in = new BufferedInputStream(caller.getInputStream());
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      head.append((char) in.read());
+    }
+    return in;
+  }
+
+  private static void write(Socket caller, String text) throws IOException {
+    caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    caller.getOutputStream().flush();
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await(WAIT_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/relay/src/test/java/org/comfreygap/relay/PipelinedCallerTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/PipelinedCallerTest.java
@@ -21,6 +21,7 @@
 import org.comfreygap.runtime.Closer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -169,6 +170,33 @@
     }
   }
 
+  /** The gateway has read both requests when the stop begins, and the first one ends during it. */
+  @Tag("known-red")
+  @Test
+  void answersRequestQueuedBehindOneThatEndsDuringThePlannedStop() throws Exception {
+    List<Reply> replies = new ArrayList<>(Collections.nCopies(10, Reply.PAUSE));
+    replies.add(Reply.WHOLE);
+    endpoint.setNext(replies);
+    try (Socket caller = new Socket()) {
+      caller.connect(fleet.address(0));
+      caller.setSoTimeout(10_000);
+      InputStream in = new BufferedInputStream(caller.getInputStream());
+      write(caller, request("/slow/1", "runs", "") + request("/slow/1", "queued", ""));
+      GatewayFleet.await(() -> !endpoint.requests().isEmpty());
+      CompletableFuture<Void> stop = CompletableFuture.runAsync(this::stopGateway);
+
+      Answer first = Answer.read(in);
+      assertThat(first.status()).isEqualTo(200);
+      assertThat(first.last()).isFalse();
+      Answer second = Answer.read(in);
+      assertThat(second.status()).isEqualTo(503);
+      assertThat(second.last()).isTrue();
+      assertThat(in.read()).isEqualTo(-1);
+      assertThat(endpoint.requests()).hasSize(1);
+      stop.get(10, TimeUnit.SECONDS);
+    }
+  }
+
   /** Sends requests without waiting for their responses, and returns the responses out of order. */
   private List<String> sendPipelined(String name) {
     try (Socket caller = new Socket()) {
@@ -209,6 +237,14 @@
     }
   }
 
+  private void stopGateway() {
+    try {
+      fleet.stopFirst(1);
+    } catch (Exception e) {
+      throw new IllegalStateException("the gateway could not be stopped", e);
+    }
+  }
+
   private static String request(String path, String id, String fields) {
     return "POST "
         + path
