Answer requests that wait behind another one when a planned stop begins

Callers that write a request before they have the response to the one before lost it in a stop: the gateway had read it whole, announced the close with the earlier response, or closed after it, and forgot what was queued.

Cause: the connection's last response was chosen by the stop alone. It is now the last one for which no request waits. A queued one is admitted or refused like any other, in its order. closeIfIdle also closed a connection between a response and the queued request behind it, as isBusy did not count the queue.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -42,9 +42,10 @@
  * queued until the response to the earlier one is complete.
  *
  * <p>Invariants: requests are served, and responses sent, in the order in which the requests
- * arrive; a response that breaks off cannot be mistaken for a whole one: it lacks its last chunk or
- * a part of its length, or, for a caller that knows no chunks, the connection is reset. Thread
- * safety: used on the event loop only.
+ * arrive; a planned stop answers what arrived before the close was announced; a response that
+ * breaks off cannot be mistaken for a whole one: it lacks its last chunk or a part of its length,
+ * or, for a caller that knows no chunks, the connection is reset. Thread safety: used on the event
+ * loop only.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements Caller {
 
@@ -72,9 +73,9 @@
     this.deliveries = new DeliveryLog(relay);
   }
 
-  /** Returns true while a request is being read or served. */
+  /** Returns true while a request is being read or served, or waits behind another one. */
   boolean isBusy() {
-    return head.isPresent() || exchange.isPresent();
+    return head.isPresent() || exchange.isPresent() || !queued.isEmpty();
   }
 
   /** Returns true while a response that is complete here is not written to the caller. */
@@ -189,8 +190,8 @@
   @Override
   public void endResponse() {
     // A response that started before the stop carries no "Connection: close" header; a request
-    // that follows it is not accepted.
-    boolean last = !keepAlive || stopping.getAsBoolean();
+    // that arrives after it is not accepted.
+    boolean last = isLast();
     ChannelFuture written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     if (endsWithConnection) {
       written.addListener(done -> closeGracefully(done.isSuccess()));
@@ -303,13 +304,18 @@
 
   /** Sets the Connection header when this response is the last one, and returns whether it is. */
   private boolean announceClose(HttpResponse response) {
-    boolean last = !keepAlive || stopping.getAsBoolean();
+    boolean last = isLast();
     if (last) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     return last;
   }
 
+  /** Returns true when no further request of this connection gets a response. */
+  private boolean isLast() {
+    return !keepAlive || (stopping.getAsBoolean() && queued.isEmpty());
+  }
+
   private void responseWritten(ChannelFuture written, boolean last) {
     exchange.ifPresent(ended -> deliveries.completed(ended.requestId(), written));
     exchange = Optional.empty();
