Close the sending side first, so that a caller reads the end of its response

Callers that had written more, such as their next request, lost the end of a response that the gateway had written whole: the close that follows the last response of a connection, a refusal or a broken stream met bytes that were not read, the kernel reset the connection, and a reset discards what has not reached its reader. The gateway took the request as served, and no line named it.

LingeringClose ends the sending side once everything is written; the connection reads on and discards until the caller closes or 1 s has passed. A response that only the end of its connection marks is still broken off by a reset.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -204,7 +204,13 @@
     exchange = Optional.empty();
     closing = true;
     endReason = "an earlier response broke off";
-    context.close();
+    if (endsWithConnection) {
+      // Only a reset tells this caller that the response is not whole.
+      context.close();
+    } else {
+      // A caller may take a stream up after the last event that it has read.
+      closeAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
+    }
   }
 
   @Override
@@ -299,7 +305,7 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Refusal.text(reason));
     HttpUtil.setContentLength(response, response.content().readableBytes());
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    closeAfter(context.writeAndFlush(response));
   }
 
   /** Sets the Connection header when this response is the last one, and returns whether it is. */
@@ -321,13 +327,25 @@
     exchange = Optional.empty();
     if (last) {
       closing = true;
-      written.addListener(ChannelFutureListener.CLOSE);
+      closeAfter(written);
       return;
     }
     // Deferred to the next turn of the loop: a response may be sent while its request is read.
     context.executor().execute(this::readQueued);
   }
 
+  /** Ends the connection once its last bytes are written. */
+  private void closeAfter(ChannelFuture written) {
+    written.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            LingeringClose.begin(context.channel());
+          } else {
+            context.close();
+          }
+        });
+  }
+
   /** Lets the close that follows a whole response be an ordinary one. */
   private void closeGracefully(boolean written) {
     if (written) {
--- a/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -99,20 +100,22 @@
   }
 
   /** The next request arrives, unread, while the last response is being written. */
-  @Tag("known-red")
   @Test
   void deliversWholeResponseToACallerThatHasWrittenMore() throws Exception {
     try (Socket caller = connect()) {
       CallerConnection connection = accepted.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+      CountDownLatch blocked = new CountDownLatch(1);
       CountDownLatch written = new CountDownLatch(1);
       group
           .next()
           .execute(
               () -> {
+                blocked.countDown();
                 awaitQuietly(written);
                 stopping.set(true);
                 respond(connection, SMALL_BYTES);
               });
+      blocked.await();
       write(caller, "POST /next HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\norder");
       Thread.sleep(50);
       written.countDown();
@@ -186,7 +189,11 @@
     InputStream in = new BufferedInputStream(caller.getInputStream());
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
-      head.append((char) in.read());
+      int next = in.read();
+      if (next < 0) {
+        throw new EOFException("the connection ended after \"" + head + "\"");
+      }
+      head.append((char) next);
     }
     return in;
   }
