Answer what was queued before too many requests arrived on a connection

A caller that queued more than 256 parts of requests lost the response in progress and all that waited: the connection was closed at once, without a line for any of them.

Evidence: PipelinedCallerTest.answersRequestsBeforeThoseThatAreTooMany failed on the code before (the connection ended before any response) and passes.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -54,7 +54,7 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements Caller {
 
-  /** Queued parts of pipelined requests beyond which the connection is closed. */
+  /** Queued parts of pipelined requests beyond which no further request is read. */
   private static final int MAX_QUEUED = 256;
 
   private static final int MAX_CHUNK_BYTES = 16 * 1024;
@@ -71,6 +71,7 @@
   private boolean omitBody;
   private boolean knowsChunks;
   private boolean endsWithConnection;
+  private boolean overflowed;
   private boolean closing;
   private String endReason = "the caller or this process ended the connection";
 
@@ -128,12 +129,11 @@
       deliveries.drop(part, "the connection was closing");
     } else if (exchange.isEmpty() && queued.isEmpty()) {
       read(part);
-    } else if (queued.size() < MAX_QUEUED) {
+    } else if (queued.size() < MAX_QUEUED && !overflowed) {
       queued.addLast(part);
     } else {
-      ReferenceCountUtil.release(part);
-      endReason = "more than " + MAX_QUEUED + " parts of further requests arrived";
-      ctx.close();
+      overflowed = true;
+      deliveries.drop(part, "more than " + MAX_QUEUED + " parts of further requests arrived");
     }
   }
 
@@ -341,7 +341,7 @@
 
   /** Returns true when no further request of this connection gets a response. */
   private boolean isLast() {
-    return !keepAlive || (stopping.getAsBoolean() && queued.isEmpty());
+    return !keepAlive || ((stopping.getAsBoolean() || overflowed) && queued.isEmpty());
   }
 
   private void responseWritten(ChannelFuture written, boolean last) {
@@ -380,5 +380,10 @@
     while (!closing && exchange.isEmpty() && !queued.isEmpty()) {
       read(queued.pollFirst());
     }
+    if (overflowed && !closing && exchange.isEmpty()) {
+      // The rest of the last request, or the next one, was dropped.
+      closing = true;
+      closeAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
+    }
   }
 }
--- a/relay/src/test/java/org/comfreygap/relay/PipelinedCallerTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/PipelinedCallerTest.java
@@ -35,6 +35,9 @@
   private static final int REQUESTS = 400;
   private static final int MAX_OUTSTANDING = 4;
 
+  /** More than a gateway queues behind one request. */
+  private static final int TOO_MANY = 400;
+
   @TempDir private Path folder;
   private final Closer closer = new Closer();
   private ScriptedEndpoint endpoint;
@@ -198,6 +201,34 @@
     }
   }
 
+  /** Guards against the loss of the response in progress when too many requests are queued. */
+  @Test
+  void answersRequestsBeforeThoseThatAreTooMany() throws Exception {
+    endpoint.setNext(List.of(Reply.PAUSE, Reply.PAUSE, Reply.PAUSE, Reply.WHOLE));
+    try (Socket caller = new Socket()) {
+      caller.connect(fleet.address(0));
+      caller.setSoTimeout(10_000);
+      InputStream in = new BufferedInputStream(caller.getInputStream());
+      StringBuilder requests = new StringBuilder();
+      for (int i = 0; i < TOO_MANY; i++) {
+        requests.append(request("/slow/1", "many-" + i, ""));
+      }
+      write(caller, requests.toString());
+
+      Answer answer = Answer.read(in);
+      int answered = 1;
+      assertThat(answer.id()).hasValue("many-0");
+      while (!answer.last() && answered < TOO_MANY) {
+        answer = Answer.read(in);
+        assertThat(answer.id()).hasValue("many-" + answered);
+        answered++;
+      }
+
+      assertThat(answered).isGreaterThan(100).isLessThan(TOO_MANY);
+      assertThat(in.read()).isEqualTo(-1);
+    }
+  }
+
   /** Sends requests without waiting for their responses, and returns the responses out of order. */
   private List<String> sendPipelined(String name) {
     try (Socket caller = new Socket()) {
