Read what has arrived before an idle connection is closed in a planned stop

A request that had arrived on a kept connection, but that the event loop had not read yet, met the close of idle connections in a stop: a reset, and no answer. A response whose end was still on its way could be lost by the same reset.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -103,12 +102,16 @@
     return deliveries.isPending();
   }
 
-  /** Closes the connection after pending writes, unless a request is in progress. */
-  void closeIfIdle() {
-    if (!isBusy() && !closing) {
+  /** Closes the connection unless a request is in progress, has arrived or was just answered. */
+  void closeIfIdle(long nowNanos) {
+    if (closing || isBusy() || !deliveries.isSettled(nowNanos)) {
+      return;
+    }
+    ArrivedBytes.read(context.channel());
+    if (!closing && !isBusy()) {
       closing = true;
-      // Closing at once would drop the unsent end of a response.
-      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      endReason = "the gateway stops";
+      context.close();
     }
   }
 
@@ -167,7 +170,12 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    relay.events().record(RelayEvent.CALLER_REJECTED, Field.of("cause", cause));
+    relay
+        .events()
+        .record(
+            RelayEvent.CALLER_REJECTED,
+            Field.of("request", exchange.map(Exchange::requestId).orElse("")),
+            Field.of("cause", cause));
     endReason = "the connection failed";
     ctx.close();
   }
--- a/relay/src/main/java/org/comfreygap/relay/DeliveryLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/DeliveryLog.java
@@ -25,6 +25,9 @@
    */
   static final Duration LIMIT = Duration.ofSeconds(20);
 
+  /** Some round trips: a reset would discard what the caller has not received. */
+  private static final Duration SETTLING_TIME = Duration.ofMillis(200);
+
   private final RelayContext relay;
   private Optional<Delivery> latest = Optional.empty();
   private Optional<HttpRequest> dropped = Optional.empty();
@@ -46,6 +49,12 @@
     return latest.filter(one -> !one.written().isDone()).isPresent();
   }
 
+  /** Returns true when there is no response that may still be on its way to the caller. */
+  boolean isSettled(long nowNanos) {
+    return !isPending()
+        && latest.filter(one -> nowNanos - one.sinceNanos() < SETTLING_TIME.toNanos()).isEmpty();
+  }
+
   /** Returns true when {@link #LIMIT} has passed since a response that is not written. */
   boolean isOverdue(long nowNanos) {
     return isPending() && nowNanos - latest.get().sinceNanos() >= LIMIT.toNanos();
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -149,9 +148,7 @@
    * request, or the end of the connection. Either makes the connection unusable.
    */
   void readArrived() {
-    if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe transport) {
-      transport.read();
-    }
+    ArrivedBytes.read(channel);
   }
 
   /** Returns true when a request may be sent now. */
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -547,7 +547,8 @@
 
   private void closeIdleCallers() {
     // A connection that closes at once is removed from the set during the iteration.
-    List.copyOf(callers).forEach(CallerConnection::closeIfIdle);
+    long now = System.nanoTime();
+    List.copyOf(callers).forEach(caller -> caller.closeIfIdle(now));
   }
 
   private void announceLeaving(MembershipAgent joined) {
--- a/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
@@ -118,6 +118,33 @@
     }
   }
 
+  /** Guards against a stop that closes a connection on a request that has arrived. */
+  @Test
+  void answersRequestThatArrivesUnreadBeforeAnIdleConnectionIsClosed() throws Exception {
+    try (Socket caller = connect()) {
+      CallerConnection connection = accepted.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+      CountDownLatch blocked = new CountDownLatch(1);
+      CountDownLatch written = new CountDownLatch(1);
+      group
+          .next()
+          .execute(
+              () -> {
+                blocked.countDown();
+                awaitQuietly(written);
+                stopping.set(true);
+                connection.closeIfIdle(System.nanoTime());
+              });
+      blocked.await();
+      // Answered by the connection itself, with 400.
+      write(caller, "POST /next HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n");
+      Thread.sleep(50);
+      written.countDown();
+
+      assertThat(new String(caller.getInputStream().readNBytes(12), StandardCharsets.US_ASCII))
+          .isEqualTo("HTTP/1.1 400");
+    }
+  }
+
   /** Guards against an idle timeout that counts only what the caller writes. */
   @Test
   void deliversWholeResponseToACallerThatPausesForLongerThanTheIdleTimeout() throws Exception {
