--- a/cli/src/main/java/org/comfreygap/cli/Explanation.java
+++ b/cli/src/main/java/org/comfreygap/cli/Explanation.java
@@ -241,6 +241,32 @@
         return ENDPOINT_EVENTS_HINT + "; event 3505 names an adapter that was not loaded";
       }
     },
+    NOT_DELIVERED(3546, "") {
+      @Override
+      String cause(JsonNode fields) {
+        return "the response was complete at the gateway, but the caller's connection ended before"
+            + " all of it was written: "
+            + text(fields, "reason");
+      }
+
+      @Override
+      String next() {
+        return "events 1002 and 1003 of the gateway show a planned stop; without one, the caller"
+            + " did not read";
+      }
+    },
+    NOT_ANSWERED(3547, "") {
+      @Override
+      String cause(JsonNode fields) {
+        return "read, not run and not answered: " + text(fields, "reason");
+      }
+
+      @Override
+      String next() {
+        return "events 1002 and 1003 of the gateway show a planned stop; otherwise the caller wrote"
+            + " it after it had been told that the connection closes";
+      }
+    },
     SERVED(3506, "") {
       @Override
       String cause(JsonNode fields) {
--- a/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/comfreygap/cli/ExplainCommandTest.java
@@ -77,6 +77,27 @@
         .doesNotContain("sidecar.y");
   }
 
+  /** Guards against a request that counts as served although its caller lacks the end. */
+  @Test
+  void explainsResponseThatWasServedAndNotDelivered() throws IOException {
+    Path log =
+        log(
+            line("gateway.a", 5_000, 3506, "REQUEST_SERVED", "request", "r4", "status", "200"),
+            line(
+                "gateway.a",
+                5_400,
+                3546,
+                "RESPONSE_NOT_DELIVERED",
+                "request",
+                "r4",
+                "reason",
+                "nothing moved on the connection"));
+
+    assertThat(run("explain", "r4", "--log", log.toString())).isEqualTo(ExitCode.OK);
+
+    assertThat(text(out)).contains("before all of it was written: nothing moved on the connection");
+  }
+
   @Test
   void explainsQuarantineByEarlierCrashes() throws IOException {
     Path log =
