Refuse a request whose rest is due when a planned stop ends

A caller that was still sending its request when the stop ended saw its connection close and could not tell whether the request would run. It is refused with 503, which promises that it has not.

Evidence: PlannedStopTest.refusesRequestWhoseRestIsDueWhenTheStopEnds failed on the code before (no bytes before the end) and passes.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -117,7 +117,12 @@
 
   /** Ends the request in progress, with an answer as long as none has begun. */
   void gatewayStops() {
-    exchange.ifPresent(Exchange::gatewayStops);
+    if (exchange.isPresent()) {
+      exchange.get().gatewayStops();
+    } else if (head.isPresent()) {
+      head = Optional.empty();
+      rejectAndClose(Refusal.STOPPING.status(), Refusal.STOPPING.text());
+    }
   }
 
   @Override
--- a/relay/src/test/java/org/comfreygap/relay/PlannedStopTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/PlannedStopTest.java
@@ -77,6 +77,24 @@
     }
   }
 
+  /** Guards against a close without an answer while the rest of a request is due. */
+  @Test
+  void refusesRequestWhoseRestIsDueWhenTheStopEnds() throws Exception {
+    try (Socket caller = new Socket()) {
+      caller.connect(fleet.address(0));
+      caller.setSoTimeout(10_000);
+      write(caller, "POST /unsafe/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest: partial\r\n");
+      write(caller, "Transfer-Encoding: chunked\r\n\r\n2\r\nor\r\n");
+      Thread.sleep(100);
+
+      fleet.stopFirst(1);
+      String status = new String(new BufferedInputStream(caller.getInputStream()).readNBytes(12));
+
+      assertThat(status).isEqualTo("HTTP/1.1 503");
+      assertThat(endpoint.requests()).isEmpty();
+    }
+  }
+
   private void stopGateway() {
     try {
       fleet.stopFirst(1);
