End calls to control in progress when their client is closed

Callers saw: a gateway whose planned stop was over stayed for up to seconds and was then killed at the end of its grace time.

Cause: ControlClient.close closed only the connections that no call used. A call in progress, or a connection being opened to an instance that accepts and never replies, blocked its thread until the timeout of its socket, which an interrupt does not end; the stop joined these threads one after the other.

close now also closes the sockets of calls in progress, below TLS, whose own close may wait for the peer, and refuses further calls. A call that ends so says that the client was closed, and the agent of the membership records no 1015 for it, since the end of this process says nothing of control.

--- a/runtime/src/main/java/org/comfreygap/runtime/ControlClient.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ControlClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,6 +17,8 @@
 import org.comfreygap.protocol.generated.ControlService;
 import org.comfreygap.protocol.generated.InvalidCall;
 import org.comfreygap.protocol.generated.NotLeader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Client of the control service that follows changes of its leader.
@@ -28,19 +31,22 @@
  * change state carry a sequence number or an id, and control returns its first response to a
  * repeated one.
  *
- * <p>Invariant: a connection on which a call failed is closed and never reused. Thread safety: any
- * thread may call; each call uses a connection of its own.
+ * <p>Invariants: a connection on which a call failed is closed and never reused; no call outlasts
+ * {@link #close}. Thread safety: any thread may call; each call uses a connection of its own.
  *
  * @since 0.1
  */
 public final class ControlClient implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(ControlClient.class);
   private static final Duration RETRY_PAUSE = Duration.ofMillis(25);
   private static final Duration MAX_ATTEMPT_TIME = Duration.ofMillis(1_000);
   private static final int MAX_IDLE_PER_ADDRESS = 8;
 
   private final PeerSecurity security;
   private final Map<InetSocketAddress, Deque<ThriftConnection>> idle = new ConcurrentHashMap<>();
+  // Sockets of the calls in progress, also while they connect.
+  private final Set<Socket> inUse = ConcurrentHashMap.newKeySet();
   private final AtomicInteger rotation = new AtomicInteger();
   // Attempts since the last one that found what it asked for.
   private final AtomicInteger failures = new AtomicInteger();
@@ -135,7 +141,11 @@
         pause(deadline);
       }
     }
-    throw new ControlUnavailableException("no control leader answered within " + timeout, last);
+    throw new ControlUnavailableException(
+        closed
+            ? "the client of control was closed"
+            : "no control leader answered within " + timeout,
+        last);
   }
 
   /**
@@ -158,7 +168,11 @@
     try {
       return attemptCall(target, timeout, call);
     } catch (TException | IOException e) {
-      throw new ControlUnavailableException("no response from " + Addresses.text(target), e);
+      throw new ControlUnavailableException(
+          closed
+              ? "the client of control was closed"
+              : "no response from " + Addresses.text(target),
+          e);
     }
   }
 
@@ -173,10 +187,17 @@
     return known.get(Math.floorMod(rotation.getAndIncrement(), known.size()));
   }
 
+  /** Returns true once {@link #close} was called; calls fail from then on. */
+  boolean isClosed() {
+    return closed;
+  }
+
+  /** Ends the calls in progress at once and refuses further ones. */
   @Override
   public void close() {
     closed = true;
     idle.values().forEach(ControlClient::closeAll);
+    inUse.forEach(ControlClient::closeSocket);
   }
 
   private <R> R attemptCall(InetSocketAddress target, Duration timeout, Call<R> call)
@@ -198,6 +219,7 @@
       healthy = true;
       throw e;
     } finally {
+      inUse.remove(connection.socket());
       if (healthy) {
         release(target, connection);
       } else {
@@ -215,11 +237,23 @@
     synchronized (pool) {
       connection = pool.pollFirst();
     }
-    if (connection == null) {
-      return ThriftConnection.open(target, security, timeout);
+    Socket socket = connection == null ? new Socket() : connection.socket();
+    inUse.add(socket);
+    try {
+      // Checked after the socket was added: either this or close sees the other.
+      if (closed) {
+        throw new IOException("the client of control was closed");
+      }
+      if (connection == null) {
+        return ThriftConnection.open(socket, target, security, timeout);
+      }
+      connection.timeout(timeout);
+      return connection;
+    } catch (IOException e) {
+      inUse.remove(socket);
+      closeSocket(socket);
+      throw e;
     }
-    connection.timeout(timeout);
-    return connection;
   }
 
   private void release(InetSocketAddress target, ThriftConnection connection) {
@@ -255,6 +289,14 @@
     }
   }
 
+  private static void closeSocket(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      LOG.debug("a connection to control was not closed in order", e);
+    }
+  }
+
   private static void pause(long deadline) {
     long nanos = Math.min(RETRY_PAUSE.toNanos(), deadline - System.nanoTime());
     if (nanos > 0) {
--- a/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -249,7 +249,10 @@
                 return client.heartbeat(request);
               });
     } catch (ControlUnavailableException e) {
-      events.record(RuntimeEvent.CONTROL_UNREACHABLE, Field.of("cause", e.getMessage()));
+      // The end of this process says nothing of control.
+      if (!control.isClosed()) {
+        events.record(RuntimeEvent.CONTROL_UNREACHABLE, Field.of("cause", e.getMessage()));
+      }
       return;
     }
     lease.heartbeatAcknowledged(sentAt[0].nanos(), reply.getCommittedRevision());
@@ -278,6 +281,11 @@
               client -> client.watch(request));
       watchedReplica = Optional.of(replica);
     } catch (ControlUnavailableException e) {
+      if (control.isClosed()) {
+        // Only a close of the agent ends this pause early; nothing is left to watch.
+        Thread.sleep(WATCH_RETRY_PAUSE.toMillis());
+        return;
+      }
       // The leader responds to heartbeats, so it is not stuck.
       watchedReplica = control.leader().filter(leader -> !leader.equals(replica));
       events.record(
--- a/runtime/src/main/java/org/comfreygap/runtime/ThriftConnection.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ThriftConnection.java
@@ -22,7 +22,8 @@
  * }</pre>
  *
  * <p>Invariant: after a failed or timed-out call the connection must be closed, since a late
- * response would be taken for the response to the next call. Thread safety: one thread at a time.
+ * response would be taken for the response to the next call. Thread safety: one thread at a time,
+ * except for the close of {@link #socket}.
  *
  * @since 0.1
  */
@@ -31,10 +32,13 @@
   private final TTransport transport;
   private final TProtocol protocol;
   private final Socket socket;
+  // Below TLS, if it is used.
+  private final Socket plain;
 
-  private ThriftConnection(TTransport transport, Socket socket) {
+  private ThriftConnection(TTransport transport, Socket socket, Socket plain) {
     this.transport = transport;
     this.socket = socket;
+    this.plain = plain;
     this.protocol = new TCompactProtocol(transport);
   }
 
@@ -46,7 +50,16 @@
    */
   public static ThriftConnection open(
       InetSocketAddress address, PeerSecurity security, Duration timeout) throws IOException {
-    Socket socket = new Socket();
+    return open(new Socket(), address, security, timeout);
+  }
+
+  /**
+   * Connects {@code socket} and authenticates; another thread may close the socket, which ends the
+   * call in progress.
+   */
+  static ThriftConnection open(
+      Socket socket, InetSocketAddress address, PeerSecurity security, Duration timeout)
+      throws IOException {
     try {
       socket.setTcpNoDelay(true);
       socket.connect(address, (int) timeout.toMillis());
@@ -55,13 +68,21 @@
       TTransport base = new TSocket(connected);
       PeerHandshake.authenticateAsClient(base, security.sharedKey());
       return new ThriftConnection(
-          new TFramedTransport(base, ThriftServer.MAX_FRAME_BYTES), connected);
+          new TFramedTransport(base, ThriftServer.MAX_FRAME_BYTES), connected, socket);
     } catch (TTransportException | IOException e) {
       socket.close();
       throw new IOException("cannot connect to " + Addresses.text(address), e);
     }
   }
 
+  /**
+   * Returns the socket of the connection, whose close by any thread ends the call in progress. With
+   * TLS it is the socket below, since the close of the other one may wait for the peer.
+   */
+  Socket socket() {
+    return plain;
+  }
+
   /** Returns the protocol with which to create a Thrift client. */
   public TProtocol protocol() {
     return protocol;
