End the planned stop of a gateway within its grace time

Callers saw: when a caller stayed until the end of a planned stop, the gateway was sometimes killed, with lines unwritten and connections cut.

Cause: the stop waited for others without a bound of its own: for the first and the last heartbeat (up to 1 s each, behind one in progress), before the stop lag even began; for the join of each thread with a call to control; for the event loop. A task on the loop that timed out threw out of close, so that the requests were not ended and no resource was closed.

PlannedStop is the procedure now. Its thread waits for each step only for a time: the announcement to control runs beside the stop lag, the last report of usage may take 300 ms, what runs on the loop ends 250 to 300 ms after the stop, and the resources close on a thread of their own until 100 ms before the end of the grace time. The calls to control are ended first, so that no join waits for one. A step that fails is named in 1003 and the next ones are done. After the requests are ended, up to 200 ms pass until those that waited behind them are refused and all responses are written. 1004 RESOURCES_CLOSED says how long the close and its longest resource took, what was unfinished, and how long the stop took of the grace time.

--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -41,12 +41,12 @@
 import org.comfreygap.runtime.ClockReading;
 import org.comfreygap.runtime.Closer;
 import org.comfreygap.runtime.ControlClient;
-import org.comfreygap.runtime.ControlUnavailableException;
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 import org.comfreygap.runtime.HybridClock;
 import org.comfreygap.runtime.MembershipAgent;
 import org.comfreygap.runtime.PeerSecurity;
+import org.comfreygap.runtime.Program;
 import org.comfreygap.runtime.RuntimeEvent;
 import org.comfreygap.runtime.SettingsFileWatcher;
 import org.comfreygap.runtime.Timeline;
@@ -66,7 +66,7 @@
  *
  * @since 0.2
  */
-public final class RelayGateway implements AutoCloseable {
+public final class RelayGateway implements Program.Stoppable {
 
   private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(1_000);
   // Half of an election; a response takes a few milliseconds.
@@ -76,7 +76,6 @@
   private static final Duration WATCH_SLACK = Duration.ofMillis(300);
   private static final Duration READINESS_PERIOD = Duration.ofMillis(100);
   private static final Duration LIMITER_PERIOD = Duration.ofMillis(200);
-  private static final Duration DRAIN_POLL = Duration.ofMillis(50);
   // A restart has completed by then.
   private static final Duration JVM_METRICS_DELAY = Duration.ofSeconds(5);
   private static final int ACCEPT_BACKLOG = 1_024;
@@ -128,11 +127,11 @@
             new HybridClock(System::currentTimeMillis),
             new Timeline(Timeline.DEFAULT_CAPACITY));
     RelayGateway gateway = new RelayGateway(settings, events);
-    gateway.closer.register(events);
     try {
       gateway.open(settingsFile, dialect, listing);
     } catch (Exception e) {
       gateway.closer.close();
+      events.close();
       throw e;
     }
     events.record(
@@ -142,45 +141,35 @@
     return gateway;
   }
 
+  @Override
+  public void close() {
+    stop(System.nanoTime());
+  }
+
   /**
    * Stops in order: reports not ready, accepts requests until the balancer has noticed, and lets
    * the open ones complete. Those that do not complete in time are answered as refused or broken.
    */
   @Override
-  public void close() {
-    long begin = System.nanoTime();
-    stopEndNanos = begin + settings.stop().toNanos();
+  public void stop(long beginNanos) {
+    stopEndNanos = beginNanos + settings.stop().toNanos();
     stopping = true;
     ready = false;
-    events.record(RuntimeEvent.PROCESS_STOPPING);
-    agent.ifPresent(this::announceLeaving);
-    pause(settings.stopLag());
-    acceptor.ifPresent(channel -> channel.close().awaitUninterruptibly());
-    onLoop(this::closeIdleCallers);
-    while (onLoop(() -> !callers.isEmpty())
-        && System.nanoTime() - begin < settings.stop().toNanos()) {
-      pause(DRAIN_POLL);
-      onLoop(this::closeIdleCallers);
-    }
-    int open = onLoop(this::endRequests);
-    pause(DRAIN_POLL);
-    long undelivered = onLoop(this::undeliveredResponses);
-    if (!settings.usageWindow().isZero() && System.nanoTime() - begin < settings.stop().toNanos()) {
-      // Control counts what began since the last heartbeat.
-      agent.ifPresent(this::announceLeaving);
+    PlannedStop stop = new PlannedStop(settings, events, loop, callers, beginNanos);
+    try {
+      stop.endService(agent, acceptor, this::closeIdleCallers);
+    } finally {
+      stop.close(closer);
+      events.close();
     }
-    events.record(
-        RuntimeEvent.PROCESS_STOPPED,
-        Field.of("ended", open),
-        Field.of("undelivered", undelivered),
-        Field.of("cut", onLoop(callers::size)));
-    closer.close();
   }
 
   private void open(Path settingsFile, RequestDialect dialect, ListingFormat listing)
       throws Exception {
     PeerSecurity security = PeerSecurity.from(settings.file());
-    closer.register(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
+    closer.register(
+        "event loop",
+        () -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
     EndpointDirectory directory =
         new EndpointDirectory(loop, dialect, settings.sidecarPort(), security.sharedKey(), events);
     ControlClient control = closer.register(new ControlClient(settings.control(), security));
@@ -225,6 +214,8 @@
           return null;
         });
     startTasks(relay, directory, limits);
+    // Closed first, so that no other resource waits for a call to control.
+    closer.register("calls to control", control::close);
   }
 
   private void startTasks(RelayContext relay, EndpointDirectory directory, EndpointLimits limits) {
@@ -264,7 +255,7 @@
             directory::find,
             events,
             metrics);
-    closer.register(() -> onLoop(limits::close));
+    closer.register("limits", () -> onLoop(limits::close));
     directory.onLimit(
         (endpoint, statement) -> limits.reportedBySidecar(endpoint, statement, System.nanoTime()));
     listenToPeers(security, limits);
@@ -503,7 +494,7 @@
             .bind(settings.linkAddress())
             .syncUninterruptibly()
             .channel();
-    closer.register(opened::close);
+    closer.register("link port", opened::close);
   }
 
   private Stream<Member> gatewayMembers() {
@@ -545,31 +536,11 @@
             caller);
   }
 
-  /** Ends the requests that are still in progress, and returns their number. */
-  private int endRequests() {
-    List<CallerConnection> busy = callers.stream().filter(CallerConnection::isBusy).toList();
-    busy.forEach(CallerConnection::gatewayStops);
-    return busy.size();
-  }
-
-  private long undeliveredResponses() {
-    return callers.stream().filter(CallerConnection::isDelivering).count();
-  }
-
   private void closeIdleCallers() {
     // A connection that closes at once is removed from the set during the iteration.
     List.copyOf(callers).forEach(CallerConnection::closeIfIdle);
   }
 
-  private void announceLeaving(MembershipAgent joined) {
-    joined.leave();
-    try {
-      joined.sendHeartbeat();
-    } catch (ControlUnavailableException e) {
-      events.record(RuntimeEvent.CONTROL_UNREACHABLE, Field.of("cause", e.getMessage()));
-    }
-  }
-
   private void onLoop(Runnable task) {
     onLoop(
         () -> {
@@ -588,12 +559,4 @@
       throw new IllegalStateException("a task on the event loop failed or timed out", e);
     }
   }
-
-  private static void pause(Duration time) {
-    try {
-      Thread.sleep(time.toMillis());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelaySettings.java
@@ -154,7 +154,12 @@
 
   /** Returns the longest time of a planned stop. */
   Duration stop() {
-    return file.millis("graceMillis", DEFAULT_GRACE).minus(STOP_MARGIN);
+    return grace().minus(STOP_MARGIN);
+  }
+
+  /** Returns the time from the signal of a planned stop to the end of the process by force. */
+  Duration grace() {
+    return file.millis("graceMillis", DEFAULT_GRACE);
   }
 
   /** Returns the time that the balancer needs to notice that a gateway is not ready. */
--- a/relay/src/test/java/org/comfreygap/relay/HeaderDialect.java
+++ b/relay/src/test/java/org/comfreygap/relay/HeaderDialect.java
@@ -27,11 +27,16 @@
   static final String BEGUN_BY = "Begun-By";
   static final String ENDPOINT = "Endpoint";
   static final String LIMIT = "Limit";
+
+  /** Time for which reading the request blocks the event loop. */
+  static final String STUCK_MILLIS = "Stuck-Millis";
+
   private static final int MISDIRECTED = 421;
 
   @Override
   public CallerRequest readRequest(HttpRequest head) throws MalformedRequestException {
     String timeout = head.headers().get(PATIENCE_MILLIS);
+    block(head.headers().getInt(STUCK_MILLIS, 0));
     return new CallerRequest(
         head.headers().get(REQUEST),
         Optional.ofNullable(head.headers().get(KEY)),
@@ -77,4 +82,12 @@
         StatedLimit.parse(head.headers().getAll(LIMIT)),
         OptionalLong.empty());
   }
+
+  private static void block(int millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/runtime/src/main/java/org/comfreygap/runtime/RuntimeEvent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/RuntimeEvent.java
@@ -13,6 +13,7 @@
   PROCESS_STARTED(1001, Level.INFO, "The process has started and accepts requests."),
   PROCESS_STOPPING(1002, Level.INFO, "A planned stop has begun; no new work is accepted."),
   PROCESS_STOPPED(1003, Level.INFO, "The planned stop is complete."),
+  RESOURCES_CLOSED(1004, Level.INFO, "The resources of a stopped process are closed; it ends now."),
   SETTINGS_IN_FORCE(1010, Level.INFO, "A settings revision is in force in this process."),
   SETTINGS_LEASE_LOST(1011, Level.WARN, "The settings lease expired; new work is refused."),
   SETTINGS_LEASE_REGAINED(1012, Level.INFO, "The settings lease is valid again."),
