Leave a silent endpoint only for another one that takes the request

Callers saw streams end midway although their runner was at work: after 1.4 s without data the gateway ended the attempt in progress, and only then looked for the next one. Where that one took no connection, no clearance was given, the route or key was withdrawn meanwhile, or the budget refused the retry at the write, the stream that had begun was aborted.

The next endpoint is now chosen, cleared and connected to while the attempt in progress goes on. The retry is counted at the write, once, and the attempt in progress ends directly before that write; data that arrives until then ends the move. A stream that has begun stays where it is while a planned stop is in progress that another run may outlive.

--- a/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
@@ -137,15 +137,17 @@
     return relay.placement().choose(need, table, excluded, nowNanos);
   }
 
-  /** Returns true when an attempt at another endpoint is possible. */
-  boolean hasAlternative(RouteDecision decision, Optional<Attempt> current, long nowNanos) {
-    RouteTable table = relay.tables().get();
+  /** Chooses an endpoint that is not among {@code left} either. */
+  Placement.Choice chooseOther(
+      Placement.Requirements need, RouteTable table, Set<Endpoint> left, long nowNanos) {
     Set<Endpoint> others = new HashSet<>(excluded);
-    current.ifPresent(attempt -> others.add(attempt.endpoint()));
-    return relay.hasRetry(decision.pool(), nowNanos)
-        && requirements(decision, table, nowNanos)
-            .flatMap(need -> relay.placement().choose(need, table, others, nowNanos).endpoint())
-            .isPresent();
+    others.addAll(left);
+    return relay.placement().choose(need, table, others, nowNanos);
+  }
+
+  /** Returns true when a stream may go on at an endpoint, as far as its software matters. */
+  boolean isWhereItBegan(Endpoint endpoint) {
+    return continuity.required().map(endpoint::isAt).orElse(true);
   }
 
   /**
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -271,7 +271,16 @@
   }
 
   @Override
-  public void replaceAttempt(Attempt next) {
+  public Optional<RouteDecision> decideElsewhere() {
+    return Optional.of(decision.by(relay.tables().get(), head, request))
+        .filter(newest -> newest.refusal().isEmpty())
+        .map(continuity::pinned)
+        .filter(newest -> continuity.refusal(newest).isEmpty());
+  }
+
+  @Override
+  public void replaceAttempt(Attempt next, RouteDecision decided) {
+    decision = decided;
     attempt = Optional.of(next);
     history.begin();
     log.wentOn(next.endpoint());
@@ -294,8 +303,7 @@
     log.attemptEnded(decision, endpoint, failure, framing);
   }
 
-  @Override
-  public void abandonAttempt(String reason) {
+  private void abandonAttempt(String reason) {
     Attempt current = attempt.orElseThrow();
     tracked.dropped(current.endpoint(), forwarder.eventReceived());
     attemptFailed(current, current.abandon(reason));
@@ -318,16 +326,10 @@
   }
 
   private boolean refreshDecision(RouteTable table) {
-    if (table.revision() == decision.revision()) {
-      return true;
-    }
-    RouteDecision newest = RouteDecision.of(table, head, request);
-    if (newest.refusal().isPresent()) {
-      failOrRefuse(newest.refusal().get());
-      return false;
-    }
-    decision = newest;
-    return true;
+    RouteDecision newest = decision.by(table, head, request);
+    newest.refusal().ifPresent(this::failOrRefuse);
+    decision = newest.refusal().isPresent() ? decision : newest;
+    return newest.refusal().isEmpty();
   }
 
   /** Forwards what was held back, or fails the attempt whose origin could not be recorded. */
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -45,11 +45,16 @@
           .recordRateLimited(
               RelayEvent.REQUEST_SENT, nowNanos, () -> sentFields(decision, endpoint, nowNanos));
     } else {
-      Field[] fields = sentFields(decision, endpoint, nowNanos).toArray(Field[]::new);
-      relay.events().record(RelayEvent.REQUEST_SENT, fields);
+      sentElsewhere(decision, endpoint, nowNanos);
     }
   }
 
+  /** Logs that the request, which has left a silent endpoint, is written to another one. */
+  void sentElsewhere(RouteDecision decision, Endpoint endpoint, long nowNanos) {
+    Field[] fields = sentFields(decision, endpoint, nowNanos).toArray(Field[]::new);
+    relay.events().record(RelayEvent.REQUEST_SENT, fields);
+  }
+
   /** Logs that a second attempt is written while the first one is slow. */
   void secondSent(RouteDecision decision, Attempt slow, Endpoint endpoint, long nowNanos) {
     relay
--- a/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
+++ b/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
@@ -13,6 +13,7 @@
 import org.comfreygap.decisions.HedgeRace.Move;
 import org.comfreygap.decisions.HedgeVerdict;
 import org.comfreygap.decisions.Outcome;
+import org.comfreygap.decisions.RepeatPolicy;
 import org.comfreygap.decisions.ResponseEnd;
 import org.comfreygap.settings.Documents.Route;
 import org.comfreygap.settings.RequestKind;
@@ -24,10 +25,11 @@
  * <p>Invariants: a second attempt is written only while the first is in progress and unanswered,
  * and once for each request at most; the one whose output comes first goes on, and the other is
  * cancelled at once; the history says that the request may have run as soon as an attempt that was
- * written has ended otherwise than by a refusal. Without a policy nothing happens here. Thread
- * safety: used on the event loop only.
+ * written has ended otherwise than by a refusal; a silent attempt is given up only for one that is
+ * written at once. Without a policy nothing happens here. Thread safety: used on the event loop
+ * only.
  */
-final class HedgedAttempts implements SecondAttempt.Listener {
+final class HedgedAttempts implements SecondAttempt.Listener, Relocation.Listener {
 
   private final RelayContext relay;
   private final Request request;
@@ -43,6 +45,7 @@
   private boolean counted;
   private Optional<First> current = Optional.empty();
   private Optional<InactivityTimer> inactivity = Optional.empty();
+  private Optional<Relocation> relocation = Optional.empty();
 
   HedgedAttempts(
       RelayContext relay,
@@ -66,15 +69,15 @@
     /** Returns the request as it is sent to an endpoint now. */
     FullHttpRequest requestFor(Endpoint endpoint, long nowNanos);
 
-    /** Goes on with another attempt in place of the current one, of which nothing was sent on. */
-    void replaceAttempt(Attempt next);
+    /** Returns the decision for an attempt elsewhere by the newest settings, if they allow one. */
+    Optional<RouteDecision> decideElsewhere();
+
+    /** Goes on with another attempt in place of the current one, which has ended. */
+    void replaceAttempt(Attempt next, RouteDecision decided);
 
     /** Records that an attempt has ended without a response to send on. */
     void recordFailure(
         Attempt ended, Attempt.Failure failure, Optional<ResponseEnd.Framing> framing);
-
-    /** Gives the current attempt up, which counts as a failure of its endpoint. */
-    void abandonAttempt(String reason);
   }
 
   /**
@@ -139,6 +142,7 @@
   /** Records that data of the current attempt was received. */
   void dataReceived(long nowNanos) {
     inactivity.ifPresent(timer -> timer.recordActivity(nowNanos));
+    endRelocation();
     current.ifPresent(watched -> pauses.dataReceived(watched.decision(), nowNanos));
   }
 
@@ -177,6 +181,7 @@
    */
   boolean takeOver() {
     stopTimer();
+    endRelocation();
     inactivity.ifPresent(InactivityTimer::stop);
     first = Optional.empty();
     Move move = race.firstFailed();
@@ -191,6 +196,7 @@
   /** Ends the second attempt and all timers, as the request has ended. */
   void end() {
     stopTimer();
+    endRelocation();
     inactivity.ifPresent(InactivityTimer::stop);
     first = Optional.empty();
     if (race.requestEnded() == Move.DROP_SECOND) {
@@ -254,6 +260,42 @@
     ended(failure.outcome() == Outcome.NOT_RUN ? "refused" : "failed", attempt);
   }
 
+  @Override
+  public boolean mayMove(long nowNanos) {
+    First silent = current.orElseThrow();
+    ResponseForwarder response = silent.response();
+    return silent.attempt().awaitsData()
+        && !hasSecond()
+        && history.runsLeftBesideCurrent(silent.decision().route())
+        && (!response.started() || response.resumable())
+        && silent.deadlineNanos() - nowNanos > RepeatPolicy.MIN_REMAINING_TIME.toNanos()
+        && relay.hasRetry(silent.decision().pool(), nowNanos)
+        && tracked.refusal(nowNanos).isEmpty()
+        && !outlivesStop(silent, nowNanos);
+  }
+
+  @Override
+  public void move(Attempt next, RouteDecision decision, long nowNanos) {
+    relocation = Optional.empty();
+    First left = current.orElseThrow();
+    Attempt attempt = left.attempt();
+    tracked.dropped(attempt.endpoint(), left.response().eventReceived());
+    Attempt.Failure failure = attempt.abandon("no data within the inactivity timeout");
+    request.recordFailure(attempt, failure, left.response().framing());
+    history.ended(failure.outcome());
+    // Only one that is not written yet can be beside it.
+    takeOver();
+    request.replaceAttempt(next, decision);
+    log.sentElsewhere(decision, next.endpoint(), nowNanos);
+    relay.outages().requestSent(decision.pool(), nowNanos);
+    watch(left.with(next), nowNanos);
+  }
+
+  @Override
+  public void stays() {
+    relocation = Optional.empty();
+  }
+
   private void slow(First watched) {
     if (first.isEmpty() || first.get() != watched) {
       return;
@@ -278,6 +320,7 @@
   }
 
   private void watchInactivity(First watched, long nowNanos) {
+    endRelocation();
     current = Optional.of(watched);
     inactivity.ifPresent(InactivityTimer::stop);
     inactivity =
@@ -292,18 +335,25 @@
    * waiting is the better choice, and so it is beside a second attempt.
    */
   private void attemptInactive(First waiting) {
-    ResponseForwarder response = waiting.response();
-    boolean resumable = !response.started() || response.resumable();
-    if (waiting.attempt().awaitsData()
-        && !hasSecond()
-        && history.runsLeftBesideCurrent(waiting.decision().route())
-        && resumable
-        && search.hasAlternative(
-            waiting.decision(), Optional.of(waiting.attempt()), System.nanoTime())) {
-      request.abandonAttempt("no data within the inactivity timeout");
+    if (relocation.isEmpty()) {
+      relocation = Optional.of(new Relocation(relay, request, search, waiting, this));
+      relocation.get().begin(System.nanoTime());
     }
   }
 
+  private void endRelocation() {
+    relocation.ifPresent(Relocation::cancel);
+    relocation = Optional.empty();
+  }
+
+  /** Returns true for a stream whose rest another endpoint may not bring before a planned stop. */
+  private boolean outlivesStop(First begun, long nowNanos) {
+    OptionalLong end = relay.stopDeadline().get();
+    long rest =
+        RequestTimeouts.maxDuration(begun.decision().route(), OptionalLong.empty()).toNanos();
+    return begun.response().started() && end.isPresent() && end.getAsLong() - nowNanos < rest;
+  }
+
   /** Decides again, and counts the second attempt where it may be written. */
   private HedgeVerdict writeVerdict(Endpoint endpoint, long nowNanos) {
     RouteTable table = relay.tables().get();
@@ -334,7 +384,7 @@
     SecondAttempt next = second.orElseThrow();
     second = Optional.empty();
     ended(end, next.attempt());
-    request.replaceAttempt(next.attempt());
+    request.replaceAttempt(next.attempt(), current.orElseThrow().decision());
     watchInactivity(current.orElseThrow().with(next.attempt()), System.nanoTime());
     next.handOver();
   }
--- a/relay/src/main/java/org/comfreygap/relay/RouteDecision.java
+++ b/relay/src/main/java/org/comfreygap/relay/RouteDecision.java
@@ -67,6 +67,11 @@
     return new RouteDecision(table.revision(), route, customer, Optional.empty(), pool, tokens);
   }
 
+  /** Returns the decision by the tables in force now, which is this one while they are the same. */
+  RouteDecision by(RouteTable table, HttpRequest head, CallerRequest callerRequest) {
+    return table.revision() == revision ? this : of(table, head, callerRequest);
+  }
+
   /** Returns this decision for another pool of the route, or empty when the route has it not. */
   Optional<RouteDecision> withPool(String name) {
     boolean isTarget = route().targets().stream().anyMatch(target -> target.pool().equals(name));
--- a/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/StreamingEndpoint.java
@@ -36,6 +36,8 @@
   private volatile Break howToBreak = Break.INSIDE_EVENT;
   private volatile int eventMillis = DEFAULT_EVENT_MILLIS;
   private volatile int paddingBytes;
+  private volatile int silentAfter = Integer.MAX_VALUE;
+  private volatile int silentMillis;
   private volatile boolean closingAfterResponse;
   private volatile String departure = "";
 
@@ -106,6 +108,13 @@
     return this;
   }
 
+  /** Makes the endpoint write nothing for some time after the given event of each response. */
+  StreamingEndpoint silentAfter(int event, int millis) {
+    silentMillis = millis;
+    silentAfter = event;
+    return this;
+  }
+
   /** Sets the bytes that are added to the data of each event, as an ASCII text. */
   StreamingEndpoint paddingBytes(int bytes) {
     paddingBytes = bytes;
@@ -201,6 +210,9 @@
         return false;
       }
       writePart(out, used, event);
+      if (id == silentAfter) {
+        Thread.sleep(silentMillis);
+      }
     }
     write(out, used == Framing.CHUNKED ? "0\r\n\r\n" : "");
     if (closingAfterResponse) {
