Refuse streams that may outlive a planned stop by what their route's streams took

Callers saw streams end midway at the end of a planned stop. They were admitted after its begin since 6 s were left, the time that any stream was assumed to take; at slow engines streams took 7 s and more.

One long stream raises what is expected at once; fewer than 50 do not lower it below the 6 s that are assumed. The route's timeout and the caller's patience are upper bounds, now of streams too. Operators see the time as the gauge stream.expected.millis by route, and with the time left to the stop in the fields expectedMillis and stopsInMillis of REQUEST_REJECTED.

Evidence: LongStreamStopTest (a stream of 7 s is served, then one arrives when more than 6 s are left and less than 7) got 200 and a stream that was cut before, and gets 503 now with nothing sent to the endpoint. In StreamDurationsTest the assumption cuts streams of 4 to 8 s in a stop of 9 s; what was learned cuts none.

GatewayFleet lets a line of a test's settings replace its own graceMillis.

--- a/relay/src/main/java/org/comfreygap/relay/Admission.java
+++ b/relay/src/main/java/org/comfreygap/relay/Admission.java
@@ -49,7 +49,9 @@
     OptionalLong end = relay.stopDeadline().get();
     return end.isPresent()
         && end.getAsLong() - nowNanos
-            < RequestTimeouts.maxDuration(decision.route(), callerRequest.timeoutMillis())
+            < relay
+                .durations()
+                .maxDuration(decision.route(), callerRequest.timeoutMillis(), nowNanos)
                 .toNanos();
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.comfreygap.decisions.AdapterSlots;
 import org.comfreygap.decisions.CustomerCredit.State;
 import org.comfreygap.decisions.CustomerCredit.Ticket;
@@ -204,9 +205,9 @@
     history.responseBegan();
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (success && !metadata.signed()) {
-      abandonAttempt("a successful response without the endpoint's proof");
+      abandon(current -> current.abandon("a successful response without the endpoint's proof"));
     } else if (forwarder.started() && !success) {
-      abandonAttempt("status " + response.status().code() + " when resuming");
+      abandon(c -> c.abandon("status " + response.status().code() + " when resuming"));
     } else {
       forwarder.beginResponse(response);
       tracked.headReceived(decision.route().kind());
@@ -234,7 +235,7 @@
       continuity.eventForwarded();
       hedged.outputBegan();
     }
-    forwarder.excess().ifPresent(this::abandonExcess);
+    forwarder.excess().ifPresent(excess -> abandon(current -> current.abandon(excess)));
     if (!caller.writable()) {
       attempt.ifPresent(current -> current.setAutoRead(false));
     }
@@ -263,6 +264,9 @@
       ended.endpoint().recordResult(succeeded);
       if (succeeded) {
         tracked.served();
+        relay
+            .durations()
+            .served(decision.route(), request, response, arrivedNanos, System.nanoTime());
       }
       forwarder.complete();
       log.served(decision, response.status().code(), forwarder, System.nanoTime());
@@ -303,10 +307,10 @@
     log.attemptEnded(decision, endpoint, failure, framing);
   }
 
-  private void abandonAttempt(String reason) {
+  private void abandon(Function<Attempt, Attempt.Failure> end) {
     Attempt current = attempt.orElseThrow();
     tracked.dropped(current.endpoint(), forwarder.eventReceived());
-    attemptFailed(current, current.abandon(reason));
+    attemptFailed(current, end.apply(current));
   }
 
   @Override
@@ -458,12 +462,6 @@
     started.start();
   }
 
-  private void abandonExcess(HeldBuffer.Excess excess) {
-    Attempt current = attempt.orElseThrow();
-    tracked.dropped(current.endpoint(), forwarder.eventReceived());
-    attemptFailed(current, current.abandon(excess));
-  }
-
   private void attemptFailed(Attempt ended, Attempt.Failure failure) {
     long now = System.nanoTime();
     attempt = Optional.empty();
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -1,5 +1,6 @@
 package org.comfreygap.relay;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -141,6 +142,9 @@
         .partBan(System.nanoTime())
         .filter(ban -> refusal.isPartBan())
         .ifPresent(ban -> fields.add(Field.of("parts", ban.parts())));
+    if (refusal == Refusal.STOPPING && decision.refusal().isEmpty()) {
+      addStop(fields, decision, System.nanoTime());
+    }
     relay.events().record(RelayEvent.REQUEST_REJECTED, fields.toArray(Field[]::new));
   }
 
@@ -213,6 +217,20 @@
             millis());
   }
 
+  /** Adds for how long the request was expected to last, and the time left to the stop. */
+  private void addStop(List<Field> fields, RouteDecision decision, long nowNanos) {
+    Duration expected =
+        relay.durations().maxDuration(decision.route(), request.timeoutMillis(), nowNanos);
+    fields.add(Field.of("expectedMillis", expected.toMillis()));
+    relay
+        .stopDeadline()
+        .get()
+        .ifPresent(
+            end ->
+                fields.add(
+                    Field.of("stopsInMillis", TimeUnit.NANOSECONDS.toMillis(end - nowNanos))));
+  }
+
   /** Logs why a stream does not go on. */
   void notContinued(Optional<Origin> origin, Refusal refusal) {
     relay
--- a/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
+++ b/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
@@ -350,7 +350,10 @@
   private boolean outlivesStop(First begun, long nowNanos) {
     OptionalLong end = relay.stopDeadline().get();
     long rest =
-        RequestTimeouts.maxDuration(begun.decision().route(), OptionalLong.empty()).toNanos();
+        relay
+            .durations()
+            .maxDuration(begun.decision().route(), OptionalLong.empty(), nowNanos)
+            .toNanos();
     return begun.response().started() && end.isPresent() && end.getAsLong() - nowNanos < rest;
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -20,6 +20,7 @@
  * @param demands load of the pools whose number of endpoints is ordered
  * @param hedging decides on second attempts; empty when there are none
  * @param pauses of which pools the streams pause too long
+ * @param durations how long the requests of each route last
  * @param heldBytes bytes that unfinished responses hold together
  * @param usage requests that endpoints began, by window of time
  * @param tables routing tables in force
@@ -42,6 +43,7 @@
     RetryBudgets retryBudgets,
     Optional<HedgePolicy> hedging,
     PauseWatch pauses,
+    LearnedDurations durations,
     Outages outages,
     HeldBytes heldBytes,
     UsageCounter usage,
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -305,6 +305,7 @@
             System.nanoTime()),
         settings.secondAttempts().map(allowed -> new HedgePolicy(allowed, System.nanoTime())),
         new PauseWatch(),
+        new LearnedDurations(metrics),
         outages,
         HeldBytes.ofHeap(),
         usage,
--- a/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayMetrics.java
@@ -59,6 +59,14 @@
     Gauge.builder("comfreygap." + name, value).strongReference(true).register(registry);
   }
 
+  /** Registers a gauge of one route that reads {@code value} at each scrape. */
+  void gauge(String name, String route, Supplier<Number> value) {
+    Gauge.builder("comfreygap." + name, value)
+        .tag("route", route)
+        .strongReference(true)
+        .register(registry);
+  }
+
   /** Counts the end of a request. */
   void requestEnded(String route, Optional<String> customer, String outcome, long nanos) {
     customer.ifPresent(
--- a/relay/src/main/java/org/comfreygap/relay/RequestTimeouts.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestTimeouts.java
@@ -20,11 +20,11 @@
   /** Target latency where the route states none. */
   static final Duration DEFAULT_TARGET = Duration.ofMillis(400);
 
-  /** Maximum duration of a stream; at slow engines some took 5.4 s. */
-  static final Duration MAX_STREAM_DURATION = Duration.ofSeconds(6);
+  /** Duration of a stream that is assumed until enough of its route are known. */
+  static final Duration ASSUMED_STREAM = Duration.ofSeconds(6);
 
   /** Maximum duration of another request, where its timeouts are longer. */
-  static final Duration MAX_PLAIN_DURATION = MAX_STREAM_DURATION;
+  static final Duration MAX_PLAIN_DURATION = Duration.ofSeconds(6);
 
   /**
    * Inactivity of an engine after which a stream resumes at another one. Callers leave after two
@@ -44,14 +44,13 @@
    * Returns the time within which a request ends.
    *
    * @param patienceMillis time that its caller waits, where stated
+   * @param stream time that a stream of the route is expected to last at most
    */
-  static Duration maxDuration(Route route, OptionalLong patienceMillis) {
-    if (route.kind() == RequestKind.STREAM) {
-      return MAX_STREAM_DURATION;
-    }
+  static Duration maxDuration(Route route, OptionalLong patienceMillis, Duration stream) {
+    Duration expected = route.kind() == RequestKind.STREAM ? stream : MAX_PLAIN_DURATION;
     long patience = patienceMillis.orElse(Long.MAX_VALUE);
     long millis = Math.min(route.timeoutMillis(), patience);
-    return Duration.ofMillis(Math.min(millis, MAX_PLAIN_DURATION.toMillis()));
+    return Duration.ofMillis(Math.min(millis, expected.toMillis()));
   }
 
   /** Returns the maximum wait for credit. */
--- a/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
@@ -166,6 +166,7 @@
         null,
         null,
         null,
+        null,
         events,
         new RelayMetrics(),
         RouteTable::empty,
--- a/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
+++ b/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
@@ -102,7 +102,10 @@
     return admin.get(number);
   }
 
-  /** Starts gateways, with further lines in their settings, and waits until they are ready. */
+  /**
+   * Starts gateways, with further lines in their settings, and waits until they are ready. A line
+   * replaces the one of the same key that is set here.
+   */
   void open(int count, String... settingsLines) throws Exception {
     Path key = Files.writeString(folder.resolve("key"), SHARED_KEY);
     for (int i = 0; i < count; i++) {
@@ -125,7 +128,7 @@
               "sidecarPort: 1",
               "listPeriodMillis: 100",
               "stopLagMillis: 50",
-              "graceMillis: 2000",
+              lineOr("graceMillis: 2000", settingsLines),
               "keyWithdrawalMillis: 2500",
               // A gateway takes no part of the fixed number of retries in its first window.
               "retryRatio: 2",
@@ -190,6 +193,12 @@
     }
   }
 
+  /** Returns a line, or nothing when another line sets the same key. */
+  private static String lineOr(String line, String... others) {
+    String key = line.substring(0, line.indexOf(':') + 1);
+    return List.of(others).stream().anyMatch(other -> other.startsWith(key)) ? "" : line;
+  }
+
   private InetSocketAddress serveList(int gateway) throws IOException {
     HttpServer list = HttpServer.create(FreePorts.address(), 0);
     list.createContext(
