--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -292,6 +292,7 @@
             System.nanoTime()),
         settings.secondAttempts().map(allowed -> new HedgePolicy(allowed, System.nanoTime())),
         new PauseWatch(),
+        new LearnedDurations(metrics),
         outages,
         HeldBytes.ofHeap(),
         usage,
--- a/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
@@ -189,6 +189,7 @@
         null,
         null,
         null,
+        null,
         events,
         new RelayMetrics(),
         RouteTable::empty,
