Acknowledge a committed change whose leader hands over

With wait=true, an operator's call whose change was committed when the leader stopped was answered with 307 to the new leader, with 503 noLeader, or with 503 outcomeUnknown. A caller that follows the redirect repeats the change under a new operation id, or conflicts with itself through If-Match.

Cause: after the commit, the wait for the change to be in force asked for the leader as if the call had just begun, and answered its end like that of a command of unknown outcome. The end of the wait was taken for the end of the change.

--- a/control/src/main/java/org/comfreygap/control/ApiSupport.java
+++ b/control/src/main/java/org/comfreygap/control/ApiSupport.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import org.comfreygap.consensus.ReplicatedLog;
 import org.comfreygap.control.ControlSettings.Operator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Shared steps of the resources of the administration API: authorization, redirection to the
@@ -22,6 +24,8 @@
 @Singleton
 final class ApiSupport {
 
+  private static final Logger LOG = LoggerFactory.getLogger(ApiSupport.class);
+
   private static final long DEFAULT_WAIT_MILLIS = 7_000;
   private static final long MAX_WAIT_MILLIS = 30_000;
 
@@ -76,24 +80,32 @@
   }
 
   /**
-   * Returns the response to a change; with {@code wait=true} only after waiting until every process
-   * has it in force.
+   * Returns the response to a committed change; with {@code wait=true} only after waiting until
+   * every process has it in force, or until this instance no longer leads. The change then counts
+   * as not in force, without laggards; a redirect or an error would have the caller repeat it.
    */
   ChangeResponse changeResponse(UriInfo uri, ChangeResult result, String path, String operationId) {
-    boolean wait = Boolean.parseBoolean(uri.getQueryParameters().getFirst("wait"));
-    if (!wait) {
+    if (!isAwaited(uri)) {
       return new ChangeResponse(path, result.revision(), operationId, null, null);
     }
+    Optional<List<String>> laggards = Optional.empty();
+    Optional<LeaderTerm> term = leadership.current();
     try {
-      List<String> laggards =
-          membership.awaitInForce(requireLeader(uri), result.revision(), timeout(uri));
-      return new ChangeResponse(path, result.revision(), operationId, laggards.isEmpty(), laggards);
+      if (term.isPresent()) {
+        laggards =
+            Optional.of(membership.awaitInForce(term.get(), result.revision(), timeout(uri)));
+      }
     } catch (LeadershipLost e) {
-      throw ApiException.outcomeUnknown(e.getMessage());
+      LOG.debug("cannot tell whether revision {} is in force", result.revision(), e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      throw ApiException.outcomeUnknown("interrupted");
     }
+    return new ChangeResponse(
+        path,
+        result.revision(),
+        operationId,
+        laggards.map(List::isEmpty).orElse(false),
+        laggards.orElse(List.of()));
   }
 
   /** Returns the body as a JSON object; fails with 400 when it is not one. */
@@ -131,6 +143,10 @@
     }
   }
 
+  private static boolean isAwaited(UriInfo uri) {
+    return Boolean.parseBoolean(uri.getQueryParameters().getFirst("wait"));
+  }
+
   private static Duration timeout(UriInfo uri) {
     String given = uri.getQueryParameters().getFirst("timeoutMillis");
     long millis = parseNumber("timeoutMillis", given, DEFAULT_WAIT_MILLIS);
--- a/control/src/test/java/org/comfreygap/control/MemoryCluster.java
+++ b/control/src/test/java/org/comfreygap/control/MemoryCluster.java
@@ -27,6 +27,7 @@
   private long term;
   private int resultsToLose;
   private int commandsToRefuse;
+  private Optional<Replica> nextLeader = Optional.empty();
 
   synchronized Replica add(String id, ControlState state) {
     Replica replica = new Replica(id, state);
@@ -60,6 +61,11 @@
     commandsToRefuse = count;
   }
 
+  /** Elects {@code replica} as soon as the next command is committed and applied. */
+  synchronized void electAfterNextCommand(Replica replica) {
+    nextLeader = Optional.of(replica);
+  }
+
   synchronized int commandCount() {
     return commands.size();
   }
@@ -123,6 +129,8 @@
             result = replica == this ? replicaResult : result;
           }
         }
+        nextLeader.ifPresent(MemoryCluster.this::elect);
+        nextLeader = Optional.empty();
         if (resultsToLose > 0) {
           resultsToLose--;
           return CompletableFuture.failedFuture(
