Reply to calls that run when a Thrift server closes

A call that control executed when its Thrift server closed was interrupted before its reply: the command was committed, and the caller saw a lost connection. Callers repeat their calls under the same id, so the command had its effect once; the caller paid a reconnection and, without another instance, the time of its call.

Cause: TThreadPoolServer interrupts its workers as soon as it is stopped, and close() did so again. The end of accepting was taken for the end of the calls.

ThriftServerTest.repliesToCallThatRunsWhenTheServerCloses failed before: a call of 100 ms got no reply. RunningCalls now counts calls from the moment at which their message is read, refuses further ones without executing them, and lets the running ones reply for up to 250 ms, which a commit does not need and a watch, which changes nothing, may exceed.

--- a/runtime/src/main/java/org/comfreygap/runtime/ThriftServer.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ThriftServer.java
@@ -27,8 +27,9 @@
  *     ThriftServer.start("control", address, security, new ControlService.Processor<>(handler));
  * }</pre>
  *
- * <p>Invariant: no call reaches the processor before the peer has proven that it holds the shared
- * key. Thread safety: {@link #close} may be called from any thread.
+ * <p>Invariants: no call reaches the processor before the peer has proven that it holds the shared
+ * key; a call in progress when the server closes gets its reply, unless it takes too long. Thread
+ * safety: {@link #close} may be called from any thread.
  *
  * @since 0.1
  */
@@ -42,19 +43,27 @@
   // Every peer sends at least once per second; a connection idle for longer has lost its peer.
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
   private static final Duration STOP_TIMEOUT = Duration.ofMillis(250);
+  // A command is committed within a few milliseconds; a watch takes longer, and is repeated.
+  private static final Duration REPLY_TIMEOUT = Duration.ofMillis(250);
   private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(5);
   private static final long WORKER_STACK_BYTES = 256 * 1024;
 
   private final TThreadPoolServer server;
   private final ServerSocket socket;
   private final ThreadPoolExecutor workers;
+  private final RunningCalls calls;
   private final Thread acceptor;
 
   private ThriftServer(
-      TThreadPoolServer server, ServerSocket socket, ThreadPoolExecutor workers, Thread acceptor) {
+      TThreadPoolServer server,
+      ServerSocket socket,
+      ThreadPoolExecutor workers,
+      RunningCalls calls,
+      Thread acceptor) {
     this.server = server;
     this.socket = socket;
     this.workers = workers;
+    this.calls = calls;
     this.acceptor = acceptor;
   }
 
@@ -68,11 +77,12 @@
       throws IOException {
     ServerSocket socket = bind(address, security);
     ThreadPoolExecutor workers = workers(name);
+    RunningCalls calls = new RunningCalls(processor);
     try {
       TServerSocket transport = new TServerSocket(socket, (int) IDLE_TIMEOUT.toMillis());
       TThreadPoolServer.Args args =
           new TThreadPoolServer.Args(transport)
-              .processor(processor)
+              .processor(calls)
               .protocolFactory(new TCompactProtocol.Factory())
               .inputTransportFactory(new AuthenticatingTransportFactory(security.sharedKey()))
               .outputTransportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
@@ -84,7 +94,7 @@
       acceptor.setDaemon(true);
       acceptor.start();
       awaitServing(server, acceptor);
-      return new ThriftServer(server, socket, workers, acceptor);
+      return new ThriftServer(server, socket, workers, calls, acceptor);
     } catch (TTransportException e) {
       socket.close();
       throw new IOException("cannot serve on " + Addresses.text(address), e);
@@ -96,9 +106,18 @@
     return (InetSocketAddress) socket.getLocalSocketAddress();
   }
 
-  /** Stops accepting and closes open connections; the address is free when this returns. */
+  /**
+   * Ends the calls in progress, stops accepting and closes open connections; the address is free
+   * when this returns.
+   */
   @Override
   public void close() throws IOException {
+    try {
+      // The server interrupts its workers as soon as it is stopped.
+      calls.endAll(REPLY_TIMEOUT);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     server.stop();
     socket.close();
     workers.shutdownNow();
