Retry attempts that a sidecar's stopping server refuses

While a sidecar stops, its HTTP server keeps idle connections open for up to 1 s and answers what arrives on them with 503, without passing it on. A gateway took this for an attempt that may have run: the caller of a call that must not run twice got 502 with outcome "unknown", although another endpoint was ready and nothing had run. Each kept connection of each gateway could lose one request per stop.

Cause: the sidecar refuses attempts while it waits for the running ones, and ends this with their end; it then leaves what arrives to the server, whose answer the gateway did not know.

AttemptFaultTest.movesCallsAwayFromASidecarWhoseServerStops failed before with 502, "the sidecar does not know the attempt", unknown; on a real sidecar a trial saw one 503 after 20 answers on its kept connection. The gateway now treats 503 as it does the statuses below 500: the sidecar did not accept the message, so the call goes to another endpoint. Nothing else in the sidecar responds with 503.

--- a/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
@@ -72,6 +72,8 @@
       Http1Config.custom().setMaxLineLength(MAX_LINE_BYTES).setMaxHeaderCount(MAX_HEADERS).build();
 
   private static final int FIRST_SERVER_ERROR_STATUS = 500;
+  // A sidecar's server that stops responds with this status itself and passes no message on.
+  private static final int STOPPING_STATUS = 503;
 
   private final SharedKey key;
   private final CloseableHttpClient client;
@@ -85,8 +87,8 @@
   /**
    * Posts an attempt and returns its frames.
    *
-   * @throws SidecarUnreachable when no connection could be opened or the sidecar rejected the
-   *     message
+   * @throws SidecarUnreachable when no connection could be opened, or the sidecar or its stopping
+   *     server rejected the message
    * @throws FrameStreamBroken when the attempt may have reached the sidecar but no frames were
    *     received
    */
@@ -103,7 +105,7 @@
     } catch (IOException e) {
       post.cancel();
       closeQuietly(response);
-      if (response.getCode() != STATUS_OK && response.getCode() < FIRST_SERVER_ERROR_STATUS) {
+      if (isRejected(response.getCode())) {
         throw new SidecarUnreachable("the sidecar rejected the message", e);
       }
       throw new FrameStreamBroken("received no frames", e);
@@ -166,6 +168,10 @@
     }
   }
 
+  private static boolean isRejected(int status) {
+    return status != STATUS_OK && (status < FIRST_SERVER_ERROR_STATUS || status == STOPPING_STATUS);
+  }
+
   private HttpPost post(String path, byte[] body) {
     HttpPost post = new HttpPost(path);
     post.setHeader(SharedKey.SIGNATURE_HEADER, key.signHttp(path, body));
--- a/gateway/src/test/java/org/comfreygap/gateway/AttemptFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/AttemptFaultTest.java
@@ -216,6 +216,28 @@
     assertThat(fixture.sidecar("orders-2").startedAttempts()).isEqualTo(4);
   }
 
+  /**
+   * Guards against a call that ends as unknown, without a retry, because it reached its sidecar
+   * over a kept connection while the sidecar's server stopped, which passes no call on.
+   */
+  @Test
+  void movesCallsAwayFromASidecarWhoseServerStops() throws Exception {
+    FakeSidecar stopping = fixture.sidecar("orders-1");
+    for (int i = 0; i < 40; i++) {
+      stopping.planFault(Fault.SERVER_STOPS);
+    }
+
+    for (int i = 0; i < 4; i++) {
+      HttpResponse<String> response = fixture.callOrders("POST", null, "order");
+      assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
+      assertThat(GatewayFixture.outcome(response)).isEqualTo("ran");
+    }
+
+    assertThat(stopping.receivedRequests()).isNotEmpty();
+    assertThat(stopping.startedAttempts()).isZero();
+    assertThat(fixture.sidecar("orders-2").startedAttempts()).isEqualTo(4);
+  }
+
   /** Guards against a crash suspect that is retried beside other requests and crashes them too. */
   @Test
   void isolatesAndReportsCrashSuspects() throws Exception {
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeSidecar.java
@@ -115,6 +115,8 @@
     CLOSE_BEFORE_HEAD,
     /** The connection closes before the response head; the attempt neither runs nor is known. */
     LOSE_REQUEST,
+    /** The server stops and responds with 503; the attempt neither runs nor is known. */
+    SERVER_STOPS,
     /** Nothing is sent; the attempt runs. */
     SILENT_BEFORE_HEAD,
     /** Nothing is sent after half of the response; the connection stays open. */
@@ -348,6 +350,10 @@
       if (plan.fault() == Fault.LOSE_REQUEST) {
         throw new PlannedDisconnectException();
       }
+      if (plan.fault() == Fault.SERVER_STOPS) {
+        exchange.endWithStatus(503);
+        return null;
+      }
       startedAttempts.incrementAndGet();
       if (attempt.isSetAdapter() && attempt.getRoute() != Route.SERVICE) {
         resident.add(attempt.getAdapter() + "@" + attempt.getVersion());
@@ -468,11 +474,13 @@
   private final class Exchange {
 
     private final Request request;
+    private final Response response;
     private final OutputStream out;
     private final Callback callback;
 
     Exchange(Request request, Response response, Callback callback) {
       this.request = request;
+      this.response = response;
       this.callback = callback;
       response.getHeaders().put("Content-Type", "application/vnd.apache.thrift.compact");
       this.out = Content.Sink.asOutputStream(response);
@@ -502,6 +510,11 @@
       callback.succeeded();
     }
 
+    void endWithStatus(int status) throws IOException {
+      response.setStatus(status);
+      end();
+    }
+
     void waitUntilClosed(String id, boolean heartbeats) throws IOException, TException {
       out.flush();
       try {
