--- a/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/comfreygap/sidecar/SidecarFixture.java
@@ -26,6 +26,7 @@
   final String name;
   Sidecar sidecar;
   TestGateway gateway;
+  private int attemptPort;
   private int starts;
 
   private SidecarFixture(FakeEndpoint endpoint, String name) throws Exception {
@@ -87,6 +88,10 @@
     }
   }
 
+  int attemptPort() {
+    return attemptPort;
+  }
+
   static int freePort() throws IOException {
     return FreePorts.address().getPort();
   }
@@ -110,6 +115,7 @@
             new InetSocketAddress("127.0.0.1", freePort()),
             URI.create(endpoint.url()),
             List.of(control.address()));
+    attemptPort = port;
     sidecar = Sidecar.start(settings, SECURITY);
     gateway = new TestGateway(port, KEY);
     return sidecar;
