Let responses in progress end before the HTTP server stops

A caller of control's, a gateway's or a sidecar's HTTP interface that paused for a second while it read a response lost the rest of it when the process stopped, for example an operator who reads the configuration in force over a slow link.

Cause: when Jetty's server stops, it sets an idle timeout of 1 s on all connections, those with a response in progress included: its end of reading is taken for the end of the delivery.

ServiceShellTest.deliversWholeResponseToCallerThatPausesDuringTheStop failed before: 3.6 of 16.8 MB arrived at a caller that paused for 2.5 s. The shell now refuses further requests with 503 first and waits for the responses in progress for up to 3 s, and only then stops the server; without one in progress the stop takes as long as before. answersRequestThatRunsWhenTheServerStops passed before and after.

--- a/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/ServiceShell.java
@@ -21,9 +21,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.handler.GracefulHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The embedded Dropwizard server of a program: an HTTP connector for its resources and one for
@@ -47,6 +53,11 @@
  */
 public final class ServiceShell implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(ServiceShell.class);
+
+  // Short, since a caller that does not read holds up the stop for as long.
+  private static final java.time.Duration RESPONSE_TIMEOUT = java.time.Duration.ofSeconds(3);
+
   private final Server server;
   private final PrometheusMeterRegistry metrics;
 
@@ -69,6 +80,7 @@
   @Override
   public void close() {
     try {
+      awaitResponses();
       server.stop();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -77,6 +89,20 @@
     }
   }
 
+  /**
+   * Refuses further requests with 503 and waits for the responses in progress: from its stop on,
+   * the server closes each connection whose caller pauses for a second.
+   */
+  private void awaitResponses() throws InterruptedException {
+    for (GracefulHandler handler : server.getDescendants(GracefulHandler.class)) {
+      try {
+        handler.shutdown().get(RESPONSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      } catch (ExecutionException | TimeoutException e) {
+        LOG.debug("responses are in progress after {}", RESPONSE_TIMEOUT, e);
+      }
+    }
+  }
+
   /** Configures and starts a server. Not thread-safe. */
   public static final class Builder {
 
