Refuse a malformed timeoutMillis before the change, not after it

An operator's call with wait=true and a timeoutMillis that is not a number was answered with 400 after its change had been committed: executed work was reported as refused.

Cause: the time was read only when the wait began. It is now read together with the operator's token, before anything is proposed.

The new row of AdministrationApiTest.malformedCallsAreRefused failed before: 400, but revision 16 where 15 was expected. All 44 tests of the class pass now.

--- a/control/src/main/java/org/comfreygap/control/ApiSupport.java
+++ b/control/src/main/java/org/comfreygap/control/ApiSupport.java
@@ -62,6 +62,10 @@
   Operator authenticateAtLeader(String authorization, UriInfo uri) {
     Operator operator = operators.authenticate(authorization);
     requireLeader(uri);
+    if (isAwaited(uri)) {
+      // Refuses a malformed time before the change, not after its commit.
+      timeout(uri);
+    }
     return operator;
   }
 
--- a/control/src/test/java/org/comfreygap/control/AdministrationApiTest.java
+++ b/control/src/test/java/org/comfreygap/control/AdministrationApiTest.java
@@ -152,6 +152,7 @@
         "PUT | /settings/platform/endpoints/e | {\"zone\": \"z\", \"kind\": \"engine\", "
             + "\"sidecar\": \"127.0.0.1:1\", \"maxBatch\": 1, \"coldStart\": "
             + "{\"initialConcurrency\": 1, \"rampSeconds\": 1}} | 422",
+        "PUT | /settings/teams/blue/customers/c?wait=true&timeoutMillis=soon | {} | 400",
         "POST | /rollback | {} | 400",
         "POST | /rollback | {\"toRevision\": 99999} | 410",
         "POST | /transactions | {\"changes\": []} | 422",
