--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -54,7 +53,7 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements Caller {
 
-  /** Queued parts of pipelined requests beyond which the connection is closed. */
+  /** Queued parts of pipelined requests beyond which no further request is read. */
   private static final int MAX_QUEUED = 256;
 
   private static final int MAX_CHUNK_BYTES = 16 * 1024;
@@ -71,6 +70,7 @@
   private boolean omitBody;
   private boolean knowsChunks;
   private boolean endsWithConnection;
+  private boolean overflowed;
   private boolean closing;
   private String endReason = "the caller or this process ended the connection";
 
@@ -102,18 +102,27 @@
     return deliveries.isPending();
   }
 
-  /** Closes the connection after pending writes, unless a request is in progress. */
-  void closeIfIdle() {
-    if (!isBusy() && !closing) {
+  /** Closes the connection unless a request is in progress, has arrived or was just answered. */
+  void closeIfIdle(long nowNanos) {
+    if (closing || isBusy() || !deliveries.isSettled(nowNanos)) {
+      return;
+    }
+    ArrivedBytes.read(context.channel());
+    if (!closing && !isBusy()) {
       closing = true;
-      // Closing at once would drop the unsent end of a response.
-      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      endReason = "the gateway stops";
+      context.close();
     }
   }
 
   /** Ends the request in progress, with an answer as long as none has begun. */
   void gatewayStops() {
-    exchange.ifPresent(Exchange::gatewayStops);
+    if (exchange.isPresent()) {
+      exchange.get().gatewayStops();
+    } else if (head.isPresent()) {
+      head = Optional.empty();
+      rejectAndClose(Refusal.STOPPING.status(), Refusal.STOPPING.text());
+    }
   }
 
   @Override
@@ -128,12 +137,11 @@
       deliveries.drop(part, "the connection was closing");
     } else if (exchange.isEmpty() && queued.isEmpty()) {
       read(part);
-    } else if (queued.size() < MAX_QUEUED) {
+    } else if (queued.size() < MAX_QUEUED && !overflowed) {
       queued.addLast(part);
     } else {
-      ReferenceCountUtil.release(part);
-      endReason = "more than " + MAX_QUEUED + " parts of further requests arrived";
-      ctx.close();
+      overflowed = true;
+      deliveries.drop(part, "more than " + MAX_QUEUED + " parts of further requests arrived");
     }
   }
 
@@ -167,7 +175,12 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    relay.events().record(RelayEvent.CALLER_REJECTED, Field.of("cause", cause));
+    relay
+        .events()
+        .record(
+            RelayEvent.CALLER_REJECTED,
+            Field.of("request", exchange.map(Exchange::requestId).orElse("")),
+            Field.of("cause", cause));
     endReason = "the connection failed";
     ctx.close();
   }
@@ -341,7 +354,7 @@
 
   /** Returns true when no further request of this connection gets a response. */
   private boolean isLast() {
-    return !keepAlive || (stopping.getAsBoolean() && queued.isEmpty());
+    return !keepAlive || ((stopping.getAsBoolean() || overflowed) && queued.isEmpty());
   }
 
   private void responseWritten(ChannelFuture written, boolean last) {
@@ -380,5 +393,10 @@
     while (!closing && exchange.isEmpty() && !queued.isEmpty()) {
       read(queued.pollFirst());
     }
+    if (overflowed && !closing && exchange.isEmpty()) {
+      // The rest of the last request, or the next one, was dropped.
+      closing = true;
+      closeAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
+    }
   }
 }
