Answer a request that follows a stream which began before a planned stop

A caller that read slowly, or wrote its next request while the end of a stream was on its way, lost that request: in a stop the connection was closed with the last part of any response, announced or not. Read whole, not run, and no answer.

A close that was not announced now waits until the connection has been quiet for 200 ms. What arrives before is admitted or refused like any request of a stop, and its response announces the close. Where a slow caller may still be reading, the idle connection ends on its sending side first, and LingeringClose waits 5 s instead of 1 s for a caller to read the rest: bytes that reach a closed socket reset it as well.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -108,9 +108,14 @@
       return;
     }
     ArrivedBytes.read(context.channel());
-    if (!closing && !isBusy()) {
-      closing = true;
-      endReason = "the gateway stops";
+    if (closing || isBusy()) {
+      return;
+    }
+    closing = true;
+    endReason = "the gateway stops";
+    if (deliveries.isRecent(nowNanos)) {
+      LingeringClose.begin(context.channel());
+    } else {
       context.close();
     }
   }
@@ -224,9 +229,9 @@
 
   @Override
   public void endResponse() {
-    // A response that started before the stop carries no "Connection: close" header; a request
-    // that arrives after it is not accepted.
-    boolean last = isLast();
+    // A close that was not announced waits until nothing arrives: the caller may be reading still,
+    // or writing its next request.
+    boolean last = !keepAlive;
     ChannelFuture written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     if (endsWithConnection) {
       written.addListener(done -> closeGracefully(done.isSuccess()));
--- a/relay/src/main/java/org/comfreygap/relay/DeliveryLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/DeliveryLog.java
@@ -25,7 +25,7 @@
    */
   static final Duration LIMIT = Duration.ofSeconds(20);
 
-  /** Some round trips: a reset would discard what the caller has not received. */
+  /** Time in which a caller that has its response writes the next request. */
   private static final Duration SETTLING_TIME = Duration.ofMillis(200);
 
   private final RelayContext relay;
@@ -49,10 +49,14 @@
     return latest.filter(one -> !one.written().isDone()).isPresent();
   }
 
-  /** Returns true when there is no response that may still be on its way to the caller. */
+  /** Returns true when no response was handed to the connection just now. */
   boolean isSettled(long nowNanos) {
-    return !isPending()
-        && latest.filter(one -> nowNanos - one.sinceNanos() < SETTLING_TIME.toNanos()).isEmpty();
+    return !isPending() && !isWithin(SETTLING_TIME, nowNanos);
+  }
+
+  /** Returns true when a slow caller may still be reading the last response. */
+  boolean isRecent(long nowNanos) {
+    return isWithin(LingeringClose.LIMIT, nowNanos);
   }
 
   /** Returns true when {@link #LIMIT} has passed since a response that is not written. */
@@ -93,6 +97,10 @@
     latest = Optional.empty();
   }
 
+  private boolean isWithin(Duration span, long nowNanos) {
+    return latest.filter(one -> nowNanos - one.sinceNanos() < span.toNanos()).isPresent();
+  }
+
   private void recordDropped(HttpRequest head, String reason) {
     relay.metrics().count("deliveries", "unanswered");
     relay
--- a/relay/src/main/java/org/comfreygap/relay/LingeringClose.java
+++ b/relay/src/main/java/org/comfreygap/relay/LingeringClose.java
@@ -17,8 +17,8 @@
  */
 final class LingeringClose {
 
-  /** Time for the peer to read the rest and to close; most do so within a round trip. */
-  static final Duration LIMIT = Duration.ofSeconds(1);
+  /** Time for a slow peer to read the rest and to close; most close within a round trip. */
+  static final Duration LIMIT = Duration.ofSeconds(5);
 
   private LingeringClose() {}
 
