--- a/relay/src/test/java/org/comfreygap/relay/FollowingRequestStopTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/FollowingRequestStopTest.java
@@ -24,7 +24,7 @@
  */
 class FollowingRequestStopTest {
 
-  private static final int EVENT_MILLIS = 60;
+  private static final int EVENT_MILLIS = 85;
 
   @TempDir private Path folder;
   private final Closer closer = new Closer();
@@ -35,7 +35,7 @@
     StreamingEndpoint endpoint =
         closer.register(new StreamingEndpoint("endpoint", "v1").eventMillis(EVENT_MILLIS));
     fleet = closer.register(new GatewayFleet(folder, endpoint::listed));
-    fleet.open(1, "stopLagMillis: 1000");
+    fleet.open(1, "stopLagMillis: 2000", "graceMillis: 4000");
   }
 
   @AfterEach
