--- a/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CallerDeliveryTest.java
@@ -15,6 +15,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.reflect.Field;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -164,6 +165,31 @@
     }
   }
 
+  /**
+   * Guards against a stop that resets a connection whose last response is in the buffers of the
+   * sockets, when the caller has written its next request meanwhile.
+   */
+  @Test
+  void deliversResponseToASlowCallerWhoseIdleConnectionIsClosed() throws Exception {
+    try (Socket caller = connect()) {
+      CallerConnection connection = accepted.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+      // As after the head of a request; only an exchange would set it here.
+      Field keepAlive = CallerConnection.class.getDeclaredField("keepAlive");
+      keepAlive.setAccessible(true);
+      keepAlive.setBoolean(connection, true);
+      group.next().submit(() -> respond(connection, SMALL_BYTES)).get();
+      InputStream in = skipHead(caller);
+      Thread.sleep(250);
+      stopping.set(true);
+      assertThat(group.next().submit(connection::isDelivering).get()).isFalse();
+      group.next().submit(() -> connection.closeIfIdle(System.nanoTime())).get();
+      write(caller, "POST /next HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\norder");
+      Thread.sleep(50);
+
+      assertThat(in.readNBytes(SMALL_BYTES).length).isEqualTo(SMALL_BYTES);
+    }
+  }
+
   private static void respond(CallerConnection connection, int bytes) {
     connection.beginResponse(
         HttpResponseStatus.OK, new DefaultHttpHeaders(), OptionalLong.of(bytes));
