--- a/relay/src/test/java/org/comfreygap/relay/PipelinedCallerTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/PipelinedCallerTest.java
@@ -7,6 +7,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,6 +22,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.relay.ScriptedEndpoint.Reply;
+import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.Closer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -229,6 +234,55 @@
     }
   }
 
+  /** The head of the last request is queued, and the rest of its body is not. */
+  @Test
+  void namesRequestWhoseBodyHasTooManyParts() throws Exception {
+    endpoint.setNext(List.of(Reply.PAUSE, Reply.PAUSE, Reply.PAUSE, Reply.WHOLE));
+    try (Socket caller = new Socket()) {
+      caller.connect(fleet.address(0));
+      caller.setSoTimeout(10_000);
+      InputStream in = new BufferedInputStream(caller.getInputStream());
+      write(
+          caller,
+          request("/slow/1", "before", "")
+              + "POST /slow/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest: in-parts\r\n"
+              + "Transfer-Encoding: chunked\r\n\r\n"
+              + "1\r\na\r\n".repeat(TOO_MANY)
+              + "0\r\n\r\n");
+
+      assertThat(Answer.read(in).id()).hasValue("before");
+      assertThat(in.read()).isEqualTo(-1);
+    }
+    assertThat(timeline("in-parts")).contains(RelayEvent.REQUEST_NOT_ANSWERED.name());
+  }
+
+  /** Guards against the answer to a later request in place of one whose reading failed. */
+  @Test
+  void endsConnectionWhenAQueuedRequestCannotBeRead() throws Exception {
+    endpoint.setNext(List.of(Reply.PAUSE, Reply.PAUSE, Reply.PAUSE, Reply.WHOLE));
+    try (Socket caller = new Socket()) {
+      caller.connect(fleet.address(0));
+      caller.setSoTimeout(10_000);
+      InputStream in = new BufferedInputStream(caller.getInputStream());
+      write(
+          caller,
+          request("/slow/1", "before", "")
+              + request("/slow/1", "fails", "Patience-Millis: unreadable\r\n"));
+      assertThat(Answer.read(in).id()).hasValue("before");
+      Thread.sleep(100);
+      write(caller, request("/slow/1", "after", ""));
+
+      assertThat(in.read()).isEqualTo(-1);
+    }
+  }
+
+  private String timeline(String id) throws Exception {
+    URI uri =
+        URI.create("http://" + Addresses.text(fleet.adminAddress(0)) + "/timeline?request=" + id);
+    HttpRequest get = HttpRequest.newBuilder(uri).build();
+    return HttpClient.newHttpClient().send(get, HttpResponse.BodyHandlers.ofString()).body();
+  }
+
   /** Sends requests without waiting for their responses, and returns the responses out of order. */
   private List<String> sendPipelined(String name) {
     try (Socket caller = new Socket()) {
