Expect streams to last as long as is assumed, at least

A route whose last 50 streams were short lowered what is expected below the 6 s that are assumed, so that its streams were admitted until late in a planned stop.

What is learned only raises the assumption.

--- a/decisions/src/main/java/org/comfreygap/decisions/StreamDurations.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/StreamDurations.java
@@ -11,8 +11,8 @@
  * <p>A stream that is cut costs its whole run and reaches its caller as a failure; one that is
  * refused costs its caller another try, at a gateway that goes on. So the longest stream counts,
  * not a usual one: a route's streams are expected to last as long as the longest of the last one to
- * two {@link #GENERATION}s and a {@link #MARGIN}. One long stream raises what is expected at once;
- * it falls below the assumption only after {@link #MIN_STREAMS}.
+ * two {@link #GENERATION}s and a {@link #MARGIN}, and never less than is assumed: a stream that
+ * arrives late in a stop must not be cut because those before it happened to be short.
  *
  * <pre>{@code
  * durations.served("chat", ended - arrived, now);
@@ -29,9 +29,6 @@
   /** Time over which streams are gathered; those of this and of the generation before count. */
   public static final Duration GENERATION = Duration.ofSeconds(60);
 
-  /** Streams below which shorter ones than assumed say little. */
-  public static final int MIN_STREAMS = 50;
-
   /** Ratio of what is expected to the longest stream; the next one may be a little longer. */
   public static final double MARGIN = 1.1;
 
@@ -44,7 +41,7 @@
   /**
    * Creates an object that knows no stream.
    *
-   * @param assumed duration that is expected while too few streams are known
+   * @param assumed least duration that is expected
    */
   public StreamDurations(Duration assumed) {
     this.assumedNanos = assumed.toNanos();
@@ -72,9 +69,8 @@
       return assumedNanos;
     }
     known.advance(nowNanos);
-    long learned = (long) (Math.max(known.longest, known.longestBefore) * MARGIN);
-    boolean enough = known.streams + known.streamsBefore >= MIN_STREAMS;
-    return enough ? learned : Math.max(assumedNanos, learned);
+    long longest = Math.max(known.longest, known.longestBefore);
+    return Math.max(assumedNanos, (long) (longest * MARGIN));
   }
 
   /** Returns the number of routes that are kept. */
