--- a/relay/src/main/java/org/comfreygap/relay/Relocation.java
+++ b/relay/src/main/java/org/comfreygap/relay/Relocation.java
@@ -131,6 +131,7 @@
         && endpoint.acceptsRequests(nowNanos)
         && search.isWhereItBegan(endpoint)
         && search.servesVersion(relay.tables().get(), endpoint, nowNanos)
+        && relay.hasRetry(decision.pool(), nowNanos)
         && clearance.use(endpoint, () -> {})
         && relay.tryRetry(decision.pool(), nowNanos);
   }
--- a/relay/src/test/java/org/comfreygap/relay/SilentStreamTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/SilentStreamTest.java
@@ -2,12 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.comfreygap.runtime.Addresses;
 import org.comfreygap.runtime.Closer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -62,6 +66,8 @@
     assertThat(ids(response)).isEqualTo(ALL_IDS);
     assertThat(other.requests()).hasSize(1);
     assertThat(other.requests().get(0).lastEventId()).contains("3");
+    // Guards against retries that the budget of the pool does not count.
+    assertThat(metrics()).contains("retries_total{reason=\"" + GatewayFleet.POOL + "\"} 1.0");
   }
 
   /** Guards against a run that is given up for an endpoint that takes no connection. */
@@ -115,6 +121,13 @@
     return response;
   }
 
+  private String metrics() throws Exception {
+    URI uri = URI.create("http://" + Addresses.text(fleet.adminAddress(0)) + "/metrics");
+    return HttpClient.newHttpClient()
+        .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
+        .body();
+  }
+
   private static List<String> ids(CompletableFuture<HttpResponse<String>> response)
       throws Exception {
     String body = response.get(15, TimeUnit.SECONDS).body();
