End the connection when a queued request cannot be read

An error while a queued request was read was only logged by the executor: the request was dropped, and its caller took the response to the next one for its own. It now ends the connection, as it does for a request that is read at once. In a planned stop an error at one caller no longer keeps the requests of others open, and the set of callers is copied before connections are closed.

--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -372,7 +372,7 @@
       return;
     }
     // Deferred to the next turn of the loop: a response may be sent while its request is read.
-    context.executor().execute(this::readQueued);
+    context.executor().execute(this::readNext);
   }
 
   /** Ends the connection once its last bytes are written. */
@@ -394,6 +394,15 @@
     }
   }
 
+  /** Reads what is queued; its errors end the connection like those of what is read at once. */
+  private void readNext() {
+    try {
+      readQueued();
+    } catch (RuntimeException e) {
+      exceptionCaught(context, e);
+    }
+  }
+
   private void readQueued() {
     while (!closing && exchange.isEmpty() && !queued.isEmpty()) {
       read(queued.pollFirst());
--- a/relay/src/main/java/org/comfreygap/relay/PlannedStop.java
+++ b/relay/src/main/java/org/comfreygap/relay/PlannedStop.java
@@ -166,17 +166,31 @@
   }
 
   private boolean isUnanswered() {
-    callers.stream().filter(CallerConnection::isBusy).forEach(CallerConnection::gatewayStops);
+    endBusy();
     return callers.stream().anyMatch(one -> one.isBusy() || one.isDelivering());
   }
 
   /** Ends the requests that are still in progress, and returns their number. */
   private int endRequests() {
+    return endBusy();
+  }
+
+  private int endBusy() {
+    // A connection that closes at once is removed from the set.
     List<CallerConnection> busy = callers.stream().filter(CallerConnection::isBusy).toList();
-    busy.forEach(CallerConnection::gatewayStops);
+    busy.forEach(this::end);
     return busy.size();
   }
 
+  /** Ends the request of one caller; an error does not keep those of others open. */
+  private void end(CallerConnection caller) {
+    try {
+      caller.gatewayStops();
+    } catch (RuntimeException e) {
+      events.record(RelayEvent.TASK_FAILED, Field.of("task", "end request"), Field.of("cause", e));
+    }
+  }
+
   private Cut countCut() {
     return new Cut(callers.stream().filter(CallerConnection::isDelivering).count(), callers.size());
   }
