--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -143,6 +143,7 @@
     } else if (exchange.isEmpty() && queued.isEmpty()) {
       read(part);
     } else if (queued.size() < MAX_QUEUED && !overflowed) {
+      deliveries.queued(part);
       queued.addLast(part);
     } else {
       overflowed = true;
