Give no listener of settings an older revision after a newer one

A gateway that started at the wrong moment stayed not ready, answered 503 and knew no route until the next change of the settings: tables of revision 7 came into force, and 1 ms later the empty ones of revision 0. MembershipAgent.onSettings read the settings in force and called the new listener with them while the thread that watches control already called it with the next ones.

Registration and delivery now exclude each other. Listeners of sidecars and of the own gateway had the same race.

Evidence: BrokenResponseTest failed once in a run of the relay's tests ("the condition did not hold within PT10S", gateways ready), with 3540 of revision 7, 1010 and 3540 of revision 0 in its log. MembershipAgentTest.givesAListenerNoOlderSettingsAfterNewerOnes failed before (9 before 4) and passes. Starts of CrashingPartTest and StreamVersionTest failed in the same way once each.

--- a/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
+++ b/runtime/src/main/java/org/comfreygap/runtime/MembershipAgent.java
@@ -90,6 +90,8 @@
   private final SettingsLease lease;
   private final SuspensionDetector suspensionDetector = new SuspensionDetector();
   private final Map<String, Member> members = new ConcurrentHashMap<>();
+  // Held while listeners are called, so that none gets an older revision after a newer one.
+  private final Object delivery = new Object();
   private final List<Consumer<SettingsView>> listeners = new CopyOnWriteArrayList<>();
   private final Closer closer = new Closer();
   private final LeaderChangeRecorder leaderChanges;
@@ -222,8 +224,10 @@
 
   /** Calls {@code listener} immediately with the current settings, and after each change. */
   public void onSettings(Consumer<SettingsView> listener) {
-    listeners.add(listener);
-    listener.accept(settings);
+    synchronized (delivery) {
+      listeners.add(listener);
+      listener.accept(settings);
+    }
   }
 
   /** Reports to control, from the next heartbeat on, that this process is leaving. */
@@ -313,8 +317,10 @@
   private void apply(WatchReply reply) {
     SettingsView base = reply.isSnapshot() ? SettingsView.empty() : settings;
     SettingsView next = base.with(reply.getChanges(), reply.getRevision());
-    settings = next;
-    listeners.forEach(listener -> listener.accept(next));
+    synchronized (delivery) {
+      settings = next;
+      listeners.forEach(listener -> listener.accept(next));
+    }
     // The lease counts the revision only once every listener has applied it.
     lease.revisionInForce(next.revision());
     events.record(RuntimeEvent.SETTINGS_IN_FORCE, Field.of("revision", next.revision()));
--- a/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
+++ b/runtime/src/test/java/org/comfreygap/runtime/MembershipAgentTest.java
@@ -70,6 +70,27 @@
     await(agent::admits);
   }
 
+  /** Guards against a process that starts with the settings from before the newest ones. */
+  @Test
+  void givesAListenerNoOlderSettingsAfterNewerOnes() throws Exception {
+    control.watchRevision = 4;
+    start();
+    await(() -> agent.settings().revision() == 4);
+    List<Long> applied = new CopyOnWriteArrayList<>();
+
+    agent.onSettings(
+        view -> {
+          if (view.revision() == 4) {
+            control.watchRevision = 9;
+            pauseForAChange();
+          }
+          applied.add(view.revision());
+        });
+    await(() -> applied.contains(9L));
+
+    assertThat(applied).containsExactly(4L, 9L);
+  }
+
   @Test
   void stopsAdmittingWithinTheBoundWhenControlHasNoLeader() throws Exception {
     start();
@@ -211,6 +232,14 @@
         closer.register(MembershipAgent.start(identity, client, events, Optional::empty, timing));
   }
 
+  private static void pauseForAChange() {
+    try {
+      Thread.sleep(1_000);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void await(BooleanSupplier condition) {
     long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
     while (!condition.getAsBoolean()) {
