Refuse streams in a planned stop by their duration alone

With the durations that are learned, the route's timeout and the caller's patience had become upper bounds of streams too: a stream of a route with a short timeout was admitted during a stop, to be cut by its timeout.

--- a/relay/src/main/java/org/comfreygap/relay/RequestTimeouts.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestTimeouts.java
@@ -47,10 +47,12 @@
    * @param stream time that a stream of the route is expected to last at most
    */
   static Duration maxDuration(Route route, OptionalLong patienceMillis, Duration stream) {
-    Duration expected = route.kind() == RequestKind.STREAM ? stream : MAX_PLAIN_DURATION;
+    if (route.kind() == RequestKind.STREAM) {
+      return stream;
+    }
     long patience = patienceMillis.orElse(Long.MAX_VALUE);
     long millis = Math.min(route.timeoutMillis(), patience);
-    return Duration.ofMillis(Math.min(millis, expected.toMillis()));
+    return Duration.ofMillis(Math.min(millis, MAX_PLAIN_DURATION.toMillis()));
   }
 
   /** Returns the maximum wait for credit. */
