--- a/review/stand-in-2/Endless.java
+++ b/review/stand-in-2/Endless.java
@@ -13,10 +13,10 @@
  */
 final class Endless {
 
-  private static final int STREAMS = 4;
+  private static final int STREAMS = 40;
 
   /** The stream whose answer has no end. */
-  private static final int FAULTY = 3;
+  private static final int FAULTY = 20;
 
   private static final int ORDER_TIMEOUT_MILLIS = 1_000;
   private static final int STREAM_TIMEOUT_MILLIS = 12_000;
--- a/review/stand-in-2/FatalPart.java
+++ b/review/stand-in-2/FatalPart.java
@@ -9,9 +9,13 @@
  */
 final class FatalPart {
 
-  private static final int RUNNERS = 4;
+  private static final int RUNNERS = 6;
   private static final int REQUESTS = 30;
   private static final int REQUEST_PAUSE_MILLIS = 1_000;
+
+  /** Requesters of sound streams of three seconds each: 20 a second together. */
+  private static final int READERS = 60;
+
   private static final int BACK_AFTER_MILLIS = 2_000;
   private static final int CONTACT_MILLIS = 3_000;
   private static final int CRASHES = 5;
@@ -28,7 +32,7 @@
     AtomicInteger crashes = new AtomicInteger();
     AtomicLong fifthNanos = new AtomicLong();
     AtomicInteger later = new AtomicInteger();
-    AtomicInteger cut = new AtomicInteger();
+    AtomicInteger unserved = new AtomicInteger();
     Runner.Behaviour behaviour =
         (runner, head, body, out) -> {
           boolean fatal = head.field("x-prompt-prefix").contains(PART);
@@ -69,12 +73,12 @@
     fleet.awaitReady();
     boolean[] ended = new boolean[1];
     AtomicInteger served = new AtomicInteger();
-    for (int i = 0; i < 8; i++) {
+    for (int i = 0; i < READERS; i++) {
       int worker = i;
-      Runner.daemon("streams", () -> streams(fleet, worker, ended, served, cut));
+      Runner.daemon("streams", () -> streams(fleet, worker, ended, served, unserved));
     }
     Thread.sleep(5_000);
-    fleet.write("sound streams so far: " + served + " complete, " + cut + " cut");
+    fleet.write("sound streams so far: " + served + " served whole, " + unserved + " not");
     for (int i = 0; i < REQUESTS && trouble; i++) {
       int number = i;
       Runner.daemon("fatal", () -> fatal(fleet, number));
@@ -82,7 +86,7 @@
     }
     Thread.sleep(3_000);
     ended[0] = true;
-    fleet.write("sound streams: " + served + " complete, " + cut + " cut");
+    fleet.write("sound streams: " + served + " served whole, " + unserved + " not");
     fleet.write(
         crashes
             + " crashes; "
@@ -118,7 +122,7 @@
   }
 
   private static void streams(
-      Fleet fleet, int worker, boolean[] ended, AtomicInteger served, AtomicInteger cut) {
+      Fleet fleet, int worker, boolean[] ended, AtomicInteger served, AtomicInteger unserved) {
     int number = 0;
     while (!ended[0]) {
       String id = "sound-" + worker + "-" + number++;
@@ -127,10 +131,10 @@
       try (Http.Channel channel = new Http.Channel(fleet.front(worker % 2))) {
         channel.send(Http.head("POST", "/chat/s" + worker, id, 2, more), new byte[2]);
         Http.Answer answer = channel.receive(13_000);
-        (answer.whole() && answer.status() == 200 ? served : cut).incrementAndGet();
+        (answer.whole() && answer.status() == 200 ? served : unserved).incrementAndGet();
         Thread.sleep(200);
       } catch (IOException e) {
-        cut.incrementAndGet();
+        unserved.incrementAndGet();
       } catch (InterruptedException e) {
         return;
       }
