Keep the base of unrecorded streams by path, not by the route's name

Cause: streams at the base of their route are not recorded, and the base was kept by the route's name. The added route had no base; the first origin that the asking gateway listed became it, and the streams, which are not recorded, were taken for ones of that. Recorded streams were believed only under the route that their path had at their begin.

Evidence: StreamVersionTest.takesUpStreamAtItsVersionAfterItsPathGotARouteOfItsOwn and takesUpStreamAtItsVersionAfterItsRouteWasRenamedAndAllGatewaysRestarted fail on (joined versions, 503 instead of 200) and hold now.

Change: StreamOrigins keeps the base by path prefix. So the base of a path is the same before and after any change of routes, for every gateway. The messages keep their fields; what was the name of a route is the key of a path.

--- a/control/src/main/java/org/comfreygap/control/ControlState.java
+++ b/control/src/main/java/org/comfreygap/control/ControlState.java
@@ -56,6 +56,7 @@
   private RequestLedger ledger = new RequestLedger(RequestLedger.Bounds.DEFAULT);
   private CrashCauses crashes = new CrashCauses();
   private StreamOrigins streams = new StreamOrigins();
+  private StreamRoutes streamRoutes = StreamRoutes.none();
   private Map<String, EndpointLeases.Grant> endpoints = new HashMap<>();
   private Map<String, TokenBudget.Ceiling> ceilings = new LinkedHashMap<>();
   private Map<String, ReplicaAddresses> replicas = new LinkedHashMap<>();
@@ -100,7 +101,7 @@
    * Result of {@link Command.RecordStreams}.
    *
    * @param found origins by number of the lookup
-   * @param bases origins of the streams that are not recorded, by listed route
+   * @param bases origins of the streams that are not recorded, by path prefix
    */
   record StreamsResult(
       Map<Integer, StreamOrigins.Origin> found, Map<String, StreamOrigins.Origin> bases) {}
@@ -154,6 +155,7 @@
     duties = new DutyState();
     scale = new ScaleState();
     SnapshotFile.read(in, this::readLine);
+    streamRoutes = StreamRoutes.none().next(settings);
     appliedNanos = nanoTime.getAsLong();
     revision = settings.revision();
     quarantineVersion++;
@@ -269,9 +271,9 @@
   private Object execute(Command command) {
     long now = TimeUnit.MILLISECONDS.toNanos(logMillis);
     if (command instanceof Command.SettingsCommand change) {
-      return changeSettings(store -> store.apply(change));
+      return changeSettings(store -> store.apply(change), now);
     } else if (command instanceof Command.Publish publish) {
-      return publish(publish);
+      return publish(publish, now);
     } else if (command instanceof Command.Barrier) {
       return new Applied(true);
     } else if (command instanceof Command.CommitCeilings commit) {
@@ -319,21 +321,26 @@
     return new Applied(true);
   }
 
-  private ChangeResult changeSettings(Function<SettingsStore, ChangeResult> change) {
+  private ChangeResult changeSettings(Function<SettingsStore, ChangeResult> change, long now) {
     long before = settings.revision();
+    StreamRoutes routes = streamRoutes;
     ChangeResult result = change.apply(settings);
     if (settings.revision() != before) {
       revision = settings.revision();
+      streamRoutes = routes.next(settings);
+      if (!streamRoutes.equals(routes)) {
+        streams.routesChanged(routes.resumable(), streamRoutes.resumable(), now);
+      }
       notifyAll();
     }
     return result;
   }
 
-  private ChangeResult publish(Command.Publish publish) {
+  private ChangeResult publish(Command.Publish publish, long now) {
     if (publication.isPresent() && publish.version() <= publication.get().version()) {
       return ChangeResult.ok(settings.revision());
     }
-    ChangeResult result = changeSettings(store -> store.applyPublication(publish));
+    ChangeResult result = changeSettings(store -> store.applyPublication(publish), now);
     if (result.code() == ChangeResult.Code.OK) {
       publication = Optional.of(new SnapshotLine.Publication(publish.version(), publish.source()));
     }
@@ -392,12 +399,11 @@
   }
 
   private StreamsResult recordStreams(Command.RecordStreams batch, long now) {
-    batch.listed().forEach((route, origins) -> streams.inService(route, origins, now));
+    batch.listed().forEach((prefix, origins) -> streams.inService(prefix, origins, now));
     for (Command.StreamRecord one : batch.records()) {
       streams.record(one.requestId(), one.route(), one.origin(), now);
     }
     Map<Integer, StreamOrigins.Origin> found = new LinkedHashMap<>();
-    Map<String, StreamOrigins.Origin> bases = new LinkedHashMap<>();
     for (Command.StreamLookup lookup : batch.lookups()) {
       Optional<StreamOrigins.Origin> origin =
           lookup.requestId() == null
@@ -405,11 +411,7 @@
               : streams.resolve(lookup.requestId(), lookup.route(), now);
       origin.ifPresent(known -> found.put(lookup.number(), known));
     }
-    batch
-        .listed()
-        .keySet()
-        .forEach(route -> streams.base(route).ifPresent(base -> bases.put(route, base)));
-    return new StreamsResult(found, bases);
+    return new StreamsResult(found, streams.bases(batch.listed().keySet(), now));
   }
 
   private CrashResult changeQuarantine(Supplier<List<String>> change) {
--- a/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
+++ b/control/src/test/java/org/comfreygap/control/LeaderChangeTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.comfreygap.decisions.StreamOrigins;
 import org.comfreygap.protocol.generated.BeginReply;
 import org.comfreygap.protocol.generated.BeginRequest;
 import org.comfreygap.protocol.generated.CrashReport;
@@ -261,20 +262,42 @@
   void originsOfStreamsSurviveLeaderChange() throws Exception {
     StreamOrigin base = new StreamOrigin("app", "v1");
     StreamOrigin other = new StreamOrigin("app", "v2");
-    Map<String, List<StreamOrigin>> listed = Map.of("route", List.of(base, other));
-    StreamRecord record = new StreamRecord("r1", "route", other);
+    String prefix = StreamOrigins.key("shop.example", "/chat/");
+    Map<String, List<StreamOrigin>> listed = Map.of(prefix, List.of(base, other));
+    StreamRecord record = new StreamRecord("r1", prefix, other);
     first.handler.recordStreams(new StreamBatch("g", List.of(record), List.of(), listed));
     cluster.elect(second.log);
 
+    String path = StreamOrigins.key("shop.example", "/chat/7");
     List<StreamLookup> lookups =
         List.of(
-            new StreamLookup(0, "route").setRequestId("r1"),
-            new StreamLookup(1, "route").setRequestId("r2"),
-            new StreamLookup(2, "route"));
+            new StreamLookup(0, path).setRequestId("r1"),
+            new StreamLookup(1, path).setRequestId("r2"),
+            new StreamLookup(2, path));
     StreamBatchReply reply =
         second.handler.recordStreams(new StreamBatch("g", List.of(), lookups, listed));
     assertThat(reply.getFound()).isEqualTo(Map.of(0, other, 1, base));
-    assertThat(reply.getBases()).isEqualTo(Map.of("route", base));
+    assertThat(reply.getBases()).isEqualTo(Map.of(prefix, base));
+  }
+
+  /** Guards against a leader change between a new route and the take-up of an earlier stream. */
+  @Test
+  void originsOfStreamsSurviveRouteAndLeaderChange() throws Exception {
+    StreamOrigin base = new StreamOrigin("app", "v1");
+    StreamOrigin other = new StreamOrigin("app", "v2");
+    String prefix = StreamOrigins.key("shop.example", "/chat/");
+    String added = StreamOrigins.key("shop.example", "/chat/long/");
+    first.handler.recordStreams(
+        new StreamBatch("g", List.of(), List.of(), Map.of(prefix, List.of(base))));
+    cluster.elect(second.log);
+
+    StreamLookup lookup =
+        new StreamLookup(0, StreamOrigins.key("shop.example", "/chat/long/7")).setRequestId("r1");
+    StreamBatchReply reply =
+        second.handler.recordStreams(
+            new StreamBatch("g", List.of(), List.of(lookup), Map.of(added, List.of(other, base))));
+    assertThat(reply.getFound()).isEqualTo(Map.of(0, base));
+    assertThat(reply.getBases()).isEqualTo(Map.of(added, base));
   }
 
   /** Guards against a quarantine known to one instance only, and against a crash counted twice. */
--- a/control/src/test/java/org/comfreygap/control/SettingsStateTest.java
+++ b/control/src/test/java/org/comfreygap/control/SettingsStateTest.java
@@ -14,6 +14,7 @@
 import org.comfreygap.control.Command.Author;
 import org.comfreygap.control.Command.DocumentChange;
 import org.comfreygap.control.Command.Expectation;
+import org.comfreygap.decisions.StreamOrigins;
 import org.comfreygap.decisions.StreamOrigins.Origin;
 import org.comfreygap.protocol.generated.Change;
 import org.comfreygap.protocol.generated.ChangeKind;
@@ -213,6 +214,76 @@
     assertThat(result.bases()).isEqualTo(Map.of("route", base));
   }
 
+  /**
+   * Guards against streams that began on a route whose streams could not be resumed, and that are
+   * joined to another version once they can be.
+   */
+  @Test
+  void knowsNoOriginOfStreamsThatBeganBeforeTheirRouteBecameResumable() throws Exception {
+    ControlState state = new ControlState();
+    putRoute(state, "before", "chat", false);
+    putRoute(state, "after", "chat", true);
+    Origin listedFirst = new Origin("app", "v1");
+    Origin other = new Origin("app", "v2");
+    String prefix = StreamOrigins.key("shop.example", "/chat/");
+    Map<String, List<Origin>> listed = Map.of(prefix, List.of(listedFirst, other));
+    List<Command.StreamRecord> records = List.of(new Command.StreamRecord("r1", prefix, other));
+    apply(state, new Command.RecordStreams(1_000, records, List.of(), listed));
+
+    ControlState copy = MemoryCluster.copy(state);
+    List<Command.StreamLookup> lookups =
+        List.of(
+            new Command.StreamLookup(0, prefix, "r1"), new Command.StreamLookup(1, prefix, "r2"));
+    ControlState.StreamsResult result =
+        Codec.decodeResult(
+            copy.apply(
+                1, Codec.encode(new Command.RecordStreams(2_000, List.of(), lookups, listed))),
+            ControlState.StreamsResult.class);
+    assertThat(result.found()).isEqualTo(Map.of(0, other));
+    assertThat(result.bases()).isEmpty();
+  }
+
+  /** Guards against streams that are not recorded because a route looks new after a snapshot. */
+  @Test
+  void knowsTheRoutesOfStreamsAfterASnapshot() throws Exception {
+    ControlState state = new ControlState();
+    putRoute(state, "before", "chat", false);
+    ControlState copy = MemoryCluster.copy(state);
+    putRoute(copy, "after", "chat", true);
+    putRoute(copy, "another", "draw", true);
+
+    Origin origin = new Origin("app", "v1");
+    String chat = StreamOrigins.key("shop.example", "/chat/");
+    String draw = StreamOrigins.key("shop.example", "/draw/");
+    Map<String, List<Origin>> listed = Map.of(chat, List.of(origin), draw, List.of(origin));
+    ControlState.StreamsResult result =
+        Codec.decodeResult(
+            copy.apply(
+                9, Codec.encode(new Command.RecordStreams(2_000, List.of(), List.of(), listed))),
+            ControlState.StreamsResult.class);
+    assertThat(result.bases()).isEqualTo(Map.of(draw, origin));
+  }
+
+  private static void putRoute(ControlState state, String id, String name, boolean resumable) {
+    String route =
+        "{\"host\":\"shop.example\",\"pathPrefix\":\"/"
+            + name
+            + "/\",\"kind\":\"stream\",\"timeoutMillis\":1000,\"resumable\":"
+            + resumable
+            + ",\"targets\":[{\"pool\":\"app\",\"weight\":1}]}";
+    ChangeResult result =
+        apply(
+            state,
+            new Command.ChangeSettings(
+                0,
+                new Author(id, "root", 1),
+                List.of(),
+                List.of(
+                    new DocumentChange("/routing/pools/app", "{}"),
+                    new DocumentChange("/routing/routes/" + name, route))));
+    assertThat(result.code()).isEqualTo(ChangeResult.Code.OK);
+  }
+
   /** Guards against bans of parts that a snapshot loses, and against bans that stay once lifted. */
   @Test
   void keepsBansOfPartsInSnapshotsUntilTheyAreLifted() throws Exception {
--- a/decisions/src/test/java/org/comfreygap/decisions/OutOfStepFleetTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/OutOfStepFleetTest.java
@@ -23,7 +23,7 @@
 class OutOfStepFleetTest {
 
   private static final long MILLI = 1_000_000L;
-  private static final String ROUTE = "route";
+  private static final String ROUTE = StreamOrigins.key("shop.example", "/chat/");
   private static final Origin OLD = new Origin("app", "v1");
   private static final Origin NEW = new Origin("app", "v2");
   private static final long RELEASE_MILLIS = 20_000;
@@ -204,7 +204,8 @@
       control.inService(ROUTE, listed, now * MILLI);
       control.record(id, ROUTE, origin, now * MILLI);
       long monotonic = gateway.monotonicMillis(now) * MILLI;
-      gateway.base = control.base(ROUTE).map(base -> new KnownBase(base, monotonic, now));
+      gateway.base =
+          control.base(ROUTE, now * MILLI).map(base -> new KnownBase(base, monotonic, now));
       return true;
     }
 
--- a/decisions/src/test/java/org/comfreygap/decisions/StreamOriginsFleetTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/StreamOriginsFleetTest.java
@@ -22,7 +22,7 @@
 class StreamOriginsFleetTest {
 
   private static final long MILLI = 1_000_000L;
-  private static final String ROUTE = "route";
+  private static final String ROUTE = StreamOrigins.key("shop.example", "/chat/");
   private static final Origin OLD = new Origin("app", "v1");
   private static final Origin NEW = new Origin("app", "v2");
   private static final long LENGTH_MILLIS = 60_000;
@@ -165,7 +165,7 @@
       }
       control.inService(ROUTE, listed(gateway), now * MILLI);
       control.record(id, ROUTE, origin, now * MILLI);
-      gateway.base = control.base(ROUTE);
+      gateway.base = control.base(ROUTE, now * MILLI);
       gateway.baseMillis = now;
       recordsBeforeRelease += now < RELEASE_MILLIS ? 1 : 0;
       return true;
--- a/protocol/src/main/thrift/comfreygap.thrift
+++ b/protocol/src/main/thrift/comfreygap.thrift
@@ -427,6 +427,7 @@
 
 struct StreamRecord {
   1: required string requestId
+  /** Key of the path prefix of the route. */
   2: required string route
   3: required StreamOrigin origin
 }
@@ -435,6 +436,7 @@
 struct StreamLookup {
   /** Position of the reply. */
   1: required i32 number
+  /** Key of the path. */
   2: required string route
   /** Request that brought the first event; unset where the caller names none. */
   3: optional string requestId
@@ -445,14 +447,14 @@
   1: required string gatewayId
   2: required list<StreamRecord> records
   3: required list<StreamLookup> lookups
-  /** Origins of the endpoints that the gateway lists, by route. */
+  /** Origins of the endpoints that the gateway lists, by path prefix of the route. */
   4: required map<string, list<StreamOrigin>> listed
 }
 
 struct StreamBatchReply {
   /** By number of the lookup; without those whose origin is not known. */
   1: required map<i32, StreamOrigin> found
-  /** Origin of the streams that are not recorded, by route. */
+  /** Origin of the streams that are not recorded, by path prefix; longer prefixes come with no origin. */
   2: required map<string, StreamOrigin> bases
 }
 
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -70,7 +70,7 @@
             relay.crashes(), relay.usage(), head, body, request.sharedParts(), this::customerId);
     this.clearance = new SendClearance(relay);
     this.credit = new RequestCredit(relay.credit());
-    this.continuity = new StreamContinuity(relay, request);
+    this.continuity = new StreamContinuity(relay, request, RouteDecision.path(head.uri()));
     this.retry = new RetryAllowance(relay);
     this.search = new EndpointSearch(relay, request, continuity);
     this.log = new ExchangeLog(relay, request, arrivedNanos, tracked);
--- a/relay/src/main/java/org/comfreygap/relay/RouteDecision.java
+++ b/relay/src/main/java/org/comfreygap/relay/RouteDecision.java
@@ -67,6 +67,12 @@
     return new RouteDecision(table.revision(), route, customer, Optional.empty(), pool, tokens);
   }
 
+  /** Returns the path of a request's target, without the query. */
+  static String path(String uri) {
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+
   /** Returns the decision by the tables in force now, which is this one while they are the same. */
   RouteDecision by(RouteTable table, HttpRequest head, CallerRequest callerRequest) {
     return table.revision() == revision ? this : of(table, head, callerRequest);
@@ -158,9 +164,4 @@
     }
     return targets.get(targets.size() - 1).pool();
   }
-
-  private static String path(String uri) {
-    int query = uri.indexOf('?');
-    return query < 0 ? uri : uri.substring(0, query);
-  }
 }
--- a/relay/src/main/java/org/comfreygap/relay/StreamContinuity.java
+++ b/relay/src/main/java/org/comfreygap/relay/StreamContinuity.java
@@ -17,7 +17,7 @@
  * over the take-ups of its caller.
  *
  * <p>Invariants: no byte of a stream leaves before the origin of its attempt is on record, or is
- * the base of its route; a stream whose origin is not known goes on nowhere. Thread safety: used on
+ * the base of its path; a stream whose origin is not known goes on nowhere. Thread safety: used on
  * the event loop only.
  */
 final class StreamContinuity {
@@ -30,6 +30,7 @@
 
   private final RelayContext relay;
   private final CallerRequest request;
+  private final String path;
   private final HeldBuffer held;
   private Optional<Origin> required = Optional.empty();
   private Optional<Origin> attempted = Optional.empty();
@@ -39,9 +40,15 @@
   private int attempts;
   private Recording recording = Recording.DONE;
 
-  StreamContinuity(RelayContext relay, CallerRequest request) {
+  /**
+   * Creates the continuity of a request.
+   *
+   * @param path path of the request without its query
+   */
+  StreamContinuity(RelayContext relay, CallerRequest request, String path) {
     this.relay = relay;
     this.request = request;
+    this.path = path;
     this.held = new HeldBuffer(MAX_HELD_BYTES, relay.heldBytes());
   }
 
@@ -62,7 +69,7 @@
         .streams()
         .resolve(
             request.takeUp().get().begunBy(),
-            route.name(),
+            StreamRegister.Place.of(route, path),
             listed(route),
             (done, origin) -> {
               resolving = false;
@@ -107,7 +114,8 @@
     Origin origin = endpoint.origin();
     attempted = Optional.of(origin);
     recording = Recording.DONE;
-    if (everRecorded || !relay.streams().isBase(route.name(), origin, ClockReading.now())) {
+    StreamRegister.Place place = StreamRegister.Place.of(route, path);
+    if (everRecorded || !relay.streams().isBase(place, origin, ClockReading.now())) {
       // An earlier record of this request would outlive an attempt that needs none.
       everRecorded = true;
       recording = Recording.PENDING;
@@ -116,7 +124,7 @@
           .streams()
           .record(
               request.id(),
-              route.name(),
+              place,
               origin,
               listed(route),
               done -> {
--- a/relay/src/main/java/org/comfreygap/relay/StreamRegister.java
+++ b/relay/src/main/java/org/comfreygap/relay/StreamRegister.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.comfreygap.decisions.KnownBase;
+import org.comfreygap.decisions.StreamOrigins;
 import org.comfreygap.decisions.StreamOrigins.Origin;
 import org.comfreygap.protocol.generated.StreamBatch;
 import org.comfreygap.protocol.generated.StreamBatchReply;
@@ -28,10 +29,11 @@
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 import org.comfreygap.runtime.RepeatingTask;
+import org.comfreygap.settings.Documents.Route;
 
 /**
  * Records at control at which software version streams begin, and asks where those began that
- * callers take up again. Streams at the base version of their route are not recorded.
+ * callers take up again. Streams at the base version of their path are not recorded.
  *
  * <p>Invariants: records and lookups reach control in the order of the calls; a base is relied on
  * while {@link KnownBase} allows, from the start of the call that learned it. Thread safety:
@@ -56,7 +58,7 @@
   private final IntSupplier gatewayCount;
   private final EventLog events;
   private final RelayMetrics metrics;
-  private final Map<String, KnownBase> bases = new HashMap<>();
+  private final Map<String, PathBase> bases = new HashMap<>();
   private final LinkedBlockingQueue<Item> queue = new LinkedBlockingQueue<>();
   private final List<Item> undelivered = new ArrayList<>();
   private final RepeatingTask sender;
@@ -77,6 +79,34 @@
     this.sender = RepeatingTask.continuous("stream-register", this::sendNext);
   }
 
+  /**
+   * Keys of a request's path, by which control knows streams.
+   *
+   * @param path the path itself
+   * @param prefix the path prefix of its route
+   */
+  record Place(String path, String prefix) {
+
+    static Place of(Route route, String path) {
+      return new Place(
+          StreamOrigins.key(route.host(), path),
+          StreamOrigins.key(route.host(), route.pathPrefix()));
+    }
+  }
+
+  /**
+   * The base of a path prefix.
+   *
+   * @param others longer prefixes, whose paths have bases of their own
+   */
+  private record PathBase(KnownBase base, List<String> others) {
+
+    boolean covers(String path, Origin begun, ClockReading now) {
+      return base.covers(begun, now.nanos(), now.wallMillis())
+          && others.stream().noneMatch(path::startsWith);
+    }
+  }
+
   /**
    * A record or lookup.
    *
@@ -86,16 +116,16 @@
    */
   private record Item(
       Optional<String> key,
-      String route,
+      Place place,
       Optional<Origin> origin,
       List<Origin> listed,
       long sinceNanos,
       BiConsumer<Boolean, Optional<Origin>> decided) {}
 
   /** Returns true when streams that begin at {@code origin} need no record. */
-  boolean isBase(String route, Origin origin, ClockReading now) {
-    KnownBase known = bases.get(route);
-    return known != null && known.covers(origin, now.nanos(), now.wallMillis());
+  boolean isBase(Place place, Origin origin, ClockReading now) {
+    PathBase known = bases.get(place.prefix());
+    return known != null && known.covers(place.path(), origin, now);
   }
 
   /**
@@ -105,14 +135,14 @@
    */
   void record(
       String requestId,
-      String route,
+      Place place,
       Origin origin,
       List<Origin> listed,
       Consumer<Boolean> decided) {
     queue.add(
         new Item(
             Optional.of(key(requestId)),
-            route,
+            place,
             Optional.of(origin),
             listed,
             System.nanoTime(),
@@ -127,13 +157,13 @@
    */
   void resolve(
       Optional<String> requestId,
-      String route,
+      Place place,
       List<Origin> listed,
       BiConsumer<Boolean, Optional<Origin>> decided) {
     queue.add(
         new Item(
             requestId.map(StreamRegister::key),
-            route,
+            place,
             Optional.empty(),
             listed,
             System.nanoTime(),
@@ -170,12 +200,13 @@
         new StreamBatch(gatewayId, new ArrayList<>(), new ArrayList<>(), new HashMap<>());
     for (int i = 0; i < items.size(); i++) {
       Item item = items.get(i);
-      batch.putToListed(item.route, item.listed.stream().map(StreamRegister::toMessage).toList());
+      String prefix = item.place.prefix();
+      batch.putToListed(prefix, item.listed.stream().map(StreamRegister::toMessage).toList());
       if (item.origin.isPresent()) {
         batch.addToRecords(
-            new StreamRecord(item.key.orElseThrow(), item.route, toMessage(item.origin.get())));
+            new StreamRecord(item.key.orElseThrow(), prefix, toMessage(item.origin.get())));
       } else {
-        StreamLookup lookup = new StreamLookup(i, item.route);
+        StreamLookup lookup = new StreamLookup(i, item.place.path());
         item.key.ifPresent(lookup::setRequestId);
         batch.addToLookups(lookup);
       }
@@ -184,11 +215,10 @@
   }
 
   private void applyReply(List<Item> items, StreamBatchReply reply, ClockReading sent) {
-    reply
-        .getBases()
-        .forEach(
-            (route, base) ->
-                bases.put(route, new KnownBase(toOrigin(base), sent.nanos(), sent.wallMillis())));
+    items.stream()
+        .map(item -> item.place.prefix())
+        .distinct()
+        .forEach(prefix -> learnBase(prefix, reply.getBases(), sent));
     for (int i = 0; i < items.size(); i++) {
       Item item = items.get(i);
       Optional<Origin> found =
@@ -198,6 +228,20 @@
     }
   }
 
+  private void learnBase(String prefix, Map<String, StreamOrigin> found, ClockReading sent) {
+    StreamOrigin base = found.get(prefix);
+    if (base == null) {
+      bases.remove(prefix);
+      return;
+    }
+    List<String> others =
+        found.keySet().stream()
+            .filter(other -> other.startsWith(prefix) && !other.equals(prefix))
+            .toList();
+    KnownBase known = new KnownBase(toOrigin(base), sent.nanos(), sent.wallMillis());
+    bases.put(prefix, new PathBase(known, others));
+  }
+
   private void keepOrFail(List<Item> items, String cause) {
     long now = System.nanoTime();
     List<Item> failed = new ArrayList<>();
--- a/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
+++ b/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
@@ -234,9 +234,14 @@
   }
 
   private static String route(String prefix, String kind, boolean resumable, int attempts) {
-    return "{\"host\":\"127.0.0.1\",\"pathPrefix\":\"/"
-        + prefix
-        + "/\",\"kind\":\""
+    return routeBelow("/" + prefix + "/", kind, resumable, attempts);
+  }
+
+  /** Returns a route of the paths that begin with {@code pathPrefix}. */
+  static String routeBelow(String pathPrefix, String kind, boolean resumable, int attempts) {
+    return "{\"host\":\"127.0.0.1\",\"pathPrefix\":\""
+        + pathPrefix
+        + "\",\"kind\":\""
         + kind
         + "\",\"timeoutMillis\":1000,\"targetLatencyMillis\":300,\"open\":true,\"maxAttempts\":"
         + attempts
--- a/relay/src/test/java/org/comfreygap/relay/StreamVersionTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/StreamVersionTest.java
@@ -33,6 +33,14 @@
   private static final int CONCURRENT_STREAMS = 8;
   private static final int EVENTS_BEFORE_BREAK = 4;
 
+  private static final String LONGER_PREFIX = "/once/long/";
+
+  /** Time after which every gateway has read the list. */
+  private static final long LIST_PERIOD_MILLIS = 2_500;
+
+  /** Time after which every gateway has the newest settings. */
+  private static final long SETTINGS_MILLIS = 500;
+
   @TempDir private Path folder;
   private final Closer closer = new Closer();
   private final List<StreamingEndpoint> endpoints = new CopyOnWriteArrayList<>();
@@ -78,6 +86,34 @@
     assertTakenUp(begun);
   }
 
+  /**
+   * Guards against streams that are taken for ones of the base of a route which was added after
+   * they began.
+   */
+  @Test
+  void takesUpStreamAtItsVersionAfterItsPathGotARouteOfItsOwn() throws Exception {
+    addSecondVersion();
+    restartFirstVersion();
+    List<BegunStream> begun = beginStreams();
+    addRoute("once-long", LONGER_PREFIX);
+
+    assertTakenUp(begun);
+  }
+
+  /** Guards against the same when no gateway is left that served the streams. */
+  @Test
+  void takesUpStreamAtItsVersionAfterItsRouteWasRenamedAndAllGatewaysRestarted() throws Exception {
+    addSecondVersion();
+    restartFirstVersion();
+    List<BegunStream> begun = beginStreams();
+    fleet.control().delete("/routing/routes/once");
+    addRoute("renamed", "/once/");
+    fleet.stopFirst(GATEWAYS);
+    fleet.open(GATEWAYS);
+
+    assertTakenUp(begun);
+  }
+
   /** Guards against versions that are forgotten when all gateways lose power at once. */
   @Test
   void takesUpStreamAtItsVersionAfterAllGatewaysRestarted() throws Exception {
@@ -179,14 +215,13 @@
 
   private HttpResponse<String> send(String route, int gateway, Map<String, String> headers)
       throws IOException, InterruptedException {
-    return fleet.send(gateway, "POST", "/" + route + "/1", "prompt", headers);
+    return fleet.send(gateway, "POST", "/" + route + "/long/1", "prompt", headers);
   }
 
   private void addSecondVersion() throws Exception {
     add("v2");
     add("v2");
-    // By then every gateway has read the list.
-    Thread.sleep(2_500);
+    Thread.sleep(LIST_PERIOD_MILLIS);
   }
 
   private void add(String version) throws IOException {
@@ -195,6 +230,22 @@
             new StreamingEndpoint("endpoint-" + endpoints.size() + "-" + version, version)));
   }
 
+  /** Lets the second version be listed before the first one, which starts again. */
+  private void restartFirstVersion() throws Exception {
+    endpoints.removeIf(endpoint -> endpoint.version().equals("v1"));
+    add("v1");
+    add("v1");
+    Thread.sleep(LIST_PERIOD_MILLIS);
+  }
+
+  /** Adds a route like {@code /once/} and waits until all gateways use it. */
+  private void addRoute(String name, String prefix) throws InterruptedException {
+    fleet
+        .control()
+        .put("/routing/routes/" + name, GatewayFleet.routeBelow(prefix, "stream", true, 1));
+    Thread.sleep(SETTINGS_MILLIS);
+  }
+
   private static String other(String version) {
     return version.equals("v1") ? "v2" : "v1";
   }
--- a/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
+++ b/testkit/src/main/java/org/comfreygap/testkit/FakeControl.java
@@ -341,8 +341,9 @@
     batch
         .getListed()
         .forEach(
-            (route, listed) ->
-                streams.inService(route, listed.stream().map(FakeControl::toOrigin).toList(), now));
+            (prefix, listed) ->
+                streams.inService(
+                    prefix, listed.stream().map(FakeControl::toOrigin).toList(), now));
     batch
         .getRecords()
         .forEach(
@@ -356,14 +357,9 @@
               : streams.resolveUnnamed(lookup.getRoute(), now);
       found.ifPresent(origin -> reply.putToFound(lookup.getNumber(), toMessage(origin)));
     }
-    batch
-        .getListed()
-        .keySet()
-        .forEach(
-            route ->
-                streams
-                    .base(route)
-                    .ifPresent(origin -> reply.putToBases(route, toMessage(origin))));
+    streams
+        .bases(batch.getListed().keySet(), now)
+        .forEach((prefix, origin) -> reply.putToBases(prefix, toMessage(origin)));
     return reply;
   }
 
