Pass the parts of one read on together, and take one read in a turn

Cause: EndpointConnection passed each chunk on by itself, which the caller's connection wrote and flushed with a system call, and the gateway's only event loop took 16 reads of 64 KiB, 170,000 chunks of six bytes, from that connection before it served another one. The bounds on bytes do not apply: empty lines end an event.

Change: the parts of a read are gathered in linear time (GatheredParts) and passed on when it is complete, with their number, so that the learned times of parts stay those of one part; connections to peers take one read in a turn of the loop; a stream that brings 2 MiB, as received, without an event ends (3555) and its endpoint counts as failing. The work of a turn no longer depends on the size of the chunks, and an endless response without events ends within a fraction of a second.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -83,7 +83,7 @@
     /** Called with the head of the response to a request that ran. */
     void onHead(HttpResponse response, ResponseHead stated);
 
-    /** Called with a part of that response's body, which the owner releases. */
+    /** Called with parts of that response's body, which the owner releases. */
     void onContent(ByteBuf bytes);
 
     /** Called when the response is complete. */
@@ -135,6 +135,11 @@
     return sent && !responseEnded;
   }
 
+  /** Returns the number of bytes received for the request, with the framing of its response. */
+  long receivedBytes() {
+    return connection.map(EndpointConnection::receivedBytes).orElse(0L);
+  }
+
   /** Returns what is known of the endpoint after a response that ended with its connection. */
   ResponseEnd.Endpoint endpointState() {
     return endpointState;
@@ -233,7 +238,7 @@
   }
 
   @Override
-  public void onContent(ByteBuf bytes) {
+  public void onContent(ByteBuf bytes, int parts) {
     if (refusal.isPresent()) {
       bytes.release();
       return;
@@ -241,10 +246,10 @@
     long now = System.nanoTime();
     endpoint.responseReceived(now);
     if (lastPartNanos != 0) {
-      endpoint.recordPartInterval((now - lastPartNanos) / 1e6);
+      endpoint.recordPartInterval((now - lastPartNanos) / 1e6 / parts);
     }
     if (endpoint.reading().pace().isKnown()) {
-      recordSpeed(now);
+      recordSpeed(now, parts);
     }
     lastPartNanos = now;
     owner.onContent(bytes);
@@ -283,11 +288,11 @@
     owner.onFailure(this, new Failure(outcome, reason, refusal));
   }
 
-  private void recordSpeed(long now) {
+  private void recordSpeed(long now, int parts) {
     ReadingSpeed speed = relay.placement().speed(endpoint.pool());
     double pace = endpoint.reading().pace().expected(now);
     if (lastPartNanos != 0) {
-      speed.event((now - lastPartNanos) / 1e6, pace);
+      speed.event((now - lastPartNanos) / 1e6 / parts, pace);
     } else if (promptTokens.isPresent()) {
       speed.firstOutput(promptTokens.getAsLong(), (now - sentNanos) / 1e6, pace);
     }
--- a/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
+++ b/relay/src/main/java/org/comfreygap/relay/ConnectionPool.java
@@ -1,11 +1,13 @@
 package org.comfreygap.relay;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -156,9 +158,13 @@
     idle.clear();
   }
 
-  /** Sets the options that close a connection within seconds when its peer is unreachable. */
+  /**
+   * Sets the options of a connection to a peer: it is closed within seconds when the peer is
+   * unreachable, and what arrives without a pause takes turns with other connections.
+   */
   static Bootstrap withKeepAlive(Bootstrap bootstrap) {
     return bootstrap
+        .option(ChannelOption.RCVBUF_ALLOCATOR, onePartPerTurn())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
@@ -191,6 +197,11 @@
     }
   }
 
+  /** Returns the sizes of reads, of which the event loop does one before it serves others. */
+  private static RecvByteBufAllocator onePartPerTurn() {
+    return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1);
+  }
+
   private static Bootstrap bootstrap(EventLoop loop, EndpointConnection connection) {
     return withKeepAlive(new Bootstrap().group(loop).channel(NioSocketChannel.class))
         .handler(
--- a/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointConnection.java
@@ -31,9 +31,9 @@
  *
  * <p>Invariants: bytes that belong to no request in progress close the connection; a response to
  * another request is read and discarded; a body that holds the head of another response is never
- * completed; a request that was sent here lately is not sent here again, one that was refused here
- * never; a connection that was reset never completes a response. Thread safety: used on the event
- * loop only.
+ * completed; the parts of a body that are read at once are passed on together; a request that was
+ * sent here lately is not sent here again, one that was refused here never; a connection that was
+ * reset never completes a response. Thread safety: used on the event loop only.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
@@ -46,6 +46,9 @@
   /** Bytes that an endpoint may send before the response that is forwarded. */
   static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
+  /** Bytes of a body that are passed on before the end of a read. */
+  private static final int MAX_GATHERED_BYTES = 64 * 1024;
+
   private static final Set<String> FRAMING_FIELDS = Set.of("content-length", "transfer-encoding");
 
   private final RequestDialect dialect;
@@ -56,6 +59,7 @@
   private final StrictResponseDecoder decoder;
   private final Set<String> headFields;
   private Channel channel;
+  private GatheredParts gathered;
   private Optional<Listener> listener = Optional.empty();
   private Optional<HttpResponse> response = Optional.empty();
   private Optional<EmbeddedHead> embedded = Optional.empty();
@@ -115,8 +119,12 @@
     /** Called with the head of a response that is skipped, or ends the request unproved. */
     void onMismatch(HttpResponse response, ResponseMatch match);
 
-    /** Called with a part of the body, which the listener releases. */
-    void onContent(ByteBuf bytes);
+    /**
+     * Called with parts of the body that were read at once, which the listener releases.
+     *
+     * @param parts number of parts that the endpoint sent, at least 1
+     */
+    void onContent(ByteBuf bytes, int parts);
 
     /** Called when the response is complete. */
     void onComplete();
@@ -136,6 +144,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
+    gathered = new GatheredParts(ctx.alloc());
   }
 
   /** Returns the decoder of the responses, which precedes this handler in the pipeline. */
@@ -211,9 +220,15 @@
         && nowNanos - readSinceNanos >= span.toNanos();
   }
 
+  /** Returns the number of bytes that were received for the request in progress. */
+  long receivedBytes() {
+    return decoder.decodedBytes() - readBefore;
+  }
+
   /** Cancels the request in progress and closes the connection. */
   void cancel() {
     listener = Optional.empty();
+    gathered.takeAll().release();
     close();
   }
 
@@ -240,8 +255,9 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    forwardGathered();
     boolean skipping = !responseBegun || refusal;
-    if (skipping && decoder.decodedBytes() - readBefore > MAX_SKIPPED_BYTES) {
+    if (skipping && receivedBytes() > MAX_SKIPPED_BYTES) {
       fail(
           "given more than " + MAX_SKIPPED_BYTES + " bytes that are no response to the request",
           Listener::onExcess);
@@ -340,8 +356,9 @@
         fail("a response whose body holds bytes of another response");
         return;
       }
-      if (bytes.isReadable()) {
-        listener.ifPresent(receiver -> receiver.onContent(bytes.retain()));
+      gathered.append(bytes.retain());
+      if (last || gathered.size() >= MAX_GATHERED_BYTES) {
+        forwardGathered();
       }
       if (last) {
         completeResponse();
@@ -349,6 +366,14 @@
     }
   }
 
+  private void forwardGathered() {
+    if (gathered.size() > 0) {
+      int parts = gathered.count();
+      ByteBuf bytes = gathered.takeAll();
+      listener.ifPresentOrElse(receiver -> receiver.onContent(bytes, parts), bytes::release);
+    }
+  }
+
   /** Returns true when the body, up to and with {@code bytes}, holds the head of a response. */
   private boolean holdsCopy(ByteBuf bytes) {
     bodyBytes += bytes.readableBytes();
@@ -426,6 +451,7 @@
 
   private void fail(String reason, BiConsumer<Listener, String> end) {
     reusable = false;
+    forwardGathered();
     channel.close();
     if (listener.isPresent()) {
       recordLoss();
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -229,7 +229,7 @@
       return;
     }
     boolean begunBefore = forwarder.eventReceived();
-    forwarder.appendBody(bytes);
+    forwarder.appendBody(bytes, attempt.map(Attempt::receivedBytes).orElse(0L));
     if (!begunBefore && forwarder.eventReceived()) {
       tracked.began();
       continuity.eventForwarded();
--- a/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
@@ -22,6 +22,12 @@
  */
 final class ResponseForwarder {
 
+  /**
+   * Bytes that a stream may bring without an event: enough for the largest event in small chunks.
+   * Empty lines, comments and the framing of chunks count.
+   */
+  static final long MAX_BYTES_WITHOUT_EVENT = 2L * EventSplitter.MAX_EVENT_BYTES;
+
   /** Responses up to this size are buffered and sent whole. */
   static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
@@ -33,6 +39,8 @@
   private Optional<HttpResponse> head = Optional.empty();
   private boolean started;
   private int eventsOfEarlierAttempts;
+  private long receivedAtLastEvent;
+  private Optional<HeldBuffer.Excess> withoutEvent = Optional.empty();
 
   /**
    * Creates the forwarder of one request's response.
@@ -91,11 +99,19 @@
   /** Starts a response, or resumes one after the last event sent. */
   void beginResponse(HttpResponse response) {
     head = Optional.of(response);
+    receivedAtLastEvent = 0;
   }
 
-  void appendBody(ByteBuf bytes) {
+  /**
+   * Forwards or keeps a part of the body.
+   *
+   * @param receivedBytes bytes that the response has brought up to and with this part
+   */
+  void appendBody(ByteBuf bytes, long receivedBytes) {
     if (isStream()) {
+      int eventsBefore = events.completeEvents();
       forwardEvents(events.add(bytes));
+      checkProgress(events.completeEvents() > eventsBefore, receivedBytes);
       return;
     }
     if (started) {
@@ -111,7 +127,7 @@
 
   /** Returns why the response in progress must end: what it holds exceeds a limit. */
   Optional<HeldBuffer.Excess> excess() {
-    return events.excess().or(buffered::excess);
+    return events.excess().or(buffered::excess).or(() -> withoutEvent);
   }
 
   /** Completes the response. */
@@ -132,10 +148,22 @@
   void discardUnsent() {
     head = Optional.empty();
     eventsOfEarlierAttempts = events.completeEvents();
+    withoutEvent = Optional.empty();
     buffered.takeAll().release();
     events.dropRemainder();
   }
 
+  private void checkProgress(boolean eventReceived, long receivedBytes) {
+    if (eventReceived) {
+      receivedAtLastEvent = receivedBytes;
+    } else if (receivedBytes - receivedAtLastEvent > MAX_BYTES_WITHOUT_EVENT) {
+      withoutEvent =
+          Optional.of(
+              new HeldBuffer.Excess(
+                  "given more than " + MAX_BYTES_WITHOUT_EVENT + " bytes without an event", true));
+    }
+  }
+
   private void forwardEvents(ByteBuf bytes) {
     if (!bytes.isReadable()) {
       bytes.release();
--- a/relay/src/test/java/org/comfreygap/relay/EndlessEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/EndlessEndpoint.java
@@ -57,6 +57,10 @@
     OTHER_RESPONSE(
         "HTTP/1.1 200 OK\r\nRequest: other\r\nContent-Length: 1000000000000\r\n\r\n", "x"),
     OTHER_RESPONSES("", "HTTP/1.1 200 OK\r\nRequest: other\r\nContent-Length: 1\r\n\r\nx"),
+    EMPTY_LINES(head("Transfer-Encoding: chunked"), chunk("\n")),
+    COMMENTS(head("Transfer-Encoding: chunked"), chunk(": " + FILLER + "\n\n")),
+    CHUNK_EXTENSIONS(head("Transfer-Encoding: chunked"), "1;" + FILLER + "\r\n\n\r\n"),
+    SMALL_EVENTS(head("Transfer-Encoding: chunked"), chunk("data:x\n\n")),
     REFUSAL(head("Transfer-Encoding: chunked").replace("200 OK", "421 Misdirected"), chunk("x"));
 
     private final String beginning;
@@ -67,6 +71,18 @@
       this.repeated = repeated;
     }
 
+    /** Returns true when the response begins like a sound stream, so that its head is sent on. */
+    boolean beginsStream() {
+      return this == EMPTY_LINES || this == COMMENTS || this == CHUNK_EXTENSIONS || hasEvents();
+    }
+
+    /**
+     * Returns true when nothing tells the response from a sound stream but that it does not end.
+     */
+    boolean hasEvents() {
+      return this == SMALL_EVENTS;
+    }
+
     private static String head(String framing) {
       return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest: %ID%\r\n"
           + framing
--- a/relay/src/test/java/org/comfreygap/relay/PoolCaller.java
+++ b/relay/src/test/java/org/comfreygap/relay/PoolCaller.java
@@ -162,7 +162,7 @@
     }
 
     @Override
-    public void onContent(ByteBuf bytes) {
+    public void onContent(ByteBuf bytes, int parts) {
       body.append(bytes.toString(StandardCharsets.US_ASCII));
       bytes.release();
     }
--- a/relay/src/test/java/org/comfreygap/relay/ResponseForwarderTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/ResponseForwarderTest.java
@@ -53,7 +53,7 @@
 
   private void append(HttpResponseStatus status) {
     forwarder.beginResponse(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status));
-    forwarder.appendBody(Unpooled.wrappedBuffer(new byte[BODY_BYTES]));
+    forwarder.appendBody(Unpooled.wrappedBuffer(new byte[BODY_BYTES]), BODY_BYTES);
   }
 
   private static final class RecordingCaller implements Caller {
