Treat a status outside of 100 to 599 as a head that cannot be read

Cause: Netty's decoder reads the status with Integer.parseInt, and nothing behind it asked whether HTTP has such a number. HttpStatusClass.UNKNOWN is no server error, so that what is learnt of an endpoint took it for a success.

Change: StrictResponseDecoder, which reads all responses of peers at the gateway, takes three digits from 100 to 599 and not 101, and fails any other head like one that cannot be read: the request may have run, a safe one may be sent elsewhere, the endpoint counts as failing, the connection closes. One place judges the head, so that no later code meets such a status.

Related, from the code: the own interface's gateway took any status below 500 of a sidecar, 200 excepted, for "the message was not taken" and made the attempt again.

--- a/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/SidecarClient.java
@@ -71,6 +71,7 @@
   private static final Http1Config HTTP1 =
       Http1Config.custom().setMaxLineLength(MAX_LINE_BYTES).setMaxHeaderCount(MAX_HEADERS).build();
 
+  private static final int FIRST_CLIENT_ERROR_STATUS = 400;
   private static final int FIRST_SERVER_ERROR_STATUS = 500;
   // A sidecar's server that stops responds with this status itself and passes no message on.
   private static final int STOPPING_STATUS = 503;
@@ -168,8 +169,10 @@
     }
   }
 
-  private static boolean isRejected(int status) {
-    return status != STATUS_OK && (status < FIRST_SERVER_ERROR_STATUS || status == STOPPING_STATUS);
+  /** Returns true for the statuses with which a sidecar says that it took no message. */
+  static boolean isRejected(int status) {
+    boolean clientError = status >= FIRST_CLIENT_ERROR_STATUS && status < FIRST_SERVER_ERROR_STATUS;
+    return clientError || status == STOPPING_STATUS;
   }
 
   private HttpPost post(String path, byte[] body) {
--- a/relay/src/main/java/org/comfreygap/relay/StrictResponseDecoder.java
+++ b/relay/src/main/java/org/comfreygap/relay/StrictResponseDecoder.java
@@ -2,26 +2,34 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ByteProcessor;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 
 /**
- * Decodes the responses on a kept connection and rejects bytes that no request waits for.
+ * Decodes the responses on a kept connection, and rejects bytes that no request waits for and heads
+ * whose status has no meaning.
  *
  * <p>The plain decoder keeps the beginning of a message until the rest arrives, so that surplus
  * bytes after a response would become the beginning of the next one.
  *
- * <p>Invariant: a response begins with the first byte that arrives while a request is in progress.
- * Thread safety: used on the event loop of its channel only.
+ * <p>Invariants: a response begins with the first byte that arrives while a request is in progress;
+ * its status is a number from 100 to 599 in three digits, and not 101, as no protocol is offered to
+ * switch to. Any other head fails like one that cannot be read. Thread safety: used on the event
+ * loop of its channel only.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
   private static final int MAX_HEADER_BYTES = 32 * 1024;
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
   private static final String RESPONSE_BEGINNING = "HTTP/1.";
+  private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
+  private static final String SWITCHING_PROTOCOLS = "101";
 
   private final BooleanSupplier inProgress;
   private final Runnable onSurplus;
@@ -64,6 +72,16 @@
     return RESPONSE_BEGINNING.startsWith(beginning);
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    String status = initialLine[1];
+    if (!STATUS.matcher(status).matches() || status.equals(SWITCHING_PROTOCOLS)) {
+      throw new CorruptedFrameException(
+          "given status " + status + ", expected 100 to 599 without " + SWITCHING_PROTOCOLS);
+    }
+    return super.createMessage(initialLine);
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
     if (!surplus && inProgress.getAsBoolean()) {
--- a/relay/src/test/java/org/comfreygap/relay/HttpPeerClientTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/HttpPeerClientTest.java
@@ -96,6 +96,19 @@
     }
   }
 
+  /** Guards against a status that is none and that is passed to whoever called. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000 OK", "99 OK", "600 OK", "+200 OK"})
+  void failsCallWithAStatusThatIsNone(String status) throws Exception {
+    CompletableFuture<String> result = new CompletableFuture<>();
+    group.next().execute(() -> callAgain(result));
+    try (Socket connection = server.accept()) {
+      respond(connection, "HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n\r\nbody");
+
+      assertThatThrownBy(() -> result.get(5, TimeUnit.SECONDS)).hasMessageContaining("malformed");
+    }
+  }
+
   private void callAgain(CompletableFuture<String> result) {
     client.call(
         HttpMethod.GET,
--- a/relay/src/test/java/org/comfreygap/relay/ScriptedEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/ScriptedEndpoint.java
@@ -29,9 +29,11 @@
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final List<RawRequest> requests = new CopyOnWriteArrayList<>();
   private final AtomicInteger opened = new AtomicInteger();
+  private final AtomicInteger further = new AtomicInteger();
   private volatile String lastRefused = "";
   private volatile String lastResponse = "";
   private volatile int copied;
+  private volatile String status = "200 OK";
 
   /** A response, or a copy of an earlier one. */
   enum Reply {
@@ -75,6 +77,11 @@
     script.addAll(List.of(replies));
   }
 
+  /** Sets the status, with or without a reason, of the next responses that are whole. */
+  void setStatus(String text) {
+    status = text;
+  }
+
   /** Sets how many bytes of a copy are written; at most all but the last. */
   void setCopied(int bytes) {
     copied = bytes;
@@ -98,6 +105,11 @@
     return opened.get();
   }
 
+  /** Returns the number of requests that came behind another one on their connection. */
+  int furtherRequests() {
+    return further.get();
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
@@ -129,6 +141,7 @@
         List<Reply> replies = Optional.ofNullable(script.poll()).orElse(List.of(Reply.WHOLE));
         reply(connection, request.get().id(), replies);
         request = RawRequest.read(in);
+        further.addAndGet(request.isPresent() ? 1 : 0);
       }
       connection.close();
     } catch (InterruptedException e) {
@@ -177,9 +190,11 @@
     }
     String named = HeaderDialect.REQUEST + ": " + id + "\r\n";
     return switch (reply) {
-      case WHOLE -> "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 5\r\n\r\nwhole";
+      case WHOLE -> "HTTP/1.1 " + status + "\r\n" + named + "Content-Length: 5\r\n\r\nwhole";
       case WHOLE_IN_CHUNKS ->
-          "HTTP/1.1 200 OK\r\n"
+          "HTTP/1.1 "
+              + status
+              + "\r\n"
               + named
               + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
       case FAILURE ->
