Drop the base below removed routes too, and bound the replies on bases

A route whose streams could be resumed leaves its path prefix when it is removed. If its paths then belong to a route whose streams cannot be resumed, streams begin there unseen; when that route becomes resumable, only its own prefix lost its base, and those streams counted as ones of the base of the removed one. Now the longer prefixes without a route lose theirs, too.

The reply on the base of a prefix named all longer ones, which are as many as the operator has routes below it.

StreamOriginsTest.knowsNoBaseOfARemovedRouteWhosePathsWereNotResumable and handsOutNoBaseOfAPrefixWithVeryManyLongerOnes; StreamRouteChangesTest holds.

--- a/decisions/src/main/java/org/comfreygap/decisions/StreamOrigins.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/StreamOrigins.java
@@ -58,6 +58,7 @@
   private static final Origin NO_ORIGIN = new Origin("", "");
 
   private static final int MAX_PREFIXES = 10_000;
+  private static final int MAX_LONGER_PREFIXES = 100;
   private static final int MAX_ORIGINS_OF_PREFIX = 32;
 
   /** A host holds no space, so that no key is a prefix of that of another host. */
@@ -233,14 +234,14 @@
     before.forEach(
         (prefix, resumable) -> {
           if (!resumable && !Boolean.FALSE.equals(after.get(prefix))) {
-            begunUnseen(prefix, now);
+            begunUnseen(prefix, before.keySet(), now);
           }
         });
     after.forEach(
         (prefix, resumable) -> {
           boolean added = resumable && !before.containsKey(prefix);
           if (added && !longestPrefix(before, prefix).orElse(true)) {
-            begunUnseen(prefix, now);
+            begunUnseen(prefix, before.keySet(), now);
           }
         });
   }
@@ -281,13 +282,16 @@
   /**
    * Returns the bases on which a gateway may rely for {@link #BASE_LIFETIME}, by path prefix. Each
    * longer prefix that is known comes with an origin at which no stream begins: by the tables of
-   * another gateway, or of another moment, its paths belong to another route.
+   * another gateway, or of another moment, its paths belong to another route. A prefix with very
+   * many longer ones has no base to rely on, which bounds the reply.
    */
   public Map<String, Origin> bases(Collection<String> requested, long now) {
     Map<String, Origin> bases = new LinkedHashMap<>();
-    requested.forEach(
+    List<String> bounded =
+        requested.stream().filter(prefix -> nested(prefix).size() <= MAX_LONGER_PREFIXES).toList();
+    bounded.forEach(
         prefix -> nested(prefix).forEach(longer -> bases.putIfAbsent(longer, NO_ORIGIN)));
-    requested.forEach(
+    bounded.forEach(
         prefix ->
             base(prefix, now)
                 .filter(base -> prefixes.get(prefix).keepsBase(now))
@@ -333,7 +337,14 @@
     return counts;
   }
 
-  private void begunUnseen(String prefix, long now) {
+  /** Drops the base of a prefix, and of the longer ones whose routes had been removed before. */
+  private void begunUnseen(String prefix, Set<String> routes, long now) {
+    List<String> longer = nested(prefix).stream().filter(other -> !routes.contains(other)).toList();
+    longer.forEach(other -> dropBase(other, now));
+    dropBase(prefix, now);
+  }
+
+  private void dropBase(String prefix, long now) {
     RouteOrigins known = prefixes.get(prefix);
     if (known != null || makeRoom(now)) {
       List<Seen> seen = known == null ? List.of() : known.seen;
--- a/decisions/src/test/java/org/comfreygap/decisions/StreamOriginsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/StreamOriginsTest.java
@@ -202,6 +202,32 @@
     assertThat(origins.resolve("unrecorded", OTHER, SECOND)).contains(OLD);
   }
 
+  /** Guards against the same below a prefix that is left of a removed route. */
+  @Example
+  void knowsNoBaseOfARemovedRouteWhosePathsWereNotResumable() {
+    origins.inService(LONGER, List.of(OLD), 0);
+    origins.routesChanged(Map.of(LONGER, true, PREFIX, false), Map.of(PREFIX, false), SECOND);
+    assertThat(origins.resolve("unrecorded", PATH, SECOND)).contains(OLD);
+
+    origins.routesChanged(Map.of(PREFIX, false), Map.of(PREFIX, true), 2 * SECOND);
+    assertThat(origins.resolve("unrecorded", PATH, 2 * SECOND)).isEmpty();
+  }
+
+  /** Guards against replies that grow with the number of routes. */
+  @Example
+  void handsOutNoBaseOfAPrefixWithVeryManyLongerOnes() {
+    StreamOrigins many = new StreamOrigins();
+    many.inService(PREFIX, List.of(OLD), 0);
+    for (int i = 0; i < 100; i++) {
+      many.inService(StreamOrigins.key("shop.example", "/chat/" + i + "/"), List.of(OLD), 0);
+    }
+    assertThat(many.bases(List.of(PREFIX), 0)).hasSize(101);
+
+    many.inService(LONGER, List.of(OLD), 0);
+    assertThat(many.bases(List.of(PREFIX), 0)).isEmpty();
+    assertThat(many.bases(List.of(LONGER), 0)).containsEntry(LONGER, OLD);
+  }
+
   /** Guards against streams of a prefix that had to be forgotten and that look like another's. */
   @Example
   void addsNoPrefixBeyondTheBoundWhileOthersAreInUse() {
