Learn from each part that arrives, as before parts were gathered

What is learnt of an event's time is a low quantile, which moves with each value, and permits to send prompts follow from it.

Each part counts again.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -245,11 +245,14 @@
     }
     long now = System.nanoTime();
     endpoint.responseReceived(now);
-    if (lastPartNanos != 0) {
-      endpoint.recordPartInterval((now - lastPartNanos) / 1e6 / parts);
+    if (lastPartNanos == 0) {
+      recordFirstPart(now);
+    } else {
+      recordInterval((now - lastPartNanos) / 1e6, now);
     }
-    if (endpoint.reading().pace().isKnown()) {
-      recordSpeed(now, parts);
+    for (int i = 1; i < parts; i++) {
+      // Parts that are read at once arrived together.
+      recordInterval(0, now);
     }
     lastPartNanos = now;
     owner.onContent(bytes);
@@ -288,16 +291,28 @@
     owner.onFailure(this, new Failure(outcome, reason, refusal));
   }
 
-  private void recordSpeed(long now, int parts) {
-    ReadingSpeed speed = relay.placement().speed(endpoint.pool());
-    double pace = endpoint.reading().pace().expected(now);
-    if (lastPartNanos != 0) {
-      speed.event((now - lastPartNanos) / 1e6 / parts, pace);
-    } else if (promptTokens.isPresent()) {
-      speed.firstOutput(promptTokens.getAsLong(), (now - sentNanos) / 1e6, pace);
+  private void recordFirstPart(long now) {
+    if (endpoint.reading().pace().isKnown() && promptTokens.isPresent()) {
+      double millis = (now - sentNanos) / 1e6;
+      speed().firstOutput(promptTokens.getAsLong(), millis, expectedPace(now));
+    }
+  }
+
+  private void recordInterval(double millis, long now) {
+    endpoint.recordPartInterval(millis);
+    if (endpoint.reading().pace().isKnown()) {
+      speed().event(millis, expectedPace(now));
     }
   }
 
+  private ReadingSpeed speed() {
+    return relay.placement().speed(endpoint.pool());
+  }
+
+  private double expectedPace(long now) {
+    return endpoint.reading().pace().expected(now);
+  }
+
   private void checkEndpoint() {
     if (!finished) {
       EndpointProbe.check(
