Settle credit with the account that it was reserved of

Where the other customer had an account, all were answered, and the tokens went to the wrong one: what was not used flowed to the new holder of the key, and the customer that had reserved them was refused with 429 within its limit.

Cause: RequestCredit reserved under the customer of the decision at arrival, and settled under that of the newest one, by name. CreditManager had no account of that name, or an account that the ticket did not belong to. The exception came before the answer was written, in a task of the event loop that nobody reads.

Change: a reservation holds its account. A request whose customer changed while it waited is charged anew: what was reserved is given back, or kept if the request may have run for that customer, and the tokens are reserved of the customer for which it is sent, so that what an endpoint gets for a customer is what that customer paid. A move off a silent endpoint is not made for another customer.

--- a/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/CustomerCredit.java
@@ -71,6 +71,7 @@
   private double typicalTokens;
   private boolean shortage;
   private long shortAtNanos;
+  private int open;
 
   /**
    * Creates credit without any grant, for at most {@link #DEFAULT_MAX_WAITING} waiting requests.
@@ -134,6 +135,7 @@
     if (!hasWaitingBefore(priority) && held - debt + overdraft >= tokens) {
       take(tokens, nowNanos);
       ticket.state = State.GRANTED;
+      open++;
     } else if (waitingCount >= maxWaiting && !displaceLessUrgent(priority)) {
       ticket.state = State.REFUSED;
       ticket.retryAfterMillis = MAX_WAIT.toMillis();
@@ -164,6 +166,7 @@
       return;
     }
     ticket.state = State.SETTLED;
+    open--;
     if (tokensUsed <= ticket.tokens) {
       // Unused borrowed tokens were never granted, so they reduce the debt and are not refunded.
       long unused = ticket.tokens - tokensUsed;
@@ -224,6 +227,7 @@
         forget(ticket);
         take(ticket.tokens, nowNanos);
         ticket.state = State.GRANTED;
+        open++;
         decided.addLast(ticket);
       }
       if (!queue.isEmpty()) {
@@ -283,6 +287,22 @@
     return debt;
   }
 
+  /**
+   * Returns true when this credit can be dropped: nothing was reserved for {@code time}, no ticket
+   * is granted or waits, nothing is held, and all was reported. A debt that is left by then is one
+   * of a customer for which control grants nothing any more.
+   */
+  public boolean isIdle(Duration time, long nowNanos) {
+    expire(nowNanos);
+    return open == 0
+        && waitingCount == 0
+        && decided.isEmpty()
+        && held == 0
+        && used == 0
+        && refunded == 0
+        && nowNanos - demandAtNanos >= time.toNanos();
+  }
+
   /** Returns how many requests wait. */
   public int waitingCount() {
     return waitingCount;
--- a/relay/src/main/java/org/comfreygap/relay/AttemptHistory.java
+++ b/relay/src/main/java/org/comfreygap/relay/AttemptHistory.java
@@ -60,6 +60,11 @@
     return mayHaveRun;
   }
 
+  /** Returns the number of attempts that have ended, or brought a response, and may have run. */
+  int runs() {
+    return runs;
+  }
+
   /** Returns true when a response that failed may be replaced by another run. */
   boolean runsLeft(Route route) {
     return runs < route.maxAttempts();
--- a/relay/src/main/java/org/comfreygap/relay/CreditManager.java
+++ b/relay/src/main/java/org/comfreygap/relay/CreditManager.java
@@ -10,14 +10,12 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.comfreygap.decisions.CustomerCredit;
 import org.comfreygap.decisions.CustomerCredit.State;
 import org.comfreygap.decisions.CustomerCredit.Ticket;
 import org.comfreygap.decisions.LimitTolerance;
 import org.comfreygap.decisions.OutageForecast;
-import org.comfreygap.decisions.RetryAfterSchedule;
 import org.comfreygap.protocol.generated.CreditExchange;
 import org.comfreygap.protocol.generated.CreditGrant;
 import org.comfreygap.protocol.generated.CreditItem;
@@ -28,7 +26,6 @@
 import org.comfreygap.runtime.EventLog;
 import org.comfreygap.runtime.Field;
 import org.comfreygap.runtime.RepeatingTask;
-import org.comfreygap.settings.Documents.Customer;
 import org.comfreygap.settings.Priority;
 
 /**
@@ -57,6 +54,9 @@
   /** The same while requests wait: at most 1,000 calls a second with 35 gateways. */
   static final Duration SPACING_PER_GATEWAY = Duration.ofMillis(1);
 
+  /** What {@link #describe} returns for a customer without an account. */
+  static final String NO_ACCOUNT = "none";
+
   private static final Duration EXCHANGE_TIMEOUT = Duration.ofMillis(1_500);
   // Control waits up to 150 ms for a commit; a leader that takes longer is stuck or gone.
   private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(250);
@@ -73,13 +73,12 @@
   private final String startId;
   private final IntSupplier gatewayCount;
   private final LimitTolerance tolerance;
-  private final Map<String, CustomerCredit> accounts = new HashMap<>();
-  private final Map<Ticket, Consumer<Ticket>> waiting = new HashMap<>();
-  private final Map<String, RetryAfterSchedule> retrySchedules = new HashMap<>();
-  private final Map<String, Long> rates = new HashMap<>();
+  private final CreditAccounts accounts = new CreditAccounts();
+  private final Map<Ticket, Runnable> waiting = new HashMap<>();
   private final OutageForecast outage = new OutageForecast(TYPICAL_OUTAGE);
   private final BlockingQueue<CreditExchange> outgoing = new ArrayBlockingQueue<>(1);
   private final RepeatingTask exchangeThread;
+  private volatile int accountCount;
   private boolean exchanging;
   private boolean exchangeScheduled;
   private long sequence;
@@ -107,32 +106,35 @@
   }
 
   /**
-   * Reserves tokens; {@code decided} is called once the ticket is granted or refused: at once where
-   * that is known, otherwise within {@code maxWait}.
+   * Reserves tokens of a customer.
+   *
+   * @param decided run when a reservation that is waiting on return was granted or refused, within
+   *     {@code maxWait}
    */
-  Ticket reserve(
+  CreditReservation reserve(
       String customer,
       long tokens,
       Priority priority,
       Duration maxWait,
       long nowNanos,
-      Consumer<Ticket> decided) {
-    CustomerCredit credit = accounts.computeIfAbsent(customer, name -> newAccount());
-    Ticket ticket = credit.reserve(tokens, priority, maxWait, nowNanos);
+      Runnable decided) {
+    CreditAccount account = accounts.find(customer).orElseGet(() -> newAccount(customer));
+    Ticket ticket = account.credit().reserve(tokens, priority, maxWait, nowNanos);
     if (ticket.state() == State.WAITING) {
       waiting.put(ticket, decided);
       scheduleExchange(nowNanos);
-    } else {
-      decided.accept(ticket);
     }
-    notifyDecided(credit);
-    return ticket;
+    // The reservation may have displaced a less urgent one that was waiting.
+    notifyDecided(account);
+    return new CreditReservation(account, ticket);
   }
 
-  /** Returns the refusal of a request whose ticket was refused. */
-  Refusal refusal(String customer, Ticket refused, long nowNanos) {
-    return refused.overLimit()
-        ? Refusal.overLimit(retryDelay(customer, refused, nowNanos).toMillis())
+  /** Returns the refusal of a request whose reservation was refused. */
+  Refusal refusal(CreditReservation refused, long nowNanos) {
+    Ticket ticket = refused.ticket();
+    return ticket.overLimit()
+        ? Refusal.overLimit(
+            refused.account().retryDelay(ticket, gatewayCount.getAsInt(), nowNanos).toMillis())
         : timeoutRefusal(nowNanos);
   }
 
@@ -142,33 +144,46 @@
     return Refusal.CREDIT_TIMEOUT.withRetryAfter(outage.retryAfter(nowNanos));
   }
 
-  /** Withdraws a ticket that is still waiting. */
-  void abandon(String customer, Ticket ticket) {
-    if (waiting.remove(ticket) != null) {
-      accounts.get(customer).abandon(ticket);
+  /**
+   * Withdraws a reservation that is waiting, or settles one that was granted.
+   *
+   * @param used false when the request did not run, so that its tokens are given back
+   */
+  void settle(CreditReservation reserved, boolean used, long nowNanos) {
+    CustomerCredit credit = reserved.account().credit();
+    Ticket ticket = reserved.ticket();
+    waiting.remove(ticket);
+    if (ticket.state() == State.WAITING) {
+      credit.abandon(ticket);
+    } else {
+      credit.settle(ticket, used ? ticket.tokens() : 0, nowNanos);
     }
   }
 
-  /** Settles a granted ticket; {@code used} is 0 when the request did not run. */
-  void settle(String customer, Ticket ticket, long used, long nowNanos) {
-    accounts.get(customer).settle(ticket, used, nowNanos);
+  /** Returns the number of customers that have an account here. */
+  int accountCount() {
+    return accountCount;
   }
 
   /** Returns the state of a customer's credit at this gateway, for the log. */
-  String describe(Optional<Customer> customer, long nowNanos) {
-    CustomerCredit credit = customer.map(known -> accounts.get(known.id())).orElse(null);
-    return credit == null
-        ? "none"
-        : "held:"
-            + credit.held(nowNanos)
-            + ",debt:"
-            + credit.debt()
-            + ",waiting:"
-            + credit.waitingCount()
-            + ",exchangedMillisAgo:"
-            + TimeUnit.NANOSECONDS.toMillis(nowNanos - exchangedNanos)
-            + ",exchanging:"
-            + exchanging;
+  String describe(String customer, long nowNanos) {
+    return accounts
+        .find(customer)
+        .map(account -> describe(account.credit(), nowNanos))
+        .orElse(NO_ACCOUNT);
+  }
+
+  private String describe(CustomerCredit credit, long nowNanos) {
+    return "held:"
+        + credit.held(nowNanos)
+        + ",debt:"
+        + credit.debt()
+        + ",waiting:"
+        + credit.waitingCount()
+        + ",exchangedMillisAgo:"
+        + TimeUnit.NANOSECONDS.toMillis(nowNanos - exchangedNanos)
+        + ",exchanging:"
+        + exchanging;
   }
 
   @Override
@@ -176,25 +191,13 @@
     exchangeThread.close();
   }
 
-  /** Returns the time after which a refused request should be retried. */
-  private Duration retryDelay(String customer, Ticket refused, long nowNanos) {
-    double share = rates.getOrDefault(customer, 0L) / (double) Math.max(1, gatewayCount.getAsInt());
-    Duration earliest = Duration.ofMillis(refused.retryAfterMillis());
-    if (share <= 0) {
-      return earliest;
-    }
-    return retrySchedules
-        .computeIfAbsent(customer, name -> new RetryAfterSchedule())
-        .next(refused.tokens(), share, earliest, nowNanos);
-  }
-
   /**
    * Creates an account with the fixed part of the tolerance, as limits are unknown before a grant.
    */
-  private CustomerCredit newAccount() {
-    CustomerCredit credit = new CustomerCredit();
-    credit.overdraft(tolerance.borrowable(0, 0, gatewayCount.getAsInt()));
-    return credit;
+  private CreditAccount newAccount(String customer) {
+    CreditAccount account = accounts.open(customer);
+    account.credit().overdraft(tolerance.borrowable(0, 0, gatewayCount.getAsInt()));
+    return account;
   }
 
   private void scheduleExchange(long nowNanos) {
@@ -216,15 +219,18 @@
     if (waiting.isEmpty() && now - exchangedNanos < minInterval(PERIOD, PERIOD_PER_GATEWAY)) {
       return;
     }
+    accounts.dropIdle(now);
+    accountCount = accounts.all().size();
     List<CreditItem> items = new ArrayList<>();
-    for (Map.Entry<String, CustomerCredit> account : accounts.entrySet()) {
+    // A request that is told of its credit may reserve that of another customer.
+    for (CreditAccount account : accounts.all()) {
       if (items.size() < MAX_ITEMS) {
-        account.getValue().advance(now);
+        account.credit().advance(now);
         account
-            .getValue()
+            .credit()
             .exchange(now)
-            .ifPresent(item -> items.add(CreditItems.toMessage(account.getKey(), item)));
-        notifyDecided(account.getValue());
+            .ifPresent(item -> items.add(CreditItems.toMessage(account.customer(), item)));
+        notifyDecided(account);
       }
     }
     if (!items.isEmpty()) {
@@ -264,29 +270,35 @@
     outage.outageEnded(now);
     long reserveParts = RESERVE_BURST_DIVISOR * Math.max(1, gatewayCount.getAsInt());
     for (CreditGrant grant : reply.getGrants()) {
-      CustomerCredit credit = accounts.get(grant.getCustomer());
-      long expires = sentNanos + TimeUnit.MILLISECONDS.toNanos(grant.getLifetimeMillis());
-      rates.put(grant.getCustomer(), grant.getTokensPerSecond());
-      credit.reserveBound(grant.getBurstTokens() / reserveParts);
-      credit.overdraft(
-          tolerance.borrowable(
-              grant.getTokensPerSecond(), grant.getBurstTokens(), gatewayCount.getAsInt()));
-      credit.granted(grant.getGranted(), expires, grant.getRetryAfterMillis(), now);
-      notifyDecided(credit);
+      // The account may have been dropped since the exchange was sent; the grant expires then.
+      accounts
+          .find(grant.getCustomer())
+          .ifPresent(account -> apply(grant, account, reserveParts, now));
     }
     if (!waiting.isEmpty()) {
       scheduleExchange(now);
     }
   }
 
-  private void notifyDecided(CustomerCredit credit) {
-    Optional<Ticket> ticket = credit.nextDecided();
+  private void apply(CreditGrant grant, CreditAccount account, long reserveParts, long now) {
+    CustomerCredit credit = account.credit();
+    long expires = sentNanos + TimeUnit.MILLISECONDS.toNanos(grant.getLifetimeMillis());
+    account.tokensPerSecond(grant.getTokensPerSecond());
+    credit.reserveBound(grant.getBurstTokens() / reserveParts);
+    credit.overdraft(
+        tolerance.borrowable(
+            grant.getTokensPerSecond(), grant.getBurstTokens(), gatewayCount.getAsInt()));
+    credit.granted(grant.getGranted(), expires, grant.getRetryAfterMillis(), now);
+    notifyDecided(account);
+  }
+
+  /** Tells the requests whose reservations were decided; an error of one keeps none from it. */
+  private void notifyDecided(CreditAccount account) {
+    Optional<Ticket> ticket = account.credit().nextDecided();
     while (ticket.isPresent()) {
-      Consumer<Ticket> receiver = waiting.remove(ticket.get());
-      if (receiver != null) {
-        receiver.accept(ticket.get());
-      }
-      ticket = credit.nextDecided();
+      Optional.ofNullable(waiting.remove(ticket.get()))
+          .ifPresent(receiver -> LoopTasks.run(events, "credit-decided", receiver));
+      ticket = account.credit().nextDecided();
     }
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointSearch.java
@@ -92,10 +92,10 @@
   }
 
   /** Returns what a send of the request needs beside the choice of an endpoint. */
-  SendClearance.Request clearanceRequest(RouteDecision decision, String customerId) {
+  SendClearance.Request clearanceRequest(RouteDecision decision) {
     return new SendClearance.Request(
         request.id(),
-        customerId,
+        decision.customerId().orElse(""),
         decision.rank(),
         deadlineNanos,
         prompt(decision).cost(),
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -12,8 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.comfreygap.decisions.AdapterSlots;
-import org.comfreygap.decisions.CustomerCredit.State;
-import org.comfreygap.decisions.CustomerCredit.Ticket;
 import org.comfreygap.decisions.Outcome;
 import org.comfreygap.decisions.PlacementCost.Residency;
 import org.comfreygap.decisions.ResponseEnd;
@@ -67,13 +65,18 @@
     this.arrivedNanos = arrivedNanos;
     this.tracked =
         new CrashTrackedRequest(
-            relay.crashes(), relay.usage(), head, body, request.sharedParts(), this::customerId);
+            relay.crashes(),
+            relay.usage(),
+            head,
+            body,
+            request.sharedParts(),
+            () -> decision.customerId().orElse(""));
     this.clearance = new SendClearance(relay);
-    this.credit = new RequestCredit(relay.credit());
+    this.credit = new RequestCredit(relay.credit(), history);
     this.continuity = new StreamContinuity(relay, request, RouteDecision.path(head.uri()));
     this.retry = new RetryAllowance(relay);
     this.search = new EndpointSearch(relay, request, continuity);
-    this.log = new ExchangeLog(relay, request, arrivedNanos, tracked);
+    this.log = new ExchangeLog(relay, request, arrivedNanos, tracked, credit);
     this.hedged = new HedgedAttempts(relay, this, search, history, tracked, log);
   }
 
@@ -107,7 +110,7 @@
             relay.loop().schedule(this::timedOut, Math.max(1, millis), TimeUnit.MILLISECONDS));
     startPlacement(arrivedNanos);
     continuity.begin(decision.route(), this::place);
-    reserveCredit(table);
+    credit.reserve(decision, table, arrivedNanos, this::creditDecided);
   }
 
   /** Chooses an endpoint and sends the request there, waits for one, or ends the request. */
@@ -121,6 +124,11 @@
     if (!refreshDecision(table) || endIfQuarantined(now) || endIfNotContinued()) {
       return;
     }
+    if (!credit.covers(decision)) {
+      // Each run is charged to the customer for which it is sent.
+      credit.reserve(decision, table, now, this::creditDecided);
+      return;
+    }
     Optional<Placement.Requirements> needed = search.requirements(decision, table, now);
     if (needed.isEmpty()) {
       failOrRefuse(relay.outages().noEndpoint(table.pool(decision.pool()), now));
@@ -178,7 +186,7 @@
     if (finished
         || !refreshDecision(table)
         || endIfQuarantined(nowNanos)
-        || !servesVersion(table, endpoint, nowNanos)
+        || !isStillMeant(table, endpoint, nowNanos)
         || !retry.use(decision.pool(), nowNanos, () -> failOrRefuse(Refusal.FULL))
         || !clearance.use(endpoint, this::place)) {
       return Optional.empty();
@@ -277,7 +285,7 @@
   @Override
   public Optional<RouteDecision> decideElsewhere() {
     return Optional.of(decision.by(relay.tables().get(), head, request))
-        .filter(newest -> newest.refusal().isEmpty())
+        .filter(newest -> newest.refusal().isEmpty() && credit.covers(newest))
         .map(continuity::pinned)
         .filter(newest -> continuity.refusal(newest).isEmpty());
   }
@@ -324,7 +332,7 @@
     attemptFailed(ended, failure);
   }
 
-  /** Returns true while an attempt is in progress, or its response is held back. */
+  /** Returns true while an attempt is in progress or held back. */
   private boolean hasAttempt() {
     return continuity.holds() || attempt.map(Attempt::inProgress).orElse(false);
   }
@@ -365,21 +373,17 @@
     return refusal.isPresent();
   }
 
-  private void reserveCredit(RouteTable table) {
-    if (decision.customer().isEmpty() || !table.hasLimits(decision.customer().get().id())) {
-      place();
+  private void creditDecided() {
+    if (finished) {
       return;
     }
-    credit.reserve(decision, arrivedNanos, this::creditDecided);
-  }
-
-  private void creditDecided(Ticket decided) {
-    if (finished) {
-      settleCredit();
-    } else if (decided.state() == State.GRANTED) {
+    long now = System.nanoTime();
+    Optional<Refusal> refusal = credit.refusal(now);
+    // A refusal binds the customer that is charged, whose request this may be no longer.
+    if (refusal.isPresent() && refreshDecision(relay.tables().get()) && credit.covers(decision)) {
+      failOrRefuse(refusal.get());
+    } else if (!finished) {
       place();
-    } else {
-      refuse(relay.credit().refusal(customerId(), decided, System.nanoTime()));
     }
   }
 
@@ -429,7 +433,7 @@
   private void obtainClearance(Endpoint endpoint) {
     clearance.obtain(
         endpoint,
-        search.clearanceRequest(decision, customerId()),
+        search.clearanceRequest(decision),
         cleared -> clearanceDecided(endpoint, cleared));
   }
 
@@ -553,7 +557,7 @@
     forwarder.discardUnsent();
     continuity.discardHeld();
     body.release();
-    settleCredit();
+    credit.settle(attempt.map(Attempt::sent).orElse(false), System.nanoTime());
     relay
         .metrics()
         .requestEnded(
@@ -563,15 +567,6 @@
             System.nanoTime() - arrivedNanos);
   }
 
-  private String customerId() {
-    return decision.customer().map(known -> known.id()).orElse("");
-  }
-
-  private void settleCredit() {
-    boolean sent = attempt.map(Attempt::sent).orElse(false);
-    credit.settle(decision, history.mayHaveRun() || sent, System.nanoTime());
-  }
-
   private boolean shouldRetry(HttpResponse response) {
     return (response.status().codeClass() == HttpStatusClass.SERVER_ERROR
             || (hedged.hasSecond() && !SecondAttempt.isUseful(response)))
@@ -580,13 +575,16 @@
         && history.runsLeft(decision.route());
   }
 
-  /** Places the request again if a newer version became due while the connection was opened. */
-  private boolean servesVersion(RouteTable table, Endpoint endpoint, long nowNanos) {
-    boolean serves = search.servesVersion(table, endpoint, nowNanos);
-    if (!serves) {
+  /** Places the request again if the settings changed while the connection was opened. */
+  private boolean isStillMeant(RouteTable table, Endpoint endpoint, long nowNanos) {
+    boolean meant =
+        endpoint.pool().equals(decision.pool())
+            && credit.covers(decision)
+            && search.servesVersion(table, endpoint, nowNanos);
+    if (!meant) {
       relay.loop().execute(this::place);
     }
-    return serves;
+    return meant;
   }
 
   /** Ends the request and returns true when it was quarantined after its arrival. */
--- a/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
+++ b/relay/src/main/java/org/comfreygap/relay/ExchangeLog.java
@@ -23,17 +23,23 @@
   private final CallerRequest request;
   private final long arrivedNanos;
   private final CrashTrackedRequest tracked;
+  private final RequestCredit credit;
   private String lastEndpoint = "none";
   private int attempts;
   private long beganNanos;
 
   /** Creates the log of a request. */
   ExchangeLog(
-      RelayContext relay, CallerRequest request, long arrivedNanos, CrashTrackedRequest tracked) {
+      RelayContext relay,
+      CallerRequest request,
+      long arrivedNanos,
+      CrashTrackedRequest tracked,
+      RequestCredit credit) {
     this.relay = relay;
     this.request = request;
     this.arrivedNanos = arrivedNanos;
     this.tracked = tracked;
+    this.credit = credit;
   }
 
   /** Logs the choice of an endpoint; repeated attempts are always logged. */
@@ -130,7 +136,7 @@
                 Field.of("retryMillis", refusal.retryMillis()),
                 Field.of("customer", decision.customerName().orElse("")),
                 Field.of("tokens", decision.tokens()),
-                Field.of("credit", relay.credit().describe(decision.customer(), System.nanoTime())),
+                Field.of("credit", credit.describe(decision, System.nanoTime())),
                 Field.of("waiting", relay.waitQueue().size()),
                 Field.of("lastEndpoint", lastEndpoint),
                 Field.of("revision", decision.revision()),
--- a/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayGateway.java
@@ -307,6 +307,7 @@
   private void registerGauges(RelayContext relay) {
     closer.register(metrics);
     metrics.gauge("requests.waiting", relay.waitQueue()::size);
+    metrics.gauge("credit.accounts", relay.credit()::accountCount);
     metrics.gauge("connections.of.callers", callers::size);
     metrics.gauge("bytes.of.unfinished.responses", relay.heldBytes()::counted);
     metrics.gauge("gateways.sharing.the.retry.budget", () -> sharingGateways);
--- a/relay/src/main/java/org/comfreygap/relay/Relocation.java
+++ b/relay/src/main/java/org/comfreygap/relay/Relocation.java
@@ -177,10 +177,9 @@
       return;
     }
     if (SendClearance.isNeeded(relay, endpoint, System.nanoTime())) {
-      String customer = decision.customer().map(known -> known.id()).orElse("");
       clearance.obtain(
           endpoint,
-          search.clearanceRequest(decision, customer),
+          search.clearanceRequest(decision),
           cleared -> clearanceDecided(endpoint, cleared));
     } else {
       connect(endpoint);
--- a/relay/src/main/java/org/comfreygap/relay/RouteDecision.java
+++ b/relay/src/main/java/org/comfreygap/relay/RouteDecision.java
@@ -107,6 +107,11 @@
     return customer;
   }
 
+  /** Returns the customer's id, with its team. */
+  Optional<String> customerId() {
+    return customer.map(Customer::id);
+  }
+
   /** Returns the customer's name without its team. */
   Optional<String> customerName() {
     return customer.map(known -> known.id().substring(known.id().indexOf('/') + 1));
--- a/relay/src/test/java/org/comfreygap/relay/HeaderDialect.java
+++ b/relay/src/test/java/org/comfreygap/relay/HeaderDialect.java
@@ -21,6 +21,7 @@
 
   static final String REQUEST = "Request";
   static final String KEY = "Key";
+  static final String CUSTOMER = "Customer";
   static final String PATIENCE_MILLIS = "Patience-Millis";
   static final String PARTS = "Parts";
   static final String LAST_EVENT_ID = "Last-Event-Id";
@@ -61,6 +62,7 @@
     toEndpoint.set(REQUEST, fromCaller.get(REQUEST));
     fromCaller.getAll(LAST_EVENT_ID).forEach(last -> toEndpoint.set(LAST_EVENT_ID, last));
     fromCaller.getAll(PARTS).forEach(parts -> toEndpoint.set(PARTS, parts));
+    dispatch.customer().ifPresent(name -> toEndpoint.set(CUSTOMER, name));
     toEndpoint.set(ENDPOINT, dispatch.instanceId());
   }
 
--- a/relay/src/test/java/org/comfreygap/relay/RawRequest.java
+++ b/relay/src/test/java/org/comfreygap/relay/RawRequest.java
@@ -12,7 +12,8 @@
  *
  * <p>Thread safety: immutable.
  */
-record RawRequest(String path, String id, String parts, Optional<String> lastEventId) {
+record RawRequest(
+    String path, String id, String customer, String parts, Optional<String> lastEventId) {
 
   static Optional<RawRequest> read(InputStream in) throws IOException {
     String line = line(in);
@@ -20,6 +21,7 @@
       return Optional.empty();
     }
     String id = "";
+    String customer = "";
     String promptParts = "";
     Optional<String> lastEventId = Optional.empty();
     int length = 0;
@@ -27,6 +29,10 @@
       String[] parts = header.split(":", 2);
       String field = parts[0].toLowerCase(Locale.ROOT);
       id = field.equals(HeaderDialect.REQUEST.toLowerCase(Locale.ROOT)) ? parts[1].strip() : id;
+      customer =
+          field.equals(HeaderDialect.CUSTOMER.toLowerCase(Locale.ROOT))
+              ? parts[1].strip()
+              : customer;
       promptParts =
           field.equals(HeaderDialect.PARTS.toLowerCase(Locale.ROOT))
               ? parts[1].strip()
@@ -35,7 +41,7 @@
       length = field.equals("content-length") ? Integer.parseInt(parts[1].strip()) : length;
     }
     in.readNBytes(length);
-    return Optional.of(new RawRequest(line.split(" ")[1], id, promptParts, lastEventId));
+    return Optional.of(new RawRequest(line.split(" ")[1], id, customer, promptParts, lastEventId));
   }
 
   private static String line(InputStream in) throws IOException {
