End a request on an error of this process with an answer or a closed connection

Cause: steps of a request run as tasks and callbacks of the event loop, whose errors stay in a future that nobody reads or end the connection of someone else: a sidecar, a peer, an endpoint, which then counts as failing. The end of a request did its bookkeeping before it wrote the answer, so that an error of the one cost the other. An error of one receiver kept the others of a list from being told (CreditManager, StreamRegister), and the report of credit that was collected with it was lost.

Change: RequestGuard runs the steps of one request. An error ends that request with 502 if it may have run, otherwise 503, or with the end of the connection if a part of the response may have left; it is logged once with the request's id (3548) and counted (request.errors). RequestEnd is the end of a request as a type of its own: the answer comes before what is only recorded, and each step of giving back is done whatever the others do. What is learnt of a response comes after the response. LoopTasks runs the gateway's other tasks that run once, so that their errors are logged too (3543). Dispatch and CallerConnection release the body when a request cannot be built.

--- a/relay/src/main/java/org/comfreygap/relay/Attempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/Attempt.java
@@ -74,6 +74,9 @@
     /** Returns the request to send, or empty when it must no longer be sent. */
     Optional<FullHttpRequest> buildRequest(Endpoint endpoint, long nowNanos);
 
+    /** Returns what keeps an error in a step of the request from others. */
+    RequestGuard guard();
+
     /** Returns the adapter that the request needs. */
     Optional<AdapterSlots.Name> adapter();
 
@@ -156,7 +159,11 @@
     endpoint.health().dispatched(startNanos);
     endpoint
         .connections()
-        .acquire(startNanos, owner.requestId(), this::connectionReady, this::connectionFailed);
+        .acquire(
+            startNanos,
+            owner.requestId(),
+            owner.guard().receiver("connection", this::connectionReady),
+            owner.guard().receiver("connection-failure", this::connectionFailed));
   }
 
   /** Cancels the attempt; its owner gets no further callbacks. */
@@ -193,6 +200,10 @@
 
   @Override
   public void onHead(HttpResponse response, ResponseHead stated) {
+    owner.guard().run("response-head", () -> headReceived(response, stated));
+  }
+
+  private void headReceived(HttpResponse response, ResponseHead stated) {
     long now = System.nanoTime();
     stated.load().ifPresent(load -> endpoint.recordLoad(load, now));
     relay.limits().responseRead(endpoint, stated, sentNanos, now);
@@ -239,6 +250,10 @@
 
   @Override
   public void onContent(ByteBuf bytes, int parts) {
+    owner.guard().run("response-body", () -> contentReceived(bytes, parts));
+  }
+
+  private void contentReceived(ByteBuf bytes, int parts) {
     if (refusal.isPresent()) {
       bytes.release();
       return;
@@ -260,6 +275,10 @@
 
   @Override
   public void onComplete() {
+    owner.guard().run("response-end", this::responseCompleted);
+  }
+
+  private void responseCompleted() {
     long now = System.nanoTime();
     responseEnded = true;
     EndpointConnection done = connection.orElseThrow();
@@ -273,7 +292,12 @@
     endpoint.recordLatency((now - startNanos) / 1e6);
     if (ResponseEnd.needsCheck(framing, endpoint.mayEndAfterResponse())) {
       Duration delay = endpoint.endsAtDeadline() ? DEADLINE_CHECK_DELAY : Duration.ZERO;
-      relay.loop().schedule(this::checkEndpoint, delay.toMillis(), TimeUnit.MILLISECONDS);
+      relay
+          .loop()
+          .schedule(
+              owner.guard().guarded("endpoint-check", this::checkEndpoint),
+              delay.toMillis(),
+              TimeUnit.MILLISECONDS);
     } else {
       finish();
       owner.onComplete();
@@ -282,6 +306,10 @@
 
   @Override
   public void onFailure(String reason) {
+    owner.guard().run("attempt-failure", () -> failed(reason));
+  }
+
+  private void failed(String reason) {
     if (finished) {
       return;
     }
@@ -316,7 +344,10 @@
   private void checkEndpoint() {
     if (!finished) {
       EndpointProbe.check(
-          relay.loop(), endpoint.address(), END_CHECK_TIMEOUT, this::endpointChecked);
+          relay.loop(),
+          endpoint.address(),
+          END_CHECK_TIMEOUT,
+          owner.guard().receiver("endpoint-check", this::endpointChecked));
     }
   }
 
@@ -328,7 +359,12 @@
       endWith(result.state().atDeadline());
     } else if (result.state() == ResponseEnd.Endpoint.REFUSES) {
       // By then the ends of the other connections, which came with this one, are handled.
-      relay.loop().schedule(this::endpointRefused, REFUSAL_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+      relay
+          .loop()
+          .schedule(
+              owner.guard().guarded("endpoint-check", this::endpointRefused),
+              REFUSAL_DELAY.toMillis(),
+              TimeUnit.MILLISECONDS);
     } else {
       endWith(result.state());
     }
@@ -355,7 +391,7 @@
     }
     Optional<FullHttpRequest> request = owner.buildRequest(endpoint, System.nanoTime());
     if (request.isEmpty()) {
-      finish();
+      finishOnce();
       endpoint.connections().release(opened, System.nanoTime());
       return;
     }
@@ -384,6 +420,13 @@
     }
   }
 
+  /** Ends the attempt, unless the end of its request has done so. */
+  private void finishOnce() {
+    if (!finished) {
+      finish();
+    }
+  }
+
   private void finish() {
     finished = true;
     endUse.ifPresent(Runnable::run);
--- a/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/CallerConnection.java
@@ -317,9 +317,17 @@
     }
     CompositeByteBuf whole = body;
     body = Unpooled.compositeBuffer();
-    Exchange started = new Exchange(relay, this, request, whole, callerRequest, System.nanoTime());
-    exchange = Optional.of(started);
-    started.begin();
+    exchange = Optional.of(createExchange(request, whole, callerRequest));
+    exchange.get().begin();
+  }
+
+  private Exchange createExchange(HttpRequest request, ByteBuf whole, CallerRequest read) {
+    try {
+      return new Exchange(relay, this, request, whole, read, System.nanoTime());
+    } catch (RuntimeException e) {
+      whole.release();
+      throw e;
+    }
   }
 
   private void rejectMalformed(HttpObject part) {
--- a/relay/src/main/java/org/comfreygap/relay/CrashDetector.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashDetector.java
@@ -245,7 +245,7 @@
     if (endpoint.endedBy().isPresent()) {
       endpointEnded(endpoint, endpoint.endedBy().get());
     } else if (pendingChecks.add(endpoint)) {
-      loop.schedule(() -> checkAddress(endpoint), CHECK_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+      LoopTasks.schedule(loop, events, "crash-check", CHECK_DELAY, () -> checkAddress(endpoint));
     }
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/CreditManager.java
+++ b/relay/src/main/java/org/comfreygap/relay/CreditManager.java
@@ -207,7 +207,8 @@
     exchangeScheduled = true;
     long spacing = minInterval(MIN_SPACING, SPACING_PER_GATEWAY);
     long pause = spacing - (nowNanos - exchangedNanos);
-    loop.schedule(this::exchange, Math.max(0, pause), TimeUnit.NANOSECONDS);
+    LoopTasks.schedule(
+        loop, events, "credit", Duration.ofNanos(Math.max(0, pause)), this::exchange);
   }
 
   private void exchange() {
@@ -261,7 +262,7 @@
       }
     }
     CreditReply received = reply.get();
-    loop.execute(() -> apply(received));
+    LoopTasks.execute(loop, events, "credit-granted", () -> apply(received));
   }
 
   private void apply(CreditReply reply) {
--- a/relay/src/main/java/org/comfreygap/relay/Dispatch.java
+++ b/relay/src/main/java/org/comfreygap/relay/Dispatch.java
@@ -41,7 +41,12 @@
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1, head.method(), head.uri(), body.retainedDuplicate());
-    dialect.writeHeaders(head.headers(), this, request.headers());
+    try {
+      dialect.writeHeaders(head.headers(), this, request.headers());
+    } catch (RuntimeException e) {
+      request.release();
+      throw e;
+    }
     if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
       HttpUtil.setContentLength(request, body.readableBytes());
     }
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -1,11 +1,9 @@
 package org.comfreygap.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
@@ -26,10 +24,12 @@
  * the caller gets one response, with the parts of one run in order. Thread safety: used on the
  * event loop only.
  */
-final class Exchange implements HedgedAttempts.Request {
+final class Exchange implements HedgedAttempts.Request, RequestEnd.Request {
 
   private final RelayContext relay;
-  private final Caller caller;
+  private final CallerResponse caller;
+  private final RequestGuard guard;
+  private final RequestEnd end;
   private final HttpRequest head;
   private final ByteBuf body;
   private final CallerRequest request;
@@ -48,7 +48,6 @@
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
   private ResponseForwarder forwarder;
-  private boolean finished;
 
   Exchange(
       RelayContext relay,
@@ -58,7 +57,8 @@
       CallerRequest request,
       long arrivedNanos) {
     this.relay = relay;
-    this.caller = caller;
+    this.caller = new CallerResponse(caller);
+    this.guard = new RequestGuard(relay, request.id(), this::endAfterError);
     this.head = head;
     this.body = body;
     this.request = request;
@@ -71,13 +71,14 @@
             body,
             request.sharedParts(),
             () -> decision.customerId().orElse(""));
-    this.clearance = new SendClearance(relay);
+    this.clearance = new SendClearance(relay, guard);
     this.credit = new RequestCredit(relay.credit(), history);
     this.continuity = new StreamContinuity(relay, request, RouteDecision.path(head.uri()));
     this.retry = new RetryAllowance(relay);
     this.search = new EndpointSearch(relay, request, continuity);
     this.log = new ExchangeLog(relay, request, arrivedNanos, tracked, credit);
     this.hedged = new HedgedAttempts(relay, this, search, history, tracked, log);
+    this.end = new RequestEnd(relay, guard, this.caller, this, history, tracked, log, body);
   }
 
   /** Returns the priority rank, 0 being the most urgent. */
@@ -87,12 +88,16 @@
 
   /** Admits the request and places it, or refuses it. */
   void begin() {
+    guard.run("arrival", this::admit);
+  }
+
+  private void admit() {
     RouteTable table = relay.tables().get();
     decision = RouteDecision.of(table, head, request);
     Optional<Refusal> refusal =
         new Admission(relay, request, arrivedNanos).refusal(table, decision, tracked);
     if (refusal.isPresent()) {
-      reject(refusal.get());
+      end.reject(refusal.get());
       return;
     }
     relay.retryBudgets().requested(decision.pool(), arrivedNanos);
@@ -105,18 +110,21 @@
     long patience = request.timeoutMillis().orElse(Long.MAX_VALUE);
     long millis = Math.min(patience, decision.route().timeoutMillis());
     deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-    timer =
-        Optional.of(
-            relay.loop().schedule(this::timedOut, Math.max(1, millis), TimeUnit.MILLISECONDS));
+    registerEnd();
+    timer = Optional.of(schedule("timeout", this::timedOut, TimeUnit.MILLISECONDS.toNanos(millis)));
     startPlacement(arrivedNanos);
     continuity.begin(decision.route(), this::place);
-    credit.reserve(decision, table, arrivedNanos, this::creditDecided);
+    credit.reserve(decision, table, arrivedNanos, guard.guarded("credit", this::creditDecided));
   }
 
   /** Chooses an endpoint and sends the request there, waits for one, or ends the request. */
   void place() {
+    guard.run("placement", this::tryPlace);
+  }
+
+  private void tryPlace() {
     // A late reply of a sidecar must not start a second attempt while one is in progress.
-    if (finished || hasAttempt() || continuity.isResolving() || credit.isWaiting()) {
+    if (end.hasEnded() || hasAttempt() || continuity.isResolving() || credit.isWaiting()) {
       return;
     }
     long now = System.nanoTime();
@@ -126,12 +134,12 @@
     }
     if (!credit.covers(decision)) {
       // Each run is charged to the customer for which it is sent.
-      credit.reserve(decision, table, now, this::creditDecided);
+      credit.reserve(decision, table, now, guard.guarded("credit", this::creditDecided));
       return;
     }
     Optional<Placement.Requirements> needed = search.requirements(decision, table, now);
     if (needed.isEmpty()) {
-      failOrRefuse(relay.outages().noEndpoint(table.pool(decision.pool()), now));
+      end.failOrRefuse(relay.outages().noEndpoint(table.pool(decision.pool()), now));
       return;
     }
     Placement.Requirements need = needed.get();
@@ -140,7 +148,8 @@
       waitForEndpoint(choice.shortage(), now);
     } else if (choice.residency() != Residency.HELD) {
       Endpoint endpoint = choice.endpoint().get();
-      search.requestAdapter(endpoint, need, reply -> adapterReplied(endpoint, reply));
+      search.requestAdapter(
+          endpoint, need, guard.receiver("adapter", reply -> adapterReplied(endpoint, reply)));
     } else if (SendClearance.isNeeded(relay, choice.endpoint().get(), now)) {
       obtainClearance(choice.endpoint().get());
     } else {
@@ -151,23 +160,39 @@
 
   /** Called when the caller has disconnected. */
   void callerDisconnected() {
-    if (finished) {
-      return;
-    }
-    tracked.abandoned(attempt, forwarder.eventReceived());
-    finish("abandoned");
-    attempt.ifPresent(Attempt::cancel);
-    log.abandoned(attempt, forwarder);
+    caller.callerGone();
+    guard.run("disconnect", end::callerGone);
   }
 
   /** Ends the request because the gateway's planned stop is over. */
   void gatewayStops() {
-    endNow(Refusal.STOPPING, "the gateway stops", "stopped");
+    guard.run("stop", () -> end.interrupt(Refusal.STOPPING, "the gateway stops", "stopped"));
   }
 
   /** Called when the caller's connection has become writable or stopped being so. */
   void writabilityChanged() {
-    attempt.ifPresent(current -> current.setAutoRead(caller.writable()));
+    guard.run(
+        "writability", () -> attempt.ifPresent(current -> current.setAutoRead(caller.writable())));
+  }
+
+  @Override
+  public RequestGuard guard() {
+    return guard;
+  }
+
+  @Override
+  public RouteDecision decision() {
+    return decision;
+  }
+
+  @Override
+  public Optional<Attempt> attempt() {
+    return attempt;
+  }
+
+  @Override
+  public ResponseForwarder forwarder() {
+    return forwarder;
   }
 
   @Override
@@ -182,16 +207,21 @@
 
   @Override
   public Optional<FullHttpRequest> buildRequest(Endpoint endpoint, long nowNanos) {
+    return guard.get("send", () -> requestIfMeant(endpoint, nowNanos), Optional.empty());
+  }
+
+  private Optional<FullHttpRequest> requestIfMeant(Endpoint endpoint, long nowNanos) {
     RouteTable table = relay.tables().get();
-    if (finished
+    if (end.hasEnded()
         || !refreshDecision(table)
         || endIfQuarantined(nowNanos)
         || !isStillMeant(table, endpoint, nowNanos)
-        || !retry.use(decision.pool(), nowNanos, () -> failOrRefuse(Refusal.FULL))
+        || !retry.use(decision.pool(), nowNanos, () -> end.failOrRefuse(Refusal.FULL))
         || !clearance.use(endpoint, this::place)) {
       return Optional.empty();
     }
-    continuity.attempting(endpoint, decision.route(), this::originRecorded);
+    continuity.attempting(
+        endpoint, decision.route(), guard.guarded("origin", this::originRecorded));
     return Optional.of(requestFor(endpoint, nowNanos));
   }
 
@@ -225,7 +255,7 @@
 
   @Override
   public void onContent(ByteBuf bytes) {
-    if (finished || forwarder.head().isEmpty()) {
+    if (end.hasEnded() || forwarder.head().isEmpty()) {
       bytes.release();
       return;
     }
@@ -252,33 +282,37 @@
   @Override
   public void onComplete() {
     // What is held back is forwarded, and completed, once the origin is on record.
-    if (finished || forwarder.head().isEmpty() || continuity.holds()) {
+    if (end.hasEnded() || forwarder.head().isEmpty() || continuity.holds()) {
       return;
     }
     HttpResponse response = forwarder.head().get();
     Attempt ended = attempt.orElseThrow();
-    ResponseEnd end = forwarder.end(ended.endpointState());
-    if (end != ResponseEnd.WHOLE) {
+    ResponseEnd how = forwarder.end(ended.endpointState());
+    if (how != ResponseEnd.WHOLE) {
       ended.endpoint().health().failed(System.nanoTime());
-      onFailure(ended, Attempt.Failure.unknown(end.reason()));
+      onFailure(ended, Attempt.Failure.unknown(how.reason()));
     } else if (shouldRetry(response)) {
       attemptFailed(
           ended, new Attempt.Failure(Outcome.RAN, "status " + response.status(), Optional.empty()));
     } else if (Refusal.promisesNotRun(response.status().code())) {
       // Without proof that the request did not run, the status must not reach the caller.
-      fail("status " + response.status().code() + " without a not-run proof", "unproved");
+      end.fail("status " + response.status().code() + " without a not-run proof", "unproved");
     } else {
-      boolean succeeded = response.status().codeClass() != HttpStatusClass.SERVER_ERROR;
-      ended.endpoint().recordResult(succeeded);
-      if (succeeded) {
-        tracked.served();
-        relay
-            .durations()
-            .served(decision.route(), request, response, arrivedNanos, System.nanoTime());
-      }
       forwarder.complete();
+      learn(ended.endpoint(), response);
       log.served(decision, response.status().code(), forwarder, System.nanoTime());
-      finish("served");
+      end.served();
+    }
+  }
+
+  private void learn(Endpoint endpoint, HttpResponse response) {
+    boolean succeeded = response.status().codeClass() != HttpStatusClass.SERVER_ERROR;
+    endpoint.recordResult(succeeded);
+    if (succeeded) {
+      tracked.served();
+      relay
+          .durations()
+          .served(decision.route(), request, response, arrivedNanos, System.nanoTime());
     }
   }
 
@@ -298,7 +332,8 @@
     log.wentOn(next.endpoint());
     forwarder.discardUnsent();
     continuity.discardHeld();
-    continuity.attempting(next.endpoint(), decision.route(), this::originRecorded);
+    continuity.attempting(
+        next.endpoint(), decision.route(), guard.guarded("origin", this::originRecorded));
   }
 
   @Override
@@ -315,15 +350,15 @@
     log.attemptEnded(decision, endpoint, failure, framing);
   }
 
-  private void abandon(Function<Attempt, Attempt.Failure> end) {
+  private void abandon(Function<Attempt, Attempt.Failure> how) {
     Attempt current = attempt.orElseThrow();
     tracked.dropped(current.endpoint(), forwarder.eventReceived());
-    attemptFailed(current, end.apply(current));
+    attemptFailed(current, how.apply(current));
   }
 
   @Override
   public void onFailure(Attempt ended, Attempt.Failure failure) {
-    if (finished) {
+    if (end.hasEnded()) {
       return;
     }
     if (failure.outcome() == Outcome.UNKNOWN) {
@@ -339,14 +374,14 @@
 
   private boolean refreshDecision(RouteTable table) {
     RouteDecision newest = decision.by(table, head, request);
-    newest.refusal().ifPresent(this::failOrRefuse);
+    newest.refusal().ifPresent(end::failOrRefuse);
     decision = newest.refusal().isPresent() ? decision : newest;
     return newest.refusal().isEmpty();
   }
 
   /** Forwards what was held back, or fails the attempt whose origin could not be recorded. */
   private void originRecorded() {
-    if (finished || attempt.isEmpty()) {
+    if (end.hasEnded() || attempt.isEmpty()) {
       return;
     }
     if (continuity.failed()) {
@@ -368,21 +403,21 @@
     Optional<Refusal> refusal = continuity.refusal(decision);
     if (refusal.isPresent()) {
       log.notContinued(continuity.required(), refusal.get());
-      failOrRefuse(refusal.get());
+      end.failOrRefuse(refusal.get());
     }
     return refusal.isPresent();
   }
 
   private void creditDecided() {
-    if (finished) {
+    if (end.hasEnded()) {
       return;
     }
     long now = System.nanoTime();
     Optional<Refusal> refusal = credit.refusal(now);
     // A refusal binds the customer that is charged, whose request this may be no longer.
     if (refusal.isPresent() && refreshDecision(relay.tables().get()) && credit.covers(decision)) {
-      failOrRefuse(refusal.get());
-    } else if (!finished) {
+      end.failOrRefuse(refusal.get());
+    } else if (!end.hasEnded()) {
       place();
     }
   }
@@ -396,26 +431,26 @@
             search.deadlineNanos(),
             deadlineNanos,
             now);
-    refusal.ifPresentOrElse(this::failOrRefuse, () -> relay.waitQueue().add(this, decision.pool()));
+    refusal.ifPresentOrElse(end::failOrRefuse, () -> relay.waitQueue().add(this, decision.pool()));
   }
 
   private void startPlacement(long now) {
     long nanos = RequestTimeouts.placementTimeout(decision.route()).toNanos();
     search.begin(nanos, now);
-    relay.loop().schedule(this::placementExpired, nanos, TimeUnit.NANOSECONDS);
+    schedule("placement-timeout", this::placementExpired, nanos);
   }
 
   /** Ends the time for placement, also while an adapter is being loaded. */
   private void placementExpired() {
-    boolean placing = !finished && attempt.isEmpty() && !forwarder.started();
+    boolean placing = !end.hasEnded() && attempt.isEmpty() && !forwarder.started();
     if (placing && System.nanoTime() - search.deadlineNanos() >= 0) {
-      failOrRefuse(
+      end.failOrRefuse(
           credit.isWaiting() ? relay.credit().timeoutRefusal(System.nanoTime()) : Refusal.FULL);
     }
   }
 
   private void adapterReplied(Endpoint endpoint, AdapterReply reply) {
-    if (finished) {
+    if (end.hasEnded()) {
       return;
     }
     if (reply.isResident()) {
@@ -423,7 +458,7 @@
     } else {
       search.adapterRefused(endpoint, reply.getReason(), log);
       if (history.refusedBeforeSend()) {
-        failOrRefuse(Refusal.FULL);
+        end.failOrRefuse(Refusal.FULL);
         return;
       }
     }
@@ -434,11 +469,11 @@
     clearance.obtain(
         endpoint,
         search.clearanceRequest(decision),
-        cleared -> clearanceDecided(endpoint, cleared));
+        guard.receiver("clearance", cleared -> clearanceDecided(endpoint, cleared)));
   }
 
   private void clearanceDecided(Endpoint endpoint, boolean cleared) {
-    if (finished || hasAttempt()) {
+    if (end.hasEnded() || hasAttempt()) {
       return;
     }
     long now = System.nanoTime();
@@ -483,90 +518,47 @@
       startPlacement(now);
       place();
     } else {
-      failOrRefuse(failure.lastRefusal());
+      end.failOrRefuse(failure.lastRefusal());
     }
   }
 
   private void timedOut() {
-    endNow(Refusal.TIMED_OUT, "the request timed out", "timeout");
-  }
-
-  /** Ends the request with a refusal if it has not run, and otherwise as one that may have. */
-  private void endNow(Refusal refusal, String reason, String outcome) {
-    if (finished) {
-      return;
-    }
-    if (attempt.map(Attempt::sent).orElse(false)) {
-      history.abandoned();
-    }
-    tracked.abandoned(attempt, forwarder.eventReceived());
-    attempt.ifPresent(Attempt::cancel);
-    if (history.mayHaveRun()) {
-      fail(reason, outcome);
-    } else {
-      refuse(refusal);
-    }
-  }
-
-  /** Ends the request without another attempt. */
-  private void failOrRefuse(Refusal refusal) {
-    if (history.mayHaveRun()) {
-      fail(refusal.reason(), "broken");
-    } else {
-      refuse(refusal);
-    }
-  }
-
-  private void refuse(Refusal refusal) {
-    finish(refusal.reason());
-    sendRefusal(refusal);
+    end.interrupt(Refusal.TIMED_OUT, "the request timed out", "timeout");
   }
 
-  /** Refuses a request that was not admitted. */
-  private void reject(Refusal refusal) {
-    finished = true;
-    body.release();
-    relay.metrics().count("rejected", refusal.reason());
-    sendRefusal(refusal);
+  private void endAfterError() {
+    end.afterError();
   }
 
-  private void sendRefusal(Refusal refusal) {
-    log.refused(decision, refusal);
-    caller.sendResponse(refusal.status(), refusal.headers(), refusal.body());
+  private void registerEnd() {
+    end.with("attempts", hedged::end)
+        .with("attempt", () -> attempt.ifPresent(Attempt::cancel))
+        .with("wait-queue", () -> relay.waitQueue().remove(this))
+        .with("timer", () -> timer.ifPresent(pending -> pending.cancel(false)))
+        .with("unsent-response", forwarder::discardUnsent)
+        .with("held-response", continuity::discardHeld)
+        .with("settlement", this::settleCredit)
+        .with("metrics", this::countEnd);
   }
 
-  private void fail(String reason, String outcome) {
-    finish(outcome);
-    log.failed(decision, reason, forwarder);
-    if (forwarder.started()) {
-      caller.abort();
-      return;
-    }
-    boolean timedOut = outcome.equals("timeout");
-    caller.sendResponse(
-        timedOut ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
-        EmptyHttpHeaders.INSTANCE,
-        Refusal.text(timedOut ? "no response in time" : "the endpoint's response was interrupted"));
+  private void settleCredit() {
+    credit.settle(attempt.map(Attempt::sent).orElse(false), System.nanoTime());
   }
 
-  private void finish(String outcome) {
-    finished = true;
-    hedged.end();
-    relay.waitQueue().remove(this);
-    timer.ifPresent(pending -> pending.cancel(false));
-    forwarder.discardUnsent();
-    continuity.discardHeld();
-    body.release();
-    credit.settle(attempt.map(Attempt::sent).orElse(false), System.nanoTime());
+  private void countEnd() {
     relay
         .metrics()
         .requestEnded(
             decision.route().name(),
             decision.customerName(),
-            outcome,
+            end.outcome(),
             System.nanoTime() - arrivedNanos);
   }
 
+  private ScheduledFuture<?> schedule(String step, Runnable task, long nanos) {
+    return relay.loop().schedule(guard.guarded(step, task), nanos, TimeUnit.NANOSECONDS);
+  }
+
   private boolean shouldRetry(HttpResponse response) {
     return (response.status().codeClass() == HttpStatusClass.SERVER_ERROR
             || (hedged.hasSecond() && !SecondAttempt.isUseful(response)))
@@ -590,7 +582,7 @@
   /** Ends the request and returns true when it was quarantined after its arrival. */
   private boolean endIfQuarantined(long nowNanos) {
     Optional<Refusal> refusal = tracked.refusal(nowNanos);
-    refusal.ifPresent(this::failOrRefuse);
+    refusal.ifPresent(end::failOrRefuse);
     return refusal.isPresent();
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
+++ b/relay/src/main/java/org/comfreygap/relay/HedgedAttempts.java
@@ -136,7 +136,12 @@
     }
     due =
         Optional.of(
-            relay.loop().schedule(() -> slow(started), delay.getAsLong(), TimeUnit.NANOSECONDS));
+            relay
+                .loop()
+                .schedule(
+                    request.guard().guarded("second-attempt", () -> slow(started)),
+                    delay.getAsLong(),
+                    TimeUnit.NANOSECONDS));
   }
 
   /** Records that data of the current attempt was received. */
@@ -326,7 +331,12 @@
     inactivity =
         RequestTimeouts.inactivityTimeout(
                 watched.decision().route(), watched.attempt().endpoint().latencyMillis())
-            .map(time -> new InactivityTimer(relay.loop(), time, () -> attemptInactive(watched)));
+            .map(
+                time ->
+                    new InactivityTimer(
+                        relay.loop(),
+                        time,
+                        request.guard().guarded("inactivity", () -> attemptInactive(watched))));
     inactivity.ifPresent(timer -> timer.start(nowNanos));
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/ListingPoller.java
+++ b/relay/src/main/java/org/comfreygap/relay/ListingPoller.java
@@ -238,7 +238,7 @@
   private void scheduleNext(Duration pause, double factor) {
     // Spreads the calls of gateways that started together.
     double spread = 1 + JITTER * (random.nextDouble() - 0.5);
-    loop.schedule(
-        this::startPoll, (long) (pause.toMillis() * factor * spread), TimeUnit.MILLISECONDS);
+    Duration delay = Duration.ofMillis((long) (pause.toMillis() * factor * spread));
+    LoopTasks.schedule(loop, events, "list", delay, this::startPoll);
   }
 }
--- a/relay/src/main/java/org/comfreygap/relay/Refusal.java
+++ b/relay/src/main/java/org/comfreygap/relay/Refusal.java
@@ -79,6 +79,14 @@
           "the limit cannot be checked now",
           0);
 
+  /** An error of this process in a step before the request was sent. */
+  static final Refusal GATEWAY_ERROR =
+      new Refusal(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          "gateway-error",
+          "this gateway failed before the request was sent",
+          20);
+
   /** Another gateway can accept the request at once. */
   static final Refusal STOPPING =
       new Refusal(
--- a/relay/src/main/java/org/comfreygap/relay/Relocation.java
+++ b/relay/src/main/java/org/comfreygap/relay/Relocation.java
@@ -44,7 +44,7 @@
     this.search = search;
     this.silent = silent;
     this.listener = listener;
-    this.clearance = new SendClearance(relay);
+    this.clearance = new SendClearance(relay, request.guard());
     tried.add(silent.attempt().endpoint());
   }
 
@@ -85,6 +85,11 @@
     return Optional.of(request.requestFor(endpoint, nowNanos));
   }
 
+  @Override
+  public RequestGuard guard() {
+    return request.guard();
+  }
+
   @Override
   public Optional<AdapterSlots.Name> adapter() {
     return request.adapter();
@@ -159,7 +164,9 @@
       clear(endpoint, decision.get());
     } else {
       search.requestAdapter(
-          endpoint, need.get(), reply -> adapterReplied(endpoint, decision.get(), reply));
+          endpoint,
+          need.get(),
+          guard().receiver("adapter", reply -> adapterReplied(endpoint, decision.get(), reply)));
     }
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/SecondAttempt.java
+++ b/relay/src/main/java/org/comfreygap/relay/SecondAttempt.java
@@ -94,6 +94,11 @@
     return listener.buildSecond(endpoint, nowNanos);
   }
 
+  @Override
+  public RequestGuard guard() {
+    return request.guard();
+  }
+
   @Override
   public Optional<AdapterSlots.Name> adapter() {
     return request.adapter();
--- a/relay/src/main/java/org/comfreygap/relay/SendClearance.java
+++ b/relay/src/main/java/org/comfreygap/relay/SendClearance.java
@@ -37,13 +37,15 @@
   private static final double NANOS_PER_MICRO = 1_000;
 
   private final RelayContext relay;
+  private final RequestGuard guard;
   private final Set<Endpoint> refusedReading = new HashSet<>();
   private Optional<Endpoint> granted = Optional.empty();
   private boolean heldBack;
   private boolean refusedForNow;
 
-  SendClearance(RelayContext relay) {
+  SendClearance(RelayContext relay, RequestGuard guard) {
     this.relay = relay;
+    this.guard = guard;
   }
 
   /**
@@ -95,7 +97,7 @@
     boolean covered = !endpoint.limit().isLimited() || granted.filter(endpoint::equals).isPresent();
     granted = Optional.empty();
     if (!covered) {
-      relay.loop().execute(placeAgain);
+      relay.loop().execute(guard.guarded("placement", placeAgain));
     }
     return covered;
   }
@@ -148,7 +150,10 @@
     endpoint
         .sidecar()
         .get()
-        .requestReading(message, reply -> readingReplied(endpoint, request, reply, receiver));
+        .requestReading(
+            message,
+            guard.receiver(
+                "clearance", reply -> readingReplied(endpoint, request, reply, receiver)));
   }
 
   private void readingReplied(
@@ -185,7 +190,10 @@
     } else {
       relay
           .loop()
-          .schedule(() -> obtainOthers(endpoint, request, receiver), wait, TimeUnit.NANOSECONDS);
+          .schedule(
+              guard.guarded("clearance", () -> obtainOthers(endpoint, request, receiver)),
+              wait,
+              TimeUnit.NANOSECONDS);
     }
   }
 
@@ -204,7 +212,9 @@
         .sidecar()
         .get()
         .requestColdPermit(
-            coldMillis, reply -> coldPermitReplied(endpoint, request, reply, receiver));
+            coldMillis,
+            guard.receiver(
+                "clearance", reply -> coldPermitReplied(endpoint, request, reply, receiver)));
   }
 
   private void coldPermitReplied(
@@ -227,7 +237,10 @@
     relay
         .limits()
         .requestSend(
-            endpoint, customer, maxWait, permit -> granted(endpoint, request, permit, receiver));
+            endpoint,
+            customer,
+            maxWait,
+            guard.receiver("clearance", permit -> granted(endpoint, request, permit, receiver)));
   }
 
   private void granted(
@@ -244,7 +257,10 @@
     } else {
       relay
           .loop()
-          .schedule(() -> clear(endpoint, receiver), permit.waitNanos(), TimeUnit.NANOSECONDS);
+          .schedule(
+              guard.guarded("clearance", () -> clear(endpoint, receiver)),
+              permit.waitNanos(),
+              TimeUnit.NANOSECONDS);
     }
   }
 
--- a/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.comfreygap.decisions.AdapterSlots;
@@ -225,7 +224,8 @@
 
   private void connectLater() {
     if (!closed) {
-      loop.schedule(this::connect, reconnectPauseMillis, TimeUnit.MILLISECONDS);
+      LoopTasks.schedule(
+          loop, events, "sidecar", Duration.ofMillis(reconnectPauseMillis), this::connect);
       reconnectPauseMillis = Math.min(2 * reconnectPauseMillis, MAX_RECONNECT_PAUSE.toMillis());
     }
   }
@@ -246,15 +246,17 @@
 
   private <T> void scheduleTimeout(
       long request, Map<Long, Consumer<T>> open, Duration timeout, Supplier<T> fallback) {
-    loop.schedule(
+    LoopTasks.schedule(
+        loop,
+        events,
+        "sidecar-timeout",
+        timeout,
         () -> {
           Consumer<T> receiver = open.remove(request);
           if (receiver != null) {
             receiver.accept(fallback.get());
           }
-        },
-        timeout.toMillis(),
-        TimeUnit.MILLISECONDS);
+        });
   }
 
   private static AdapterReply refused(String reason) {
--- a/relay/src/main/java/org/comfreygap/relay/StreamRegister.java
+++ b/relay/src/main/java/org/comfreygap/relay/StreamRegister.java
@@ -187,7 +187,7 @@
       StreamBatch batch = toBatch(items);
       StreamBatchReply reply =
           control.callLeader(CALL_TIMEOUT, ATTEMPT_TIMEOUT, client -> client.recordStreams(batch));
-      loop.execute(() -> applyReply(items, reply, sent));
+      LoopTasks.execute(loop, events, "streams-recorded", () -> applyReply(items, reply, sent));
     } catch (ControlUnavailableException e) {
       keepOrFail(items, e.getMessage());
       Thread.sleep(RETRY_PAUSE.toMillis());
@@ -224,7 +224,7 @@
       Optional<Origin> found =
           Optional.ofNullable(reply.getFound().get(i)).map(StreamRegister::toOrigin);
       metrics.count("stream.origins", item.origin.isPresent() ? "recorded" : lookupLabel(found));
-      item.decided.accept(true, found);
+      LoopTasks.run(events, "stream-origin", () -> item.decided.accept(true, found));
     }
   }
 
@@ -256,13 +256,15 @@
         RelayEvent.STREAMS_NOT_RECORDED,
         Field.of("count", failed.size()),
         Field.of("cause", cause));
-    loop.execute(
-        () ->
-            failed.forEach(
-                item -> {
-                  metrics.count("stream.origins", "no-reply");
-                  item.decided.accept(false, Optional.empty());
-                }));
+    LoopTasks.execute(loop, events, "streams-not-recorded", () -> fail(failed));
+  }
+
+  /** Tells the requests that control did not reply; an error of one keeps none from it. */
+  private void fail(List<Item> items) {
+    for (Item item : items) {
+      metrics.count("stream.origins", "no-reply");
+      LoopTasks.run(events, "stream-origin", () -> item.decided.accept(false, Optional.empty()));
+    }
   }
 
   private static String lookupLabel(Optional<Origin> found) {
--- a/relay/src/main/java/org/comfreygap/relay/WaitQueue.java
+++ b/relay/src/main/java/org/comfreygap/relay/WaitQueue.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.comfreygap.runtime.EventLog;
 
 /**
@@ -73,7 +72,7 @@
       return;
     }
     retryScheduled = true;
-    loop.schedule(this::runScheduledRetry, left, TimeUnit.NANOSECONDS);
+    LoopTasks.schedule(loop, events, "wait-queue", Duration.ofNanos(left), this::runScheduledRetry);
   }
 
   private void runScheduledRetry() {
@@ -91,7 +90,7 @@
   private void schedulePeriodicRetry() {
     if (!periodicScheduled) {
       periodicScheduled = true;
-      loop.schedule(this::runPeriodicRetry, RETRY_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+      LoopTasks.schedule(loop, events, "wait-queue", RETRY_PERIOD, this::runPeriodicRetry);
     }
   }
 
