Make no attempt that the newest settings of a route forbid

A request could run twice although its route says that it must not: of 12 requests at endpoints that broke off, 7 were sent a second time after the route had become unsafe (and so beyond a lowered number of attempts). Requests could be sent to a pool that their route had left while they waited for a permit. A stream could reach its caller only when it had ended, all events at once.

Whether another attempt is allowed was asked of the route of the last one, before the tables were read again; the pool of the endpoint was not compared with that of the newest decision; how the response is read was fixed at arrival.

Change: the history of attempts is compared with each newer route, in placement, before the write and for a move off a silent endpoint. The response is read by the kind of the route by which it is sent; a change of kind while the connection is opened leads to another placement.

--- a/relay/src/main/java/org/comfreygap/relay/AttemptHistory.java
+++ b/relay/src/main/java/org/comfreygap/relay/AttemptHistory.java
@@ -70,6 +70,14 @@
     return runs < route.maxAttempts();
   }
 
+  /**
+   * Returns true when a route allows another attempt after those so far, of which one may have run
+   * while the route said otherwise.
+   */
+  boolean allowsAttemptBy(Route route) {
+    return !mayHaveRun || (route.idempotent() && runsLeft(route));
+  }
+
   /** Returns true when the attempt in progress may be replaced by another run. */
   boolean runsLeftBesideCurrent(Route route) {
     return runs + (runCounted ? 0 : 1) < route.maxAttempts();
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -101,12 +101,7 @@
       return;
     }
     relay.retryBudgets().requested(decision.pool(), arrivedNanos);
-    forwarder =
-        new ResponseForwarder(
-            caller,
-            decision.route().kind() == RequestKind.STREAM,
-            relay.heldBytes(),
-            () -> log.responseBegan(decision, System.nanoTime()));
+    forwarder = createForwarder();
     long patience = request.timeoutMillis().orElse(Long.MAX_VALUE);
     long millis = Math.min(patience, decision.route().timeoutMillis());
     deadlineNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -212,10 +207,11 @@
 
   private Optional<FullHttpRequest> requestIfMeant(Endpoint endpoint, long nowNanos) {
     RouteTable table = relay.tables().get();
+    ResponseForwarder placedWith = forwarder;
     if (end.hasEnded()
         || !refreshDecision(table)
         || endIfQuarantined(nowNanos)
-        || !isStillMeant(table, endpoint, nowNanos)
+        || !isStillMeant(table, endpoint, placedWith, nowNanos)
         || !retry.use(decision.pool(), nowNanos, () -> end.failOrRefuse(Refusal.FULL))
         || !clearance.use(endpoint, this::place)) {
       return Optional.empty();
@@ -320,6 +316,7 @@
   public Optional<RouteDecision> decideElsewhere() {
     return Optional.of(decision.by(relay.tables().get(), head, request))
         .filter(newest -> newest.refusal().isEmpty() && credit.covers(newest))
+        .filter(newest -> newest.route().idempotent() && isStream(newest) == isStream(decision))
         .map(continuity::pinned)
         .filter(newest -> continuity.refusal(newest).isEmpty());
   }
@@ -372,11 +369,32 @@
     return continuity.holds() || attempt.map(Attempt::inProgress).orElse(false);
   }
 
+  /** Decides by the newest tables; false when they end the request. */
   private boolean refreshDecision(RouteTable table) {
     RouteDecision newest = decision.by(table, head, request);
-    newest.refusal().ifPresent(end::failOrRefuse);
-    decision = newest.refusal().isPresent() ? decision : newest;
-    return newest.refusal().isEmpty();
+    if (newest.refusal().isPresent()) {
+      end.failOrRefuse(newest.refusal().get());
+    } else if (!history.allowsAttemptBy(newest.route())) {
+      end.failOrRefuse(Refusal.attemptFailed("the route allows no further attempt"));
+    } else {
+      decision = newest;
+      if (forwarder.isStreamed() != isStream(decision) && !forwarder.started()) {
+        forwarder = createForwarder();
+      }
+    }
+    return !end.hasEnded();
+  }
+
+  private static boolean isStream(RouteDecision decided) {
+    return decided.route().kind() == RequestKind.STREAM;
+  }
+
+  private ResponseForwarder createForwarder() {
+    return new ResponseForwarder(
+        caller,
+        isStream(decision),
+        relay.heldBytes(),
+        () -> log.responseBegan(decision, System.nanoTime()));
   }
 
   /** Forwards what was held back, or fails the attempt whose origin could not be recorded. */
@@ -535,26 +553,16 @@
         .with("attempt", () -> attempt.ifPresent(Attempt::cancel))
         .with("wait-queue", () -> relay.waitQueue().remove(this))
         .with("timer", () -> timer.ifPresent(pending -> pending.cancel(false)))
-        .with("unsent-response", forwarder::discardUnsent)
+        .with("unsent-response", () -> forwarder.discardUnsent())
         .with("held-response", continuity::discardHeld)
         .with("settlement", this::settleCredit)
-        .with("metrics", this::countEnd);
+        .with("metrics", () -> end.count(arrivedNanos));
   }
 
   private void settleCredit() {
     credit.settle(attempt.map(Attempt::sent).orElse(false), System.nanoTime());
   }
 
-  private void countEnd() {
-    relay
-        .metrics()
-        .requestEnded(
-            decision.route().name(),
-            decision.customerName(),
-            end.outcome(),
-            System.nanoTime() - arrivedNanos);
-  }
-
   private ScheduledFuture<?> schedule(String step, Runnable task, long nanos) {
     return relay.loop().schedule(guard.guarded(step, task), nanos, TimeUnit.NANOSECONDS);
   }
@@ -568,9 +576,11 @@
   }
 
   /** Places the request again if the settings changed while the connection was opened. */
-  private boolean isStillMeant(RouteTable table, Endpoint endpoint, long nowNanos) {
+  private boolean isStillMeant(
+      RouteTable table, Endpoint endpoint, ResponseForwarder placedWith, long nowNanos) {
     boolean meant =
-        endpoint.pool().equals(decision.pool())
+        placedWith == forwarder
+            && endpoint.pool().equals(decision.pool())
             && credit.covers(decision)
             && search.servesVersion(table, endpoint, nowNanos);
     if (!meant) {
--- a/relay/src/main/java/org/comfreygap/relay/RequestEnd.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestEnd.java
@@ -69,9 +69,16 @@
     return this;
   }
 
-  /** Returns how a request that has ended did so. */
-  String outcome() {
-    return outcome;
+  /** Counts the end of a request that was admitted. */
+  void count(long arrivedNanos) {
+    RouteDecision decision = request.decision();
+    relay
+        .metrics()
+        .requestEnded(
+            decision.route().name(),
+            decision.customerName(),
+            outcome,
+            System.nanoTime() - arrivedNanos);
   }
 
   /** Returns true once the request has ended. */
--- a/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
+++ b/relay/src/main/java/org/comfreygap/relay/ResponseForwarder.java
@@ -57,6 +57,11 @@
     this.buffered = new HeldBuffer(MAX_BUFFERED_BYTES, held);
   }
 
+  /** Returns true when successful responses are read as event streams. */
+  boolean isStreamed() {
+    return streamed;
+  }
+
   /** Returns true when a part of the response was sent to the caller. */
   boolean started() {
     return started;
