Count a crash for the customer for which the request was sent

A request that crashes endpoints could come once more than it should: its customer had changed while it waited, and its fingerprint, computed at the arrival, was that of the customer before. Equal requests that had been served for that customer even kept the crash from being reported.

Cause: CrashTrackedRequest keeps its fingerprint from the first use, which is the arrival while anything is quarantined, and the log line of the send otherwise.

Evidence: CustomerChangeTest.reportsCrashUnderTheCustomerForWhichTheRequestWasSent failed before: no report within 10 s.

Change: the fingerprint is computed anew when the customer changes. Runs count for the customer of the decision, which does not change while an attempt is in progress.

Measured: the test passes.

--- a/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
+++ b/relay/src/main/java/org/comfreygap/relay/CrashTrackedRequest.java
@@ -15,8 +15,11 @@
 /**
  * A request with the data by which the crash detector tracks it and its runs are counted.
  *
- * <p>Invariant: the fingerprint is computed once, on first use, which must be before the body is
- * released. Thread safety: used on the event loop only.
+ * <p>The customer is that of the newest decision, which does not change while an attempt is in
+ * progress: a crash and a run count for the customer for which the request was sent.
+ *
+ * <p>Invariant: the fingerprint is computed once for a customer, on first use, which must be before
+ * the body is released. Thread safety: used on the event loop only.
  */
 final class CrashTrackedRequest {
 
@@ -49,6 +52,11 @@
     this.customer = customer;
   }
 
+  /** Records that the request is one of another customer from here on. */
+  void customerChanged() {
+    fingerprint = Optional.empty();
+  }
+
   /** Returns a hash that is the same for equal requests of one customer. */
   String fingerprint() {
     if (fingerprint.isEmpty()) {
--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -129,6 +129,7 @@
     }
     if (!credit.covers(decision)) {
       // Each run is charged to the customer for which it is sent.
+      tracked.customerChanged();
       credit.reserve(decision, table, now, guard.guarded("credit", this::creditDecided));
       return;
     }
--- a/relay/src/test/java/org/comfreygap/relay/CustomerChangeTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CustomerChangeTest.java
@@ -2,8 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +24,7 @@
 import org.comfreygap.settings.KeyHash;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -177,6 +184,35 @@
     awaitCharged(expected);
   }
 
+  /** Guards against a crash that counts for the customer that a request had at its arrival. */
+  @Test
+  void reportsCrashUnderTheCustomerForWhichTheRequestWasSent() throws Exception {
+    // While anything is quarantined, the gateway computes fingerprints at the arrival.
+    fleet.control().quarantine("another request", Duration.ofMinutes(1));
+    putRoute(false, "unsafe");
+    fleet.open(1);
+    List<CompletableFuture<Void>> callers = sendAll();
+    Thread.sleep(WORK_MILLIS / 5);
+    synchronized (fleet.control()) {
+      Change.KEY_MOVES.apply(this);
+    }
+    GatewayFleet.await(() -> sent().stream().anyMatch(one -> one.customer().equals("second")));
+    endpoint.close();
+    sound.close();
+
+    GatewayFleet.await(() -> !fleet.control().crashes().isEmpty());
+    assertThat(fleet.control().crashes().get(0).getFingerprints())
+        .contains(fingerprint("main/second"));
+    CompletableFuture.allOf(callers.toArray(CompletableFuture[]::new)).get(9, TimeUnit.SECONDS);
+  }
+
+  private static String fingerprint(String customer) {
+    DefaultHttpRequest head =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/private/1");
+    return CrashDetector.fingerprint(
+        customer, head, Unpooled.copiedBuffer("order", StandardCharsets.US_ASCII));
+  }
+
   /** Sends more requests than run at once, and makes the change while the others wait. */
   private void sendAllAndApply(Change change) throws Exception {
     putRoute(false, change.kind());
