Check a key again by its hash, and drop idle accounts, at the own interface

A caller could go on with a key that the operator had replaced: a request that was admitted with it was sent again as long as the name of the key stood, whatever key had that name by then. And the gateway of the own interface kept the account of each customer that it had ever seen.

Cause: the check before an attempt looked the key up by customer and key id, a name that the operator can give to another key. CreditController never removed an account.

Change: the check looks for the hash, with the same customer and name. Accounts without use for 60 s are dropped under their monitor; a reservation that meets a dropped one takes a new one.

--- a/gateway/src/main/java/org/comfreygap/gateway/CreditController.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/CreditController.java
@@ -48,6 +48,8 @@
   private static final Duration MIN_EXCHANGE_INTERVAL = Duration.ofMillis(10);
   private static final Duration EXCHANGE_TIMEOUT = Duration.ofMillis(1_500);
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+  // Grants have expired and debts are paid by then; control forgets a gateway after the same time.
+  private static final Duration ACCOUNT_RETENTION = Duration.ofSeconds(60);
   private static final Duration WAIT_TOLERANCE = Duration.ofMillis(50);
   private static final int MAX_ITEMS_PER_EXCHANGE = 1_000;
   // All gateways together hold at most 1/8 of a customer's burst in reserve for future requests.
@@ -94,6 +96,7 @@
 
     private final CustomerCredit credit;
     private final Map<Ticket, Thread> waitingThreads = new HashMap<>();
+    private boolean dropped;
 
     private Account(int maxWaiting) {
       this.credit = new CustomerCredit(maxWaiting);
@@ -122,26 +125,18 @@
    * @throws RequestRefused when no credit is granted in time
    */
   ReservedCredit reserve(String customer, long tokens, Priority priority) throws RequestRefused {
-    Account account = accounts.computeIfAbsent(customer, c -> new Account(maxWaiting));
-    Ticket ticket;
-    synchronized (account) {
-      ticket = account.credit.reserve(tokens, priority, System.nanoTime());
-      if (ticket.state() == State.WAITING) {
-        account.waitingThreads.put(ticket, Thread.currentThread());
-      }
-      // The reservation may have displaced a less urgent request that was waiting.
-      account.wakeDecidedWaiters();
-    }
+    ReservedCredit reserved = reserveOrQueue(customer, tokens, priority);
+    Ticket ticket = reserved.ticket();
     if (ticket.state() == State.WAITING) {
       metrics.recordCreditWait();
-      awaitDecision(account, ticket);
+      awaitDecision(reserved.account(), ticket);
     }
     if (ticket.state() != State.GRANTED) {
       metrics.recordCreditRefusal();
       throw RequestRefused.notRun(CallerError.RATE_LIMITED, "the customer exceeds its rate limit")
           .withRetryAfter(Math.max(1, ticket.retryAfterMillis()));
     }
-    return new ReservedCredit(account, ticket);
+    return reserved;
   }
 
   /** Reserves credit for a further attempt of a request without waiting; empty when refused. */
@@ -185,6 +180,24 @@
     }
   }
 
+  private ReservedCredit reserveOrQueue(String customer, long tokens, Priority priority) {
+    while (true) {
+      Account account = accounts.computeIfAbsent(customer, c -> new Account(maxWaiting));
+      synchronized (account) {
+        // One that was dropped since is in no exchange any more.
+        if (!account.dropped) {
+          Ticket ticket = account.credit.reserve(tokens, priority, System.nanoTime());
+          if (ticket.state() == State.WAITING) {
+            account.waitingThreads.put(ticket, Thread.currentThread());
+          }
+          // The reservation may have displaced a less urgent request that was waiting.
+          account.wakeDecidedWaiters();
+          return new ReservedCredit(account, ticket);
+        }
+      }
+    }
+  }
+
   private void awaitDecision(Account account, Ticket ticket) {
     requestExchange();
     long end = System.nanoTime() + CustomerCredit.MAX_WAIT.plus(WAIT_TOLERANCE).toNanos();
@@ -266,9 +279,23 @@
     return Math.max(1, live);
   }
 
+  /** Drops the accounts of customers without requests, as names of customers come and go. */
+  private void dropIdle(long nowNanos) {
+    accounts
+        .values()
+        .removeIf(
+            account -> {
+              synchronized (account) {
+                account.dropped = account.credit.isIdle(ACCOUNT_RETENTION, nowNanos);
+                return account.dropped;
+              }
+            });
+  }
+
   private Optional<CreditExchange> collectExchange(boolean closing) {
     List<CreditItem> items = new ArrayList<>();
     long now = System.nanoTime();
+    dropIdle(now);
     for (Map.Entry<String, Account> entry : accounts.entrySet()) {
       if (items.size() >= MAX_ITEMS_PER_EXCHANGE) {
         break;
--- a/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
+++ b/gateway/src/main/java/org/comfreygap/gateway/DispatchFilter.java
@@ -285,7 +285,8 @@
       SettingsView now = agent.settings();
       if (context.key().isPresent()) {
         Key key = context.key().get();
-        if (!now.isKeyActive(key.customer(), key.keyId())) {
+        // By its hash: the operator may have given its name to another key.
+        if (now.activeKey(key.sha256()).filter(key::equals).isEmpty()) {
           throw refused(CallerError.INVALID_KEY, "the key was withdrawn");
         }
       } else if (now.service(resolved.target()).filter(service -> service.open()).isEmpty()) {
--- a/gateway/src/test/java/org/comfreygap/gateway/AdmissionFaultTest.java
+++ b/gateway/src/test/java/org/comfreygap/gateway/AdmissionFaultTest.java
@@ -64,6 +64,40 @@
     assertThat(fixture.startedAttempts()).isEqualTo(1);
   }
 
+  /** Guards against a key that goes on as long as another key has its name (I5). */
+  @Test
+  void refusesARetryWithAKeyThatWasReplacedUnderItsName() throws Exception {
+    fixture.sidecars.values().forEach(sidecar -> sidecar.planFault(Fault.CRASH));
+    fixture.sidecars.values().forEach(sidecar -> sidecar.responder(request -> replaceKey()));
+
+    HttpResponse<String> response = fixture.chat(GatewayFixture.CHAT);
+
+    assertThat(response.statusCode()).isEqualTo(401);
+    assertThat(fixture.startedAttempts()).isEqualTo(1);
+  }
+
+  /** Guards against tokens that go to the new holder of a key instead of their owner (I6). */
+  @Test
+  void refundsTheCustomerThatWasChargedWhenItsKeyMoves() throws Exception {
+    fixture.limits("press", 10_000, 10_000);
+    fixture.limits("radio", 10_000, 10_000);
+    fixture
+        .sidecars
+        .values()
+        .forEach(s -> s.setDefaultFault(Fault.REFUSE, RefusalReason.QUEUE_FULL));
+
+    CompletableFuture<HttpResponse<String>> response = fixture.chatLater(GatewayFixture.CHAT);
+    GatewayFixture.await(() -> charged() > 0);
+    moveKey();
+
+    assertThat(response.get().statusCode()).isEqualTo(401);
+    assertThat(GatewayFixture.outcome(response.get())).isEqualTo("not-run");
+    GatewayFixture.await(() -> charged() == 0);
+    assertThat(fixture.control.creditItems())
+        .extracting(CreditItem::getCustomer)
+        .containsOnly("blue/press");
+  }
+
   /**
    * Guards against a gateway that keeps admitting requests while it is disconnected from control
    * (I5).
@@ -302,6 +336,26 @@
     return fixture.control.creditItems().stream().mapToLong(part).sum();
   }
 
+  private EndpointResponse replaceKey() {
+    fixture.key("press", "k1", "another-key", "active");
+    fixture.awaitRevision(fixture.control.revision());
+    return EndpointResponse.json(200, "{}");
+  }
+
+  private void moveKey() {
+    synchronized (fixture.control) {
+      fixture.control.delete("/teams/blue/customers/press/keys/k1");
+      fixture.key("radio", "k2", GatewayFixture.KEY, "active");
+    }
+  }
+
+  /** Returns the tokens that control was told of as used, less those refunded. */
+  private long charged() {
+    return fixture.control.creditItems().stream()
+        .mapToLong(item -> item.getUsed() - item.getRefunded())
+        .sum();
+  }
+
   private EndpointResponse withdrawKey() {
     fixture.key("press", "k1", GatewayFixture.KEY, "withdrawn");
     fixture.awaitRevision(fixture.control.revision());
