--- a/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/RetryBudgetsTest.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -155,6 +157,64 @@
     }
   }
 
+  /**
+   * Guards against shares of the bound that do not add up: those of gateways whose windows are
+   * fullest at different times, and those of two starts of a gateway within a window. Load pattern:
+   * most requests for a pool fail, and some gateways are killed meanwhile.
+   */
+  @Tag("known-red")
+  @ParameterizedTest
+  @CsvSource({"0, 1", "0, 2", "0, 3", "6, 1", "6, 2", "6, 3"})
+  void staysWithinTheBoundInEveryWindowOfTheFleet(int killedGateways, long seed) {
+    int gateways = 8;
+    Random random = new Random(seed);
+    List<Gateway> fleet = new ArrayList<>();
+    for (int i = 0; i < gateways; i++) {
+      fleet.add(new Gateway(-60 * SECOND));
+    }
+    List<Long> requests = new ArrayList<>();
+    List<Long> retries = new ArrayList<>();
+    for (long now = -30 * SECOND; now < 40 * SECOND; now += STEP) {
+      for (int i = 0; i < gateways; i++) {
+        boolean killed = i < killedGateways && now >= 9 * SECOND && now < 10 * SECOND;
+        if (killed) {
+          fleet.set(i, new Gateway(10 * SECOND));
+        }
+        fleet.get(i).fleet.reported(gateways, now, now / MILLI, now);
+        // Six requests a second at each gateway; those at a killed one count as requests too.
+        if (random.nextInt(10) >= 3) {
+          continue;
+        }
+        requests.add(now);
+        if (!killed) {
+          fleet.get(i).budgets.requested("app", now);
+          boolean fails = now >= 3 * SECOND && random.nextInt(5) > 0;
+          OptionalInt known = fleet.get(i).fleet.known(now, now / MILLI);
+          if (fails && fleet.get(i).budgets.tryRetry("app", known, now)) {
+            retries.add(now);
+          }
+        }
+      }
+    }
+
+    for (long begin : retries) {
+      long end = begin + WINDOW.toNanos();
+      long half = WINDOW.toNanos() / 2;
+      long counted =
+          LongStream.of(begin, begin - half, begin - 2 * half)
+              .map(from -> within(requests, from, from + 2 * half))
+              .max()
+              .orElseThrow();
+      assertThat((double) within(retries, begin, end))
+          .as("retries from %s ms on, for %s requests", begin / MILLI, counted)
+          .isLessThanOrEqualTo(RATIO * counted + EXTRA);
+    }
+  }
+
+  private static long within(List<Long> times, long from, long to) {
+    return times.stream().filter(at -> at >= from && at < to).count();
+  }
+
   private static int retries(RetryBudgets budgets, String pool, OptionalInt gateways, long now) {
     int allowed = 0;
     while (budgets.tryRetry(pool, gateways, now)) {
