--- a/relay/src/main/java/org/comfreygap/relay/RequestGuard.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestGuard.java
@@ -5,8 +5,9 @@
 import org.comfreygap.runtime.Field;
 
 /**
- * Runs the steps of one request so that an error of this process in one of them ends that request,
- * and keeps neither its caller waiting nor other work of the event loop from being done.
+ * Runs the steps of one request. An error of this process in one of them ends that request only:
+ * its caller gets an answer or the end of its connection, and the event loop goes on with other
+ * work.
  *
  * <pre>{@code
  * loop.schedule(guard.guarded("timeout", this::timedOut), millis, TimeUnit.MILLISECONDS);
--- a/relay/src/test/java/org/comfreygap/relay/CustomerChangeTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/CustomerChangeTest.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -16,8 +15,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.protocol.generated.CreditItem;
 import org.comfreygap.runtime.Closer;
@@ -47,10 +44,10 @@
 
   @TempDir private Path folder;
   private final Closer closer = new Closer();
-  private final Map<String, Integer> statuses = new ConcurrentHashMap<>();
   private SlowEndpoint endpoint;
   private SlowEndpoint sound;
   private GatewayFleet fleet;
+  private Map<String, Integer> statuses = Map.of();
 
   /** What the operator changes while requests with the first key wait. */
   enum Change {
@@ -90,6 +87,17 @@
         test.putRoute(true, "unsafe");
       }
     },
+    ROUTE_CEASES_TO_BE_PUBLIC {
+      @Override
+      void apply(CustomerChangeTest test) {
+        test.putRoute(false, "unsafe");
+      }
+
+      @Override
+      boolean open() {
+        return true;
+      }
+    },
     LIMITS_END {
       @Override
       void apply(CustomerChangeTest test) {
@@ -124,9 +132,15 @@
 
     abstract void apply(CustomerChangeTest test);
 
+    /** Returns the kind of the route before the change. */
     String kind() {
       return "unsafe";
     }
+
+    /** Returns true when the route is public before the change. */
+    boolean open() {
+      return false;
+    }
   }
 
   @BeforeEach
@@ -191,7 +205,7 @@
     fleet.control().quarantine("another request", Duration.ofMinutes(1));
     putRoute(false, "unsafe");
     fleet.open(1);
-    List<CompletableFuture<Void>> callers = sendAll();
+    ParallelCallers callers = sendAll();
     Thread.sleep(WORK_MILLIS / 5);
     synchronized (fleet.control()) {
       Change.KEY_MOVES.apply(this);
@@ -203,7 +217,7 @@
     GatewayFleet.await(() -> !fleet.control().crashes().isEmpty());
     assertThat(fleet.control().crashes().get(0).getFingerprints())
         .contains(fingerprint("main/second"));
-    CompletableFuture.allOf(callers.toArray(CompletableFuture[]::new)).get(9, TimeUnit.SECONDS);
+    statuses = callers.await();
   }
 
   private static String fingerprint(String customer) {
@@ -215,15 +229,15 @@
 
   /** Sends more requests than run at once, and makes the change while the others wait. */
   private void sendAllAndApply(Change change) throws Exception {
-    putRoute(false, change.kind());
+    putRoute(change.open(), change.kind());
     fleet.open(1);
-    List<CompletableFuture<Void>> callers = sendAll();
+    ParallelCallers callers = sendAll();
     Thread.sleep(WORK_MILLIS / 5);
     // One change of all that an operator changes at once: no gateway sees a part of it.
     synchronized (fleet.control()) {
       change.apply(this);
     }
-    CompletableFuture.allOf(callers.toArray(CompletableFuture[]::new)).get(9, TimeUnit.SECONDS);
+    statuses = callers.await();
   }
 
   private List<RawRequest> sent() {
@@ -232,32 +246,8 @@
     return all;
   }
 
-  private List<CompletableFuture<Void>> sendAll() {
-    List<CompletableFuture<Void>> callers = new ArrayList<>();
-    for (int i = 0; i < REQUESTS; i++) {
-      String id = "order-" + i;
-      callers.add(CompletableFuture.runAsync(() -> send(id), CustomerChangeTest::startThread));
-    }
-    return callers;
-  }
-
-  private void send(String id) {
-    try {
-      statuses.put(
-          id,
-          fleet
-              .send(
-                  0,
-                  "POST",
-                  "/private/1",
-                  "order",
-                  Map.of(HeaderDialect.REQUEST, id, HeaderDialect.KEY, KEY))
-              .statusCode());
-    } catch (IOException e) {
-      throw new IllegalStateException("no answer to " + id, e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  private ParallelCallers sendAll() {
+    return ParallelCallers.send(fleet, "/private/1", REQUESTS, Map.of(HeaderDialect.KEY, KEY));
   }
 
   private void awaitCharged(Map<String, Long> expected) throws InterruptedException {
@@ -298,10 +288,4 @@
   private void removeKey(String customer, String key) {
     fleet.control().delete(customer + "/keys/" + key);
   }
-
-  private static void startThread(Runnable run) {
-    Thread thread = new Thread(run, "caller");
-    thread.setDaemon(true);
-    thread.start();
-  }
 }
--- a/relay/src/test/java/org/comfreygap/relay/RouteChangeTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/RouteChangeTest.java
@@ -2,16 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import org.comfreygap.runtime.Closer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,7 +30,6 @@
 
   @TempDir private Path folder;
   private final Closer closer = new Closer();
-  private final Map<String, Integer> statuses = new ConcurrentHashMap<>();
   private GatewayFleet fleet;
 
   @AfterEach
@@ -53,12 +48,11 @@
     open(endpoints.get(0).listed() + endpoints.get(1).listed() + endpoints.get(2).listed());
     putRoute("safe", GatewayFleet.POOL);
 
-    List<CompletableFuture<Void>> callers = sendAll();
+    ParallelCallers callers = sendAll();
     Thread.sleep(WORK_MILLIS / 2);
     putRoute("unsafe", GatewayFleet.POOL);
-    await(callers);
 
-    assertThat(statuses).hasSize(REQUESTS).containsValue(502);
+    assertThat(callers.await()).hasSize(REQUESTS).containsValue(502);
     assertThat(endpoints.stream().flatMap(one -> one.requests().stream()).map(RawRequest::id))
         .hasSize(REQUESTS)
         .doesNotHaveDuplicates();
@@ -76,14 +70,13 @@
     // The limiter grants nothing until a gateway that granted before it can do so no longer.
     Thread.sleep(GRANTS_BEGIN.toMillis());
 
-    List<CompletableFuture<Void>> callers = sendAll();
+    ParallelCallers callers = sendAll();
     Thread.sleep(100);
     putRoute("unsafe", "other");
     Thread.sleep(CHANGE_TIME.toMillis());
     long since = System.nanoTime();
-    await(callers);
 
-    assertThat(statuses).hasSize(REQUESTS).containsValue(503);
+    assertThat(callers.await()).hasSize(REQUESTS).containsValue(503);
     assertThat(endpoint.arrivedSince(since)).isZero();
   }
 
@@ -125,33 +118,7 @@
     fleet.control().put("/routing/routes/changing", route);
   }
 
-  private List<CompletableFuture<Void>> sendAll() {
-    List<CompletableFuture<Void>> callers = new ArrayList<>();
-    for (int i = 0; i < REQUESTS; i++) {
-      String id = "order-" + i;
-      callers.add(CompletableFuture.runAsync(() -> send(id), RouteChangeTest::startThread));
-    }
-    return callers;
-  }
-
-  private void send(String id) {
-    try {
-      Map<String, String> headers = Map.of(HeaderDialect.REQUEST, id);
-      statuses.put(id, fleet.send(0, "POST", "/changing/1", "order", headers).statusCode());
-    } catch (IOException e) {
-      throw new IllegalStateException("no answer to " + id, e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  private static void await(List<CompletableFuture<Void>> callers) throws Exception {
-    CompletableFuture.allOf(callers.toArray(CompletableFuture[]::new)).get(9, TimeUnit.SECONDS);
-  }
-
-  private static void startThread(Runnable run) {
-    Thread thread = new Thread(run, "caller");
-    thread.setDaemon(true);
-    thread.start();
+  private ParallelCallers sendAll() {
+    return ParallelCallers.send(fleet, "/changing/1", REQUESTS, Map.of());
   }
 }
