--- a/relay/src/main/java/org/comfreygap/relay/Exchange.java
+++ b/relay/src/main/java/org/comfreygap/relay/Exchange.java
@@ -203,16 +203,16 @@
 
   @Override
   public Optional<FullHttpRequest> buildRequest(Endpoint endpoint, long nowNanos) {
-    return guard.get("send", () -> requestIfMeant(endpoint, nowNanos), Optional.empty());
+    return guard.get("send", () -> requestForNewestSettings(endpoint, nowNanos), Optional.empty());
   }
 
-  private Optional<FullHttpRequest> requestIfMeant(Endpoint endpoint, long nowNanos) {
+  private Optional<FullHttpRequest> requestForNewestSettings(Endpoint endpoint, long nowNanos) {
     RouteTable table = relay.tables().get();
     ResponseForwarder placedWith = forwarder;
     if (end.hasEnded()
         || !refreshDecision(table)
         || endIfQuarantined(nowNanos)
-        || !isStillMeant(table, endpoint, placedWith, nowNanos)
+        || placedAgain(table, endpoint, placedWith, nowNanos)
         || !retry.use(decision.pool(), nowNanos, () -> end.failOrRefuse(Refusal.FULL))
         || !clearance.use(endpoint, this::place)) {
       return Optional.empty();
@@ -576,18 +576,18 @@
         && history.runsLeft(decision.route());
   }
 
-  /** Places the request again if the settings changed while the connection was opened. */
-  private boolean isStillMeant(
+  /** Places the request again, and returns true, if newer settings exclude the endpoint. */
+  private boolean placedAgain(
       RouteTable table, Endpoint endpoint, ResponseForwarder placedWith, long nowNanos) {
-    boolean meant =
+    boolean fits =
         placedWith == forwarder
             && endpoint.pool().equals(decision.pool())
             && credit.covers(decision)
             && search.servesVersion(table, endpoint, nowNanos);
-    if (!meant) {
+    if (!fits) {
       relay.loop().execute(this::place);
     }
-    return meant;
+    return !fits;
   }
 
   /** Ends the request and returns true when it was quarantined after its arrival. */
--- a/relay/src/main/java/org/comfreygap/relay/RequestCredit.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestCredit.java
@@ -6,10 +6,9 @@
 /**
  * The credit that one request reserves of the customer for which it is sent.
  *
- * <p>The account is the one of the reservation, whatever the settings say later: what was reserved
- * of a customer is settled with that customer, also when its key has another holder by then, or the
- * customer is gone. A request that is sent for another customer than the one that it is charged to
- * needs a reservation of that customer first.
+ * <p>Tokens are settled with the account that they were reserved of, also when the key has another
+ * holder by then or the customer is gone. Before the request is sent for another customer, it needs
+ * a reservation of that one.
  *
  * <p>Invariant: what was reserved is settled or withdrawn once, when the request has ended or is
  * charged to another customer. Thread safety: used on the event loop only.
