--- a/relay/src/main/java/org/comfreygap/relay/RequestGuard.java
+++ b/relay/src/main/java/org/comfreygap/relay/RequestGuard.java
@@ -99,13 +99,14 @@
     }
     failed = true;
     StackTraceElement[] frames = error.getStackTrace();
+    // The type alone, as the message may quote the request.
     relay
         .events()
         .record(
             RelayEvent.REQUEST_STEP_FAILED,
             Field.of("request", requestId),
             Field.of("step", step),
-            Field.of("cause", error),
+            Field.of("cause", error.getClass().getName()),
             Field.of("at", frames.length > 0 ? frames[0] : ""));
   }
 }
