--- a/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
+++ b/relay/src/test/java/org/comfreygap/relay/GatewayFleet.java
@@ -33,7 +33,7 @@
 final class GatewayFleet implements AutoCloseable {
 
   static final String POOL = "app";
-  private static final String SHARED_KEY = "a shared key for tests only";
+  static final String SHARED_KEY = "a shared key for tests only";
   private static final Duration WAIT = Duration.ofSeconds(10);
 
   private final Path folder;
@@ -125,7 +125,7 @@
               "listAddress: \"" + Addresses.text(list) + "\"",
               "control: [\"" + Addresses.text(control.address()) + "\"]",
               "security: {sharedKeyFile: \"" + key + "\"}",
-              "sidecarPort: 1",
+              lineOr("sidecarPort: 1", settingsLines),
               "listPeriodMillis: 100",
               "stopLagMillis: 50",
               lineOr("graceMillis: 2000", settingsLines),
