Reconnect to the sidecar of a silent endpoint without growing pauses

Cause: an endpoint that is silent stays out of use until it is heard, and the connection to its sidecar was tried each 3 s only after some failures.

Change: while the host of a sidecar that was connected does not reply, the pause between two tries stays at 200 ms; it still doubles with refusals.

The pause itself was not measured alone.

--- a/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
@@ -40,7 +40,10 @@
  */
 final class SidecarConnection {
 
-  /** Pause before a reconnect; doubles with each failure, since some endpoints have no sidecar. */
+  /**
+   * Pause before a reconnect; doubles with each refusal, since some endpoints have no sidecar, and
+   * not while the host of a sidecar that was connected does not reply.
+   */
   static final Duration MIN_RECONNECT_PAUSE = Duration.ofMillis(200);
 
   static final Duration MAX_RECONNECT_PAUSE = Duration.ofMillis(3_000);
@@ -75,6 +78,7 @@
   private long reconnectPauseMillis = MIN_RECONNECT_PAUSE.toMillis();
   private long lastReceivedNanos;
   private long lastRequestNumber;
+  private boolean openedBefore;
   private boolean closed;
 
   /**
@@ -228,14 +232,21 @@
         .addListener(
             done -> {
               if (!done.isSuccess()) {
-                if (isRefusal(done.cause())) {
-                  onRefused.run();
-                }
-                connectLater();
+                connectFailed(done.cause());
               }
             });
   }
 
+  private void connectFailed(Throwable cause) {
+    if (isRefusal(cause)) {
+      onRefused.run();
+    } else if (openedBefore) {
+      // The endpoint is out of use until its sidecar is heard again.
+      reconnectPauseMillis = MIN_RECONNECT_PAUSE.toMillis();
+    }
+    connectLater();
+  }
+
   /** Returns true when the host replied that no process listens. */
   private static boolean isRefusal(Throwable cause) {
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
@@ -299,6 +310,7 @@
         return;
       }
       channel = Optional.of(opened);
+      openedBefore = true;
       reconnectPauseMillis = MIN_RECONNECT_PAUSE.toMillis();
       lastReceivedNanos = System.nanoTime();
       reportedUse = Set.of();
