--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -135,7 +135,7 @@
     return health;
   }
 
-  /** Returns whether the endpoint counts as standing still, as nothing is heard of it. */
+  /** Returns what tells whether the endpoint stands still. */
   EndpointSilence silence() {
     return silence;
   }
--- a/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
+++ b/relay/src/main/java/org/comfreygap/relay/EndpointDirectory.java
@@ -263,6 +263,22 @@
     }
   }
 
+  private static String key(ListedEndpoint entry) {
+    return entry.instanceId() + "@" + entry.address();
+  }
+
+  private void record(RelayEvent event, Endpoint endpoint) {
+    Optional<SidecarConnection> link = endpoint.sidecar();
+    events.record(
+        event,
+        Field.of("endpoint", endpoint.instanceId()),
+        Field.of("address", endpoint.address()),
+        Field.of("pool", endpoint.pool()),
+        Field.of("zone", endpoint.zone()),
+        Field.of("leaving", endpoint.isLeaving(System.nanoTime())),
+        Field.of("sidecar", link.map(SidecarConnection::isConnected).orElse(false)));
+  }
+
   /** Applies what a sidecar's connection shows to the endpoints of its host. */
   private final class HostListener implements SidecarConnection.Listener {
 
@@ -296,20 +312,4 @@
       endpointsAt(host).forEach(endpoint -> endpoint.silence().reporterEnded());
     }
   }
-
-  private static String key(ListedEndpoint entry) {
-    return entry.instanceId() + "@" + entry.address();
-  }
-
-  private void record(RelayEvent event, Endpoint endpoint) {
-    Optional<SidecarConnection> link = endpoint.sidecar();
-    events.record(
-        event,
-        Field.of("endpoint", endpoint.instanceId()),
-        Field.of("address", endpoint.address()),
-        Field.of("pool", endpoint.pool()),
-        Field.of("zone", endpoint.zone()),
-        Field.of("leaving", endpoint.isLeaving(System.nanoTime())),
-        Field.of("sidecar", link.map(SidecarConnection::isConnected).orElse(false)));
-  }
 }
--- a/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
+++ b/relay/src/main/java/org/comfreygap/relay/SidecarConnection.java
@@ -79,6 +79,20 @@
   private boolean openedBefore;
   private boolean closed;
 
+  /** Creates a connection that is not open yet. */
+  SidecarConnection(
+      EventLoop loop,
+      InetSocketAddress address,
+      SharedKey key,
+      EventLog events,
+      Listener listener) {
+    this.loop = loop;
+    this.address = address;
+    this.key = key;
+    this.events = events;
+    this.listener = listener;
+  }
+
   /** Is notified of what the connection shows of the endpoint. */
   interface Listener {
 
@@ -95,20 +109,6 @@
     void refused();
   }
 
-  /** Creates a connection that is not open yet. */
-  SidecarConnection(
-      EventLoop loop,
-      InetSocketAddress address,
-      SharedKey key,
-      EventLog events,
-      Listener listener) {
-    this.loop = loop;
-    this.address = address;
-    this.key = key;
-    this.events = events;
-    this.listener = listener;
-  }
-
   /** Opens the connection, and reopens it whenever it ends. */
   void start() {
     connect();
