--- a/relay/src/test/java/org/comfreygap/relay/PausableEngine.java
+++ b/relay/src/test/java/org/comfreygap/relay/PausableEngine.java
@@ -13,7 +13,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -43,7 +42,7 @@
   private final EventLoopGroup group = new NioEventLoopGroup(1);
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final Set<Channel> gateways = ConcurrentHashMap.newKeySet();
-  private final Map<String, Boolean> requests = new ConcurrentHashMap<>();
+  private final Set<String> requests = ConcurrentHashMap.newKeySet();
   private final Object gate = new Object();
   private Channel reporter;
   private boolean paused;
@@ -110,7 +109,7 @@
 
   /** Returns the ids of the requests that were read. */
   Set<String> requests() {
-    return requests.keySet();
+    return requests;
   }
 
   @Override
@@ -141,7 +140,7 @@
       Optional<RawRequest> request = RawRequest.read(in);
       while (request.isPresent()) {
         awaitGoOn();
-        requests.put(request.get().id(), true);
+        requests.add(request.get().id());
         String response =
             "HTTP/1.1 200 OK\r\n"
                 + HeaderDialect.REQUEST
