--- a/relay/src/test/java/org/comfreygap/relay/SilentEndpointTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/SilentEndpointTest.java
@@ -11,11 +11,13 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.comfreygap.decisions.EndpointSilence;
 import org.comfreygap.runtime.Closer;
 import org.comfreygap.runtime.SharedKey;
 import org.comfreygap.testkit.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -65,7 +67,7 @@
   }
 
   /**
-   * Guards against requests that are sent to an engine whose machine stands still, which reads them
+   * Guards against requests that are sent to an engine whose machine is suspended, which reads them
    * when their callers have long left.
    */
   @Test
@@ -75,9 +77,8 @@
     int first = sent;
     sendFor(Duration.ofSeconds(4));
     int last = sent;
-    engines.get(0).goOn();
-    firstOnly = true;
-    // What the engine took while it stood still is read before what is sent now.
+    engines.get(0).resume();
+    // What the engine took while it was suspended is read before what is sent now.
     GatewayFleet.await(
         () -> send(1) && numbers(engines.get(0)).stream().anyMatch(number -> number >= last));
 
@@ -87,28 +88,38 @@
   /** Guards against an engine out of use because only its sidecar has ended. */
   @Test
   void usesAnEngineWhoseSidecarEnded() throws Exception {
-    firstOnly = true;
     engines.get(0).stopSidecar();
-    sendFor(DETECTION.plusSeconds(2));
+    sendFor(DETECTION);
     int first = sent;
-    sendFor(Duration.ofSeconds(1));
+    sendFor(Duration.ofSeconds(2));
 
     assertThat(numbers(engines.get(0))).anyMatch(number -> number >= first);
   }
 
   /** Guards against an engine out of use although it answers, because its sidecar hangs. */
   @Test
+  @Tag("known-red")
   void usesAnEngineThatAnswersWhileItsSidecarIsSilent() throws Exception {
+    engines.get(0).silenceSidecar();
+    sendFor(DETECTION);
+    int first = sent;
+    sendFor(Duration.ofSeconds(3));
+
+    assertThat(numbers(engines.get(0))).anyMatch(number -> number >= first);
+  }
+
+  /** Guards against an engine that never comes back into use while its sidecar hangs. */
+  @Test
+  void triesAnUnusedEngineAgainWhileItsSidecarIsSilent() throws Exception {
     firstOnly = true;
     engines.get(0).silenceSidecar();
-    sendFor(DETECTION.plusSeconds(2));
+    Thread.sleep(DETECTION.toMillis());
     int first = sent;
-    sendFor(Duration.ofSeconds(1));
+    sendFor(EndpointSilence.TRIAL_PERIOD.plus(DETECTION));
 
     assertThat(numbers(engines.get(0))).anyMatch(number -> number >= first);
   }
 
-  /** Returns the list, on which the first engine may be the only one, so that it is chosen. */
   private String listed() {
     return engines.get(0).listed() + (firstOnly ? "" : engines.get(1).listed());
   }
