Test a loop that runs briefly; one accept loop for endpoints of tests; usual terms

AcceptLoop replaces the accept loops of SlowEndpoint, PacedEndpoint, StutteringEndpoint and PausableEngine. 'Suspended' and 'stalled' replace other words for them.

--- a/decisions/src/main/java/org/comfreygap/decisions/EndpointSilence.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/EndpointSilence.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 
 /**
- * Decides whether an endpoint, whose state is reported regularly, stands still: neither a report
+ * Decides whether an endpoint, whose state is reported regularly, is suspended: neither a report
  * nor a part of a response has come from it for too long.
  *
- * <p>The sockets of a machine that stands still go on taking what is sent, and nobody reads it
- * before the machine goes on. A lack of reports therefore must not look like a lack of load.
+ * <p>The sockets of a suspended machine go on taking what is sent, and nobody reads it before the
+ * machine goes on. A lack of reports therefore must not look like a lack of load.
  *
  * <pre>{@code
  * if (silence.check(now) == EndpointSilence.Change.BEGAN) { log(endpoint); }
@@ -51,7 +51,7 @@
 
   /**
    * Records that the endpoint's reporter accepted a connection, so that a report is due. Its kernel
-   * does so also while it stands still.
+   * does so also while it is suspended.
    */
   public void reporterAccepted(long nowNanos) {
     if (!reported) {
--- a/decisions/src/main/java/org/comfreygap/decisions/LoopPauses.java
+++ b/decisions/src/main/java/org/comfreygap/decisions/LoopPauses.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /**
- * Tells whether input may wait unread because the thread that reads it was away: its process was
+ * Tells whether input may wait unread because the thread that reads it did not run: its process was
  * stopped, had no processor time, or was held up by one task.
  *
  * <p>After a pause, a request and the end of its caller's connection may both have arrived, and the
@@ -39,7 +39,7 @@
   /**
    * Records a tick.
    *
-   * @return the lateness of the tick when the thread was away
+   * @return the lateness of the tick when the thread did not run for too long
    */
   public Optional<Duration> ticked(long nowNanos) {
     boolean late = isLate(nowNanos);
--- a/decisions/src/test/java/org/comfreygap/decisions/EndpointSilenceTest.java
+++ b/decisions/src/test/java/org/comfreygap/decisions/EndpointSilenceTest.java
@@ -59,7 +59,7 @@
     assertThat(silence.check(3 * OVERDUE)).isEqualTo(EndpointSilence.Change.NONE);
   }
 
-  /** Guards against a gateway that starts while an endpoint stands still and takes it for idle. */
+  /** Guards against a gateway that starts while an endpoint is suspended and takes it for idle. */
   @Test
   void beginsWhenAReporterAcceptsAConnectionAndReportsNothing() {
     silence.reporterAccepted(0);
--- a/relay/src/main/java/org/comfreygap/relay/Endpoint.java
+++ b/relay/src/main/java/org/comfreygap/relay/Endpoint.java
@@ -135,7 +135,7 @@
     return health;
   }
 
-  /** Returns what tells whether the endpoint stands still. */
+  /** Returns what tells whether the endpoint is suspended. */
   EndpointSilence silence() {
     return silence;
   }
--- a/relay/src/main/java/org/comfreygap/relay/RelayContext.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayContext.java
@@ -21,7 +21,7 @@
  * @param demands load of the pools whose number of endpoints is ordered
  * @param hedging decides on second attempts; empty when there are none
  * @param pauses of which pools the streams pause too long
- * @param loopPauses whether input may wait because the event loop was away
+ * @param loopPauses whether input may wait because the event loop did not run
  * @param durations how long the requests of each route last
  * @param heldBytes bytes that unfinished responses hold together
  * @param usage requests that endpoints began, by window of time
--- a/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
+++ b/relay/src/main/java/org/comfreygap/relay/RelayEvent.java
@@ -48,7 +48,7 @@
       3546, Level.INFO, "A caller's connection ended before its whole response."),
   REQUEST_NOT_ANSWERED(3547, Level.INFO, "A request that was read whole was dropped unanswered."),
   REQUEST_STEP_FAILED(3548, Level.WARN, "An error in this process ended a request."),
-  LOOP_PAUSED(3549, Level.INFO, "The event loop was away; what arrived meanwhile is read late."),
+  LOOP_PAUSED(3549, Level.INFO, "The event loop stalled; what arrived meanwhile is read late."),
   REUSE_SUSPENDED(3550, Level.INFO, "Each connection to an endpoint carries one request."),
   REUSE_RESUMED(3551, Level.INFO, "Connections to an endpoint are kept after a response again."),
   RESPONSE_TOO_LARGE(3555, Level.WARN, "A response exceeded a limit; its connection was closed."),
--- a/relay/src/test/java/org/comfreygap/relay/LoopPauseTest.java
+++ b/relay/src/test/java/org/comfreygap/relay/LoopPauseTest.java
@@ -6,19 +6,31 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 import org.comfreygap.runtime.Closer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Requests that arrive, with the end of their callers, while the gateway's event loop is away. */
+/**
+ * Requests that arrive, with the end of their callers, while the gateway's event loop is stalled.
+ */
 class LoopPauseTest {
 
   private static final int CALLERS = 40;
   private static final int PAUSE_MILLIS = 1_500;
+  private static final int SHORT_PAUSES = 10;
+  private static final int SHORT_PAUSE_MILLIS = 300;
+
+  /** The platform's bound on the arrival of a request after its caller left. */
+  private static final Duration MAX_LATENESS = Duration.ofMillis(500);
 
   @TempDir private Path folder;
   private final Closer closer = new Closer();
@@ -70,7 +82,38 @@
     assertThat(ids()).filteredOn(id -> id.startsWith("left-")).isEmpty();
   }
 
-  /** Guards against requests that are lost because the event loop was away. */
+  /** Guards against the same in a process that runs often, but briefly each time. */
+  @Test
+  void sendsNoRequestLateWhileTheLoopRunsBriefly() throws Exception {
+    Map<String, Long> arrivals = new ConcurrentHashMap<>();
+    Map<String, Long> leaves = new HashMap<>();
+    Thread watch = new Thread(() -> watchArrivals(arrivals));
+    watch.setDaemon(true);
+    watch.start();
+    Socket blocking = closer.register("blocking caller", connect());
+    // Pipelined requests: each blocks one turn of the loop.
+    for (int i = 0; i < SHORT_PAUSES; i++) {
+      write(blocking, "blocking-" + i, SHORT_PAUSE_MILLIS);
+    }
+    for (int i = 0; i < CALLERS; i++) {
+      try (Socket caller = connect()) {
+        write(caller, "left-" + i, 0);
+      }
+      leaves.put("left-" + i, System.nanoTime());
+      Thread.sleep(50);
+    }
+    Thread.sleep(SHORT_PAUSES * SHORT_PAUSE_MILLIS - CALLERS * 50 + 1_000);
+    watch.interrupt();
+
+    assertThat(leaves)
+        .allSatisfy(
+            (id, left) ->
+                assertThat(arrivals.getOrDefault(id, left) - left)
+                    .as(id)
+                    .isLessThan(MAX_LATENESS.toNanos()));
+  }
+
+  /** Guards against requests that are lost because the event loop stalled. */
   @Test
   void servesEveryRequestWhoseCallerStays() throws Exception {
     pauseLoop();
@@ -103,6 +146,14 @@
     }
   }
 
+  /** Records when each request is first seen at the endpoint. */
+  private void watchArrivals(Map<String, Long> arrivals) {
+    while (!Thread.currentThread().isInterrupted()) {
+      ids().forEach(id -> arrivals.putIfAbsent(id, System.nanoTime()));
+      LockSupport.parkNanos(5_000_000);
+    }
+  }
+
   private List<String> ids() {
     return endpoint.requests().stream().map(RawRequest::id).toList();
   }
--- a/relay/src/test/java/org/comfreygap/relay/PacedEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/PacedEndpoint.java
@@ -6,7 +6,6 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -34,17 +33,16 @@
 
   private final String instanceId;
   private final Plan plan;
-  private final ServerSocket socket;
-  private final List<Socket> connections = new CopyOnWriteArrayList<>();
+  private final AcceptLoop server;
   private volatile String version = "v1";
 
   /** Starts an endpoint at a host address of the loopback network. */
   PacedEndpoint(String instanceId, String host, Plan plan) throws IOException {
     this.instanceId = instanceId;
     this.plan = plan;
-    this.socket = new ServerSocket();
-    socket.bind(new InetSocketAddress(InetAddress.getByName(host), FreePorts.address().getPort()));
-    thread(this::accept);
+    InetSocketAddress address =
+        new InetSocketAddress(InetAddress.getByName(host), FreePorts.address().getPort());
+    this.server = AcceptLoop.start("paced-endpoint", address, this::serve);
   }
 
   /** How a response ends. */
@@ -129,29 +127,12 @@
 
   /** Returns this endpoint's line in the list. */
   String listed() {
-    InetSocketAddress address = (InetSocketAddress) socket.getLocalSocketAddress();
-    return instanceId + " " + Addresses.text(address) + " " + version + "\n";
+    return instanceId + " " + Addresses.text(server.address()) + " " + version + "\n";
   }
 
   @Override
   public void close() throws IOException {
-    socket.close();
-    for (Socket connection : connections) {
-      connection.close();
-    }
-  }
-
-  private void accept() {
-    while (!socket.isClosed()) {
-      try {
-        Socket connection = socket.accept();
-        connection.setTcpNoDelay(true);
-        connections.add(connection);
-        thread(() -> serve(connection));
-      } catch (IOException e) {
-        return;
-      }
-    }
+    server.close();
   }
 
   private void serve(Socket connection) {
@@ -242,10 +223,4 @@
     out.write(text.getBytes(StandardCharsets.US_ASCII));
     out.flush();
   }
-
-  private static void thread(Runnable run) {
-    Thread thread = new Thread(run, "paced-endpoint");
-    thread.setDaemon(true);
-    thread.start();
-  }
 }
--- a/relay/src/test/java/org/comfreygap/relay/PausableEngine.java
+++ b/relay/src/test/java/org/comfreygap/relay/PausableEngine.java
@@ -9,14 +9,12 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.comfreygap.protocol.generated.EndpointStatus;
 import org.comfreygap.protocol.generated.ResidencyMessage;
@@ -25,7 +23,7 @@
 import org.comfreygap.testkit.FreePorts;
 
 /**
- * An engine and the sidecar beside it, on a loopback host of their own, which may stand still
+ * An engine and the sidecar beside it, on a loopback host of their own, which may be suspended
  * together: their sockets take connections and bytes, and nothing is read or written.
  *
  * <p>Thread safety: all methods may be called from any thread.
@@ -38,9 +36,8 @@
   private final String host;
   private final SharedKey key;
   private final Closer closer = new Closer();
-  private final ServerSocket socket = new ServerSocket();
+  private final AcceptLoop server;
   private final EventLoopGroup group = new NioEventLoopGroup(1);
-  private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final Set<Channel> gateways = ConcurrentHashMap.newKeySet();
   private final Set<String> requests = ConcurrentHashMap.newKeySet();
   private final Object gate = new Object();
@@ -53,15 +50,14 @@
     this.instanceId = instanceId;
     this.host = host;
     this.key = key;
-    socket.bind(new InetSocketAddress(host, FreePorts.address().getPort()));
-    closer.register("socket", socket);
+    InetSocketAddress address = new InetSocketAddress(host, FreePorts.address().getPort());
+    this.server = closer.register(AcceptLoop.start("pausable-engine", address, this::serve));
     closer.register("group", () -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await());
     startSidecar(sidecarPort);
     group
         .next()
         .scheduleAtFixedRate(
             this::report, STATUS_PERIOD_MILLIS, STATUS_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
-    thread(this::accept);
   }
 
   /** Starts the sidecar, which reports the engine. */
@@ -90,17 +86,17 @@
   }
 
   String listed() {
-    return instanceId + " " + host + ":" + socket.getLocalPort() + " v1\n";
+    return instanceId + " " + host + ":" + server.address().getPort() + " v1\n";
   }
 
-  /** Stands still until {@link #goOn}. */
+  /** Suspends both until {@link #resume}. */
   void pause() {
     synchronized (gate) {
       paused = true;
     }
   }
 
-  void goOn() {
+  void resume() {
     synchronized (gate) {
       paused = false;
       gate.notifyAll();
@@ -114,32 +110,16 @@
 
   @Override
   public void close() throws Exception {
-    goOn();
-    for (Socket connection : connections) {
-      connection.close();
-    }
+    resume();
     closer.close();
   }
 
-  private void accept() {
-    while (!socket.isClosed()) {
-      try {
-        Socket connection = socket.accept();
-        connection.setTcpNoDelay(true);
-        connections.add(connection);
-        thread(() -> serve(connection));
-      } catch (IOException e) {
-        return;
-      }
-    }
-  }
-
   private void serve(Socket connection) {
     try (connection) {
       InputStream in = new BufferedInputStream(connection.getInputStream());
       Optional<RawRequest> request = RawRequest.read(in);
       while (request.isPresent()) {
-        awaitGoOn();
+        awaitResume();
         requests.add(request.get().id());
         String response =
             "HTTP/1.1 200 OK\r\n"
@@ -158,7 +138,7 @@
     }
   }
 
-  private void awaitGoOn() throws InterruptedException {
+  private void awaitResume() throws InterruptedException {
     synchronized (gate) {
       while (paused) {
         gate.wait();
@@ -177,12 +157,6 @@
     PeerMessages.send(List.copyOf(gateways), ResidencyMessage.status(status));
   }
 
-  private static void thread(Runnable run) {
-    Thread thread = new Thread(run, "pausable-engine");
-    thread.setDaemon(true);
-    thread.start();
-  }
-
   private final class Gateways implements PeerMessages.Receiver {
 
     @Override
--- a/relay/src/test/java/org/comfreygap/relay/SlowEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/SlowEndpoint.java
@@ -3,8 +3,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -22,8 +20,7 @@
 final class SlowEndpoint implements AutoCloseable {
 
   private final String instanceId;
-  private final ServerSocket socket = new ServerSocket();
-  private final List<Socket> connections = new CopyOnWriteArrayList<>();
+  private final AcceptLoop server;
   private final List<RawRequest> requests = new CopyOnWriteArrayList<>();
   private final long workMillis;
   private volatile boolean breaking;
@@ -31,8 +28,7 @@
   SlowEndpoint(String instanceId, long workMillis) throws IOException {
     this.instanceId = instanceId;
     this.workMillis = workMillis;
-    socket.bind(FreePorts.address());
-    thread(this::accept);
+    this.server = AcceptLoop.start("slow-endpoint", FreePorts.address(), this::serve);
   }
 
   /** Closes the connection of each request from here on, at the end of its work. */
@@ -41,8 +37,7 @@
   }
 
   String listed() {
-    InetSocketAddress address = (InetSocketAddress) socket.getLocalSocketAddress();
-    return instanceId + " " + Addresses.text(address) + " v1\n";
+    return instanceId + " " + Addresses.text(server.address()) + " v1\n";
   }
 
   /** Returns the requests in the order of their arrival. */
@@ -52,23 +47,7 @@
 
   @Override
   public void close() throws IOException {
-    socket.close();
-    for (Socket connection : connections) {
-      connection.close();
-    }
-  }
-
-  private void accept() {
-    while (!socket.isClosed()) {
-      try {
-        Socket connection = socket.accept();
-        connection.setTcpNoDelay(true);
-        connections.add(connection);
-        thread(() -> serve(connection));
-      } catch (IOException e) {
-        return;
-      }
-    }
+    server.close();
   }
 
   private void serve(Socket connection) {
@@ -97,10 +76,4 @@
       return;
     }
   }
-
-  private static void thread(Runnable run) {
-    Thread thread = new Thread(run, "slow-endpoint");
-    thread.setDaemon(true);
-    thread.start();
-  }
 }
--- a/relay/src/test/java/org/comfreygap/relay/StutteringEndpoint.java
+++ b/relay/src/test/java/org/comfreygap/relay/StutteringEndpoint.java
@@ -5,12 +5,10 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.comfreygap.testkit.FreePorts;
 
@@ -24,8 +22,7 @@
   private static final String NAME = HeaderDialect.REQUEST + ": [^\r]*\r\n";
   private static final String FRAMING = "(Content-Length|Transfer-Encoding): [^\r]*\r\n";
 
-  private final ServerSocket socket = new ServerSocket();
-  private final List<Socket> connections = new CopyOnWriteArrayList<>();
+  private final AcceptLoop server;
   private final AtomicInteger opened = new AtomicInteger();
   private volatile Plan plan = Plan.NONE;
 
@@ -73,12 +70,11 @@
   }
 
   StutteringEndpoint() throws IOException {
-    socket.bind(FreePorts.address());
-    thread(this::accept);
+    this.server = AcceptLoop.start("stuttering-endpoint", FreePorts.address(), this::serve);
   }
 
   InetSocketAddress address() {
-    return (InetSocketAddress) socket.getLocalSocketAddress();
+    return server.address();
   }
 
   void setPlan(Plan next) {
@@ -114,31 +110,15 @@
 
   @Override
   public void close() throws IOException {
-    socket.close();
-    for (Socket connection : connections) {
-      connection.close();
-    }
+    server.close();
   }
 
   private static String chunk(String text) {
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
 
-  private void accept() {
-    while (!socket.isClosed()) {
-      try {
-        Socket connection = socket.accept();
-        connection.setTcpNoDelay(true);
-        opened.incrementAndGet();
-        connections.add(connection);
-        thread(() -> serve(connection));
-      } catch (IOException e) {
-        return;
-      }
-    }
-  }
-
   private void serve(Socket connection) {
+    opened.incrementAndGet();
     try (connection) {
       InputStream in = new BufferedInputStream(connection.getInputStream());
       String last = "";
@@ -186,10 +166,4 @@
     out.write(text.getBytes(StandardCharsets.US_ASCII));
     out.flush();
   }
-
-  private static void thread(Runnable run) {
-    Thread thread = new Thread(run, "stuttering-endpoint");
-    thread.setDaemon(true);
-    thread.start();
-  }
 }
